--- /dev/null
+++ b/crates/store-wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/src/connection/mod.rs
@@ -0,0 +1,1 @@
+//! One connection of a caller or to an endpoint.
--- /dev/null
+++ b/src/process/mod.rs
@@ -0,0 +1,4 @@
+//! One running instance: what lives as long as its process.
+
+pub mod endpoint_status;
+pub mod timers;
--- /dev/null
+++ b/src/request/refusal.rs
@@ -0,0 +1,77 @@
+//! Why a request was refused or ended without an answer.
+
+use std::fmt;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// A failure that the caller is told of, each with its own SQLSTATE.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RequestRefusal {
+    /// The team is above its rate and burst.
+    AboveRate,
+    /// The queue for the service's slots is full.
+    QueueFull,
+    /// The deadline passed, or cannot be met, while the request waits for a slot.
+    QueueDeadline,
+    /// The service has no primary at present.
+    NoPrimary,
+    /// No endpoint may take the request at present.
+    NoEndpoint,
+    /// The instance can see neither the store nor enough peers.
+    Isolated,
+    /// The key was withdrawn.
+    KeyWithdrawn,
+    /// The team may not use the service.
+    TeamNotAllowed,
+    /// The service does not exist in the bundle in force.
+    UnknownService,
+    /// The instance is stopping.
+    Draining,
+    /// The request may have run; its outcome is not known.
+    OutcomeUnknown,
+}
+
+impl RequestRefusal {
+    /// Returns the SQLSTATE that the caller is told.
+    pub fn sqlstate(self) -> &'static str {
+        match self {
+            RequestRefusal::AboveRate => "53400",
+            RequestRefusal::QueueFull | RequestRefusal::QueueDeadline => "53300",
+            RequestRefusal::NoPrimary | RequestRefusal::NoEndpoint | RequestRefusal::Isolated => {
+                "57P03"
+            }
+            RequestRefusal::KeyWithdrawn | RequestRefusal::TeamNotAllowed => "28000",
+            RequestRefusal::UnknownService => "3D000",
+            RequestRefusal::Draining => "57P01",
+            RequestRefusal::OutcomeUnknown => "40003",
+        }
+    }
+
+    /// Whether the request provably did not start at an endpoint.
+    pub fn is_not_run(self) -> bool {
+        self != RequestRefusal::OutcomeUnknown
+    }
+}
+
+impl fmt::Display for RequestRefusal {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let text = match self {
+            RequestRefusal::AboveRate => "the team is above its rate",
+            RequestRefusal::QueueFull => "the queue for the service is full",
+            RequestRefusal::QueueDeadline => "no slot becomes free before the deadline",
+            RequestRefusal::NoPrimary => "the service has no primary at present",
+            RequestRefusal::NoEndpoint => "no endpoint may take the request at present",
+            RequestRefusal::Isolated => "the instance sees neither the store nor enough peers",
+            RequestRefusal::KeyWithdrawn => "the key was withdrawn",
+            RequestRefusal::TeamNotAllowed => "the team may not use the service",
+            RequestRefusal::UnknownService => "the service does not exist",
+            RequestRefusal::Draining => "the instance is stopping",
+            RequestRefusal::OutcomeUnknown => "the outcome of the request is unknown",
+        };
+        f.write_str(text)
+    }
+}
+
+impl std::error::Error for RequestRefusal {}
--- /dev/null
+++ b/src/version/mod.rs
@@ -0,0 +1,5 @@
+//! One version of the operators' configuration.
+
+pub mod bundle;
+pub mod ids;
+pub mod units;
--- /dev/null
+++ b/src/version/units.rs
@@ -0,0 +1,61 @@
+//! Sizes and rates with their units.
+
+use std::fmt;
+use std::num::ParseFloatError;
+use std::num::ParseIntError;
+use std::str::FromStr;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+macro_rules! define_unit {
+    ($(#[$doc:meta])* $name:ident, $repr:ty, $error:ty) => {
+        $(#[$doc])*
+        #[derive(Debug, Clone, Copy, Default, PartialEq, PartialOrd, Serialize, Deserialize)]
+        #[serde(transparent)]
+        pub struct $name(pub $repr);
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(f, "{}", self.0)
+            }
+        }
+
+        impl FromStr for $name {
+            type Err = $error;
+
+            fn from_str(text: &str) -> Result<Self, Self::Err> {
+                text.parse().map(Self)
+            }
+        }
+    };
+}
+
+define_unit!(
+    /// The rate of a team, in requests per second for the whole fleet.
+    RequestRate, f64, ParseFloatError
+);
+define_unit!(
+    /// The burst of a team, in requests for the whole fleet.
+    RequestBurst, f64, ParseFloatError
+);
+define_unit!(
+    /// How many statements an endpoint runs at once, for all instances together.
+    SlotCount, u32, ParseIntError
+);
+define_unit!(
+    /// How many connections an endpoint accepts, for all instances together.
+    ConnectionCount, u32, ParseIntError
+);
+define_unit!(
+    /// A size in bytes.
+    ByteSize, u64, ParseIntError
+);
+define_unit!(
+    /// The highest accepted age of data, in milliseconds.
+    StalenessLimit, u64, ParseIntError
+);
+define_unit!(
+    /// The weight of a team where teams compete for slots; 1 is the default.
+    TeamWeight, f64, ParseFloatError
+);
--- /dev/null
+++ b/tests/testsuite/main.rs
@@ -0,0 +1,3 @@
+//! Feature tests, one file a feature.
+
+mod log_points;
