Add the stand-in endpoint

Tests of the caller path and of failover need database endpoints whose faults they control. The stand-in speaks simple and extended queries, keeps a key-value table in memory, has the four platform functions and replicates its log by pulls over a link of its own.

Passwords are requested in clear text, so that a test can read what the endpoint was shown; SCRAM would hide it.

Replication is pull with a common-prefix search over term starts. A push by the primary was ruled out: it has to track each replica's state, and the replica would have to answer anyway for a cut to be seen.

--- /dev/null
+++ b/crates/standins/src/endpoint/handle.rs
@@ -0,0 +1,131 @@
+//! Starts a stand-in endpoint and controls it while it runs.
+
+use std::io;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::time::Instant;
+
+use tokio::runtime::Runtime;
+
+use crate::endpoint::config::EndpointConfig;
+use crate::endpoint::faults::EndpointFaults;
+use crate::endpoint::link;
+use crate::endpoint::listener;
+use crate::endpoint::log::LogEntry;
+use crate::endpoint::shared::EndpointCounters;
+use crate::endpoint::shared::EndpointShared;
+use crate::endpoint::shared::ShownCredential;
+use crate::endpoint::shared::lock;
+use crate::endpoint::state::ExecutedWrite;
+use crate::endpoint::status::EndpointReport;
+
+/// A running stand-in endpoint; it stops when this is dropped.
+#[derive(Debug)]
+pub struct EndpointHandle {
+    shared: Arc<EndpointShared>,
+    address: SocketAddr,
+    link: SocketAddr,
+    runtime: Option<Runtime>,
+}
+
+/// Starts a stand-in endpoint on threads of its own.
+///
+/// Returns the error of the operating system if an address cannot be bound.
+pub fn start(config: EndpointConfig) -> io::Result<EndpointHandle> {
+    let clients = bind(config.listen)?;
+    let peers = bind(config.link)?;
+    let address = clients.local_addr()?;
+    let link = peers.local_addr()?;
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(config.threads.max(1))
+        .thread_name("standin-endpoint")
+        .enable_all()
+        .build()?;
+    let shared = Arc::new(EndpointShared::new(config));
+    {
+        let _entered = runtime.enter();
+        let clients = tokio::net::TcpListener::from_std(clients)?;
+        let peers = tokio::net::TcpListener::from_std(peers)?;
+        runtime.spawn(listener::serve(Arc::clone(&shared), clients, address));
+        runtime.spawn(link::serve(Arc::clone(&shared), peers));
+        runtime.spawn(link::follow_peers(Arc::clone(&shared)));
+    }
+    Ok(EndpointHandle {
+        shared,
+        address,
+        link,
+        runtime: Some(runtime),
+    })
+}
+
+fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+    let listener = TcpListener::bind(address)?;
+    listener.set_nonblocking(true)?;
+    Ok(listener)
+}
+
+impl EndpointHandle {
+    /// Returns where clients connect.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Returns where the other endpoints pull the log from.
+    pub fn link(&self) -> SocketAddr {
+        self.link
+    }
+
+    /// Sets the link addresses of the other endpoints of the group.
+    pub fn set_peers(&self, peers: Vec<SocketAddr>) {
+        self.shared.peers.send_replace(peers);
+    }
+
+    /// Returns the faults in force.
+    pub fn faults(&self) -> EndpointFaults {
+        *self.shared.faults.borrow()
+    }
+
+    /// Puts faults in force.
+    pub fn set_faults(&self, faults: EndpointFaults) {
+        self.shared.set_faults(faults);
+    }
+
+    /// Closes all open client connections.
+    pub fn close_connections(&self) {
+        self.shared.closed.send_modify(|version| *version += 1);
+    }
+
+    /// Returns what the platform functions report.
+    pub fn report(&self) -> EndpointReport {
+        self.shared.state().report(Instant::now())
+    }
+
+    /// Returns the log.
+    pub fn log(&self) -> Vec<LogEntry> {
+        self.shared.state().log().entries().to_vec()
+    }
+
+    /// Returns the writes this endpoint committed as the primary.
+    pub fn executed(&self) -> Vec<ExecutedWrite> {
+        self.shared.state().executed().to_vec()
+    }
+
+    /// Returns the user names and passwords it was shown.
+    pub fn shown(&self) -> Vec<ShownCredential> {
+        lock(&self.shared.shown).clone()
+    }
+
+    /// Returns the counters.
+    pub fn counters(&self) -> EndpointCounters {
+        *lock(&self.shared.counters)
+    }
+}
+
+impl Drop for EndpointHandle {
+    fn drop(&mut self) {
+        if let Some(runtime) = self.runtime.take() {
+            runtime.shutdown_background();
+        }
+    }
+}
--- /dev/null
+++ b/crates/standins/src/endpoint/program.rs
@@ -0,0 +1,41 @@
+//! The program around a stand-in endpoint.
+
+use std::process::ExitCode;
+
+use argh::FromArgs;
+
+use crate::endpoint::config::EndpointConfig;
+use crate::endpoint::handle::start;
+
+/// Runs a stand-in for one database endpoint until it is killed.
+#[derive(Debug, FromArgs)]
+struct EndpointArgs {
+    /// settings as JSON; settings left out have their defaults
+    #[argh(option, default = "\"{}\".to_owned()")]
+    json: String,
+}
+
+/// Runs the program.
+pub fn main() -> ExitCode {
+    let args: EndpointArgs = argh::from_env();
+    let config: EndpointConfig = match serde_json::from_str(&args.json) {
+        Ok(config) => config,
+        Err(error) => {
+            eprintln!("standin-endpoint: bad settings: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    let name = config.name.clone();
+    match start(config) {
+        Ok(handle) => {
+            println!("standin-endpoint: {name} listens on {}", handle.address());
+            loop {
+                std::thread::park();
+            }
+        }
+        Err(error) => {
+            eprintln!("standin-endpoint: cannot start: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,1 +1,4 @@
-//! Placeholder.
+//! Small stand-ins for the platform's database endpoints and store, with faults that tests switch
+//! while they run.
+
+pub mod endpoint;
