Add the stand-in store and an admin port to the stand-in endpoint

The store adapter and the shares need a store whose outages, delays and lost answers a test controls. A lost answer closes the connection after the effect. An outage is either status 503 or silence; both leave the keys unchanged, also for calls that were waiting when it began.

Removed keys stay as tombstones, so that a watch that starts late still reports the removal. A full event history was ruled out: watchers only need the last change of each key.

--- a/crates/standins/src/endpoint/handle.rs
+++ b/crates/standins/src/endpoint/handle.rs
@@ -8,6 +8,7 @@
 
 use tokio::runtime::Runtime;
 
+use crate::endpoint::admin;
 use crate::endpoint::config::EndpointConfig;
 use crate::endpoint::faults::EndpointFaults;
 use crate::endpoint::link;
@@ -19,6 +20,8 @@
 use crate::endpoint::shared::lock;
 use crate::endpoint::state::ExecutedWrite;
 use crate::endpoint::status::EndpointReport;
+use crate::http;
+use crate::http::HttpHandle;
 
 /// A running stand-in endpoint; it stops when this is dropped.
 #[derive(Debug)]
@@ -26,7 +29,9 @@
     shared: Arc<EndpointShared>,
     address: SocketAddr,
     link: SocketAddr,
+    admin: Option<SocketAddr>,
     runtime: Option<Runtime>,
+    _http: Option<HttpHandle>,
 }
 
 /// Starts a stand-in endpoint on threads of its own.
@@ -37,6 +42,11 @@
     let peers = bind(config.link)?;
     let address = clients.local_addr()?;
     let link = peers.local_addr()?;
+    let admin_listener = config.admin.map(TcpListener::bind).transpose()?;
+    let admin = admin_listener
+        .as_ref()
+        .map(TcpListener::local_addr)
+        .transpose()?;
     let runtime = tokio::runtime::Builder::new_multi_thread()
         .worker_threads(config.threads.max(1))
         .thread_name("standin-endpoint")
@@ -51,10 +61,18 @@
         runtime.spawn(link::serve(Arc::clone(&shared), peers));
         runtime.spawn(link::follow_peers(Arc::clone(&shared)));
     }
+    let http = admin_listener
+        .map(|listener| {
+            let routes = admin::configure(Arc::clone(&shared));
+            http::serve("standin-admin", listener, routes)
+        })
+        .transpose()?;
     Ok(EndpointHandle {
         shared,
         address,
         link,
+        admin,
+        _http: http,
         runtime: Some(runtime),
     })
 }
@@ -76,6 +94,11 @@
         self.link
     }
 
+    /// Returns where the admin HTTP port listens.
+    pub fn admin(&self) -> Option<SocketAddr> {
+        self.admin
+    }
+
     /// Sets the link addresses of the other endpoints of the group.
     pub fn set_peers(&self, peers: Vec<SocketAddr>) {
         self.shared.peers.send_replace(peers);
@@ -93,7 +116,7 @@
 
     /// Closes all open client connections.
     pub fn close_connections(&self) {
-        self.shared.closed.send_modify(|version| *version += 1);
+        self.shared.close_connections();
     }
 
     /// Returns what the platform functions report.
--- a/crates/standins/src/endpoint/mod.rs
+++ b/crates/standins/src/endpoint/mod.rs
@@ -21,6 +21,7 @@
 pub mod tokens;
 pub mod transaction;
 
+mod admin;
 mod link;
 mod listener;
 
--- a/crates/standins/src/endpoint/shared.rs
+++ b/crates/standins/src/endpoint/shared.rs
@@ -143,6 +143,11 @@
         self.faults.send_replace(faults);
     }
 
+    /// Closes all open client connections.
+    pub fn close_connections(&self) {
+        self.closed.send_modify(|version| *version += 1);
+    }
+
     /// Waits until traffic in a direction passes.
     pub async fn pass(&self, gate: TrafficGate) {
         if gate.is_open(&self.faults.borrow()) {
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -2,3 +2,6 @@
 //! while they run.
 
 pub mod endpoint;
+pub mod store;
+
+mod http;
--- /dev/null
+++ b/crates/standins/src/store/shared.rs
@@ -0,0 +1,77 @@
+//! What all parts of a stand-in store share.
+
+use std::sync::Mutex;
+use std::time::Instant;
+
+use store_wire::InstanceList;
+use tokio::sync::watch;
+
+use crate::endpoint::shared::lock;
+use crate::store::calls::CallCounts;
+use crate::store::config::StoreConfig;
+use crate::store::faults::StoreFaults;
+use crate::store::state::StoreState;
+
+/// What all parts of a stand-in store share.
+#[derive(Debug)]
+pub struct StoreShared {
+    /// The faults in force.
+    pub faults: watch::Sender<StoreFaults>,
+    /// Changes whenever a key does.
+    pub changed: watch::Sender<u64>,
+    /// The calls that arrived.
+    pub calls: Mutex<CallCounts>,
+    /// The instance list.
+    pub instances: Mutex<InstanceList>,
+    state: Mutex<StoreState>,
+}
+
+impl StoreShared {
+    /// Creates the shared part of a store.
+    pub fn new(config: &StoreConfig) -> Self {
+        Self {
+            faults: watch::Sender::new(config.faults),
+            changed: watch::Sender::new(0),
+            calls: Mutex::default(),
+            instances: Mutex::new(InstanceList {
+                instances: config.instances.clone(),
+            }),
+            state: Mutex::default(),
+        }
+    }
+
+    /// Uses the state after ending the leases that have lapsed by now.
+    pub fn update<T>(&self, action: impl FnOnce(&mut StoreState) -> T) -> T {
+        let (result, revision) = {
+            let mut state = lock(&self.state);
+            state.end_lapsed(Instant::now());
+            let result = action(&mut state);
+            (result, state.revision())
+        };
+        self.changed
+            .send_if_modified(|known| std::mem::replace(known, revision.max(*known)) < revision);
+        result
+    }
+
+    /// Ends a lease now, or all of them.
+    pub fn lapse_leases(&self, only: Option<&str>) {
+        self.update(|state| {
+            for id in state.leases() {
+                if only.is_none_or(|only| only == id) {
+                    state.end_lease(&id);
+                }
+            }
+        });
+    }
+
+    /// Uses up one lost answer; returns whether one was due.
+    pub fn take_lost_answer(&self) -> bool {
+        let mut taken = false;
+        self.faults.send_if_modified(|faults| {
+            taken = faults.lose_answers > 0;
+            faults.lose_answers = faults.lose_answers.saturating_sub(1);
+            taken
+        });
+        taken
+    }
+}
