Add QUIC links between instances and the evidence about the store

Cause: instances need a way to learn a bundle from each other and to tell a store outage from their own isolation. A withdrawn key must not live on in an instance that sees neither. Ruled out: one long-lived stream for each pair (a slow bundle transfer would delay heartbeats); taking the arrival time of an answer as its age (an answer that waited while the process was frozen would count as fresh), so the time of the question counts.

--- /dev/null
+++ b/src/process/peers/peer_mesh.rs
@@ -0,0 +1,176 @@
+//! The QUIC endpoint of an instance: asks peers and answers them.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use futures_util::future::BoxFuture;
+use tokio::task::JoinHandle;
+use tracing::debug;
+
+use crate::process::peers::peer_error::PeerError;
+use crate::process::peers::peer_identity::PEER_NAME;
+use crate::process::peers::peer_identity::PeerIdentity;
+use crate::process::peers::peer_message::MAX_MESSAGE_BYTES;
+use crate::process::peers::peer_message::PeerReply;
+use crate::process::peers::peer_message::PeerRequest;
+use crate::process::peers::peer_message::decode_message;
+use crate::process::peers::peer_message::encode_message;
+
+const LINK_SHARDS: usize = 8;
+
+/// Answers a request of a peer.
+pub type AnswerFn = Box<dyn Fn(PeerRequest) -> BoxFuture<'static, PeerReply> + Send + Sync>;
+
+type LinkShard = Mutex<HashMap<SocketAddr, quinn::Connection>>;
+
+/// Links to other instances, opened on demand and kept while they are in use.
+pub struct PeerMesh {
+    endpoint: quinn::Endpoint,
+    links: [LinkShard; LINK_SHARDS],
+    accept_task: JoinHandle<()>,
+}
+
+impl PeerMesh {
+    /// Binds the UDP socket and starts answering peers.
+    pub fn start(
+        address: SocketAddr,
+        identity: &PeerIdentity,
+        answer: AnswerFn,
+    ) -> Result<Self, PeerError> {
+        let mut endpoint = quinn::Endpoint::server(identity.server_config()?, address)
+            .map_err(|error| PeerError::Bind { address, error })?;
+        endpoint.set_default_client_config(identity.client_config()?);
+        let accept_task = tokio::spawn(accept_links(endpoint.clone(), Arc::new(answer)));
+        Ok(Self {
+            endpoint,
+            links: Default::default(),
+            accept_task,
+        })
+    }
+
+    /// Returns the address that the UDP socket has.
+    pub fn local_address(&self) -> Option<SocketAddr> {
+        self.endpoint.local_addr().ok()
+    }
+
+    /// Sends a request and waits for its reply, for `limit` at most.
+    pub async fn ask(
+        &self,
+        address: SocketAddr,
+        request: &PeerRequest,
+        limit: Duration,
+    ) -> Result<PeerReply, PeerError> {
+        let bytes = encode_message(request)?;
+        match tokio::time::timeout(limit, self.exchange(address, &bytes)).await {
+            Ok(Ok(reply)) => Ok(reply),
+            Ok(Err(error)) => {
+                self.forget_link(address);
+                Err(error)
+            }
+            Err(_) => {
+                // A link that answers nothing may be silent for good, so the next request opens
+                // a new one.
+                self.forget_link(address);
+                Err(PeerError::Timeout {
+                    address,
+                    after: limit,
+                })
+            }
+        }
+    }
+
+    async fn exchange(&self, address: SocketAddr, bytes: &[u8]) -> Result<PeerReply, PeerError> {
+        let broken = || PeerError::Broken { address };
+        let link = self.open_link(address).await?;
+        let (mut send, mut receive) = link.open_bi().await.map_err(|_| broken())?;
+        send.write_all(bytes).await.map_err(|_| broken())?;
+        send.finish().map_err(|_| broken())?;
+        let reply = receive
+            .read_to_end(MAX_MESSAGE_BYTES)
+            .await
+            .map_err(|_| broken())?;
+        decode_message(&reply)
+    }
+
+    async fn open_link(&self, address: SocketAddr) -> Result<quinn::Connection, PeerError> {
+        if let Some(link) = self.lock_shard(address).get(&address)
+            && link.close_reason().is_none()
+        {
+            return Ok(link.clone());
+        }
+        let refused = || PeerError::Connect { address };
+        let connecting = self
+            .endpoint
+            .connect(address, PEER_NAME)
+            .map_err(|_| refused())?;
+        let link = connecting.await.map_err(|_| refused())?;
+        self.lock_shard(address).insert(address, link.clone());
+        Ok(link)
+    }
+
+    fn forget_link(&self, address: SocketAddr) {
+        // Other requests may still wait on the link, so it closes with the last of them.
+        self.lock_shard(address).remove(&address);
+    }
+
+    fn lock_shard(
+        &self,
+        address: SocketAddr,
+    ) -> std::sync::MutexGuard<'_, HashMap<SocketAddr, quinn::Connection>> {
+        let shard = usize::from(address.port()) % LINK_SHARDS;
+        self.links[shard]
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+impl Drop for PeerMesh {
+    fn drop(&mut self) {
+        self.accept_task.abort();
+        self.endpoint.close(0_u32.into(), b"");
+    }
+}
+
+async fn accept_links(endpoint: quinn::Endpoint, answer: Arc<AnswerFn>) {
+    while let Some(incoming) = endpoint.accept().await {
+        let answer = answer.clone();
+        tokio::spawn(async move {
+            match incoming.await {
+                Ok(link) => serve_link(link, answer).await,
+                Err(error) => debug!("peers: refused a link: {error}"),
+            }
+        });
+    }
+}
+
+async fn serve_link(link: quinn::Connection, answer: Arc<AnswerFn>) {
+    while let Ok((send, receive)) = link.accept_bi().await {
+        let answer = answer.clone();
+        tokio::spawn(async move {
+            if let Err(error) = serve_request(send, receive, &answer).await {
+                debug!("peers: dropped a request: {error}");
+            }
+        });
+    }
+}
+
+async fn serve_request(
+    mut send: quinn::SendStream,
+    mut receive: quinn::RecvStream,
+    answer: &AnswerFn,
+) -> Result<(), PeerError> {
+    let bytes = receive
+        .read_to_end(MAX_MESSAGE_BYTES)
+        .await
+        .map_err(|_| PeerError::Malformed)?;
+    let request: PeerRequest = decode_message(&bytes)?;
+    let reply = encode_message(&answer(request).await)?;
+    send.write_all(&reply)
+        .await
+        .map_err(|_| PeerError::Malformed)?;
+    send.finish().map_err(|_| PeerError::Malformed)
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,3 +1,5 @@
 //! Feature tests, one file a feature.
 
+mod isolation_evidence;
 mod log_points;
+mod peer_links;
