Add the view of the fleet's membership

Cause: the platform's list lags, so the list alone would keep dead instances at work and hide new ones. Ruled out: heartbeats alone (a new instance would know nobody); the list alone (measured by its tests: a listed instance stays live for as long as the list says so). Conclusion: the list names candidates, answers within 2.5 s decide.

--- a/src/process/peers/mod.rs
+++ b/src/process/peers/mod.rs
@@ -4,6 +4,7 @@
 //! of its own, so that a lost or slow message delays no other.
 
 pub mod isolation_monitor;
+pub mod membership_view;
 pub mod peer_digest;
 pub mod peer_error;
 pub mod peer_identity;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -2,4 +2,5 @@
 
 mod isolation_evidence;
 mod log_points;
+mod membership_view;
 mod peer_links;
