--- /dev/null
+++ b/src/process/peers/fleet_links.rs
@@ -0,0 +1,236 @@
+//! Keeps an instance in touch with its peers: heartbeats, evidence and newer bundles.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use futures_util::future::BoxFuture;
+use tracing::debug;
+use tracing::info;
+
+use crate::process::peers::isolation_monitor::IsolationMonitor;
+use crate::process::peers::isolation_monitor::StoreEvidence;
+use crate::process::peers::membership_view::MemberRecord;
+use crate::process::peers::membership_view::MembershipView;
+use crate::process::peers::peer_digest::PeerDigest;
+use crate::process::peers::peer_digest::ServiceDigest;
+use crate::process::peers::peer_error::PeerError;
+use crate::process::peers::peer_mesh::PeerMesh;
+use crate::process::peers::peer_message::PeerPart;
+use crate::process::peers::peer_message::PeerReply;
+use crate::process::peers::peer_message::PeerRequest;
+use crate::process::timers::MonotonicTime;
+use crate::version::ids::BundleVersion;
+use crate::version::ids::InstanceId;
+
+/// How often an instance asks each of its peers.
+pub const HEARTBEAT_PERIOD: Duration = Duration::from_millis(500);
+
+const HEARTBEAT_LIMIT: Duration = Duration::from_millis(1_000);
+const BUNDLE_LIMIT: Duration = Duration::from_secs(2);
+
+/// Answers a message for one part of the process; `None` where it cannot be answered.
+pub type PartFn =
+    Box<dyn Fn(PeerPart, Vec<u8>) -> BoxFuture<'static, Option<Vec<u8>>> + Send + Sync>;
+
+/// Chooses peers for an instance among all that are known to it.
+pub type ChooseFn = Box<dyn Fn(&MemberRecord, &[MemberRecord]) -> Vec<MemberRecord> + Send + Sync>;
+
+/// What the links need of the rest of the process.
+pub struct FleetPorts {
+    /// Reads the clock that counts pauses.
+    pub now: Box<dyn Fn() -> MonotonicTime + Send + Sync>,
+    /// Returns the version of the bundle in force.
+    pub bundle_version: Box<dyn Fn() -> BundleVersion + Send + Sync>,
+    /// Returns the signed bundle in force as it stands in the store.
+    pub bundle_text: Box<dyn Fn() -> Option<String> + Send + Sync>,
+    /// Checks a signed bundle and puts it in force if it is newer and valid.
+    pub accept_bundle: Box<dyn Fn(String) + Send + Sync>,
+    /// Returns what this instance sees of the services that it watches.
+    pub services: Box<dyn Fn() -> Vec<ServiceDigest> + Send + Sync>,
+    /// Takes the digest of a peer that answered.
+    pub on_digest: Box<dyn Fn(&PeerDigest) + Send + Sync>,
+    /// Answers a message for one part of the process.
+    pub on_part: PartFn,
+    /// Whether the process is stopping.
+    pub draining: Box<dyn Fn() -> bool + Send + Sync>,
+    /// Chooses the peers to keep in touch with among all that are known.
+    pub choose_peers: ChooseFn,
+}
+
+/// The links of one instance to its peers.
+pub struct FleetLinks {
+    ports: FleetPorts,
+    incarnation: u64,
+    view: Mutex<MembershipView>,
+    monitor: Mutex<IsolationMonitor>,
+}
+
+impl FleetLinks {
+    /// Creates the links of an instance that knows nobody yet.
+    pub fn new(own: MemberRecord, incarnation: u64, ports: FleetPorts) -> Self {
+        let monitor = IsolationMonitor::new(own.instance.clone());
+        Self {
+            ports,
+            incarnation,
+            view: Mutex::new(MembershipView::new(own)),
+            monitor: Mutex::new(monitor),
+        }
+    }
+
+    /// Returns the view of the fleet's membership.
+    pub fn view(&self) -> MutexGuard<'_, MembershipView> {
+        self.view.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the evidence about the store.
+    pub fn monitor(&self) -> MutexGuard<'_, IsolationMonitor> {
+        self.monitor.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns whether the bundle in force may still be trusted.
+    pub fn evidence(&self) -> StoreEvidence {
+        let bundle = (self.ports.bundle_version)();
+        let now = (self.ports.now)();
+        self.monitor().evidence(now, bundle)
+    }
+
+    /// Returns the digest that peers are told.
+    pub fn digest(&self) -> PeerDigest {
+        let now = (self.ports.now)();
+        let store_age = self.monitor().store_age(now);
+        let own = self.view().own().clone();
+        PeerDigest {
+            instance: own.instance,
+            zone: own.zone,
+            address: own.address,
+            incarnation: self.incarnation,
+            bundle: (self.ports.bundle_version)(),
+            store_age_ms: store_age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
+            draining: (self.ports.draining)(),
+            services: (self.ports.services)(),
+        }
+    }
+
+    /// Answers a request of a peer.
+    pub async fn answer(&self, request: PeerRequest) -> PeerReply {
+        match request {
+            PeerRequest::Heartbeat(digest) => {
+                self.meet_stranger(&digest);
+                (self.ports.on_digest)(&digest);
+                PeerReply::Heartbeat(self.digest())
+            }
+            PeerRequest::FetchBundle { newer_than } => {
+                let newer = (self.ports.bundle_version)() > newer_than;
+                PeerReply::Bundle(newer.then(|| (self.ports.bundle_text)()).flatten())
+            }
+            PeerRequest::Part { part, payload } => {
+                match (self.ports.on_part)(part, payload).await {
+                    Some(reply) => PeerReply::Part(reply),
+                    None => PeerReply::Unavailable,
+                }
+            }
+        }
+    }
+
+    fn meet_stranger(&self, digest: &PeerDigest) {
+        let record = MemberRecord {
+            instance: digest.instance.clone(),
+            zone: digest.zone.clone(),
+            address: digest.address,
+        };
+        let now = (self.ports.now)();
+        self.view().record_stranger(record, now);
+    }
+
+    /// Asks each chosen peer once, and fetches the bundle of one that has a newer one.
+    pub async fn probe_peers(self: &Arc<Self>, mesh: &Arc<PeerMesh>) {
+        let (own, known) = {
+            let view = self.view();
+            (view.own().clone(), view.known())
+        };
+        let chosen = (self.ports.choose_peers)(&own, &known);
+        self.monitor()
+            .set_members(chosen.iter().map(|peer| peer.instance.clone()));
+        let probes = chosen.into_iter().map(|peer| {
+            let links = self.clone();
+            let mesh = mesh.clone();
+            async move {
+                if let Err(error) = links.probe_peer(&mesh, &peer).await {
+                    debug!("peers: {} did not answer: {error}", peer.instance);
+                }
+            }
+        });
+        futures_util::future::join_all(probes).await;
+    }
+
+    async fn probe_peer(&self, mesh: &PeerMesh, peer: &MemberRecord) -> Result<(), PeerError> {
+        let asked_at = (self.ports.now)();
+        let request = PeerRequest::Heartbeat(self.digest());
+        let reply = mesh.ask(peer.address, &request, HEARTBEAT_LIMIT).await?;
+        let PeerReply::Heartbeat(digest) = reply else {
+            return Err(PeerError::Malformed);
+        };
+        self.record_digest(&peer.instance, &digest, asked_at);
+        if digest.bundle > (self.ports.bundle_version)() {
+            self.fetch_bundle(mesh, peer).await?;
+        }
+        Ok(())
+    }
+
+    fn record_digest(&self, peer: &InstanceId, digest: &PeerDigest, asked_at: MonotonicTime) {
+        if *peer != digest.instance {
+            debug!(
+                "peers: {} answers at the address of {peer}",
+                digest.instance
+            );
+            return;
+        }
+        let restarted =
+            self.view()
+                .record_answer(peer, digest.incarnation, digest.draining, asked_at);
+        if restarted {
+            info!("peers: {peer} has restarted");
+        }
+        let store_age = digest.store_age_ms.map(Duration::from_millis);
+        self.monitor()
+            .record_peer(peer.clone(), asked_at, store_age, digest.bundle);
+        (self.ports.on_digest)(digest);
+    }
+
+    async fn fetch_bundle(&self, mesh: &PeerMesh, peer: &MemberRecord) -> Result<(), PeerError> {
+        let newer_than = (self.ports.bundle_version)();
+        let request = PeerRequest::FetchBundle { newer_than };
+        match mesh.ask(peer.address, &request, BUNDLE_LIMIT).await? {
+            PeerReply::Bundle(Some(text)) => (self.ports.accept_bundle)(text),
+            PeerReply::Bundle(None) => {}
+            _ => return Err(PeerError::Malformed),
+        }
+        Ok(())
+    }
+
+    /// Sends a message to one part of a peer and returns that part's answer.
+    pub async fn ask_part(
+        &self,
+        mesh: &PeerMesh,
+        peer: &InstanceId,
+        part: PeerPart,
+        payload: Vec<u8>,
+        limit: Duration,
+    ) -> Result<Vec<u8>, PeerError> {
+        let address = self.view().address_of(peer);
+        let Some(address) = address else {
+            return Err(PeerError::UnknownPeer { peer: peer.clone() });
+        };
+        match mesh
+            .ask(address, &PeerRequest::Part { part, payload }, limit)
+            .await?
+        {
+            PeerReply::Part(reply) => Ok(reply),
+            PeerReply::Unavailable => Err(PeerError::Unavailable { address }),
+            _ => Err(PeerError::Malformed),
+        }
+    }
+}
--- a/src/process/peers/peer_digest.rs
+++ b/src/process/peers/peer_digest.rs
@@ -1,5 +1,7 @@
 //! What an instance tells its peers of itself with each heartbeat.
 
+use std::net::SocketAddr;
+
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -18,6 +20,8 @@
     pub instance: InstanceId,
     /// The availability zone it stands in.
     pub zone: ZoneId,
+    /// Where it answers peers.
+    pub address: SocketAddr,
     /// A random number drawn when its process started.
     pub incarnation: u64,
     /// The version of the bundle in force there.
--- a/src/process/peers/peer_error.rs
+++ b/src/process/peers/peer_error.rs
@@ -6,6 +6,8 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
+use crate::version::ids::InstanceId;
+
 /// Why a peer link or a message on it failed.
 #[derive(Debug)]
 pub enum PeerError {
@@ -31,6 +33,10 @@
         address: SocketAddr,
         after: Duration,
     },
+    /// The peer is not known.
+    UnknownPeer { peer: InstanceId },
+    /// The peer has no answer at present.
+    Unavailable { address: SocketAddr },
     /// The message is larger than a peer accepts.
     TooLarge { bytes: usize },
     /// The message has a version that this build does not know.
@@ -60,6 +66,8 @@
                     after.as_millis()
                 )
             }
+            PeerError::UnknownPeer { peer } => write!(f, "peer {peer} is not known"),
+            PeerError::Unavailable { address } => write!(f, "peer {address} has no answer"),
             PeerError::TooLarge { bytes } => write!(f, "peer message has {bytes} bytes"),
             PeerError::UnknownVersion { version } => {
                 write!(f, "peer message has unknown version {version}")
