Parse and check bundles with all faults at once

Cause: a derived deserializer stops at the first fault and knows no place for faults that span fields, such as an unknown team in a service.

The text is read into a tree whose nodes know their line and column (serde-saphyr, Spanned), and a reader notes every fault on the way. A parser of our own was ruled out, since serde-saphyr already limits depth and alias expansion. Two passes over derived types were ruled out, since the second pass has no places.

A property test compares the reader with the derived types on damaged texts.

--- a/src/version/ids.rs
+++ b/src/version/ids.rs
@@ -67,6 +67,12 @@
             }
         }
 
+        impl AsRef<str> for $name {
+            fn as_ref(&self) -> &str {
+                &self.0
+            }
+        }
+
         impl fmt::Display for $name {
             fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
                 f.write_str(&self.0)
@@ -123,6 +129,10 @@
     /// A key of a team.
     KeyId
 );
+define_id!(
+    /// A signer of bundles.
+    SignerId
+);
 
 /// The version number of a bundle; a newer bundle has a higher number.
 #[derive(
--- a/src/version/mod.rs
+++ b/src/version/mod.rs
@@ -1,5 +1,10 @@
 //! One version of the operators' configuration.
 
 pub mod bundle;
+pub mod bundle_parser;
+pub mod config_fault;
+pub mod fault_list;
 pub mod ids;
 pub mod units;
+pub mod yaml_node;
+pub mod yaml_reader;
--- /dev/null
+++ b/src/version/yaml_reader.rs
@@ -0,0 +1,328 @@
+//! Reads the fields of a mapping and notes every fault instead of stopping at the first.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+
+use crate::version::config_fault::ConfigFault;
+use crate::version::fault_list::FaultList;
+use crate::version::fault_list::TextPosition;
+use crate::version::ids::IdError;
+use crate::version::yaml_node::YamlNode;
+use crate::version::yaml_node::YamlValue;
+
+/// One mapping that is being read.
+pub struct MapReader<'a> {
+    position: TextPosition,
+    path: String,
+    fields: HashMap<&'a str, &'a YamlNode>,
+}
+
+/// A value with the place and the path of its field.
+#[derive(Debug, Clone)]
+pub struct Located<T> {
+    /// Where the value starts.
+    pub position: TextPosition,
+    /// The path of the field.
+    pub path: String,
+    /// The value.
+    pub value: T,
+}
+
+impl<T> Located<T> {
+    /// Applies a function to the value.
+    pub fn map<U>(self, function: impl FnOnce(T) -> U) -> Located<U> {
+        Located {
+            position: self.position,
+            path: self.path,
+            value: function(self.value),
+        }
+    }
+
+    /// Notes a fault of the value.
+    pub fn reject(&self, fault: ConfigFault, faults: &mut FaultList) {
+        faults.push(self.position, &self.path, fault);
+    }
+}
+
+impl<T: AsRef<str>> Located<T> {
+    /// Returns the value as text at the same place.
+    pub fn as_ref_str(&self) -> Located<&str> {
+        Located {
+            position: self.position,
+            path: self.path.clone(),
+            value: self.value.as_ref(),
+        }
+    }
+}
+
+impl<'a> MapReader<'a> {
+    /// Opens a mapping that may have the fields in `known`; unknown and repeated ones are faults.
+    pub fn open(
+        node: &'a YamlNode,
+        path: &str,
+        known: &[&str],
+        faults: &mut FaultList,
+    ) -> Option<Self> {
+        let YamlValue::Map(entries) = &node.value else {
+            faults.push(node.position, path, wrong_type("a mapping", node));
+            return None;
+        };
+        let mut fields = HashMap::new();
+        for (position, name, value) in entries {
+            if !known.contains(&name.as_str()) {
+                let name = name.clone();
+                faults.push(*position, path, ConfigFault::UnknownField { name });
+            } else if fields.insert(name.as_str(), value).is_some() {
+                let name = name.clone();
+                faults.push(*position, path, ConfigFault::DuplicateField { name });
+            }
+        }
+        Some(Self {
+            position: node.position,
+            path: path.to_owned(),
+            fields,
+        })
+    }
+
+    /// Returns where the mapping starts.
+    pub fn position(&self) -> TextPosition {
+        self.position
+    }
+
+    /// Returns the path of the mapping.
+    pub fn path(&self) -> &str {
+        &self.path
+    }
+
+    /// Returns the node of a field.
+    pub fn optional(&self, name: &str) -> Option<Located<&'a YamlNode>> {
+        let node = *self.fields.get(name)?;
+        Some(Located {
+            position: node.position,
+            path: join_path(&self.path, name),
+            value: node,
+        })
+    }
+
+    /// Returns the node of a field where it has a value.
+    pub fn nullable(&self, name: &str) -> Option<Located<&'a YamlNode>> {
+        self.optional(name)
+            .filter(|node| node.value.value != YamlValue::Null)
+    }
+
+    /// Returns the node of a field; its absence is a fault.
+    pub fn required(
+        &self,
+        name: &'static str,
+        faults: &mut FaultList,
+    ) -> Option<Located<&'a YamlNode>> {
+        let found = self.optional(name);
+        if found.is_none() {
+            faults.push(
+                self.position,
+                &self.path,
+                ConfigFault::MissingField { name },
+            );
+        }
+        found
+    }
+}
+
+impl<'a> Located<&'a YamlNode> {
+    /// Reads a text.
+    pub fn text(&self, faults: &mut FaultList) -> Option<Located<&'a str>> {
+        let value = match &self.value.value {
+            YamlValue::Text(text) => text.as_str(),
+            _ => return self.wrong_type("a text", faults),
+        };
+        Some(self.with(value))
+    }
+
+    /// Reads a text with at least one character other than a space.
+    pub fn filled_text(&self, faults: &mut FaultList) -> Option<Located<&'a str>> {
+        let text = self.text(faults)?;
+        if text.value.trim().is_empty() {
+            text.reject(ConfigFault::EmptyText, faults);
+            return None;
+        }
+        Some(text)
+    }
+
+    /// Reads an identifier.
+    pub fn id<T>(&self, faults: &mut FaultList) -> Option<Located<T>>
+    where
+        T: std::str::FromStr<Err = IdError>,
+    {
+        let text = self.text(faults)?;
+        match text.value.parse() {
+            Ok(id) => Some(self.with(id)),
+            Err(error) => {
+                text.reject(ConfigFault::BadId(error), faults);
+                None
+            }
+        }
+    }
+
+    /// Reads a boolean.
+    pub fn boolean(&self, faults: &mut FaultList) -> Option<bool> {
+        match self.value.value {
+            YamlValue::Bool(value) => Some(value),
+            _ => self.wrong_type("true or false", faults),
+        }
+    }
+
+    /// Reads a whole number within a range.
+    pub fn whole(
+        &self,
+        low: u64,
+        high: u64,
+        unit: &'static str,
+        faults: &mut FaultList,
+    ) -> Option<u64> {
+        let value = match self.value.value {
+            YamlValue::Unsigned(value) => value,
+            YamlValue::Float(value) if value < 0.0 => {
+                return self.out_of_range(value, low, high, unit, faults);
+            }
+            _ => return self.wrong_type("a whole number", faults),
+        };
+        if value < low || value > high {
+            return self.out_of_range(value as f64, low, high, unit, faults);
+        }
+        Some(value)
+    }
+
+    /// Reads a number.
+    pub fn number(&self, faults: &mut FaultList) -> Option<f64> {
+        match self.value.value {
+            YamlValue::Unsigned(value) => Some(value as f64),
+            YamlValue::Float(value) => Some(value),
+            _ => self.wrong_type("a number", faults),
+        }
+    }
+
+    /// Reads a number that is finite and above zero.
+    pub fn positive(&self, faults: &mut FaultList) -> Option<f64> {
+        let value = self.number(faults)?;
+        if !value.is_finite() || value <= 0.0 {
+            self.reject(ConfigFault::NotPositive { value }, faults);
+            return None;
+        }
+        Some(value)
+    }
+
+    /// Reads an IP address with a port other than 0.
+    pub fn address(&self, faults: &mut FaultList) -> Option<Located<SocketAddr>> {
+        let text = self.text(faults)?;
+        match text.value.parse::<SocketAddr>() {
+            Ok(address) if address.port() != 0 => Some(self.with(address)),
+            _ => {
+                let text = text.value.to_owned();
+                self.reject(ConfigFault::BadAddress { text }, faults);
+                None
+            }
+        }
+    }
+
+    /// Reads base64 text whose number of bytes satisfies `accept`.
+    pub fn bytes(
+        &self,
+        expected: &'static str,
+        accept: impl Fn(usize) -> bool,
+        faults: &mut FaultList,
+    ) -> Option<Located<&'a str>> {
+        let text = self.text(faults)?;
+        match STANDARD.decode(text.value) {
+            Ok(bytes) if accept(bytes.len()) => Some(text),
+            _ => {
+                self.reject(ConfigFault::BadBytes { expected }, faults);
+                None
+            }
+        }
+    }
+
+    /// Reads a list; the elements carry their index in the path.
+    pub fn list(&self, faults: &mut FaultList) -> Vec<Located<&'a YamlNode>> {
+        let YamlValue::List(elements) = &self.value.value else {
+            self.reject(wrong_type("a list", self.value), faults);
+            return Vec::new();
+        };
+        let locate = |(index, node): (usize, &'a YamlNode)| Located {
+            position: node.position,
+            path: format!("{}[{index}]", self.path),
+            value: node,
+        };
+        elements.iter().enumerate().map(locate).collect()
+    }
+
+    /// Reads a list with at least one element.
+    pub fn filled_list(
+        &self,
+        what: &'static str,
+        faults: &mut FaultList,
+    ) -> Vec<Located<&'a YamlNode>> {
+        if self.value.value == YamlValue::List(Vec::new()) {
+            self.reject(ConfigFault::EmptyList { what }, faults);
+        }
+        self.list(faults)
+    }
+
+    /// Opens a mapping that may have the fields in `known`.
+    pub fn open(&self, known: &[&str], faults: &mut FaultList) -> Option<MapReader<'a>> {
+        MapReader::open(self.value, &self.path, known, faults)
+    }
+
+    fn with<T>(&self, value: T) -> Located<T> {
+        Located {
+            position: self.position,
+            path: self.path.clone(),
+            value,
+        }
+    }
+
+    fn wrong_type<T>(&self, expected: &'static str, faults: &mut FaultList) -> Option<T> {
+        self.reject(wrong_type(expected, self.value), faults);
+        None
+    }
+
+    fn out_of_range<T>(
+        &self,
+        value: f64,
+        low: u64,
+        high: u64,
+        unit: &'static str,
+        faults: &mut FaultList,
+    ) -> Option<T> {
+        let fault = if high == u64::MAX {
+            let low = low as f64;
+            ConfigFault::BelowMinimum { value, low, unit }
+        } else {
+            ConfigFault::OutOfRange {
+                value,
+                low: low as f64,
+                high: high as f64,
+                unit,
+            }
+        };
+        self.reject(fault, faults);
+        None
+    }
+}
+
+fn wrong_type(expected: &'static str, node: &YamlNode) -> ConfigFault {
+    ConfigFault::WrongType {
+        expected,
+        found: node.value.type_name(),
+    }
+}
+
+fn join_path(path: &str, name: &str) -> String {
+    if path.is_empty() {
+        name.to_owned()
+    } else {
+        format!("{path}.{name}")
+    }
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,3 +1,4 @@
 //! Feature tests, one file a feature.
 
+mod bundle_faults;
 mod log_points;
