--- a/src/version/mod.rs
+++ b/src/version/mod.rs
@@ -5,6 +5,8 @@
 pub mod config_fault;
 pub mod fault_list;
 pub mod ids;
+pub mod key_verifier;
+pub mod secret_text;
 pub mod units;
 pub mod yaml_node;
 pub mod yaml_reader;
--- /dev/null
+++ b/src/version/secret_text.rs
@@ -0,0 +1,31 @@
+//! Text that must not appear in logs and messages.
+
+use std::fmt;
+
+/// A secret text; `Debug` and `Display` hide it.
+#[derive(Clone)]
+pub struct SecretText(String);
+
+impl SecretText {
+    /// Wraps a text.
+    pub fn new(text: String) -> Self {
+        Self(text)
+    }
+
+    /// Returns the text itself, for the place that needs it.
+    pub fn expose(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Debug for SecretText {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("SecretText(hidden)")
+    }
+}
+
+impl fmt::Display for SecretText {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("(hidden)")
+    }
+}
