Verify signed envelopes and hold the bundle in force

An envelope carries the YAML byte for byte with signatures, checked strictly and before the text is parsed.

BundleStore compares and replaces the version under the lock of one watch channel, so that racing offers cannot let a lower version win. The same version with another text is a conflict, not an update.

--- /dev/null
+++ b/src/version/bundle_store.rs
@@ -0,0 +1,162 @@
+//! The bundle in force on one instance.
+
+use std::fmt;
+use std::sync::Arc;
+
+use tokio::sync::watch;
+
+use crate::version::bundle::BundleConfig;
+use crate::version::bundle_envelope::BundleEnvelope;
+use crate::version::bundle_envelope::EnvelopeError;
+use crate::version::bundle_parser::parse_bundle;
+use crate::version::fault_list::FaultList;
+use crate::version::ids::BundleVersion;
+use crate::version::signer_key::SignerKey;
+
+/// A bundle that passed all checks, with the envelope to pass on to peers.
+#[derive(Debug)]
+pub struct AcceptedBundle {
+    /// The content.
+    pub config: Arc<BundleConfig>,
+    /// The signed text.
+    pub envelope: BundleEnvelope,
+}
+
+/// What an offered bundle changed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BundleOffer {
+    /// It is now in force.
+    Accepted { version: BundleVersion },
+    /// The same text was already in force.
+    Unchanged { version: BundleVersion },
+}
+
+/// Why an offered bundle changed nothing.
+#[derive(Debug, Clone, PartialEq)]
+pub enum BundleRefusal {
+    /// The envelope is malformed or not signed by enough signers.
+    Envelope(EnvelopeError),
+    /// The bundle has faults.
+    Faults(FaultList),
+    /// A higher version is in force.
+    Superseded {
+        offered: BundleVersion,
+        current: BundleVersion,
+    },
+    /// Another text is in force under the same version.
+    Conflict { version: BundleVersion },
+}
+
+impl fmt::Display for BundleRefusal {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            BundleRefusal::Envelope(error) => write!(f, "{error}"),
+            BundleRefusal::Faults(faults) => write!(f, "{faults}"),
+            BundleRefusal::Superseded { offered, current } => {
+                write!(f, "{offered} is not above {current}, which is in force")
+            }
+            BundleRefusal::Conflict { version } => {
+                write!(f, "another bundle is in force under {version}")
+            }
+        }
+    }
+}
+
+impl std::error::Error for BundleRefusal {}
+
+/// Checks an envelope completely: its signatures first, then its content.
+pub fn check_envelope(
+    envelope: &BundleEnvelope,
+    signers: &[SignerKey],
+    required: usize,
+) -> Result<BundleConfig, BundleRefusal> {
+    envelope
+        .verify(signers, required)
+        .map_err(BundleRefusal::Envelope)?;
+    parse_bundle(&envelope.bundle).map_err(BundleRefusal::Faults)
+}
+
+/// Holds the bundle in force; it only ever moves to higher versions.
+#[derive(Debug)]
+pub struct BundleStore {
+    signers: Vec<SignerKey>,
+    required: usize,
+    current: watch::Sender<Option<Arc<AcceptedBundle>>>,
+}
+
+impl BundleStore {
+    /// Creates a store without a bundle that accepts texts signed by `required` of the signers.
+    pub fn new(signers: Vec<SignerKey>, required: usize) -> Self {
+        Self {
+            signers,
+            required,
+            current: watch::Sender::new(None),
+        }
+    }
+
+    /// Returns the content in force.
+    pub fn config(&self) -> Option<Arc<BundleConfig>> {
+        let current = self.current.borrow();
+        current.as_ref().map(|bundle| Arc::clone(&bundle.config))
+    }
+
+    /// Returns the bundle in force with its envelope.
+    pub fn accepted(&self) -> Option<Arc<AcceptedBundle>> {
+        self.current.borrow().clone()
+    }
+
+    /// Returns the version in force, or version 0 where there is none.
+    pub fn version(&self) -> BundleVersion {
+        let current = self.current.borrow();
+        current
+            .as_ref()
+            .map_or(BundleVersion(0), |bundle| bundle.config.version)
+    }
+
+    /// Returns a receiver that is told of every later change.
+    pub fn subscribe(&self) -> watch::Receiver<Option<Arc<AcceptedBundle>>> {
+        self.current.subscribe()
+    }
+
+    /// Checks a bundle and puts it in force where its version is higher.
+    pub fn offer(&self, envelope: BundleEnvelope) -> Result<BundleOffer, BundleRefusal> {
+        let config = check_envelope(&envelope, &self.signers, self.required)?;
+        let version = config.version;
+        let bundle = Arc::new(AcceptedBundle {
+            config: Arc::new(config),
+            envelope,
+        });
+        let mut outcome = Ok(BundleOffer::Accepted { version });
+        self.current.send_if_modified(|current| {
+            if let Some(present) = current {
+                outcome = compare_versions(present, &bundle);
+            }
+            let accepted = matches!(outcome, Ok(BundleOffer::Accepted { .. }));
+            if accepted {
+                *current = Some(bundle);
+            }
+            accepted
+        });
+        outcome
+    }
+}
+
+fn compare_versions(
+    present: &AcceptedBundle,
+    offered: &AcceptedBundle,
+) -> Result<BundleOffer, BundleRefusal> {
+    let current = present.config.version;
+    let version = offered.config.version;
+    if version > current {
+        Ok(BundleOffer::Accepted { version })
+    } else if version < current {
+        Err(BundleRefusal::Superseded {
+            offered: version,
+            current,
+        })
+    } else if present.envelope.bundle == offered.envelope.bundle {
+        Ok(BundleOffer::Unchanged { version })
+    } else {
+        Err(BundleRefusal::Conflict { version })
+    }
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,5 +1,7 @@
 //! Feature tests, one file a feature.
 
 mod bundle_faults;
+mod bundle_signatures;
+mod bundle_versions;
 mod key_verifiers;
 mod log_points;
