--- a/src/version/mod.rs
+++ b/src/version/mod.rs
@@ -1,5 +1,7 @@
 //! One version of the operators' configuration.
+
 pub mod bundle;
+pub mod bundle_diff;
 pub mod bundle_envelope;
 pub mod bundle_parser;
 pub mod bundle_store;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,5 +1,6 @@
 //! Feature tests, one file a feature.
 
+mod bundle_diffs;
 mod bundle_faults;
 mod bundle_signatures;
 mod bundle_versions;
