--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -1,4 +1,8 @@
 //! One running instance: what lives as long as its process.
 
 pub mod endpoint_status;
+pub mod log_setup;
+pub mod setting_fields;
+pub mod settings;
+pub mod settings_parser;
 pub mod timers;
--- a/src/version/bundle_parser.rs
+++ b/src/version/bundle_parser.rs
@@ -94,7 +94,7 @@
         read: fn(&mut Self, &Located<&YamlNode>) -> Option<T>,
     ) -> Option<Vec<T>> {
         let node = map.required(name, &mut self.faults)?;
-        let elements = node.filled_list(what, &mut self.faults);
+        let elements = node.filled_list(what, &mut self.faults)?;
         // Every element is read, so that the faults of all of them are noted.
         let values: Vec<Option<T>> = elements.iter().map(|node| read(self, node)).collect();
         values.into_iter().collect()
@@ -205,7 +205,7 @@
         let mut seen = Names::new();
         let mut teams = Vec::new();
         let mut complete = true;
-        for element in node.list(&mut self.faults) {
+        for element in node.list(&mut self.faults)? {
             match self.read_team_reference(&element) {
                 Some(team) => {
                     let located = element.clone().map(|_| team.as_str());
@@ -272,7 +272,7 @@
             return Some(Vec::new());
         };
         let mut seen = Names::new();
-        let elements = node.list(&mut self.faults);
+        let elements = node.list(&mut self.faults)?;
         let values: Vec<Option<ObjectiveConfig>> = elements
             .iter()
             .map(|element| self.read_objective(element, &mut seen))
@@ -320,7 +320,7 @@
         return Some(Vec::new());
     };
     let (mut ids, mut verifiers) = (Names::new(), Names::new());
-    let elements = node.list(faults);
+    let elements = node.list(faults)?;
     let values: Vec<Option<KeyConfig>> = elements
         .iter()
         .map(|element| read_key(element, &mut ids, &mut verifiers, faults))
@@ -419,7 +419,7 @@
 }
 
 fn read_prefixes(node: &Located<&YamlNode>, faults: &mut FaultList) -> Option<Vec<String>> {
-    let elements = node.list(faults);
+    let elements = node.list(faults)?;
     let values: Vec<Option<String>> = elements
         .iter()
         .map(|element| Some(element.filled_text(faults)?.value.to_owned()))
--- a/src/version/config_fault.rs
+++ b/src/version/config_fault.rs
@@ -60,6 +60,8 @@
         name: &'static str,
         pair: &'static str,
     },
+    /// None of several fields is given.
+    MissingOneOf { names: &'static str },
     /// Two fields exclude each other.
     ExcludedPair {
         name: &'static str,
@@ -116,6 +118,9 @@
             ConfigFault::MissingPair { name, pair } => {
                 write!(f, "field '{name}' needs field '{pair}'")
             }
+            ConfigFault::MissingOneOf { names } => {
+                write!(f, "one of the fields {names} is required")
+            }
             ConfigFault::ExcludedPair { name, pair } => {
                 write!(f, "fields '{name}' and '{pair}' exclude each other")
             }
--- a/src/version/fault_list.rs
+++ b/src/version/fault_list.rs
@@ -61,6 +61,16 @@
         &self.faults
     }
 
+    /// Returns the faults as lines that start with a file name, as editors expect them.
+    pub fn in_file(&self, file: &str) -> String {
+        let lines: Vec<String> = self
+            .faults
+            .iter()
+            .map(|fault| format!("{file}:{fault}"))
+            .collect();
+        lines.join("\n")
+    }
+
     /// Returns the value where there is no fault, else the faults in the order of their places.
     pub fn into_result<T>(mut self, value: Option<T>) -> Result<T, FaultList> {
         match value {
--- a/src/version/yaml_reader.rs
+++ b/src/version/yaml_reader.rs
@@ -245,17 +245,17 @@
     }
 
     /// Reads a list; the elements carry their index in the path.
-    pub fn list(&self, faults: &mut FaultList) -> Vec<Located<&'a YamlNode>> {
+    pub fn list(&self, faults: &mut FaultList) -> Option<Vec<Located<&'a YamlNode>>> {
         let YamlValue::List(elements) = &self.value.value else {
             self.reject(wrong_type("a list", self.value), faults);
-            return Vec::new();
+            return None;
         };
         let locate = |(index, node): (usize, &'a YamlNode)| Located {
             position: node.position,
             path: format!("{}[{index}]", self.path),
             value: node,
         };
-        elements.iter().enumerate().map(locate).collect()
+        Some(elements.iter().enumerate().map(locate).collect())
     }
 
     /// Reads a list with at least one element.
@@ -263,7 +263,7 @@
         &self,
         what: &'static str,
         faults: &mut FaultList,
-    ) -> Vec<Located<&'a YamlNode>> {
+    ) -> Option<Vec<Located<&'a YamlNode>>> {
         if self.value.value == YamlValue::List(Vec::new()) {
             self.reject(ConfigFault::EmptyList { what }, faults);
         }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -4,5 +4,6 @@
 mod bundle_faults;
 mod bundle_signatures;
 mod bundle_versions;
+mod daemon_settings;
 mod key_verifiers;
 mod log_points;
