--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,6 +1,12 @@
 //! Feature tests, one file a feature.
 
+mod bundle_diffs;
+mod bundle_faults;
+mod bundle_signatures;
+mod bundle_versions;
+mod daemon_settings;
 mod isolation_evidence;
+mod key_verifiers;
 mod log_points;
 mod membership_view;
 mod peer_links;
