Add the decisions on acknowledgement, promotion and read routing

GroupController takes answers and the time and returns calls, so that the daemon and simulated tests can drive the same code. It combines GroupView, FailureDetector, PromotionPlan and ConfirmationTracker.

Ruled out: deciding success of a fence or promote call by the call's own answer. Any status that shows the term and the proposer name proves the effect, which makes up for lost answers.

--- /dev/null
+++ b/src/process/failover/confirmation_tracker.rs
@@ -0,0 +1,245 @@
+//! Which log points a majority of a group holds, and who waits for that.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use crate::process::endpoint_status::EndpointRole;
+use crate::process::endpoint_status::EndpointStatus;
+use crate::process::timers::MonotonicTime;
+use crate::request::log_point::LogPoint;
+use crate::request::log_point::LogTerm;
+use crate::request::refusal::RequestRefusal;
+use crate::version::ids::EndpointId;
+
+/// Identifies one waiter of a [`ConfirmationTracker`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct ConfirmId(pub u64);
+
+/// The end of one wait.
+pub type ConfirmOutcome = (ConfirmId, Result<(), RequestRefusal>);
+
+#[derive(Debug, Clone)]
+struct ConfirmWaiter {
+    primary: EndpointId,
+    deadline: MonotonicTime,
+}
+
+/// What one endpoint reported so far.
+#[derive(Debug, Clone, Default)]
+struct EndpointEvidence {
+    /// The highest point it held while it was not fenced above the term of that point.
+    held: LogPoint,
+    /// The highest term it follows or is fenced at; it takes no entries of lower terms.
+    barrier: LogTerm,
+}
+
+/// Collects reports of endpoints and ends the waits that they decide.
+///
+/// A report stays valid once it was made: an endpoint that held the point before it was fenced at
+/// a later term shows the point to whoever fenced it.
+#[derive(Debug, Clone)]
+pub struct ConfirmationTracker {
+    evidence: BTreeMap<EndpointId, EndpointEvidence>,
+    primaries: BTreeMap<LogTerm, EndpointId>,
+    waiters: BTreeMap<(LogPoint, ConfirmId), ConfirmWaiter>,
+    deadlines: BTreeSet<(MonotonicTime, LogPoint, ConfirmId)>,
+    next_id: u64,
+}
+
+/// Terms whose primary is remembered; waits of older terms end at their deadline.
+const MAX_TERMS: usize = 16;
+
+impl ConfirmationTracker {
+    /// Creates a tracker for a group of these endpoints.
+    pub fn new(members: &[EndpointId]) -> Self {
+        let evidence = members
+            .iter()
+            .map(|member| (member.clone(), EndpointEvidence::default()))
+            .collect();
+        Self {
+            evidence,
+            primaries: BTreeMap::new(),
+            waiters: BTreeMap::new(),
+            deadlines: BTreeSet::new(),
+            next_id: 0,
+        }
+    }
+
+    /// Replaces the members and keeps the evidence of those that remain.
+    pub fn set_members(&mut self, members: &[EndpointId]) {
+        let mut known = std::mem::take(&mut self.evidence);
+        for member in members {
+            let evidence = known.remove(member).unwrap_or_default();
+            self.evidence.insert(member.clone(), evidence);
+        }
+    }
+
+    /// Returns how many waits are open.
+    pub fn waiting(&self) -> usize {
+        self.waiters.len()
+    }
+
+    /// Registers a wait for a point that the primary reported at the end of a transaction.
+    ///
+    /// The caller has checked that this report had the role primary and a fenced term not above
+    /// that of the point.
+    pub fn register(
+        &mut self,
+        primary: EndpointId,
+        point: LogPoint,
+        deadline: MonotonicTime,
+    ) -> ConfirmId {
+        self.next_id += 1;
+        let id = ConfirmId(self.next_id);
+        self.waiters
+            .insert((point, id), ConfirmWaiter { primary, deadline });
+        self.deadlines.insert((deadline, point, id));
+        id
+    }
+
+    /// Removes a wait whose caller is gone.
+    pub fn cancel(&mut self, id: ConfirmId) {
+        let key = self
+            .waiters
+            .keys()
+            .find(|&&(_, other)| other == id)
+            .copied();
+        if let Some((point, id)) = key {
+            self.remove(point, id);
+        }
+    }
+
+    /// Takes a status of an endpoint.
+    pub fn record(&mut self, endpoint: &EndpointId, status: &EndpointStatus) {
+        let term = status.point.term;
+        if status.role == EndpointRole::Primary {
+            self.primaries
+                .entry(term)
+                .or_insert_with(|| endpoint.clone());
+            while self.primaries.len() > MAX_TERMS {
+                self.primaries.pop_first();
+            }
+        }
+        let Some(evidence) = self.evidence.get_mut(endpoint) else {
+            return;
+        };
+        evidence.barrier = evidence.barrier.max(term).max(status.fenced_term);
+        if status.fenced_term <= term {
+            evidence.held = evidence.held.max(status.point);
+        }
+    }
+
+    /// Returns whether the primary of a term is known.
+    pub fn knows_primary(&self, term: LogTerm) -> bool {
+        self.primaries.contains_key(&term)
+    }
+
+    /// Ends the waits that are confirmed, can no longer be confirmed, or are past their deadline.
+    pub fn settle(&mut self, now: MonotonicTime) -> Vec<ConfirmOutcome> {
+        let mut ended = Vec::new();
+        let terms: BTreeSet<LogTerm> = self.waiters.keys().map(|(point, _)| point.term).collect();
+        for term in terms {
+            self.settle_term(term, &mut ended);
+        }
+        while let Some(&(deadline, point, id)) = self.deadlines.first() {
+            if deadline > now {
+                break;
+            }
+            self.remove(point, id);
+            ended.push((id, Err(RequestRefusal::OutcomeUnknown)));
+        }
+        ended
+    }
+
+    fn settle_term(&mut self, term: LogTerm, ended: &mut Vec<ConfirmOutcome>) {
+        let Some(primary) = self.primaries.get(&term).cloned() else {
+            return;
+        };
+        let confirmed = self.confirmed_point(term, &primary);
+        let lost = self.is_lost(term, &primary);
+        let range = (
+            LogPoint {
+                term,
+                ..LogPoint::default()
+            },
+            ConfirmId(0),
+        )..(LogPoint::new(term.0 + 1, 0), ConfirmId(0));
+        let decided: Vec<_> = self
+            .waiters
+            .range(range)
+            .filter_map(|(&(point, id), waiter)| {
+                // A transaction on another endpoint than the primary of the term ran before that
+                // endpoint lost its role; its point says nothing about what it wrote.
+                if waiter.primary != primary {
+                    Some((point, id, Err(RequestRefusal::OutcomeUnknown)))
+                } else if confirmed.is_some_and(|confirmed| point <= confirmed) {
+                    Some((point, id, Ok(())))
+                } else {
+                    lost.then_some((point, id, Err(RequestRefusal::OutcomeUnknown)))
+                }
+            })
+            .collect();
+        for (point, id, result) in decided {
+            self.remove(point, id);
+            ended.push((id, result));
+        }
+    }
+
+    /// Returns the highest point of a term that a majority holds, the primary included.
+    fn confirmed_point(&self, term: LogTerm, primary: &EndpointId) -> Option<LogPoint> {
+        let majority = self.evidence.len() / 2 + 1;
+        if majority == 1 {
+            return Some(LogPoint::new(term.0, u64::MAX));
+        }
+        let mut held: Vec<LogPoint> = self
+            .evidence
+            .iter()
+            .filter(|&(endpoint, _)| endpoint != primary)
+            .map(|(_, evidence)| evidence.held)
+            .filter(|point| point.term == term)
+            .collect();
+        held.sort_unstable_by(|a, b| b.cmp(a));
+        held.get(majority - 2).copied()
+    }
+
+    /// Whether so many endpoints left the term that its points can no longer be confirmed.
+    fn is_lost(&self, term: LogTerm, primary: &EndpointId) -> bool {
+        let majority = self.evidence.len() / 2 + 1;
+        let barred = |endpoint: &EndpointId| {
+            self.evidence
+                .get(endpoint)
+                .is_some_and(|evidence| evidence.barrier > term)
+        };
+        let left = self
+            .evidence
+            .keys()
+            .filter(|endpoint| barred(endpoint))
+            .count();
+        barred(primary) || self.evidence.len() - left < majority
+    }
+
+    /// Returns the lowest point that waits for this endpoint's report.
+    ///
+    /// The answer to it reports the present position, which serves all waits up to there.
+    pub fn next_await(&self, endpoint: &EndpointId) -> Option<LogPoint> {
+        let evidence = self.evidence.get(endpoint)?;
+        let term = self.waiters.last_key_value()?.0.0.term;
+        if evidence.barrier > term {
+            return None;
+        }
+        let from = evidence.held.max(LogPoint {
+            term,
+            ..LogPoint::default()
+        });
+        self.waiters
+            .range((from, ConfirmId(0))..)
+            .find(|&(&(point, _), waiter)| point > evidence.held && waiter.primary != *endpoint)
+            .map(|(&(point, _), _)| point)
+    }
+
+    fn remove(&mut self, point: LogPoint, id: ConfirmId) {
+        if let Some(waiter) = self.waiters.remove(&(point, id)) {
+            self.deadlines.remove(&(waiter.deadline, point, id));
+        }
+    }
+}
--- /dev/null
+++ b/src/process/failover/failure_detector.rs
@@ -0,0 +1,192 @@
+//! Judges from evidence whether a group needs a promotion.
+
+use std::time::Duration;
+
+use crate::process::endpoint_status::EndpointRole;
+use crate::process::endpoint_status::EndpointStatus;
+use crate::process::failover::failover_limits::FailoverLimits;
+use crate::process::failover::failure_evidence::FailureEvidence;
+use crate::process::failover::failure_evidence::WatcherReport;
+use crate::process::failover::group_view::EndpointView;
+use crate::process::failover::group_view::GroupView;
+use crate::process::failover::group_view::TermPrimary;
+use crate::process::timers::MonotonicTime;
+use crate::request::log_point::LogTerm;
+use crate::version::ids::EndpointId;
+use crate::version::ids::InstanceId;
+
+/// A replica that was itself frozen reports a long silence once, right after it wakes up.
+const SILENT_REPORTS_NEEDED: u32 = 2;
+
+/// Applies the rules of failure detection to a view.
+///
+/// Missing, late and refused answers are never evidence; neither is anything about the store.
+#[derive(Debug, Clone)]
+pub struct FailureDetector {
+    limits: FailoverLimits,
+    fenced_since: Option<(LogTerm, MonotonicTime)>,
+    stranded_since: Option<(EndpointId, MonotonicTime)>,
+    last_judged: MonotonicTime,
+}
+
+impl FailureDetector {
+    /// Creates a detector with the given limits.
+    pub fn new(limits: FailoverLimits) -> Self {
+        Self {
+            limits,
+            fenced_since: None,
+            stranded_since: None,
+            last_judged: MonotonicTime::default(),
+        }
+    }
+
+    /// Returns the evidence for a promotion, if there is enough.
+    ///
+    /// `watchers` are all instances that watch the group, `own` among them.
+    pub fn judge(
+        &mut self,
+        view: &GroupView,
+        own: &InstanceId,
+        watchers: &[InstanceId],
+        reports: &[WatcherReport],
+        now: MonotonicTime,
+    ) -> Option<FailureEvidence> {
+        let pause = now.saturating_since(self.last_judged) > self.limits.report_age;
+        self.last_judged = now;
+        if pause {
+            self.fenced_since = None;
+            self.stranded_since = None;
+        }
+        let fenced = self.judge_fenced_primary(view, now);
+        let stranded = self.judge_stranded_replica(view, now);
+        self.judge_silence(view, now)
+            .or_else(|| self.judge_connections(view, own, watchers, reports, now))
+            .or(fenced)
+            .or(stranded)
+    }
+
+    fn judge_silence(&self, view: &GroupView, now: MonotonicTime) -> Option<FailureEvidence> {
+        let primary = view.primary();
+        if let Some(primary) = primary {
+            let grace = self.limits.upstream_silence + self.limits.attach_grace;
+            if now.saturating_since(primary.first_seen) < grace {
+                return None;
+            }
+        }
+        let others = view.size() - usize::from(primary.is_some());
+        let reporters: Vec<EndpointId> = view
+            .endpoints()
+            .filter(|endpoint| primary.is_none_or(|p| p.endpoint != endpoint.member.endpoint))
+            .filter(|endpoint| self.is_silent(endpoint, now))
+            .map(|endpoint| endpoint.member.endpoint.clone())
+            .collect();
+        (reporters.len() > others / 2).then_some(FailureEvidence::UpstreamSilence { reporters })
+    }
+
+    fn is_silent(&self, endpoint: &EndpointView, now: MonotonicTime) -> bool {
+        let is_replica = |status: &EndpointStatus| status.role == EndpointRole::Replica;
+        endpoint.silent_reports() >= SILENT_REPORTS_NEEDED
+            && endpoint
+                .fresh_status(self.limits.report_age, now)
+                .is_some_and(is_replica)
+    }
+
+    fn judge_connections(
+        &self,
+        view: &GroupView,
+        own: &InstanceId,
+        watchers: &[InstanceId],
+        reports: &[WatcherReport],
+        now: MonotonicTime,
+    ) -> Option<FailureEvidence> {
+        let primary = view.primary()?;
+        let limit = self.limits.connect_failure;
+        let failing: Vec<InstanceId> = watchers
+            .iter()
+            .filter(|&watcher| {
+                if watcher == own {
+                    view.connect_failing_for(&primary.endpoint, now) >= limit
+                } else {
+                    reports.iter().any(|report| {
+                        report.instance == *watcher && self.report_counts(report, primary, now)
+                    })
+                }
+            })
+            .cloned()
+            .collect();
+        (failing.len() > watchers.len() / 2)
+            .then_some(FailureEvidence::ConnectFailure { watchers: failing })
+    }
+
+    fn report_counts(
+        &self,
+        report: &WatcherReport,
+        primary: &TermPrimary,
+        now: MonotonicTime,
+    ) -> bool {
+        report.primary == primary.endpoint
+            && report.connect_failing_for >= self.limits.connect_failure
+            && now.saturating_since(report.received_at) <= self.limits.report_age
+    }
+
+    fn judge_fenced_primary(
+        &mut self,
+        view: &GroupView,
+        now: MonotonicTime,
+    ) -> Option<FailureEvidence> {
+        let primary = view.primary()?;
+        let fences = self.fences_above(view, primary.term, now);
+        let on_primary = fences.iter().any(|(id, _)| *id == primary.endpoint);
+        let term = fences.iter().map(|&(_, term)| term).max();
+        let Some(term) = term.filter(|_| on_primary || fences.len() >= view.majority()) else {
+            self.fenced_since = None;
+            return None;
+        };
+        let since = match self.fenced_since {
+            Some((known, since)) if known == term => since,
+            _ => now,
+        };
+        self.fenced_since = Some((term, since));
+        held(since, self.limits.upstream_silence, now)
+            .then_some(FailureEvidence::PrimaryFenced { term })
+    }
+
+    fn judge_stranded_replica(
+        &mut self,
+        view: &GroupView,
+        now: MonotonicTime,
+    ) -> Option<FailureEvidence> {
+        let primary = view.primary()?;
+        let fences = self.fences_above(view, primary.term, now);
+        let Some((endpoint, term)) = fences.into_iter().max_by_key(|&(_, term)| term) else {
+            self.stranded_since = None;
+            return None;
+        };
+        let since = match &self.stranded_since {
+            Some((known, since)) if *known == endpoint => *since,
+            _ => now,
+        };
+        self.stranded_since = Some((endpoint.clone(), since));
+        held(since, self.limits.stranded_replica, now)
+            .then_some(FailureEvidence::ReplicaStranded { endpoint, term })
+    }
+
+    fn fences_above(
+        &self,
+        view: &GroupView,
+        term: LogTerm,
+        now: MonotonicTime,
+    ) -> Vec<(EndpointId, LogTerm)> {
+        view.endpoints()
+            .filter_map(|endpoint| {
+                let status = endpoint.fresh_status(self.limits.report_age, now)?;
+                (status.fenced_term > term)
+                    .then(|| (endpoint.member.endpoint.clone(), status.fenced_term))
+            })
+            .collect()
+    }
+}
+
+fn held(since: MonotonicTime, limit: Duration, now: MonotonicTime) -> bool {
+    now.saturating_since(since) >= limit
+}
--- /dev/null
+++ b/src/process/failover/group_controller.rs
@@ -0,0 +1,481 @@
+//! Drives the decisions for one group: takes answers and the time, returns the calls to make.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use crate::process::endpoint_status::EndpointStatus;
+use crate::process::failover::call_failure::CallFailure;
+use crate::process::failover::confirmation_tracker::ConfirmId;
+use crate::process::failover::confirmation_tracker::ConfirmOutcome;
+use crate::process::failover::confirmation_tracker::ConfirmationTracker;
+use crate::process::failover::failover_limits::FailoverLimits;
+use crate::process::failover::failure_detector::FailureDetector;
+use crate::process::failover::failure_evidence::WatcherReport;
+use crate::process::failover::group_event::GroupEvent;
+use crate::process::failover::group_view::GroupMember;
+use crate::process::failover::group_view::GroupView;
+use crate::process::failover::promotion_plan::PromotionAction;
+use crate::process::failover::promotion_plan::PromotionEnd;
+use crate::process::failover::promotion_plan::PromotionPlan;
+use crate::process::timers::MonotonicTime;
+use crate::request::log_point::LogPoint;
+use crate::request::log_point::LogTerm;
+use crate::request::read_route::RouteCandidate;
+use crate::request::session_floor::FloorId;
+use crate::request::session_floor::FloorOutcome;
+use crate::request::session_floor::FloorWaiters;
+use crate::version::ids::EndpointId;
+use crate::version::ids::InstanceId;
+
+/// Pause before an endpoint that did not reach a point is asked to wait again.
+const AWAIT_RETRY: Duration = Duration::from_millis(20);
+
+/// Who watches a group.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct WatchSettings {
+    /// This instance.
+    pub instance: InstanceId,
+    /// All instances that watch the group; one that is not among them never proposes.
+    pub watchers: Vec<InstanceId>,
+    /// Whether this instance proposes without delay.
+    pub first_in_line: bool,
+}
+
+/// Something for the driver to do.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum GroupAction {
+    /// Ask the endpoint for its status.
+    Status { endpoint: EndpointId },
+    /// Ask the endpoint to answer when it holds the point, or at the timeout.
+    Await {
+        endpoint: EndpointId,
+        point: LogPoint,
+        timeout: Duration,
+    },
+    /// Fence or promote.
+    Promotion(PromotionAction),
+    /// Tell the waiter how its confirmation ended.
+    Confirmed(ConfirmOutcome),
+    /// Tell the waiter its floor.
+    FloorReady(FloorOutcome),
+    /// Write to the journal.
+    Event(GroupEvent),
+}
+
+#[derive(Debug, Clone, Default)]
+struct CallState {
+    polled_at: Option<MonotonicTime>,
+    poll_open: bool,
+    poll_due: bool,
+    await_open: bool,
+    await_after: MonotonicTime,
+}
+
+/// The decisions for one group on one instance.
+#[derive(Debug, Clone)]
+pub struct GroupController {
+    settings: WatchSettings,
+    limits: FailoverLimits,
+    view: GroupView,
+    detector: FailureDetector,
+    plan: Option<PromotionPlan>,
+    tracker: ConfirmationTracker,
+    floors: FloorWaiters,
+    reports: BTreeMap<InstanceId, WatcherReport>,
+    calls: BTreeMap<EndpointId, CallState>,
+    seen_term: Option<LogTerm>,
+    rng: ChaCha8Rng,
+}
+
+impl GroupController {
+    /// Creates a controller that knows nothing of its group yet.
+    pub fn new(
+        members: Vec<GroupMember>,
+        settings: WatchSettings,
+        limits: FailoverLimits,
+        seed: u64,
+    ) -> Self {
+        let ids = member_ids(&members);
+        let calls = ids.iter().map(|id| (id.clone(), CallState::default()));
+        Self {
+            settings,
+            view: GroupView::new(members, limits.upstream_silence, limits.report_age),
+            detector: FailureDetector::new(limits.clone()),
+            plan: None,
+            tracker: ConfirmationTracker::new(&ids),
+            floors: FloorWaiters::default(),
+            reports: BTreeMap::new(),
+            calls: calls.collect(),
+            seen_term: None,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            limits,
+        }
+    }
+
+    /// Returns the view that requests are routed by.
+    pub fn view(&self) -> &GroupView {
+        &self.view
+    }
+
+    /// Returns the plan in progress, if any.
+    pub fn plan(&self) -> Option<&PromotionPlan> {
+        self.plan.as_ref()
+    }
+
+    /// Returns how many confirmations are open.
+    pub fn confirmations(&self) -> usize {
+        self.tracker.waiting()
+    }
+
+    /// Replaces the endpoints of the group; a plan for other endpoints is given up.
+    pub fn set_members(&mut self, members: Vec<GroupMember>) {
+        let ids = member_ids(&members);
+        if !self.calls.keys().eq(ids.iter().collect::<BTreeSet<_>>()) {
+            self.plan = None;
+        }
+        self.tracker.set_members(&ids);
+        self.view.set_members(members);
+        self.calls.retain(|endpoint, _| ids.contains(endpoint));
+        for id in ids {
+            self.calls.entry(id).or_default();
+        }
+    }
+
+    /// Replaces the watchers of the group.
+    pub fn set_watchers(&mut self, settings: WatchSettings) {
+        self.reports
+            .retain(|instance, _| settings.watchers.contains(instance));
+        self.settings = settings;
+    }
+
+    /// Takes what another watcher says of a primary.
+    pub fn on_report(&mut self, report: WatcherReport) {
+        self.reports.insert(report.instance.clone(), report);
+    }
+
+    /// Returns the primary and for how long this instance could open no connection to it.
+    pub fn own_report(&self, now: MonotonicTime) -> Option<(EndpointId, Duration)> {
+        let endpoint = self.view.primary()?.endpoint.clone();
+        let failing = self.view.connect_failing_for(&endpoint, now);
+        Some((endpoint, failing))
+    }
+
+    /// Takes a status that another instance asked for `asked_at` on this instance's clock.
+    pub fn on_peer_status(
+        &mut self,
+        endpoint: &EndpointId,
+        status: &EndpointStatus,
+        asked_at: MonotonicTime,
+        now: MonotonicTime,
+    ) -> Vec<GroupAction> {
+        let mut actions = Vec::new();
+        self.feed(endpoint, status, asked_at, now, &mut actions);
+        self.follow_up(now, &mut actions);
+        actions
+    }
+
+    /// Starts to wait until a majority holds a point that the primary reported.
+    ///
+    /// The caller has checked that the report had the role primary and a fenced term not above
+    /// that of the point.
+    pub fn confirm(
+        &mut self,
+        primary: EndpointId,
+        point: LogPoint,
+        deadline: MonotonicTime,
+        now: MonotonicTime,
+    ) -> (ConfirmId, Vec<GroupAction>) {
+        if !self.tracker.knows_primary(point.term)
+            && let Some(call) = self.calls.get_mut(&primary)
+        {
+            call.poll_due = true;
+        }
+        let id = self.tracker.register(primary, point, deadline);
+        let mut actions = Vec::new();
+        self.follow_up(now, &mut actions);
+        (id, actions)
+    }
+
+    /// Drops a confirmation whose caller is gone.
+    pub fn cancel_confirm(&mut self, id: ConfirmId) {
+        self.tracker.cancel(id);
+    }
+
+    /// Starts to wait for the floor of a session that began by now.
+    pub fn floor(
+        &mut self,
+        deadline: MonotonicTime,
+        now: MonotonicTime,
+    ) -> (FloorId, Vec<GroupAction>) {
+        let id = self.floors.join(now, deadline);
+        let mut actions = Vec::new();
+        self.follow_up(now, &mut actions);
+        (id, actions)
+    }
+
+    /// Drops a floor whose session is gone.
+    pub fn cancel_floor(&mut self, id: FloorId) {
+        self.floors.cancel(id);
+    }
+
+    /// Takes the end of a status call that was sent at `asked_at`.
+    pub fn on_status(
+        &mut self,
+        endpoint: &EndpointId,
+        asked_at: MonotonicTime,
+        answer: Result<EndpointStatus, CallFailure>,
+        now: MonotonicTime,
+    ) -> Vec<GroupAction> {
+        if let Some(call) = self.calls.get_mut(endpoint)
+            && call.polled_at.is_none_or(|polled_at| polled_at <= asked_at)
+        {
+            call.poll_open = false;
+        }
+        self.on_answer(endpoint, asked_at, answer, now)
+    }
+
+    /// Takes the end of an await call that was sent at `asked_at`.
+    pub fn on_await(
+        &mut self,
+        endpoint: &EndpointId,
+        point: LogPoint,
+        asked_at: MonotonicTime,
+        answer: Result<EndpointStatus, CallFailure>,
+        now: MonotonicTime,
+    ) -> Vec<GroupAction> {
+        let reached = answer.as_ref().is_ok_and(|status| status.point >= point);
+        if let Some(call) = self.calls.get_mut(endpoint) {
+            call.await_open = false;
+            call.await_after = if reached { now } else { now + AWAIT_RETRY };
+        }
+        self.on_answer(endpoint, asked_at, answer, now)
+    }
+
+    /// Takes the end of a fence or promote call that was sent at `asked_at`.
+    pub fn on_answer(
+        &mut self,
+        endpoint: &EndpointId,
+        asked_at: MonotonicTime,
+        answer: Result<EndpointStatus, CallFailure>,
+        now: MonotonicTime,
+    ) -> Vec<GroupAction> {
+        let mut actions = Vec::new();
+        match answer {
+            Ok(status) => self.feed(endpoint, &status, asked_at, now, &mut actions),
+            Err(CallFailure::ConnectFailed) => self.view.observe_connect_failure(endpoint, now),
+            Err(CallFailure::NoAnswer | CallFailure::Refused) => {}
+        }
+        self.follow_up(now, &mut actions);
+        actions
+    }
+
+    /// Moves on with the time; call it at least every 50 ms.
+    pub fn tick(&mut self, now: MonotonicTime) -> Vec<GroupAction> {
+        let mut actions = Vec::new();
+        self.judge(now, &mut actions);
+        self.follow_up(now, &mut actions);
+        actions
+    }
+
+    /// Returns the endpoints as candidates for a request; `load` gives the share of slots in use.
+    pub fn candidates(
+        &self,
+        now: MonotonicTime,
+        load: impl Fn(&EndpointId) -> f64,
+    ) -> Vec<RouteCandidate> {
+        let primary = self.view.writable_primary();
+        let age = self.limits.report_age;
+        self.view
+            .endpoints()
+            .map(|view| {
+                let endpoint = view.member.endpoint.clone();
+                let fresh = view.fresh_status(age, now).is_some();
+                RouteCandidate {
+                    zone: view.member.zone.clone(),
+                    primary: primary.is_some_and(|primary| primary.endpoint == endpoint),
+                    point: view.status.as_ref().map(|s| s.point).unwrap_or_default(),
+                    staleness: self.view.staleness(&endpoint, now),
+                    load: load(&endpoint),
+                    available: fresh && !view.member.leaving,
+                    endpoint,
+                }
+            })
+            .collect()
+    }
+
+    fn feed(
+        &mut self,
+        endpoint: &EndpointId,
+        status: &EndpointStatus,
+        asked_at: MonotonicTime,
+        now: MonotonicTime,
+        actions: &mut Vec<GroupAction>,
+    ) {
+        self.view.observe(endpoint, status.clone(), asked_at, now);
+        self.tracker.record(endpoint, status);
+        if let Some(plan) = &mut self.plan {
+            plan.observe(endpoint, status, now);
+        }
+        let primary = self.view.primary();
+        if let Some(primary) = primary.filter(|p| self.seen_term.is_none_or(|seen| p.term > seen)) {
+            self.seen_term = Some(primary.term);
+            actions.push(GroupAction::Event(GroupEvent::PrimaryChanged {
+                endpoint: primary.endpoint.clone(),
+                term: primary.term,
+            }));
+        }
+    }
+
+    fn judge(&mut self, now: MonotonicTime, actions: &mut Vec<GroupAction>) {
+        let watched = self.settings.watchers.contains(&self.settings.instance);
+        let open = self.plan.as_ref().is_none_or(PromotionPlan::is_waiting);
+        if !watched || !open {
+            return;
+        }
+        let reports: Vec<_> = self.reports.values().cloned().collect();
+        let settings = &self.settings;
+        let evidence = self.detector.judge(
+            &self.view,
+            &settings.instance,
+            &settings.watchers,
+            &reports,
+            now,
+        );
+        match (evidence, self.plan.is_some()) {
+            (None, true) => {
+                self.plan = None;
+                actions.push(GroupAction::Event(GroupEvent::PromotionDropped));
+            }
+            (Some(evidence), false) => {
+                self.start_plan(now);
+                actions.push(GroupAction::Event(GroupEvent::PromotionPlanned {
+                    evidence,
+                }));
+            }
+            _ => {}
+        }
+    }
+
+    /// Starts a promotion without evidence, as an operator's order does.
+    pub fn start_plan(&mut self, now: MonotonicTime) {
+        let delay = if self.settings.first_in_line {
+            Duration::ZERO
+        } else {
+            let factor = self.rng.random_range(0.5..1.5);
+            self.limits.proposal_delay.mul_f64(factor)
+        };
+        let primary = self.view.primary().map(|primary| primary.term);
+        let term = primary
+            .unwrap_or_default()
+            .max(self.view.highest_log_term());
+        let mut plan = PromotionPlan::new(
+            self.calls.keys().cloned().collect(),
+            self.settings.instance.to_string(),
+            self.limits.clone(),
+            term,
+            delay,
+            self.rng.random(),
+            now,
+        );
+        for view in self.view.endpoints() {
+            if let Some(status) = &view.status {
+                plan.observe(&view.member.endpoint, status, now);
+            }
+        }
+        self.plan = Some(plan);
+    }
+
+    fn follow_up(&mut self, now: MonotonicTime, actions: &mut Vec<GroupAction>) {
+        self.step_plan(now, actions);
+        let confirmed = self.tracker.settle(now);
+        actions.extend(confirmed.into_iter().map(GroupAction::Confirmed));
+        self.settle_floors(now, actions);
+        self.start_polls(now, actions);
+        self.start_awaits(now, actions);
+    }
+
+    fn step_plan(&mut self, now: MonotonicTime, actions: &mut Vec<GroupAction>) {
+        let Some(plan) = &mut self.plan else {
+            return;
+        };
+        let calls = plan.step(now);
+        actions.extend(calls.into_iter().map(GroupAction::Promotion));
+        let event = match plan.end() {
+            None => return,
+            Some(PromotionEnd::Promoted { endpoint, term }) => GroupEvent::Promoted {
+                endpoint: endpoint.clone(),
+                term: *term,
+            },
+            Some(PromotionEnd::Superseded { term }) => {
+                GroupEvent::PromotionSuperseded { term: *term }
+            }
+            Some(PromotionEnd::Paused) => GroupEvent::PromotionPaused,
+        };
+        self.plan = None;
+        actions.push(GroupAction::Event(event));
+    }
+
+    fn settle_floors(&mut self, now: MonotonicTime, actions: &mut Vec<GroupAction>) {
+        if self.floors.wanted_since().is_none() {
+            return;
+        }
+        let reports: Vec<_> = self
+            .view
+            .endpoints()
+            .filter_map(|view| Some((view.asked_at, view.status.as_ref()?.point)))
+            .collect();
+        let ready = self.floors.settle(&reports, self.view.majority(), now);
+        actions.extend(ready.into_iter().map(GroupAction::FloorReady));
+    }
+
+    fn start_polls(&mut self, now: MonotonicTime, actions: &mut Vec<GroupAction>) {
+        let wanted = self.floors.wanted_since();
+        let (period, age) = (self.limits.poll_period, self.limits.report_age);
+        for (endpoint, call) in &mut self.calls {
+            let since = |at: MonotonicTime| now.saturating_since(at);
+            let open = call.poll_open && call.polled_at.is_some_and(|at| since(at) < age);
+            let due = call.poll_due
+                || call.polled_at.is_none_or(|at| since(at) >= period)
+                || wanted.is_some_and(|wanted| call.polled_at.is_none_or(|at| at < wanted));
+            if due && !open {
+                call.poll_due = false;
+                call.poll_open = true;
+                call.polled_at = Some(now);
+                actions.push(GroupAction::Status {
+                    endpoint: endpoint.clone(),
+                });
+            }
+        }
+    }
+
+    fn start_awaits(&mut self, now: MonotonicTime, actions: &mut Vec<GroupAction>) {
+        if self.tracker.waiting() == 0 {
+            return;
+        }
+        for (endpoint, call) in &mut self.calls {
+            if call.await_open || now < call.await_after {
+                continue;
+            }
+            if let Some(point) = self.tracker.next_await(endpoint) {
+                call.await_open = true;
+                actions.push(GroupAction::Await {
+                    endpoint: endpoint.clone(),
+                    point,
+                    timeout: self.limits.await_timeout,
+                });
+            }
+        }
+    }
+}
+
+fn member_ids(members: &[GroupMember]) -> Vec<EndpointId> {
+    members
+        .iter()
+        .map(|member| member.endpoint.clone())
+        .collect()
+}
--- /dev/null
+++ b/src/process/failover/group_view.rs
@@ -0,0 +1,313 @@
+//! What one instance knows of a database group.
+
+use std::collections::BTreeMap;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use crate::process::endpoint_status::EndpointRole;
+use crate::process::endpoint_status::EndpointStatus;
+use crate::process::timers::MonotonicTime;
+use crate::request::log_point::LogPoint;
+use crate::request::log_point::LogTerm;
+use crate::version::ids::EndpointId;
+use crate::version::ids::ZoneId;
+
+const MAX_SAMPLES: usize = 512;
+const SILENCE_REPORT_SPACING: Duration = Duration::from_millis(50);
+
+/// An endpoint of the group as the bundle states it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct GroupMember {
+    /// Its name.
+    pub endpoint: EndpointId,
+    /// The availability zone it stands in.
+    pub zone: ZoneId,
+    /// Whether it takes no new work; it still counts in majorities.
+    pub leaving: bool,
+}
+
+/// The primary of the highest term that was seen.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TermPrimary {
+    /// The endpoint.
+    pub endpoint: EndpointId,
+    /// The term it was promoted for.
+    pub term: LogTerm,
+    /// When this instance first saw it as primary of that term.
+    pub first_seen: MonotonicTime,
+}
+
+/// A span in which no new connection could be opened.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct FailureSpan {
+    first: MonotonicTime,
+    last: MonotonicTime,
+}
+
+/// What is known of one endpoint.
+#[derive(Debug, Clone)]
+pub struct EndpointView {
+    /// Its entry in the bundle.
+    pub member: GroupMember,
+    /// The latest status it reported.
+    pub status: Option<EndpointStatus>,
+    /// When that status was asked for; the status is at least as recent as this.
+    pub asked_at: MonotonicTime,
+    silent_reports: u32,
+    silence_counted_at: MonotonicTime,
+    connect_failure: Option<FailureSpan>,
+}
+
+impl EndpointView {
+    fn new(member: GroupMember) -> Self {
+        Self {
+            member,
+            status: None,
+            asked_at: MonotonicTime::default(),
+            silent_reports: 0,
+            silence_counted_at: MonotonicTime::default(),
+            connect_failure: None,
+        }
+    }
+
+    /// Returns the status if it was asked for within `age`.
+    pub fn fresh_status(&self, age: Duration, now: MonotonicTime) -> Option<&EndpointStatus> {
+        let fresh = now.saturating_since(self.asked_at) <= age;
+        self.status.as_ref().filter(|_| fresh)
+    }
+
+    /// Returns how many reports in a row stated an upstream silence over the limit.
+    pub fn silent_reports(&self) -> u32 {
+        self.silent_reports
+    }
+
+    fn count_silence(&mut self, asked_at: MonotonicTime, limit: Duration, gap: Duration) {
+        let silent = self
+            .status
+            .as_ref()
+            .and_then(|status| status.upstream_silence)
+            .is_some_and(|silence| silence >= limit);
+        let since = asked_at.saturating_since(self.silence_counted_at);
+        if !silent {
+            self.silent_reports = 0;
+        } else if self.silent_reports == 0 || since > gap {
+            self.silent_reports = 1;
+            self.silence_counted_at = asked_at;
+        } else if since >= SILENCE_REPORT_SPACING {
+            self.silent_reports += 1;
+            self.silence_counted_at = asked_at;
+        }
+    }
+}
+
+/// The latest status of each endpoint, the present term and primary, and staleness estimates.
+#[derive(Debug, Clone)]
+pub struct GroupView {
+    endpoints: BTreeMap<EndpointId, EndpointView>,
+    primary: Option<TermPrimary>,
+    samples: VecDeque<(MonotonicTime, LogPoint)>,
+    silence_limit: Duration,
+    report_age: Duration,
+}
+
+impl GroupView {
+    /// Creates a view of a group of which nothing is known yet.
+    pub fn new(members: Vec<GroupMember>, silence_limit: Duration, report_age: Duration) -> Self {
+        let endpoints = members
+            .into_iter()
+            .map(|member| (member.endpoint.clone(), EndpointView::new(member)))
+            .collect();
+        Self {
+            endpoints,
+            primary: None,
+            samples: VecDeque::new(),
+            silence_limit,
+            report_age,
+        }
+    }
+
+    /// Replaces the members and keeps what is known of those that remain.
+    pub fn set_members(&mut self, members: Vec<GroupMember>) {
+        let mut known = std::mem::take(&mut self.endpoints);
+        for member in members {
+            let mut view = known
+                .remove(&member.endpoint)
+                .unwrap_or_else(|| EndpointView::new(member.clone()));
+            view.member = member;
+            self.endpoints.insert(view.member.endpoint.clone(), view);
+        }
+    }
+
+    /// Returns the endpoints in order of their names.
+    pub fn endpoints(&self) -> impl Iterator<Item = &EndpointView> {
+        self.endpoints.values()
+    }
+
+    /// Returns what is known of an endpoint.
+    pub fn endpoint(&self, endpoint: &EndpointId) -> Option<&EndpointView> {
+        self.endpoints.get(endpoint)
+    }
+
+    /// Returns how many endpoints the group has.
+    pub fn size(&self) -> usize {
+        self.endpoints.len()
+    }
+
+    /// Returns how many endpoints form a majority of the group.
+    pub fn majority(&self) -> usize {
+        self.endpoints.len() / 2 + 1
+    }
+
+    /// Takes a status that was asked for at `asked_at`.
+    ///
+    /// Answers may cross: an answer to an earlier question is used only where it shows a later
+    /// point, as the answer of a long wait does.
+    pub fn observe(
+        &mut self,
+        endpoint: &EndpointId,
+        status: EndpointStatus,
+        asked_at: MonotonicTime,
+        now: MonotonicTime,
+    ) {
+        let Some(view) = self.endpoints.get_mut(endpoint) else {
+            return;
+        };
+        view.connect_failure = None;
+        let point = status.point;
+        let is_primary = status.role == EndpointRole::Primary;
+        let newer = view.status.is_none() || asked_at >= view.asked_at;
+        if newer {
+            view.status = Some(status);
+            view.asked_at = asked_at;
+            view.count_silence(asked_at, self.silence_limit, self.report_age);
+        } else if let Some(known) = &mut view.status
+            && point > known.point
+            && status.fenced_term >= known.fenced_term
+        {
+            *known = status;
+        }
+        if is_primary {
+            self.observe_primary(endpoint, point, asked_at, now);
+        }
+    }
+
+    fn observe_primary(
+        &mut self,
+        endpoint: &EndpointId,
+        point: LogPoint,
+        asked_at: MonotonicTime,
+        now: MonotonicTime,
+    ) {
+        let known_term = self.primary.as_ref().map(|primary| primary.term);
+        if known_term.is_none_or(|term| point.term > term) {
+            self.samples.clear();
+            self.primary = Some(TermPrimary {
+                endpoint: endpoint.clone(),
+                term: point.term,
+                first_seen: now,
+            });
+        } else if known_term != Some(point.term) {
+            return;
+        }
+        if self.samples.back().is_none_or(|&(time, _)| asked_at > time) {
+            self.samples.push_back((asked_at, point));
+        }
+        if self.samples.len() > MAX_SAMPLES {
+            self.samples.pop_front();
+        }
+    }
+
+    /// Takes the failure of an attempt to open a new connection.
+    ///
+    /// Attempts further apart than the report age start a new span, so that a pause of this
+    /// process does not count as time in which the endpoint failed.
+    pub fn observe_connect_failure(&mut self, endpoint: &EndpointId, now: MonotonicTime) {
+        let age = self.report_age;
+        let Some(view) = self.endpoints.get_mut(endpoint) else {
+            return;
+        };
+        let first = match view.connect_failure {
+            Some(span) if now.saturating_since(span.last) <= age => span.first,
+            _ => now,
+        };
+        view.connect_failure = Some(FailureSpan { first, last: now });
+    }
+
+    /// Returns for how long no new connection could be opened, up to the last attempt.
+    pub fn connect_failing_for(&self, endpoint: &EndpointId, now: MonotonicTime) -> Duration {
+        self.endpoints
+            .get(endpoint)
+            .and_then(|view| view.connect_failure)
+            .filter(|span| now.saturating_since(span.last) <= self.report_age)
+            .map_or(Duration::ZERO, |span| {
+                span.last.saturating_since(span.first)
+            })
+    }
+
+    /// Returns the primary of the highest term, unless a later term is known to exist.
+    pub fn primary(&self) -> Option<&TermPrimary> {
+        let highest = self.highest_log_term();
+        self.primary.as_ref().filter(|primary| {
+            primary.term >= highest && self.endpoints.contains_key(&primary.endpoint)
+        })
+    }
+
+    /// Returns the primary if nothing shows that it was fenced.
+    pub fn writable_primary(&self) -> Option<&TermPrimary> {
+        let primary = self.primary()?;
+        let status = self.endpoints[&primary.endpoint].status.as_ref()?;
+        (status.fenced_term <= primary.term && status.role == EndpointRole::Primary)
+            .then_some(primary)
+    }
+
+    /// Returns the highest term of any log.
+    pub fn highest_log_term(&self) -> LogTerm {
+        self.statuses()
+            .map(|status| status.point.term)
+            .max()
+            .unwrap_or_default()
+    }
+
+    /// Returns the highest term of any log or fence.
+    pub fn highest_term(&self) -> LogTerm {
+        let fenced = self.statuses().map(|status| status.fenced_term).max();
+        self.highest_log_term().max(fenced.unwrap_or_default())
+    }
+
+    /// Returns an upper bound of the age of an endpoint's data, if one is known.
+    ///
+    /// The endpoint holds all that the primary held when the last sample was asked for that it
+    /// has reached. A sample counts only up to the time for which a majority of the group, asked
+    /// later, was not fenced: before it no later primary took writes.
+    pub fn staleness(&self, endpoint: &EndpointId, now: MonotonicTime) -> Option<Duration> {
+        let point = self.endpoints.get(endpoint)?.status.as_ref()?.point;
+        let unfenced = self.unfenced_until()?;
+        self.samples
+            .iter()
+            .rev()
+            .find(|&&(time, sample)| sample <= point && time <= unfenced)
+            .map(|&(time, _)| now.saturating_since(time))
+    }
+
+    fn unfenced_until(&self) -> Option<MonotonicTime> {
+        let term = self.primary()?.term;
+        let mut times: Vec<_> = self
+            .endpoints
+            .values()
+            .filter(|view| {
+                view.status
+                    .as_ref()
+                    .is_some_and(|status| status.fenced_term <= term)
+            })
+            .map(|view| view.asked_at)
+            .collect();
+        times.sort_unstable_by(|a, b| b.cmp(a));
+        times.get(self.majority() - 1).copied()
+    }
+
+    fn statuses(&self) -> impl Iterator<Item = &EndpointStatus> {
+        self.endpoints
+            .values()
+            .filter_map(|view| view.status.as_ref())
+    }
+}
--- /dev/null
+++ b/src/process/failover/mod.rs
@@ -0,0 +1,14 @@
+//! Decisions on acknowledgement and promotion for one database group.
+//!
+//! Nothing here does I/O or reads a clock: [`group_controller::GroupController`] takes answers and
+//! the time, and returns the calls to make. The daemon and the simulated tests drive the same code.
+
+pub mod call_failure;
+pub mod confirmation_tracker;
+pub mod failover_limits;
+pub mod failure_detector;
+pub mod failure_evidence;
+pub mod group_controller;
+pub mod group_event;
+pub mod group_view;
+pub mod promotion_plan;
--- /dev/null
+++ b/src/process/failover/promotion_plan.rs
@@ -0,0 +1,317 @@
+//! One attempt to give a group a new primary.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use crate::process::endpoint_status::EndpointRole;
+use crate::process::endpoint_status::EndpointStatus;
+use crate::process::failover::failover_limits::FailoverLimits;
+use crate::process::timers::MonotonicTime;
+use crate::request::log_point::LogPoint;
+use crate::request::log_point::LogTerm;
+use crate::version::ids::EndpointId;
+
+/// A call that the plan asks for; it may be repeated.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum PromotionAction {
+    /// Fence the endpoint.
+    Fence {
+        endpoint: EndpointId,
+        term: LogTerm,
+        proposer: String,
+    },
+    /// Promote the endpoint.
+    Promote {
+        endpoint: EndpointId,
+        term: LogTerm,
+        proposer: String,
+    },
+}
+
+/// How a plan ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum PromotionEnd {
+    /// The endpoint is the primary of the term.
+    Promoted { endpoint: EndpointId, term: LogTerm },
+    /// Another proposer's primary has a term as high as this plan's.
+    Superseded { term: LogTerm },
+    /// The process was paused; what the plan knows may be out of date.
+    Paused,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq)]
+enum PlanPhase {
+    Waiting {
+        until: MonotonicTime,
+    },
+    Fencing,
+    Promoting {
+        endpoint: EndpointId,
+        since: MonotonicTime,
+    },
+    Settling {
+        endpoint: EndpointId,
+        since: MonotonicTime,
+    },
+    Ended(PromotionEnd),
+}
+
+/// Fences a majority at a new term, chooses the highest point among them and promotes it.
+///
+/// Success is read from statuses alone, so that a lost answer is made up for by repeating the
+/// call, which changes nothing the second time. The plan promotes at most one endpoint in a term;
+/// each term gets a proposer name of its own, so that no other plan, of an earlier process of this
+/// instance included, can take part in its fences.
+#[derive(Debug, Clone)]
+pub struct PromotionPlan {
+    members: Vec<EndpointId>,
+    instance: String,
+    limits: FailoverLimits,
+    rng: ChaCha8Rng,
+    phase: PlanPhase,
+    initial_term: LogTerm,
+    term: LogTerm,
+    proposer: String,
+    highest_term: LogTerm,
+    fenced: BTreeMap<EndpointId, LogPoint>,
+    refused: BTreeSet<EndpointId>,
+    sent: BTreeMap<EndpointId, MonotonicTime>,
+    attempts: u32,
+    last_step: MonotonicTime,
+}
+
+impl PromotionPlan {
+    /// Creates a plan that starts to fence after `delay`.
+    ///
+    /// `primary_term` is the term of the primary that is given up.
+    pub fn new(
+        members: Vec<EndpointId>,
+        instance: String,
+        limits: FailoverLimits,
+        primary_term: LogTerm,
+        delay: Duration,
+        seed: u64,
+        now: MonotonicTime,
+    ) -> Self {
+        Self {
+            members,
+            instance,
+            limits,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            phase: PlanPhase::Waiting { until: now + delay },
+            initial_term: primary_term,
+            term: LogTerm::default(),
+            proposer: String::new(),
+            highest_term: primary_term,
+            fenced: BTreeMap::new(),
+            refused: BTreeSet::new(),
+            sent: BTreeMap::new(),
+            attempts: 0,
+            last_step: now,
+        }
+    }
+
+    /// Returns how the plan ended, if it did.
+    pub fn end(&self) -> Option<&PromotionEnd> {
+        match &self.phase {
+            PlanPhase::Ended(end) => Some(end),
+            _ => None,
+        }
+    }
+
+    /// Returns the endpoint that was promoted, if any.
+    pub fn promoted(&self) -> Option<(&EndpointId, LogTerm)> {
+        match &self.phase {
+            PlanPhase::Settling { endpoint, .. } => Some((endpoint, self.term)),
+            PlanPhase::Ended(PromotionEnd::Promoted { endpoint, term }) => Some((endpoint, *term)),
+            _ => None,
+        }
+    }
+
+    /// Returns whether no fence was sent yet.
+    pub fn is_waiting(&self) -> bool {
+        self.attempts == 0 && matches!(self.phase, PlanPhase::Waiting { .. })
+    }
+
+    /// Returns the present term and proposer name.
+    pub fn proposal(&self) -> (LogTerm, &str) {
+        (self.term, &self.proposer)
+    }
+
+    /// Takes any status of an endpoint: the answer to a fence, a promote or a poll.
+    pub fn observe(&mut self, endpoint: &EndpointId, status: &EndpointStatus, now: MonotonicTime) {
+        self.highest_term = self
+            .highest_term
+            .max(status.fenced_term)
+            .max(status.point.term);
+        self.observe_other_primary(endpoint, status);
+        let ours = status.fenced_term == self.term && status.fenced_by == self.proposer;
+        match self.phase.clone() {
+            // The term of a log that reaches this plan's term is no longer free.
+            PlanPhase::Fencing if status.point.term >= self.term => self.back_off(now),
+            PlanPhase::Fencing if ours => {
+                self.fenced.insert(endpoint.clone(), status.point);
+            }
+            PlanPhase::Fencing if status.fenced_term >= self.term => {
+                self.refused.insert(endpoint.clone());
+            }
+            PlanPhase::Promoting {
+                endpoint: chosen, ..
+            } if chosen == *endpoint => {
+                let primary =
+                    status.role == EndpointRole::Primary && status.point.term == self.term;
+                if primary {
+                    self.sent.clear();
+                    self.phase = PlanPhase::Settling {
+                        endpoint: chosen,
+                        since: now,
+                    };
+                } else if !ours && status.fenced_term >= self.term {
+                    self.back_off(now);
+                }
+            }
+            PlanPhase::Settling { .. } if ours => {
+                self.fenced.insert(endpoint.clone(), status.point);
+            }
+            _ => {}
+        }
+    }
+
+    fn observe_other_primary(&mut self, endpoint: &EndpointId, status: &EndpointStatus) {
+        let term = status.point.term;
+        let later = status.role == EndpointRole::Primary
+            && term > self.initial_term
+            && term >= self.term
+            && status.fenced_term <= term;
+        let own = term == self.term && self.is_chosen(endpoint);
+        if later && !own && self.end().is_none() {
+            self.phase = PlanPhase::Ended(PromotionEnd::Superseded { term });
+        }
+    }
+
+    fn is_chosen(&self, endpoint: &EndpointId) -> bool {
+        match &self.phase {
+            PlanPhase::Promoting {
+                endpoint: chosen, ..
+            }
+            | PlanPhase::Settling {
+                endpoint: chosen, ..
+            } => chosen == endpoint,
+            _ => false,
+        }
+    }
+
+    /// Moves on and returns the calls to make now.
+    pub fn step(&mut self, now: MonotonicTime) -> Vec<PromotionAction> {
+        let paused = now.saturating_since(self.last_step) > self.limits.report_age;
+        self.last_step = now;
+        if self.end().is_some() {
+            return Vec::new();
+        }
+        if paused {
+            self.phase = PlanPhase::Ended(PromotionEnd::Paused);
+            return Vec::new();
+        }
+        self.advance(now);
+        match self.phase.clone() {
+            PlanPhase::Waiting { .. } | PlanPhase::Ended(_) => Vec::new(),
+            PlanPhase::Fencing | PlanPhase::Settling { .. } => self.fence_calls(now),
+            PlanPhase::Promoting { endpoint, .. } => {
+                if !self.is_due(&endpoint, now) {
+                    return Vec::new();
+                }
+                vec![PromotionAction::Promote {
+                    endpoint,
+                    term: self.term,
+                    proposer: self.proposer.clone(),
+                }]
+            }
+        }
+    }
+
+    fn advance(&mut self, now: MonotonicTime) {
+        let majority = self.members.len() / 2 + 1;
+        match self.phase.clone() {
+            PlanPhase::Waiting { until } if now >= until => self.start_term(),
+            PlanPhase::Fencing if self.fenced.len() >= majority => {
+                let chosen = self
+                    .fenced
+                    .iter()
+                    .max_by_key(|&(endpoint, point)| (point, std::cmp::Reverse(endpoint)));
+                if let Some((endpoint, _)) = chosen {
+                    let endpoint = endpoint.clone();
+                    self.sent.clear();
+                    self.phase = PlanPhase::Promoting {
+                        endpoint,
+                        since: now,
+                    };
+                }
+            }
+            PlanPhase::Fencing if self.members.len() - self.refused.len() < majority => {
+                self.back_off(now);
+            }
+            PlanPhase::Promoting { since, .. }
+                if now.saturating_since(since) >= self.limits.promote_timeout =>
+            {
+                self.back_off(now);
+            }
+            PlanPhase::Settling { endpoint, since } => {
+                let all = self.fenced.len() == self.members.len();
+                if all || now.saturating_since(since) >= self.limits.settle_time {
+                    let term = self.term;
+                    self.phase = PlanPhase::Ended(PromotionEnd::Promoted { endpoint, term });
+                }
+            }
+            _ => {}
+        }
+    }
+
+    fn start_term(&mut self) {
+        self.attempts += 1;
+        self.term = LogTerm(self.highest_term.0 + 1);
+        self.highest_term = self.term;
+        self.proposer = format!("{}-{:016x}", self.instance, self.rng.random::<u64>());
+        self.fenced.clear();
+        self.refused.clear();
+        self.sent.clear();
+        self.phase = PlanPhase::Fencing;
+    }
+
+    fn back_off(&mut self, now: MonotonicTime) {
+        let doublings = self.attempts.saturating_sub(1).min(3);
+        let factor = self.rng.random_range(0.5..1.5) * f64::from(1u32 << doublings);
+        let until = now + self.limits.backoff.mul_f64(factor);
+        self.phase = PlanPhase::Waiting { until };
+    }
+
+    fn fence_calls(&mut self, now: MonotonicTime) -> Vec<PromotionAction> {
+        let mut calls = Vec::new();
+        for endpoint in self.members.clone() {
+            let known = self.fenced.contains_key(&endpoint) || self.refused.contains(&endpoint);
+            if !known && self.is_due(&endpoint, now) {
+                calls.push(PromotionAction::Fence {
+                    endpoint,
+                    term: self.term,
+                    proposer: self.proposer.clone(),
+                });
+            }
+        }
+        calls
+    }
+
+    fn is_due(&mut self, endpoint: &EndpointId, now: MonotonicTime) -> bool {
+        let due = self
+            .sent
+            .get(endpoint)
+            .is_none_or(|&sent| now.saturating_since(sent) >= self.limits.call_retry);
+        if due {
+            self.sent.insert(endpoint.clone(), now);
+        }
+        due
+    }
+}
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -1,4 +1,5 @@
 //! One running instance: what lives as long as its process.
 
 pub mod endpoint_status;
+pub mod failover;
 pub mod timers;
--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -2,4 +2,6 @@
 
 pub mod log_point;
 pub mod ports;
+pub mod read_route;
 pub mod refusal;
+pub mod session_floor;
