--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -6,4 +6,5 @@
 pub mod setting_fields;
 pub mod settings;
 pub mod settings_parser;
+pub mod failover;
 pub mod timers;
