Divide team rates by a share table with lent fractions

The fleet needs one rate limit per team without a central counter. Owners listed in the table lend fractions to the instances that see the requests; witnesses or the store renew the owners' leases.

--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -1,4 +1,6 @@
 //! One running instance: what lives as long as its process.
 
 pub mod endpoint_status;
+pub mod shares;
+pub mod slots;
 pub mod timers;
--- /dev/null
+++ b/src/process/shares/bucket.rs
@@ -0,0 +1,163 @@
+//! One instance's tokens for one team.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use crate::process::shares::incarnation::InstanceIncarnation;
+use crate::process::shares::table::TeamLimit;
+use crate::process::timers::MonotonicTime;
+
+/// What the table gives to this instance, for one team.
+#[derive(Debug, Clone, Copy)]
+pub struct OwnShare {
+    /// The owned fraction of the team's limit.
+    pub fraction: f64,
+    /// When the right to use it ends.
+    pub lease_end: MonotonicTime,
+    /// The limit that the fraction refers to.
+    pub limit: TeamLimit,
+}
+
+/// A fraction borrowed from an owner.
+#[derive(Debug, Clone)]
+pub struct BorrowedShare {
+    /// The fraction.
+    pub fraction: f64,
+    /// The limit that it refers to.
+    pub limit: TeamLimit,
+    /// When it ends here.
+    pub ends: MonotonicTime,
+    /// The request that is not answered yet, and when it was sent.
+    pub outstanding: Option<(u64, MonotonicTime)>,
+    /// When the last request was sent.
+    pub asked_at: MonotonicTime,
+}
+
+/// A fraction lent to a borrower.
+#[derive(Debug, Clone)]
+pub struct LentShare {
+    /// The fraction that the borrower may hold at most.
+    pub fraction: f64,
+    /// When the borrower has surely stopped using it.
+    pub ends: MonotonicTime,
+    /// The highest request number answered.
+    pub number: u64,
+    /// The demand that the borrower stated.
+    pub demand: f64,
+    /// When a return was first asked for, while it is still due.
+    pub recalled_at: Option<MonotonicTime>,
+}
+
+/// The token bucket of one team on one instance, over its own and its borrowed fractions.
+///
+/// Tokens never exceed the held fraction of the burst, and accrue at the held fraction of the rate.
+/// As the fractions of all instances add up to at most 1, all instances together admit at most
+/// rate x time + burst.
+#[derive(Debug, Clone)]
+pub struct TeamBucket {
+    /// The tokens at `updated`.
+    pub tokens: f64,
+    /// What is borrowed, by owner.
+    pub borrowed: BTreeMap<InstanceIncarnation, BorrowedShare>,
+    /// What is lent, by borrower.
+    pub lent: BTreeMap<InstanceIncarnation, LentShare>,
+    /// Admissions that wait for tokens.
+    pub waiting: usize,
+    /// When a search for more may be started again.
+    pub next_ask: MonotonicTime,
+    /// The pause after the next search.
+    pub ask_pause: Duration,
+    /// Until when an owner expects more to become free.
+    pub pending_until: MonotonicTime,
+    /// When the last request came.
+    pub last_arrival: MonotonicTime,
+    updated: MonotonicTime,
+    demand: f64,
+}
+
+impl TeamBucket {
+    /// Creates an empty bucket.
+    pub fn new(now: MonotonicTime) -> Self {
+        Self {
+            tokens: 0.0,
+            borrowed: BTreeMap::new(),
+            lent: BTreeMap::new(),
+            waiting: 0,
+            next_ask: now,
+            ask_pause: Duration::ZERO,
+            pending_until: MonotonicTime::default(),
+            last_arrival: now,
+            updated: now,
+            demand: 0.0,
+        }
+    }
+
+    /// Returns the lent fraction.
+    pub fn lent_fraction(&self) -> f64 {
+        self.lent.values().map(|lent| lent.fraction).sum()
+    }
+
+    /// Returns the own fraction that is usable here at this time.
+    pub fn free_fraction(&self, own: &OwnShare, now: MonotonicTime) -> f64 {
+        if now >= own.lease_end {
+            return 0.0;
+        }
+        (own.fraction - self.lent_fraction()).max(0.0)
+    }
+
+    /// Returns the usable fraction, own and borrowed.
+    pub fn held_fraction(&self, own: &OwnShare, now: MonotonicTime) -> f64 {
+        let borrowed = self.borrowed.values().map(|b| b.fraction).sum::<f64>();
+        self.free_fraction(own, now) + borrowed
+    }
+
+    /// Brings the tokens up to date: accrues, ends what has ended, and cuts to the held burst.
+    ///
+    /// `speed` is below 1 by the drift that the clock may have.
+    pub fn advance(&mut self, own: &OwnShare, speed: f64, now: MonotonicTime) {
+        let from = self.updated;
+        let accrued = |fraction: f64, limit: &TeamLimit, ends: MonotonicTime| {
+            fraction * limit.rate.0 * ends.min(now).saturating_since(from).as_secs_f64()
+        };
+        let own_free = (own.fraction - self.lent_fraction()).max(0.0);
+        let mut tokens = accrued(own_free, &own.limit, own.lease_end);
+        for borrowed in self.borrowed.values() {
+            tokens += accrued(borrowed.fraction, &borrowed.limit, borrowed.ends);
+        }
+        self.tokens += tokens * speed;
+        self.updated = from.max(now);
+        for borrowed in self.borrowed.values_mut() {
+            if borrowed.ends <= now {
+                borrowed.fraction = 0.0;
+            }
+        }
+        self.lent.retain(|_, lent| lent.ends > now);
+        self.cut(own, now);
+    }
+
+    /// Cuts the tokens to the held fraction of the burst.
+    pub fn cut(&mut self, own: &OwnShare, now: MonotonicTime) {
+        let mut burst = self.free_fraction(own, now) * own.limit.burst.0;
+        for borrowed in self.borrowed.values() {
+            burst += borrowed.fraction * borrowed.limit.burst.0;
+        }
+        self.tokens = self.tokens.min(burst);
+    }
+
+    /// Counts an arrival in the demand estimate.
+    pub fn note_arrival(&mut self, window: Duration, now: MonotonicTime) {
+        self.demand = self.decayed(window, now) + 1.0 / window.as_secs_f64();
+        self.last_arrival = self.last_arrival.max(now);
+    }
+
+    /// Returns the demand in requests per second, with those that wait.
+    pub fn demand(&self, window: Duration, now: MonotonicTime) -> f64 {
+        self.decayed(window, now) + self.waiting as f64 / window.as_secs_f64()
+    }
+
+    fn decayed(&self, window: Duration, now: MonotonicTime) -> f64 {
+        let age = now.saturating_since(self.last_arrival).as_secs_f64();
+        let demand = self.demand * (-age / window.as_secs_f64()).exp();
+        if demand < 0.01 { 0.0 } else { demand }
+    }
+}
--- /dev/null
+++ b/src/process/shares/holder.rs
@@ -0,0 +1,855 @@
+//! One instance's part in the rates of a shard: admission, loans and the lease.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use crate::process::shares::bucket::BorrowedShare;
+use crate::process::shares::bucket::LentShare;
+use crate::process::shares::bucket::OwnShare;
+use crate::process::shares::bucket::TeamBucket;
+use crate::process::shares::incarnation::InstanceIncarnation;
+use crate::process::shares::messages::LoanGrant;
+use crate::process::shares::messages::LoanRequest;
+use crate::process::shares::messages::ShareAction;
+use crate::process::shares::messages::ShareMessage;
+use crate::process::shares::settings::ShareSettings;
+use crate::process::shares::table::ShareTable;
+use crate::process::shares::table::TOTAL_UNITS;
+use crate::process::shares::table::TeamLimit;
+use crate::process::timers::MonotonicTime;
+use crate::version::ids::InstanceId;
+use crate::version::ids::TeamId;
+
+/// The answer to a request for admission.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Admission {
+    /// It is charged and may run.
+    Admitted,
+    /// Share is on its way: try again when woken, give up after the longest deferral.
+    Deferred,
+    /// The team is above its rate.
+    Refused,
+}
+
+/// Whether an admission is tried for the first time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Attempt {
+    /// The request has just arrived.
+    First,
+    /// It was deferred before.
+    Again,
+}
+
+/// Units that this owner stopped using before it writes them to others.
+#[derive(Debug, Clone, Copy)]
+struct KeptUnits {
+    units: u32,
+    base_version: u64,
+}
+
+/// The token buckets of one instance for the teams of one shard, under one lease.
+#[derive(Debug, Clone)]
+pub struct ShareHolder {
+    me: InstanceIncarnation,
+    settings: ShareSettings,
+    table: Option<ShareTable>,
+    limits: BTreeMap<TeamId, TeamLimit>,
+    teams: BTreeMap<TeamId, TeamBucket>,
+    live: BTreeSet<InstanceIncarnation>,
+    lease_end: MonotonicTime,
+    next_renewal: MonotonicTime,
+    renewals: BTreeMap<u64, MonotonicTime>,
+    votes: BTreeMap<InstanceId, MonotonicTime>,
+    last_number: u64,
+    kept: Option<KeptUnits>,
+    draining: bool,
+}
+
+impl ShareHolder {
+    /// Creates a holder that owns nothing.
+    pub fn new(me: InstanceIncarnation, settings: ShareSettings) -> Self {
+        Self {
+            me,
+            settings,
+            table: None,
+            limits: BTreeMap::new(),
+            teams: BTreeMap::new(),
+            live: BTreeSet::new(),
+            lease_end: MonotonicTime::default(),
+            next_renewal: MonotonicTime::default(),
+            renewals: BTreeMap::new(),
+            votes: BTreeMap::new(),
+            last_number: 0,
+            kept: None,
+            draining: false,
+        }
+    }
+
+    /// Returns the table it goes by.
+    pub fn table(&self) -> Option<&ShareTable> {
+        self.table.as_ref()
+    }
+
+    /// Returns when the lease ends.
+    pub fn lease_end(&self) -> MonotonicTime {
+        self.lease_end
+    }
+
+    /// Returns the units it may use, which are fewer than the table says while it gives some away.
+    pub fn units(&self) -> u32 {
+        let units = self.table.as_ref().map_or(0, |table| table.units(&self.me));
+        match self.kept {
+            Some(kept) => units.min(kept.units),
+            None => units,
+        }
+    }
+
+    /// Returns the fraction of a team's limit that is usable here, own and borrowed.
+    pub fn held_fraction(&self, team: &TeamId, now: MonotonicTime) -> f64 {
+        let own = self.own_share(team);
+        self.teams.get(team).map_or_else(
+            || {
+                if now < own.lease_end {
+                    own.fraction
+                } else {
+                    0.0
+                }
+            },
+            |bucket| bucket.held_fraction(&own, now),
+        )
+    }
+
+    /// Takes the rates of the bundle in force here; lower ones apply at once.
+    pub fn set_limits(&mut self, limits: BTreeMap<TeamId, TeamLimit>, now: MonotonicTime) {
+        self.advance_all(now);
+        for (team, bucket) in &mut self.teams {
+            let Some(limit) = limits.get(team) else {
+                bucket.borrowed.clear();
+                continue;
+            };
+            for borrowed in bucket.borrowed.values_mut() {
+                if !self.settings.ablation.no_immediate_lowering {
+                    borrowed.limit = borrowed.limit.lower(*limit);
+                }
+            }
+        }
+        self.limits = limits;
+        self.cut_all(now);
+    }
+
+    /// Takes the incarnations that are believed to live.
+    pub fn set_live(&mut self, live: BTreeSet<InstanceIncarnation>) {
+        self.live = live;
+    }
+
+    /// Takes a table that is or was in the store, unless it knows a newer one.
+    ///
+    /// Returns false where the table no longer lists this incarnation although an older one did:
+    /// its share went to others, and it must go on under a new number.
+    pub fn adopt(&mut self, table: &ShareTable, now: MonotonicTime) -> bool {
+        if self
+            .table
+            .as_ref()
+            .is_some_and(|t| t.version >= table.version)
+        {
+            return true;
+        }
+        self.advance_all(now);
+        let owned = self.table.as_ref().is_some_and(|t| t.units(&self.me) > 0);
+        let owns = table.units(&self.me) > 0;
+        let gave_all = self.kept.is_some_and(|kept| kept.units == 0);
+        if self
+            .kept
+            .is_some_and(|kept| table.version > kept.base_version)
+        {
+            self.kept = None;
+        }
+        if self
+            .table
+            .as_ref()
+            .is_some_and(|t| t.witnesses != table.witnesses)
+        {
+            self.votes.clear();
+        }
+        self.table = Some(table.clone());
+        self.next_renewal = now;
+        self.cut_all(now);
+        !owned || owns || gave_all
+    }
+
+    /// Renews the lease by an answer of the store to a call that was sent at a time.
+    pub fn renew_by_store(&mut self, version: u64, sent: MonotonicTime, now: MonotonicTime) {
+        let current = self.table.as_ref().is_some_and(|t| t.version == version);
+        if current && self.units() > 0 {
+            self.extend_lease(sent + self.settings.lease, now);
+        }
+    }
+
+    /// Counts the voucher of a witness.
+    pub fn renew_by_witness(&mut self, witness: &InstanceId, sequence: u64, now: MonotonicTime) {
+        let Some(&sent) = self.renewals.get(&sequence) else {
+            return;
+        };
+        let Some(table) = &self.table else {
+            return;
+        };
+        if !table.witnesses.contains(witness) || table.units(&self.me) == 0 {
+            return;
+        }
+        let latest = self.votes.entry(witness.clone()).or_insert(sent);
+        *latest = (*latest).max(sent);
+        let mut times = self.votes.values().copied().collect::<Vec<_>>();
+        times.sort_by(|a, b| b.cmp(a));
+        if let Some(&sent) = times.get(table.witnesses.len() / 2)
+            && !self.settings.ablation.no_witness_renewal
+        {
+            self.extend_lease(sent + self.settings.lease, now);
+        }
+    }
+
+    /// Decides on one request.
+    pub fn admit(
+        &mut self,
+        team: &TeamId,
+        attempt: Attempt,
+        now: MonotonicTime,
+        actions: &mut Vec<ShareAction>,
+    ) -> Admission {
+        if !self.limits.contains_key(team) {
+            return Admission::Refused;
+        }
+        let own = self.own_share(team);
+        let settings = &self.settings;
+        let bucket = self
+            .teams
+            .entry(team.clone())
+            .or_insert_with(|| TeamBucket::new(now));
+        if !settings.ablation.no_lease_check {
+            bucket.advance(&own, 1.0 - settings.clock_drift, now);
+        }
+        let first = attempt == Attempt::First;
+        if first {
+            bucket.note_arrival(settings.demand_window, now);
+        }
+        let ahead = if first { bucket.waiting as f64 } else { 0.0 };
+        let admitted = bucket.tokens >= 1.0 + ahead;
+        if admitted {
+            bucket.tokens -= 1.0;
+        }
+        let low = 1.0 + bucket.waiting as f64 + bucket.demand(settings.demand_window, now) * 0.05;
+        if bucket.tokens < low {
+            self.ask(team, now, actions);
+        }
+        let expects = self.expects(team, now);
+        let Some(bucket) = self.teams.get_mut(team) else {
+            return Admission::Refused;
+        };
+        let bound = 1.0 + self.limits[team].rate.0 * self.settings.max_defer.as_secs_f64();
+        let answer = if admitted {
+            Admission::Admitted
+        } else if expects && bucket.waiting as f64 <= bound {
+            Admission::Deferred
+        } else {
+            Admission::Refused
+        };
+        match (attempt, answer) {
+            (Attempt::First, Admission::Deferred) => bucket.waiting += 1,
+            (Attempt::First, _) | (Attempt::Again, Admission::Deferred) => {}
+            (Attempt::Again, _) => bucket.waiting = bucket.waiting.saturating_sub(1),
+        }
+        answer
+    }
+
+    /// Forgets a deferred request that gave up.
+    pub fn abandon(&mut self, team: &TeamId) {
+        if let Some(bucket) = self.teams.get_mut(team) {
+            bucket.waiting = bucket.waiting.saturating_sub(1);
+        }
+    }
+
+    /// Does what is due: renews the lease and the loans, and returns idle loans.
+    pub fn tick(&mut self, now: MonotonicTime, actions: &mut Vec<ShareAction>) {
+        self.advance_all(now);
+        if now >= self.next_renewal {
+            self.renew(now, actions);
+        }
+        let mut requests: BTreeMap<InstanceId, Vec<LoanRequest>> = BTreeMap::new();
+        for (team, bucket) in &mut self.teams {
+            let own = own_share(
+                &self.settings,
+                self.table.as_ref(),
+                &self.me,
+                self.kept,
+                self.lease_end,
+                &self.limits,
+                team,
+            );
+            let idle = bucket.waiting == 0
+                && now.saturating_since(bucket.last_arrival) >= self.settings.idle_return;
+            let idle = idle || self.draining;
+            let held = bucket.held_fraction(&own, now);
+            let demand = bucket.demand(self.settings.demand_window, now);
+            let mut ended = Vec::new();
+            let mut returned_all = 0.0;
+            for (owner, borrowed) in &mut bucket.borrowed {
+                if borrowed.fraction <= 0.0
+                    && borrowed.outstanding.is_none_or(|(_, sent)| {
+                        now.saturating_since(sent) > self.settings.loan_term
+                    })
+                {
+                    ended.push(owner.clone());
+                    continue;
+                }
+                if borrowed.fraction <= 0.0
+                    || now.saturating_since(borrowed.asked_at) < self.settings.loan_renewal
+                {
+                    continue;
+                }
+                self.last_number += 1;
+                let returned = if idle && held > 0.0 {
+                    bucket.tokens * borrowed.fraction / held
+                } else {
+                    0.0
+                };
+                returned_all += returned;
+                requests
+                    .entry(owner.instance.clone())
+                    .or_default()
+                    .push(LoanRequest {
+                        team: team.clone(),
+                        number: self.last_number,
+                        holds: if idle { 0.0 } else { borrowed.fraction },
+                        returned,
+                        demand: if idle { 0.0 } else { demand },
+                    });
+                if idle {
+                    ended.push(owner.clone());
+                } else {
+                    borrowed.outstanding = Some((self.last_number, now));
+                    borrowed.asked_at = now;
+                }
+            }
+            bucket.tokens -= returned_all;
+            for owner in ended {
+                bucket.borrowed.remove(&owner);
+            }
+            bucket.cut(&own, now);
+        }
+        for (to, entries) in requests {
+            actions.push(ShareAction::Send {
+                to,
+                message: ShareMessage::Request(entries),
+            });
+        }
+    }
+
+    /// Answers a borrower, as owner.
+    pub fn on_request(
+        &mut self,
+        from: &InstanceIncarnation,
+        requests: &[LoanRequest],
+        now: MonotonicTime,
+        actions: &mut Vec<ShareAction>,
+    ) {
+        let mut grants = Vec::new();
+        for request in requests {
+            if let Some(grant) = self.answer(from, request, now, actions) {
+                grants.push(grant);
+            }
+        }
+        if !grants.is_empty() {
+            actions.push(ShareAction::Send {
+                to: from.instance.clone(),
+                message: ShareMessage::Grant(grants),
+            });
+        }
+    }
+
+    fn answer(
+        &mut self,
+        from: &InstanceIncarnation,
+        request: &LoanRequest,
+        now: MonotonicTime,
+        actions: &mut Vec<ShareAction>,
+    ) -> Option<LoanGrant> {
+        let own = self.own_share(&request.team);
+        let settings = &self.settings;
+        let team = &request.team;
+        let bucket = self
+            .teams
+            .entry(team.clone())
+            .or_insert_with(|| TeamBucket::new(now));
+        bucket.advance(&own, 1.0 - settings.clock_drift, now);
+        if let Some(lent) = bucket.lent.get_mut(from) {
+            if request.number <= lent.number {
+                return None;
+            }
+            // A request gives up the answers to earlier ones, so what it states is all there is.
+            let back = (lent.fraction - request.holds).max(0.0);
+            lent.fraction = lent.fraction.min(request.holds.max(0.0));
+            lent.number = request.number;
+            lent.demand = request.demand;
+            let returned = request.returned.max(0.0).min(back * own.limit.burst.0);
+            bucket.tokens += returned;
+        }
+        bucket.cut(&own, now);
+        if request.demand <= 0.0 {
+            return None;
+        }
+        let left = own.lease_end.saturating_since(now);
+        let term = if settings.ablation.no_loan_bound {
+            settings.loan_term
+        } else {
+            settings.loan_term.min(left)
+        };
+        let refused = LoanGrant {
+            team: team.clone(),
+            number: request.number,
+            fraction: 0.0,
+            tokens: 0.0,
+            limit: own.limit,
+            term_ms: 0,
+            keep: 0.0,
+            pending_ms: 0,
+        };
+        if own.fraction <= 0.0
+            || term < Duration::from_millis(1)
+            || self.draining
+            || settings.ablation.no_loans
+        {
+            return Some(refused);
+        }
+        let window = settings.demand_window;
+        let mine = bucket.demand(window, now);
+        let lent = bucket
+            .lent
+            .entry(from.clone())
+            .or_insert_with(|| LentShare {
+                fraction: 0.0,
+                ends: now,
+                number: request.number,
+                demand: request.demand,
+                recalled_at: None,
+            });
+        lent.ends = lent.ends.max(now + settings.safe_wait(term));
+        let held = lent.fraction;
+        let total = mine + bucket.lent.values().map(|lent| lent.demand).sum::<f64>();
+        let target = own.fraction * request.demand / total;
+        let free = bucket.free_fraction(&own, now);
+        let added = (target - held).clamp(0.0, free);
+        let tokens = if free > 0.0 {
+            bucket.tokens * added / free
+        } else {
+            0.0
+        };
+        if let Some(lent) = bucket.lent.get_mut(from) {
+            if !settings.ablation.no_deduction {
+                lent.fraction += added;
+            }
+            if lent.fraction <= target * 1.2 {
+                lent.recalled_at = None;
+            }
+        }
+        if !settings.ablation.no_deduction {
+            bucket.tokens -= tokens;
+        }
+        let short = target - held - added > 0.01 * own.fraction;
+        let pending = if short {
+            recall(bucket, Some(from), own.fraction, total, team, now, actions)
+        } else {
+            Duration::ZERO
+        };
+        Some(LoanGrant {
+            fraction: added,
+            tokens,
+            term_ms: u64::try_from(term.as_millis()).unwrap_or(0),
+            keep: if held > target * 1.2 {
+                target
+            } else {
+                held + added
+            },
+            pending_ms: u64::try_from(pending.as_millis()).unwrap_or(0),
+            ..refused
+        })
+    }
+
+    /// Takes an owner's answers, as borrower.
+    pub fn on_grant(
+        &mut self,
+        from: &InstanceIncarnation,
+        grants: &[LoanGrant],
+        now: MonotonicTime,
+        actions: &mut Vec<ShareAction>,
+    ) {
+        for grant in grants {
+            let own = self.own_share(&grant.team);
+            let settings = &self.settings;
+            let Some(&limit) = self.limits.get(&grant.team) else {
+                continue;
+            };
+            let Some(bucket) = self.teams.get_mut(&grant.team) else {
+                continue;
+            };
+            bucket.advance(&own, 1.0 - settings.clock_drift, now);
+            let Some(borrowed) = bucket.borrowed.get_mut(from) else {
+                continue;
+            };
+            let sent = match borrowed.outstanding {
+                Some((number, sent)) if number == grant.number => sent,
+                _ if settings.ablation.no_duplicate_check => now,
+                _ => continue,
+            };
+            borrowed.outstanding = None;
+            let ends = sent + Duration::from_millis(grant.term_ms);
+            if grant.term_ms == 0 || ends <= now {
+                continue;
+            }
+            borrowed.ends = borrowed.ends.max(ends);
+            borrowed.limit = if settings.ablation.no_immediate_lowering {
+                grant.limit
+            } else {
+                grant.limit.lower(limit)
+            };
+            borrowed.fraction += grant.fraction.max(0.0);
+            bucket.tokens += grant.tokens.max(0.0);
+            let over = borrowed.fraction > grant.keep * 1.01;
+            if grant.fraction > 0.0 {
+                bucket.ask_pause = settings.ask_pause;
+                bucket.next_ask = bucket.next_ask.min(now + settings.ask_pause);
+            }
+            if grant.pending_ms > 0 {
+                let pending = Duration::from_millis(grant.pending_ms);
+                let grace = if pending > settings.ask_timeout {
+                    settings.recovery
+                } else {
+                    Duration::ZERO
+                };
+                bucket.pending_until = bucket.pending_until.max(now + pending + grace);
+                let pause = bucket
+                    .ask_pause
+                    .min(settings.ask_timeout)
+                    .max(settings.ask_pause);
+                bucket.next_ask = bucket.next_ask.min(now + pause);
+            }
+            bucket.cut(&own, now);
+            if bucket.waiting > 0 {
+                actions.push(ShareAction::Wake(grant.team.clone()));
+            }
+            if over {
+                self.give_back(&grant.team, from, grant.keep, now, actions);
+            }
+        }
+    }
+
+    /// Returns what an owner asks back.
+    pub fn give_back(
+        &mut self,
+        team: &TeamId,
+        owner: &InstanceIncarnation,
+        keep: f64,
+        now: MonotonicTime,
+        actions: &mut Vec<ShareAction>,
+    ) {
+        let own = self.own_share(team);
+        let settings = &self.settings;
+        let Some(bucket) = self.teams.get_mut(team) else {
+            return;
+        };
+        bucket.advance(&own, 1.0 - settings.clock_drift, now);
+        let held = bucket.held_fraction(&own, now);
+        let demand = bucket.demand(settings.demand_window, now).max(0.01);
+        let Some(borrowed) = bucket.borrowed.get_mut(owner) else {
+            return;
+        };
+        let back = borrowed.fraction - keep.max(0.0);
+        if back <= 0.0 || held <= 0.0 {
+            return;
+        }
+        let returned = bucket.tokens * back / held;
+        self.last_number += 1;
+        borrowed.fraction -= back;
+        borrowed.outstanding = Some((self.last_number, now));
+        borrowed.asked_at = now;
+        bucket.tokens -= returned;
+        let request = LoanRequest {
+            team: team.clone(),
+            number: self.last_number,
+            holds: borrowed.fraction,
+            returned,
+            demand,
+        };
+        bucket.cut(&own, now);
+        actions.push(ShareAction::Send {
+            to: owner.instance.clone(),
+            message: ShareMessage::Request(vec![request]),
+        });
+    }
+
+    /// Stops using units that it is about to give away.
+    ///
+    /// Returns whether no loan exceeds what it keeps, so that the table may be written.
+    pub fn keep_only(
+        &mut self,
+        units: u32,
+        now: MonotonicTime,
+        actions: &mut Vec<ShareAction>,
+    ) -> bool {
+        self.advance_all(now);
+        let Some(table) = &self.table else {
+            return false;
+        };
+        let base_version = table.version;
+        self.kept = Some(KeptUnits {
+            units,
+            base_version,
+        });
+        let fraction = f64::from(units) / f64::from(TOTAL_UNITS);
+        let mut ready = true;
+        for (team, bucket) in &mut self.teams {
+            if bucket.lent_fraction() <= fraction {
+                continue;
+            }
+            ready = false;
+            let total = bucket.demand(self.settings.demand_window, now)
+                + bucket.lent.values().map(|lent| lent.demand).sum::<f64>();
+            recall(bucket, None, fraction, total.max(0.01), team, now, actions);
+        }
+        self.cut_all(now);
+        ready
+    }
+
+    /// Returns whether it stopped using units that the table still says it owns.
+    pub fn gives_away(&self) -> bool {
+        self.kept.is_some()
+    }
+
+    /// Stops borrowing and lending, as a process that stops does.
+    pub fn drain(&mut self) {
+        self.draining = true;
+    }
+
+    /// Returns whether it stops.
+    pub fn is_draining(&self) -> bool {
+        self.draining
+    }
+
+    fn ask(&mut self, team: &TeamId, now: MonotonicTime, actions: &mut Vec<ShareAction>) {
+        let own = self.own_share(team);
+        let settings = &self.settings;
+        let (Some(table), Some(bucket)) = (&self.table, self.teams.get_mut(team)) else {
+            return;
+        };
+        if now < bucket.next_ask || self.draining {
+            return;
+        }
+        let held = bucket.held_fraction(&own, now);
+        if held >= 0.9999 {
+            return;
+        }
+        let pause = bucket.ask_pause.max(settings.ask_pause);
+        bucket.next_ask = now + pause;
+        bucket.ask_pause = (pause * 2).min(settings.ask_pause_max);
+        let demand = bucket.demand(settings.demand_window, now);
+        if own.fraction > 0.0 && bucket.lent_fraction() > 0.0 {
+            let total = demand + bucket.lent.values().map(|lent| lent.demand).sum::<f64>();
+            let target = own.fraction * demand / total;
+            if bucket.free_fraction(&own, now) < target * 0.8 {
+                let pending = recall(bucket, None, own.fraction, total, team, now, actions);
+                let grace = if pending > settings.ask_timeout {
+                    settings.recovery
+                } else {
+                    Duration::ZERO
+                };
+                if pending > Duration::ZERO {
+                    bucket.pending_until = bucket.pending_until.max(now + pending + grace);
+                }
+            }
+        }
+        for owner in table.owners.keys() {
+            if *owner == self.me || table.revoked.contains(owner) || !self.live.contains(owner) {
+                continue;
+            }
+            let borrowed = bucket
+                .borrowed
+                .entry(owner.clone())
+                .or_insert_with(|| BorrowedShare {
+                    fraction: 0.0,
+                    limit: own.limit,
+                    ends: now,
+                    outstanding: None,
+                    asked_at: now,
+                });
+            let waits = borrowed
+                .outstanding
+                .is_some_and(|(_, sent)| now.saturating_since(sent) < settings.ask_timeout);
+            if waits {
+                continue;
+            }
+            self.last_number += 1;
+            borrowed.outstanding = Some((self.last_number, now));
+            borrowed.asked_at = now;
+            let request = LoanRequest {
+                team: team.clone(),
+                number: self.last_number,
+                holds: borrowed.fraction,
+                returned: 0.0,
+                demand,
+            };
+            actions.push(ShareAction::Send {
+                to: owner.instance.clone(),
+                message: ShareMessage::Request(vec![request]),
+            });
+        }
+    }
+
+    /// Whether more share may arrive soon.
+    fn expects(&self, team: &TeamId, now: MonotonicTime) -> bool {
+        self.teams.get(team).is_some_and(|bucket| {
+            let asked = |borrowed: &BorrowedShare| {
+                borrowed
+                    .outstanding
+                    .is_some_and(|(_, sent)| now.saturating_since(sent) < self.settings.ask_timeout)
+            };
+            now < bucket.pending_until || bucket.borrowed.values().any(asked)
+        })
+    }
+
+    fn renew(&mut self, now: MonotonicTime, actions: &mut Vec<ShareAction>) {
+        self.next_renewal = now + self.settings.lease / 3;
+        let Some(table) = &self.table else {
+            return;
+        };
+        self.last_number += 1;
+        let sequence = self.last_number;
+        self.renewals.insert(sequence, now);
+        let horizon = self.settings.lease;
+        self.renewals
+            .retain(|_, sent| now.saturating_since(*sent) < horizon);
+        let message = ShareMessage::Renew {
+            sequence,
+            version: table.version,
+        };
+        // Who owns nothing only keeps its table current, for which one witness is enough.
+        let all = table.units(&self.me) > 0;
+        let pick = usize::try_from(sequence).unwrap_or(0) % table.witnesses.len().max(1);
+        for (index, witness) in table.witnesses.iter().enumerate() {
+            if all || index == pick {
+                actions.push(ShareAction::Send {
+                    to: witness.clone(),
+                    message: message.clone(),
+                });
+            }
+        }
+    }
+
+    fn extend_lease(&mut self, end: MonotonicTime, now: MonotonicTime) {
+        if end > self.lease_end {
+            self.advance_all(now);
+            self.lease_end = end;
+        }
+    }
+
+    fn own_share(&self, team: &TeamId) -> OwnShare {
+        own_share(
+            &self.settings,
+            self.table.as_ref(),
+            &self.me,
+            self.kept,
+            self.lease_end,
+            &self.limits,
+            team,
+        )
+    }
+
+    fn advance_all(&mut self, now: MonotonicTime) {
+        self.for_all(|bucket, own, speed| bucket.advance(own, speed, now));
+    }
+
+    fn cut_all(&mut self, now: MonotonicTime) {
+        self.for_all(|bucket, own, _| bucket.cut(own, now));
+    }
+
+    fn for_all(&mut self, action: impl Fn(&mut TeamBucket, &OwnShare, f64)) {
+        let speed = 1.0 - self.settings.clock_drift;
+        for (team, bucket) in &mut self.teams {
+            let own = own_share(
+                &self.settings,
+                self.table.as_ref(),
+                &self.me,
+                self.kept,
+                self.lease_end,
+                &self.limits,
+                team,
+            );
+            action(bucket, &own, speed);
+        }
+    }
+}
+
+/// Returns what a holder owns of a team.
+fn own_share(
+    settings: &ShareSettings,
+    table: Option<&ShareTable>,
+    me: &InstanceIncarnation,
+    kept: Option<KeptUnits>,
+    lease_end: MonotonicTime,
+    limits: &BTreeMap<TeamId, TeamLimit>,
+    team: &TeamId,
+) -> OwnShare {
+    let units = table.map_or(0, |table| table.units(me));
+    let units = kept.map_or(units, |kept| units.min(kept.units));
+    let in_table = table.and_then(|table| table.teams.get(team)).copied();
+    let limit = match (in_table, limits.get(team)) {
+        (Some(table), Some(_)) if settings.ablation.no_immediate_lowering => table,
+        (Some(table), Some(bundle)) => table.lower(*bundle),
+        _ => TeamLimit {
+            rate: Default::default(),
+            burst: Default::default(),
+        },
+    };
+    OwnShare {
+        fraction: f64::from(units) / f64::from(TOTAL_UNITS),
+        lease_end,
+        limit,
+    }
+}
+
+/// Asks borrowers that hold more than their part to return it.
+///
+/// Returns how long that may take: the rest of the loan where a borrower does not answer.
+fn recall(
+    bucket: &mut TeamBucket,
+    except: Option<&InstanceIncarnation>,
+    fraction: f64,
+    total: f64,
+    team: &TeamId,
+    now: MonotonicTime,
+    actions: &mut Vec<ShareAction>,
+) -> Duration {
+    const ANSWER_MS: u64 = 20;
+    const SILENT_MS: u64 = 50;
+    let mut pending = Duration::ZERO;
+    for (borrower, lent) in &mut bucket.lent {
+        let target = fraction * lent.demand / total;
+        if Some(borrower) == except || lent.fraction <= target * 1.2 + 0.005 * fraction {
+            continue;
+        }
+        let since = *lent.recalled_at.get_or_insert(now);
+        let silent = now.saturating_since(since) > Duration::from_millis(SILENT_MS);
+        let wait = if silent {
+            lent.ends.saturating_since(now)
+        } else {
+            Duration::from_millis(ANSWER_MS)
+        };
+        pending = pending.max(wait);
+        actions.push(ShareAction::Send {
+            to: borrower.instance.clone(),
+            message: ShareMessage::Recall {
+                team: team.clone(),
+                keep: target,
+            },
+        });
+    }
+    pending
+}
--- /dev/null
+++ b/src/process/shares/shard.rs
@@ -0,0 +1,460 @@
+//! One instance's whole part in a shard: holder, witness and keeper of its table.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use crate::process::shares::holder::Admission;
+use crate::process::shares::holder::Attempt;
+use crate::process::shares::holder::ShareHolder;
+use crate::process::shares::incarnation::InstanceIncarnation;
+use crate::process::shares::keeper::KeeperView;
+use crate::process::shares::keeper::ShareKeeper;
+use crate::process::shares::keeper::ShareMember;
+use crate::process::shares::keeper::share_takers;
+use crate::process::shares::keeper::zone_members;
+use crate::process::shares::messages::ShareAction;
+use crate::process::shares::messages::ShareMessage;
+use crate::process::shares::messages::StoreAnswer;
+use crate::process::shares::settings::ShareSettings;
+use crate::process::shares::table::ShareTable;
+use crate::process::shares::table::TOTAL_UNITS;
+use crate::process::shares::table::TeamLimit;
+use crate::process::shares::witness::ShareWitness;
+use crate::process::slots::rendezvous::rendezvous_order;
+use crate::process::slots::rendezvous::spread_order;
+use crate::process::timers::MonotonicTime;
+use crate::version::ids::BundleVersion;
+use crate::version::ids::InstanceId;
+use crate::version::ids::TeamId;
+
+/// A store call that is under way; there is at most one for each shard.
+#[derive(Debug, Clone)]
+struct StoreCall {
+    sent: MonotonicTime,
+    written: Option<Box<ShareTable>>,
+}
+
+/// One instance's part in the rates of one shard of teams.
+///
+/// The process calls [`ShareShard::tick`] every 20 ms and answers every store action exactly once.
+#[derive(Debug, Clone)]
+pub struct ShareShard {
+    name: String,
+    me: InstanceIncarnation,
+    settings: ShareSettings,
+    rng: ChaCha8Rng,
+    holder: ShareHolder,
+    witness: ShareWitness,
+    keeper: ShareKeeper,
+    members: Vec<ShareMember>,
+    bundle: BundleVersion,
+    limits: BTreeMap<TeamId, TeamLimit>,
+    /// The newest table version whose revision is known, and that revision.
+    revision: (u64, u64),
+    needs_read: bool,
+    failures: u32,
+    call: Option<StoreCall>,
+    absent: bool,
+    next_read: MonotonicTime,
+    next_push: MonotonicTime,
+    join_seen: Option<MonotonicTime>,
+}
+
+impl ShareShard {
+    /// Creates the part of an instance whose process starts; it draws its incarnation number.
+    pub fn new(name: String, instance: InstanceId, settings: ShareSettings, seed: u64) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let me = InstanceIncarnation {
+            instance,
+            number: rng.random(),
+        };
+        Self {
+            holder: ShareHolder::new(me.clone(), settings.clone()),
+            witness: ShareWitness::new(settings.ablation.no_witness_read),
+            keeper: ShareKeeper::new(settings.clone()),
+            name,
+            me,
+            settings,
+            rng,
+            members: Vec::new(),
+            bundle: BundleVersion(0),
+            limits: BTreeMap::new(),
+            revision: (0, 0),
+            needs_read: false,
+            failures: 0,
+            call: None,
+            absent: false,
+            next_read: MonotonicTime::default(),
+            next_push: MonotonicTime::default(),
+            join_seen: None,
+        }
+    }
+
+    /// Returns the incarnation that its heartbeats must name.
+    pub fn incarnation(&self) -> &InstanceIncarnation {
+        &self.me
+    }
+
+    /// Returns the part that admits.
+    pub fn holder(&self) -> &ShareHolder {
+        &self.holder
+    }
+
+    /// Takes the bundle in force and its rates for the shard's teams; versions only increase.
+    pub fn set_bundle(
+        &mut self,
+        bundle: BundleVersion,
+        limits: BTreeMap<TeamId, TeamLimit>,
+        now: MonotonicTime,
+    ) {
+        if bundle > self.bundle {
+            self.bundle = bundle;
+            self.limits = limits.clone();
+            self.holder.set_limits(limits, now);
+        }
+    }
+
+    /// Takes the live instances.
+    pub fn set_members(&mut self, members: Vec<ShareMember>) {
+        let live = members.iter().map(|m| m.incarnation.clone()).collect();
+        self.holder.set_live(live);
+        self.members = members;
+    }
+
+    /// Decides on one request.
+    pub fn admit(
+        &mut self,
+        team: &TeamId,
+        attempt: Attempt,
+        now: MonotonicTime,
+        actions: &mut Vec<ShareAction>,
+    ) -> Admission {
+        self.holder.admit(team, attempt, now, actions)
+    }
+
+    /// Forgets a deferred request that gave up.
+    pub fn abandon(&mut self, team: &TeamId) {
+        self.holder.abandon(team);
+    }
+
+    /// Starts to give back everything, as a process that stops does.
+    pub fn drain(&mut self) {
+        self.holder.drain();
+    }
+
+    /// Returns whether a stopping instance owns nothing any more.
+    pub fn is_drained(&self) -> bool {
+        self.holder.is_draining()
+            && self.call.is_none()
+            && self.holder.table().is_none_or(|t| t.units(&self.me) == 0)
+    }
+
+    /// Does what is due.
+    pub fn tick(&mut self, now: MonotonicTime, actions: &mut Vec<ShareAction>) {
+        let mut out = Vec::new();
+        self.holder.tick(now, &mut out);
+        if let Some(table) = self.holder.table().cloned() {
+            self.push_table(&table, now, &mut out);
+            self.change_table(&table, now, &mut out);
+        }
+        self.read_if_due(now, &mut out);
+        self.route(out, now, actions);
+    }
+
+    /// Takes a message of another instance.
+    pub fn on_message(
+        &mut self,
+        from: &InstanceIncarnation,
+        message: ShareMessage,
+        now: MonotonicTime,
+        actions: &mut Vec<ShareAction>,
+    ) {
+        let mut out = Vec::new();
+        self.handle(from, message, now, &mut out);
+        self.route(out, now, actions);
+    }
+
+    /// Takes the answer to the store call under way.
+    pub fn on_store(
+        &mut self,
+        answer: StoreAnswer,
+        now: MonotonicTime,
+        actions: &mut Vec<ShareAction>,
+    ) {
+        let Some(call) = self.call.take() else {
+            return;
+        };
+        let mut out = Vec::new();
+        match (answer, call.written) {
+            (StoreAnswer::Value(Some((revision, table))), _) => {
+                self.note_stored(&table, revision, call.sent, now);
+            }
+            (StoreAnswer::Value(None), _) => {
+                self.absent = true;
+                self.failures = 0;
+            }
+            (StoreAnswer::Written { revision }, Some(table)) => {
+                self.note_stored(&table, revision, call.sent, now);
+                self.announce(&table, &mut out);
+            }
+            (StoreAnswer::Conflict, _) => {
+                self.needs_read = true;
+                self.next_read = now;
+            }
+            // A write that was not answered may have taken effect, so that the next call is a read.
+            _ => {
+                let backoff = Duration::from_millis(1000 << self.failures.min(3));
+                self.next_read = now + backoff.mul_f64(self.rng.random_range(0.8..1.2));
+                self.failures += 1;
+                self.needs_read = true;
+            }
+        }
+        self.route(out, now, actions);
+    }
+
+    fn note_stored(
+        &mut self,
+        table: &ShareTable,
+        revision: u64,
+        sent: MonotonicTime,
+        now: MonotonicTime,
+    ) {
+        self.absent = false;
+        self.failures = 0;
+        self.needs_read = false;
+        self.revision = self.revision.max((table.version, revision));
+        self.witness.learn(table, true);
+        self.adopt(table, now);
+        self.holder.renew_by_store(table.version, sent, now);
+    }
+
+    fn handle(
+        &mut self,
+        from: &InstanceIncarnation,
+        message: ShareMessage,
+        now: MonotonicTime,
+        out: &mut Vec<ShareAction>,
+    ) {
+        let to = from.instance.clone();
+        match message {
+            ShareMessage::Request(requests) => self.holder.on_request(from, &requests, now, out),
+            ShareMessage::Grant(grants) => self.holder.on_grant(from, &grants, now, out),
+            ShareMessage::Recall { team, keep } => {
+                self.holder.give_back(&team, from, keep, now, out);
+            }
+            ShareMessage::Renew { sequence, version } => {
+                if let Some(message) = self.witness.renew(from, sequence, version) {
+                    out.push(ShareAction::Send { to, message });
+                }
+            }
+            ShareMessage::Vouch { sequence } => {
+                self.holder.renew_by_witness(&to, sequence, now);
+            }
+            ShareMessage::NeedTable { version } => {
+                if let Some(table) = self.holder.table().filter(|t| t.version > version) {
+                    let message = ShareMessage::Table(Box::new(table.clone()));
+                    out.push(ShareAction::Send { to, message });
+                }
+            }
+            ShareMessage::Table(table) => {
+                self.witness.learn(&table, false);
+                self.adopt(&table, now);
+                let version = self.witness.table().map_or(0, |table| table.version);
+                let message = ShareMessage::TableAck { version };
+                out.push(ShareAction::Send { to, message });
+            }
+            ShareMessage::TableAck { version } => self.keeper.note_ack(&to, version),
+        }
+    }
+
+    /// Handles messages to this instance itself, and passes on the rest.
+    fn route(&mut self, out: Vec<ShareAction>, now: MonotonicTime, actions: &mut Vec<ShareAction>) {
+        for action in out {
+            match action {
+                ShareAction::Send { to, message } if to == self.me.instance => {
+                    let mut more = Vec::new();
+                    let me = self.me.clone();
+                    self.handle(&me, message, now, &mut more);
+                    self.route(more, now, actions);
+                }
+                action => actions.push(action),
+            }
+        }
+    }
+
+    fn adopt(&mut self, table: &ShareTable, now: MonotonicTime) {
+        if !self.holder.adopt(table, now) {
+            // The share went to others while this process was silent: it goes on as a new one.
+            self.me.number = self.rng.random();
+            let mut holder = ShareHolder::new(self.me.clone(), self.settings.clone());
+            holder.set_limits(self.limits.clone(), now);
+            holder.set_live(self.members.iter().map(|m| m.incarnation.clone()).collect());
+            holder.adopt(table, now);
+            self.holder = holder;
+        }
+    }
+
+    fn announce(&self, table: &ShareTable, out: &mut Vec<ShareAction>) {
+        let mut receivers = table.witnesses.clone();
+        receivers.extend(table.previous_witnesses.iter().cloned());
+        receivers.extend(table.owners.keys().map(|owner| owner.instance.clone()));
+        receivers.sort();
+        receivers.dedup();
+        for to in receivers {
+            let message = ShareMessage::Table(Box::new(table.clone()));
+            out.push(ShareAction::Send { to, message });
+        }
+    }
+
+    fn push_table(&mut self, table: &ShareTable, now: MonotonicTime, out: &mut Vec<ShareAction>) {
+        if now < self.next_push {
+            return;
+        }
+        let rank = self.rank().unwrap_or(usize::MAX);
+        let slow = if rank == 0 { 1 } else { 5 };
+        self.next_push = now + self.settings.keeper_stagger / 5 * slow;
+        if rank > 1 {
+            return;
+        }
+        for to in self.keeper.missing_acks(table) {
+            let message = ShareMessage::Table(Box::new(table.clone()));
+            out.push(ShareAction::Send { to, message });
+        }
+    }
+
+    fn change_table(&mut self, table: &ShareTable, now: MonotonicTime, out: &mut Vec<ShareAction>) {
+        let view = KeeperView {
+            shard: &self.name,
+            me: &self.me,
+            members: &self.members,
+            bundle: self.bundle,
+            limits: &self.limits,
+        };
+        let mut next = self.keeper.decide(table, &view, now);
+        if self.call.is_some() {
+            return;
+        }
+        if next.is_none() {
+            next = self.give_away(table, now, out);
+        }
+        if let Some(next) = next {
+            let (version, revision) = self.revision;
+            if version == table.version && !self.needs_read {
+                self.write(next, revision, now, out);
+            } else {
+                self.needs_read = true;
+            }
+        }
+    }
+
+    /// Gives units to instances that joined, or all of them when it stops.
+    fn give_away(
+        &mut self,
+        table: &ShareTable,
+        now: MonotonicTime,
+        out: &mut Vec<ShareAction>,
+    ) -> Option<ShareTable> {
+        let units = table.units(&self.me);
+        if units == 0 || now >= self.holder.lease_end() {
+            return None;
+        }
+        let mut takers = share_takers(table, &self.name, &self.members, self.settings.max_owners);
+        let fair = TOTAL_UNITS / u32::try_from(takers.len().max(1)).unwrap_or(1);
+        takers.retain(|taker| *taker != self.me);
+        let mut keep = 0;
+        if !self.holder.is_draining() {
+            takers.retain(|taker| table.units(taker) < fair / 2);
+            let richest = table.owners.iter().max_by_key(|(_, units)| **units);
+            let mine = richest.is_some_and(|(owner, _)| *owner == self.me);
+            if !mine || units <= fair + fair / 2 || takers.is_empty() {
+                self.join_seen = None;
+                // A write of units that were kept back must be settled by a newer version.
+                return self.holder.gives_away().then(|| table.next());
+            }
+            let since = *self.join_seen.get_or_insert(now);
+            if now.saturating_since(since) < self.settings.keeper_stagger / 2 {
+                return None;
+            }
+            keep = fair;
+        }
+        if takers.is_empty() || !self.holder.keep_only(keep, now, out) {
+            return None;
+        }
+        let mut next = table.next();
+        next.give(&self.me, units - keep, &takers);
+        next.check().is_ok().then_some(next)
+    }
+
+    fn read_if_due(&mut self, now: MonotonicTime, out: &mut Vec<ShareAction>) {
+        if self.call.is_some() || now < self.next_read {
+            return;
+        }
+        if self.absent {
+            let order = rendezvous_order(&self.name, &zone_members(&self.members));
+            if order.first() == Some(&self.me.instance) && self.bundle > BundleVersion(0) {
+                let mut witnesses = spread_order(&self.name, &zone_members(&self.members));
+                witnesses.truncate(self.settings.witnesses);
+                let table = ShareTable {
+                    bundle: self.bundle,
+                    teams: self.limits.clone(),
+                    ..ShareTable::first(self.me.clone(), witnesses)
+                };
+                self.next_read = now + self.settings.keeper_stagger;
+                self.write(table, 0, now, out);
+                return;
+            }
+        }
+        let table = self.holder.table();
+        let is_witness = table.is_some_and(|t| {
+            t.witnesses.contains(&self.me.instance)
+                || t.previous_witnesses.contains(&self.me.instance)
+        });
+        let unread = is_witness && !self.witness.has_read_store();
+        let owns = self.holder.units() > 0;
+        let half = self.settings.lease / 2;
+        let lapsing = owns && self.holder.lease_end() < now + half;
+        let pause = if table.is_none() || unread || lapsing || self.needs_read {
+            self.settings.lease.mul_f64(self.rng.random_range(0.5..0.6))
+        } else if is_witness {
+            self.settings
+                .witness_read
+                .mul_f64(self.rng.random_range(0.8..1.2))
+        } else {
+            return;
+        };
+        self.next_read = now + pause;
+        self.call = Some(StoreCall {
+            sent: now,
+            written: None,
+        });
+        out.push(ShareAction::Read);
+    }
+
+    fn write(
+        &mut self,
+        table: ShareTable,
+        expected_revision: u64,
+        now: MonotonicTime,
+        out: &mut Vec<ShareAction>,
+    ) {
+        let table = Box::new(table);
+        self.call = Some(StoreCall {
+            sent: now,
+            written: Some(table.clone()),
+        });
+        out.push(ShareAction::Write {
+            expected_revision,
+            table,
+        });
+    }
+
+    fn rank(&self) -> Option<usize> {
+        rendezvous_order(&self.name, &zone_members(&self.members))
+            .iter()
+            .position(|id| *id == self.me.instance)
+    }
+}
