--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -7,4 +7,6 @@
 pub mod settings;
 pub mod settings_parser;
 pub mod failover;
+pub mod shares;
+pub mod slots;
 pub mod timers;
