--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -10,3 +10,4 @@
 mod log_points;
 mod membership_view;
 mod peer_links;
+mod standin_endpoint;
