Judge statements by their text

The caller path must know whether a request may go to a replica, may be repeated, pins its connection or ends a transaction. A keyword scan over the raw text was ruled out, because words in strings, comments and quoted names would count; a full SQL grammar was ruled out as more than the judgement needs. The tokens are split by quoting rules only, and whatever is not plainly a read counts as a write.

RequestPorts gains connection_limit, SlotPermit gains superseded, and RequestRefusal gains TransactionDeadline (25P03).

--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -3,3 +3,5 @@
 pub mod log_point;
 pub mod ports;
 pub mod refusal;
+pub mod sql_token;
+pub mod statement;
--- a/src/request/ports.rs
+++ b/src/request/ports.rs
@@ -15,6 +15,7 @@
 use crate::version::ids::EndpointId;
 use crate::version::ids::ServiceId;
 use crate::version::ids::TeamId;
+use crate::version::units::ConnectionCount;
 
 /// How a transaction uses the service.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -56,6 +57,11 @@
     pub primary: bool,
     /// The point the endpoint is known to hold.
     pub known_point: LogPoint,
+    /// Whether the endpoint may no longer serve the request, as after a promotion elsewhere.
+    ///
+    /// It is asked a few times a second while the request waits for the endpoint; once it returns
+    /// true the connection is closed and the outcome counts as unknown. `None` means never.
+    pub superseded: Option<Box<dyn Fn() -> bool + Send>>,
     /// Called once when the permit ends.
     pub on_release: Option<Box<dyn FnOnce() + Send>>,
 }
@@ -96,6 +102,7 @@
 >;
 type FloorPort =
     Box<dyn Fn(ServiceId) -> BoxFuture<'static, Result<LogPoint, RequestRefusal>> + Send + Sync>;
+type LimitPort = Box<dyn Fn(&ServiceId, &EndpointId) -> ConnectionCount + Send + Sync>;
 
 /// What a caller's connection needs of the process.
 pub struct RequestPorts {
@@ -107,6 +114,8 @@
     pub confirm: ConfirmPort,
     /// Returns a floor for a session that starts without one.
     pub floor: FloorPort,
+    /// Returns how many connections this instance may hold to an endpoint.
+    pub connection_limit: LimitPort,
     /// Takes the record of a request that ended.
     pub record: Box<dyn Fn(RequestRecord) + Send + Sync>,
     /// Whether the process is stopping.
--- a/src/request/refusal.rs
+++ b/src/request/refusal.rs
@@ -29,6 +29,8 @@
     UnknownService,
     /// The instance is stopping.
     Draining,
+    /// The transaction was open for too long and was rolled back.
+    TransactionDeadline,
     /// The request may have run; its outcome is not known.
     OutcomeUnknown,
 }
@@ -45,13 +47,17 @@
             RequestRefusal::KeyWithdrawn | RequestRefusal::TeamNotAllowed => "28000",
             RequestRefusal::UnknownService => "3D000",
             RequestRefusal::Draining => "57P01",
+            RequestRefusal::TransactionDeadline => "25P03",
             RequestRefusal::OutcomeUnknown => "40003",
         }
     }
 
     /// Whether the request provably did not start at an endpoint.
     pub fn is_not_run(self) -> bool {
-        self != RequestRefusal::OutcomeUnknown
+        !matches!(
+            self,
+            RequestRefusal::OutcomeUnknown | RequestRefusal::TransactionDeadline
+        )
     }
 }
 
@@ -68,6 +74,9 @@
             RequestRefusal::TeamNotAllowed => "the team may not use the service",
             RequestRefusal::UnknownService => "the service does not exist",
             RequestRefusal::Draining => "the instance is stopping",
+            RequestRefusal::TransactionDeadline => {
+                "the transaction was open for too long and was rolled back"
+            }
             RequestRefusal::OutcomeUnknown => "the outcome of the request is unknown",
         };
         f.write_str(text)
--- /dev/null
+++ b/src/request/statement.rs
@@ -0,0 +1,383 @@
+//! What a statement does to its session and to the service, judged from its text.
+//!
+//! The judgement is conservative: what is not plainly a read counts as a write.
+
+use crate::request::sql_token;
+use crate::request::sql_token::SqlToken;
+
+/// Functions that change or pin the state of their session.
+const PINNING_FUNCTIONS: [&str; 10] = [
+    "set_config",
+    "pg_advisory_lock",
+    "pg_advisory_lock_shared",
+    "pg_try_advisory_lock",
+    "pg_try_advisory_lock_shared",
+    "pg_advisory_unlock",
+    "pg_advisory_unlock_shared",
+    "pg_advisory_unlock_all",
+    "dblink_connect",
+    "setseed",
+];
+
+/// Words that may stand before a parenthesis in a read that has no side effect.
+const PURE_WORDS: [&str; 42] = [
+    "abs",
+    "all",
+    "and",
+    "any",
+    "as",
+    "avg",
+    "by",
+    "case",
+    "cast",
+    "coalesce",
+    "count",
+    "date",
+    "distinct",
+    "else",
+    "except",
+    "exists",
+    "extract",
+    "filter",
+    "from",
+    "greatest",
+    "in",
+    "intersect",
+    "join",
+    "least",
+    "length",
+    "lower",
+    "max",
+    "min",
+    "not",
+    "now",
+    "on",
+    "or",
+    "over",
+    "round",
+    "select",
+    "sum",
+    "then",
+    "union",
+    "upper",
+    "using",
+    "values",
+    "where",
+];
+
+/// The setting that shows and raises the floor of a session.
+pub const FLOOR_SETTING: &str = "tamaracklb.floor";
+
+/// The setting by which a session accepts stale reads.
+pub const STALENESS_SETTING: &str = "tamaracklb.staleness";
+
+/// What kind of statement a text is.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum StatementKind {
+    /// It opens a transaction.
+    Begin {
+        /// Whether the transaction may not write.
+        read_only: bool,
+    },
+    /// It ends a transaction and keeps its effects.
+    Commit,
+    /// It ends a transaction and undoes its effects.
+    Rollback,
+    /// It undoes a part of a transaction.
+    RollbackTo {
+        /// The savepoint it returns to.
+        savepoint: String,
+    },
+    /// It marks a point within a transaction.
+    Savepoint {
+        /// The name of the point.
+        savepoint: String,
+    },
+    /// It changes a setting of the session.
+    Set {
+        /// The name of the setting.
+        setting: String,
+    },
+    /// It returns one setting, or all, to the default.
+    Reset {
+        /// The name of the setting; `None` stands for all.
+        setting: Option<String>,
+    },
+    /// It returns the whole session to its start.
+    DiscardAll,
+    /// It drops a prepared statement, or all.
+    Deallocate {
+        /// The name of the prepared statement; `None` stands for all.
+        statement: Option<String>,
+    },
+    /// It copies rows, so a copy mode may follow.
+    Copy,
+    /// It shows the floor of the session.
+    ShowFloor,
+    /// It sets the floor of the session.
+    SetFloor {
+        /// The text of the floor.
+        floor: String,
+    },
+    /// It shows whether the session accepts stale reads.
+    ShowStaleness,
+    /// It sets whether the session accepts stale reads.
+    SetStaleness {
+        /// The text of the switch.
+        switch: String,
+    },
+    /// It is none of the others.
+    Other,
+}
+
+/// One statement and what it needs.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct StatementInfo {
+    /// The text, without the separator.
+    pub text: String,
+    /// What kind it is.
+    pub kind: StatementKind,
+    /// Whether it plainly only reads.
+    pub read: bool,
+    /// Whether running it twice has the effect of running it once.
+    pub pure: bool,
+    /// Whether it leaves state behind that exists only on its endpoint connection.
+    pub pins: bool,
+    /// What it needs that is not supported.
+    pub unsupported: Option<&'static str>,
+}
+
+impl StatementInfo {
+    /// Whether the instance answers the statement itself.
+    pub fn is_local(&self) -> bool {
+        matches!(
+            self.kind,
+            StatementKind::ShowFloor
+                | StatementKind::SetFloor { .. }
+                | StatementKind::ShowStaleness
+                | StatementKind::SetStaleness { .. }
+                | StatementKind::DiscardAll
+                | StatementKind::Deallocate { .. }
+        )
+    }
+
+    /// Whether it may end a transaction.
+    pub fn ends_transaction(&self) -> bool {
+        matches!(self.kind, StatementKind::Commit | StatementKind::Rollback)
+    }
+
+    /// Whether its text begins with one of the prefixes, in any case and spacing.
+    pub fn matches_prefix(&self, prefixes: &[String]) -> bool {
+        let words = sql_token::plain_words(&self.text);
+        prefixes
+            .iter()
+            .any(|prefix| words.starts_with(&sql_token::plain_words(prefix)))
+    }
+}
+
+/// Reads the statements of a text; empty ones are left out.
+pub fn parse_statements(text: &str) -> Vec<StatementInfo> {
+    sql_token::split_statements(text)
+        .into_iter()
+        .map(|(text, tokens)| judge_statement(text, &tokens))
+        .collect()
+}
+
+fn judge_statement(text: &str, tokens: &[SqlToken]) -> StatementInfo {
+    let words = WordList { tokens };
+    let kind = judge_kind(&words);
+    let read = judge_read(&words, &kind);
+    StatementInfo {
+        text: text.trim().to_owned(),
+        read,
+        pure: read && is_pure(tokens),
+        pins: is_pinning(&words),
+        unsupported: find_unsupported(&words, &kind),
+        kind,
+    }
+}
+
+struct WordList<'a> {
+    tokens: &'a [SqlToken],
+}
+
+impl WordList<'_> {
+    fn word(&self, index: usize) -> &str {
+        match self.tokens.get(index) {
+            Some(SqlToken::Word(word)) => word,
+            _ => "",
+        }
+    }
+
+    fn value(&self, index: usize) -> String {
+        match self.tokens.get(index) {
+            Some(SqlToken::Word(word)) => word.clone(),
+            Some(SqlToken::Text(text) | SqlToken::Name(text)) => text.clone(),
+            _ => String::new(),
+        }
+    }
+
+    fn has_word(&self, word: &str) -> bool {
+        self.tokens
+            .iter()
+            .any(|token| matches!(token, SqlToken::Word(found) if found == word))
+    }
+
+    fn is_symbol(&self, index: usize, symbol: char) -> bool {
+        self.tokens.get(index) == Some(&SqlToken::Symbol(symbol))
+    }
+
+    /// Reads a setting name with dots and returns it with the index behind it.
+    fn setting(&self, start: usize) -> (String, usize) {
+        let mut name = self.value(start);
+        let mut index = start + 1;
+        while self.is_symbol(index, '.') {
+            name.push('.');
+            name.push_str(&self.value(index + 1));
+            index += 2;
+        }
+        (name, index)
+    }
+}
+
+fn judge_kind(words: &WordList<'_>) -> StatementKind {
+    let read_only = words.has_word("only") && words.has_word("read");
+    match (words.word(0), words.word(1)) {
+        ("begin", _) | ("start", "transaction") => StatementKind::Begin { read_only },
+        ("commit" | "end", _) => StatementKind::Commit,
+        ("prepare", "transaction") => StatementKind::Commit,
+        ("abort", _) => StatementKind::Rollback,
+        ("rollback", "prepared") => StatementKind::Other,
+        ("rollback", _) if words.has_word("to") => StatementKind::RollbackTo {
+            savepoint: words.value(words.tokens.len().saturating_sub(1)),
+        },
+        ("rollback", _) => StatementKind::Rollback,
+        ("savepoint", _) => StatementKind::Savepoint {
+            savepoint: words.value(1),
+        },
+        ("set", _) => judge_set(words),
+        ("reset", "all") => StatementKind::Reset { setting: None },
+        ("reset", _) => StatementKind::Reset {
+            setting: Some(words.setting(1).0),
+        },
+        ("discard", "all") => StatementKind::DiscardAll,
+        ("deallocate", _) => judge_deallocate(words),
+        ("copy", _) => StatementKind::Copy,
+        ("show", _) => match words.setting(1).0.as_str() {
+            FLOOR_SETTING => StatementKind::ShowFloor,
+            STALENESS_SETTING => StatementKind::ShowStaleness,
+            _ => StatementKind::Other,
+        },
+        _ => StatementKind::Other,
+    }
+}
+
+fn judge_set(words: &WordList<'_>) -> StatementKind {
+    let start = match (words.word(1), words.word(2)) {
+        ("local" | "transaction" | "constraints", _) => return StatementKind::Other,
+        ("session", "characteristics") => {
+            return StatementKind::Set {
+                setting: "session characteristics".to_owned(),
+            };
+        }
+        ("session", _) => 2,
+        ("time", "zone") => {
+            return StatementKind::Set {
+                setting: "timezone".to_owned(),
+            };
+        }
+        _ => 1,
+    };
+    let (setting, next) = words.setting(start);
+    let value = words.value(next + 1);
+    match setting.as_str() {
+        FLOOR_SETTING => StatementKind::SetFloor { floor: value },
+        STALENESS_SETTING => StatementKind::SetStaleness { switch: value },
+        _ => StatementKind::Set { setting },
+    }
+}
+
+fn judge_deallocate(words: &WordList<'_>) -> StatementKind {
+    let index = if words.word(1) == "prepare" { 2 } else { 1 };
+    if words.word(index) == "all" {
+        return StatementKind::Deallocate { statement: None };
+    }
+    StatementKind::Deallocate {
+        statement: Some(words.value(index)),
+    }
+}
+
+fn judge_read(words: &WordList<'_>, kind: &StatementKind) -> bool {
+    match kind {
+        StatementKind::Begin { read_only } => *read_only,
+        StatementKind::ShowFloor
+        | StatementKind::SetFloor { .. }
+        | StatementKind::ShowStaleness
+        | StatementKind::SetStaleness { .. } => true,
+        StatementKind::Other => {
+            matches!(words.word(0), "select" | "show" | "table" | "values")
+                && !["into", "update", "share", "insert", "delete", "merge"]
+                    .iter()
+                    .any(|word| words.has_word(word))
+                && !is_pinning(words)
+        }
+        _ => false,
+    }
+}
+
+fn is_pure(tokens: &[SqlToken]) -> bool {
+    tokens.windows(2).all(|pair| match pair {
+        [SqlToken::Word(word), SqlToken::Symbol('(')] => {
+            PURE_WORDS.binary_search(&word.as_str()).is_ok()
+        }
+        [SqlToken::Name(_), SqlToken::Symbol('(')] => false,
+        _ => true,
+    })
+}
+
+fn is_pinning(words: &WordList<'_>) -> bool {
+    let first = words.word(0);
+    match first {
+        "listen" | "load" => return true,
+        "prepare" => return words.word(1) != "transaction",
+        "create" => {
+            let temporary = |index| matches!(words.word(index), "temp" | "temporary");
+            if (1..4).any(temporary) {
+                return true;
+            }
+        }
+        "declare" if words.has_word("hold") && words.has_word("with") => return true,
+        _ => {}
+    }
+    if words.has_word("into") && (words.has_word("temp") || words.has_word("temporary")) {
+        return true;
+    }
+    PINNING_FUNCTIONS.iter().any(|name| words.has_word(name))
+}
+
+fn find_unsupported(words: &WordList<'_>, kind: &StatementKind) -> Option<&'static str> {
+    if let StatementKind::Set { setting }
+    | StatementKind::Reset {
+        setting: Some(setting),
+    } = kind
+    {
+        return match setting.as_str() {
+            "role" => Some("changing the role"),
+            "authorization" => Some("changing the session authorization"),
+            "standard_conforming_strings" => Some("changing standard_conforming_strings"),
+            _ => None,
+        };
+    }
+    if matches!(kind, StatementKind::Commit | StatementKind::Rollback)
+        && words.has_word("chain")
+        && !words.has_word("no")
+    {
+        return Some("AND CHAIN");
+    }
+    match (words.word(0), words.word(1)) {
+        ("prepare", "transaction") | ("commit" | "rollback", "prepared") => {
+            Some("two-phase commit")
+        }
+        _ => None,
+    }
+}
