Serve callers over the PostgreSQL protocol

Cause: the process had no caller path.

Decoding every message with pgwire was ruled out: bodies are passed on as they are, and only names within Parse, Bind, Describe and Close are read.

--- /dev/null
+++ b/src/connection/endpoint_link.rs
@@ -0,0 +1,454 @@
+//! One connection to an endpoint.
+
+use std::collections::BTreeMap;
+use std::collections::HashSet;
+use std::collections::VecDeque;
+use std::fmt;
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Buf;
+use bytes::BytesMut;
+use pgwire::messages::startup::SASLInitialResponse;
+use pgwire::messages::startup::SASLResponse;
+use pgwire::messages::startup::Startup;
+use tokio::io::AsyncWriteExt;
+use tokio::io::Interest;
+use tokio::net::TcpStream;
+
+use crate::connection::listener_config::ListenerConfig;
+use crate::connection::prepared_statement::StatementHash;
+use crate::connection::scram;
+use crate::connection::scram::ScramClient;
+use crate::connection::wire_frame;
+use crate::connection::wire_frame::FrameError;
+use crate::connection::wire_frame::WireFrame;
+use crate::connection::wire_reply;
+use crate::process::endpoint_status::EndpointStatus;
+use crate::process::endpoint_status::STATUS_QUERY;
+use crate::request::log_point::LogTerm;
+
+const READ_CHUNK_BYTES: usize = 16 * 1024;
+
+/// Why an endpoint connection cannot be used any longer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum LinkError {
+    /// The endpoint cannot be reached, or the connection broke.
+    Io {
+        /// The kind of the I/O error.
+        kind: io::ErrorKind,
+    },
+    /// The endpoint did not answer in time.
+    Deadline,
+    /// The endpoint does not accept the credentials of the instance.
+    Credentials,
+    /// The endpoint refused with an error of its own.
+    Refused {
+        /// The SQLSTATE of the error.
+        sqlstate: String,
+    },
+    /// A message of the endpoint does not fit the protocol.
+    Protocol,
+    /// The endpoint is no longer the one that the request may run on.
+    Superseded,
+}
+
+impl fmt::Display for LinkError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            LinkError::Io { kind } => write!(f, "endpoint connection failed: {kind}"),
+            LinkError::Deadline => f.write_str("endpoint did not answer in time"),
+            LinkError::Credentials => f.write_str("endpoint does not accept the credentials"),
+            LinkError::Refused { sqlstate } => write!(f, "endpoint refused with {sqlstate}"),
+            LinkError::Protocol => f.write_str("endpoint message does not fit the protocol"),
+            LinkError::Superseded => f.write_str("endpoint was superseded"),
+        }
+    }
+}
+
+impl std::error::Error for LinkError {}
+
+impl LinkError {
+    /// Reads the refusal from an ErrorResponse.
+    pub fn from_error(frame: &WireFrame) -> Self {
+        LinkError::Refused {
+            sqlstate: read_sqlstate(frame).unwrap_or("XX000").to_owned(),
+        }
+    }
+}
+
+impl From<io::Error> for LinkError {
+    fn from(error: io::Error) -> Self {
+        LinkError::Io { kind: error.kind() }
+    }
+}
+
+impl From<FrameError> for LinkError {
+    fn from(_: FrameError) -> Self {
+        LinkError::Protocol
+    }
+}
+
+/// What a cancel request for a connection needs.
+#[derive(Clone, PartialEq, Eq)]
+pub struct CancelTarget {
+    /// Where the endpoint listens.
+    pub address: SocketAddr,
+    /// The body of BackendKeyData.
+    pub key: Vec<u8>,
+}
+
+impl fmt::Debug for CancelTarget {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("CancelTarget")
+            .field("address", &self.address)
+            .finish_non_exhaustive()
+    }
+}
+
+/// One connection to an endpoint, with the session state it holds.
+pub struct EndpointLink {
+    stream: TcpStream,
+    input: BytesMut,
+    /// Bytes that wait to be written.
+    pub output: BytesMut,
+    /// Statements that the endpoint has prepared, oldest first.
+    pub prepared: PreparedNames,
+    /// The settings that were replayed, by name.
+    pub settings: BTreeMap<String, String>,
+    /// What the endpoint reported of its settings at start-up.
+    pub parameters: BTreeMap<String, String>,
+    /// What a cancel request needs.
+    pub cancel: CancelTarget,
+    /// The term that the endpoint last reported on this connection.
+    pub term: Option<LogTerm>,
+    /// Bytes that were written to the endpoint.
+    pub sent: u64,
+    /// When it was last used.
+    pub used: Instant,
+    message_bytes: usize,
+}
+
+/// The names of prepared statements on one connection.
+#[derive(Debug, Default)]
+pub struct PreparedNames {
+    names: HashSet<StatementHash>,
+    order: VecDeque<StatementHash>,
+}
+
+impl PreparedNames {
+    /// Whether the endpoint has the statement.
+    pub fn contains(&self, name: &StatementHash) -> bool {
+        self.names.contains(name)
+    }
+
+    /// Adds a statement.
+    pub fn insert(&mut self, name: StatementHash) {
+        if self.names.insert(name) {
+            self.order.push_back(name);
+        }
+    }
+
+    /// Removes a statement whose preparation failed.
+    pub fn remove(&mut self, name: &StatementHash) {
+        if self.names.remove(name) {
+            self.order.retain(|found| found != name);
+        }
+    }
+
+    /// Removes and returns the oldest statement once there are `limit`.
+    pub fn evict(&mut self, limit: usize) -> Option<StatementHash> {
+        if self.order.len() < limit {
+            return None;
+        }
+        let name = self.order.pop_front()?;
+        self.names.remove(&name);
+        Some(name)
+    }
+}
+
+impl EndpointLink {
+    /// Connects and authenticates as the instance.
+    pub async fn connect(
+        config: &ListenerConfig,
+        address: SocketAddr,
+        database: &str,
+    ) -> Result<Self, LinkError> {
+        let connecting = Self::connect_unbounded(config, address, database);
+        tokio::time::timeout(config.limits.connect_time, connecting)
+            .await
+            .map_err(|_| LinkError::Deadline)?
+    }
+
+    async fn connect_unbounded(
+        config: &ListenerConfig,
+        address: SocketAddr,
+        database: &str,
+    ) -> Result<Self, LinkError> {
+        let stream = TcpStream::connect(address).await?;
+        stream.set_nodelay(true)?;
+        let mut link = Self {
+            stream,
+            input: BytesMut::new(),
+            output: BytesMut::new(),
+            prepared: PreparedNames::default(),
+            settings: BTreeMap::new(),
+            parameters: BTreeMap::new(),
+            cancel: CancelTarget {
+                address,
+                key: Vec::new(),
+            },
+            term: None,
+            sent: 0,
+            used: Instant::now(),
+            message_bytes: config.limits.message_bytes,
+        };
+        link.start_up(config, database).await?;
+        Ok(link)
+    }
+
+    async fn start_up(&mut self, config: &ListenerConfig, database: &str) -> Result<(), LinkError> {
+        let mut startup = Startup::new();
+        startup.protocol_number_major = 3;
+        startup.protocol_number_minor = 0;
+        startup
+            .parameters
+            .insert("user".to_owned(), config.endpoint_user.clone());
+        startup
+            .parameters
+            .insert("database".to_owned(), database.to_owned());
+        wire_reply::put(&startup, &mut self.output);
+        let mut scram = None;
+        loop {
+            self.flush().await?;
+            let frame = self.read_frame().await?;
+            match frame.kind() {
+                b'R' => self.answer_authentication(config, &frame, &mut scram)?,
+                b'S' => {
+                    let (name, rest) = wire_frame::split_text(frame.body())?;
+                    let (value, _) = wire_frame::split_text(rest)?;
+                    self.parameters.insert(
+                        String::from_utf8_lossy(name).into_owned(),
+                        String::from_utf8_lossy(value).into_owned(),
+                    );
+                }
+                b'K' => self.cancel.key = frame.body().to_vec(),
+                b'N' | b'v' => {}
+                b'Z' => return Ok(()),
+                b'E' => return Err(LinkError::from_error(&frame)),
+                _ => return Err(LinkError::Protocol),
+            }
+        }
+    }
+
+    fn answer_authentication(
+        &mut self,
+        config: &ListenerConfig,
+        frame: &WireFrame,
+        scram: &mut Option<ScramClient>,
+    ) -> Result<(), LinkError> {
+        let (code, data) = frame
+            .body()
+            .split_first_chunk::<4>()
+            .ok_or(LinkError::Protocol)?;
+        let password = config.endpoint_password.reveal();
+        match (i32::from_be_bytes(*code), scram) {
+            (0, _) => {}
+            (3, _) => {
+                let mut body = password.as_bytes().to_vec();
+                body.push(0);
+                self.output
+                    .extend_from_slice(WireFrame::new(b'p', &body).bytes());
+            }
+            (10, scram) => {
+                let (client, first) = ScramClient::start(password, scram::draw_nonce());
+                *scram = Some(client);
+                let message = SASLInitialResponse::new(
+                    scram::SCRAM_MECHANISM.to_owned(),
+                    Some(first.into_bytes().into()),
+                );
+                wire_reply::put(&message, &mut self.output);
+            }
+            (11, Some(client)) => {
+                let last = client.answer(data).map_err(|_| LinkError::Credentials)?;
+                wire_reply::put(&SASLResponse::new(last.into()), &mut self.output);
+            }
+            (12, Some(client)) => client.check(data).map_err(|_| LinkError::Credentials)?,
+            _ => return Err(LinkError::Credentials),
+        }
+        Ok(())
+    }
+
+    /// Waits for the next message.
+    pub async fn read_frame(&mut self) -> Result<WireFrame, LinkError> {
+        loop {
+            if let Some(frame) = self.next_frame()? {
+                return Ok(frame);
+            }
+            self.stream.readable().await?;
+            self.fill()?;
+        }
+    }
+
+    /// Returns the next message that was already received.
+    pub fn next_frame(&mut self) -> Result<Option<WireFrame>, LinkError> {
+        Ok(WireFrame::split_first(&mut self.input, self.message_bytes)?)
+    }
+
+    /// Writes all waiting output.
+    pub async fn flush(&mut self) -> Result<(), LinkError> {
+        self.stream.write_all_buf(&mut self.output).await?;
+        Ok(())
+    }
+
+    /// Waits until the connection can be read or, with output waiting, written; then does so.
+    ///
+    /// Reading and writing take turns here, because an endpoint that waits for its answers to be
+    /// read does not read on.
+    pub async fn pump(&mut self) -> Result<(), LinkError> {
+        if !self.output.is_empty() {
+            self.write_some()?;
+        }
+        let interest = if self.output.is_empty() {
+            Interest::READABLE
+        } else {
+            Interest::READABLE | Interest::WRITABLE
+        };
+        let ready = self.stream.ready(interest).await?;
+        if ready.is_writable() && !self.output.is_empty() {
+            self.write_some()?;
+        }
+        if ready.is_readable() || ready.is_read_closed() {
+            self.fill()?;
+        }
+        Ok(())
+    }
+
+    fn write_some(&mut self) -> Result<(), LinkError> {
+        while !self.output.is_empty() {
+            match self.stream.try_write(&self.output) {
+                Ok(0) => return Err(io::Error::from(io::ErrorKind::WriteZero).into()),
+                Ok(written) => {
+                    self.output.advance(written);
+                    self.sent += written as u64;
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+                Err(error) => return Err(error.into()),
+            }
+        }
+        Ok(())
+    }
+
+    fn fill(&mut self) -> Result<(), LinkError> {
+        self.input.reserve(READ_CHUNK_BYTES);
+        match self.stream.try_read_buf(&mut self.input) {
+            Ok(0) => Err(io::Error::from(io::ErrorKind::UnexpectedEof).into()),
+            Ok(_) => Ok(()),
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => Ok(()),
+            Err(error) => Err(error.into()),
+        }
+    }
+
+    /// Whether an unused connection is still open and silent.
+    pub fn is_clean(&mut self) -> bool {
+        if !self.input.is_empty() || !self.output.is_empty() {
+            return false;
+        }
+        let mut byte = [0];
+        matches!(self.stream.try_read(&mut byte),
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock)
+    }
+
+    /// Moves the connection to the reactor of the calling thread.
+    pub fn adopt(mut self) -> Result<Self, LinkError> {
+        self.stream = TcpStream::from_std(self.stream.into_std()?)?;
+        Ok(self)
+    }
+
+    /// Releases buffers that an unused connection does not need.
+    pub fn shrink(&mut self) {
+        self.input = BytesMut::new();
+        self.output = BytesMut::new();
+    }
+
+    /// Runs a text without rows that the instance needs and waits for its end.
+    pub async fn run_text(&mut self, text: &str, limit: Duration) -> Result<(), LinkError> {
+        self.run_query(text, limit).await.map(|_| ())
+    }
+
+    /// Asks the endpoint for its status.
+    pub async fn read_status(&mut self, limit: Duration) -> Result<EndpointStatus, LinkError> {
+        let row = self.run_query(STATUS_QUERY, limit).await?;
+        let status = parse_status(&row.ok_or(LinkError::Protocol)?)?;
+        self.term = Some(status.point.term);
+        Ok(status)
+    }
+
+    async fn run_query(
+        &mut self,
+        text: &str,
+        limit: Duration,
+    ) -> Result<Option<WireFrame>, LinkError> {
+        self.put_query(text);
+        let running = async {
+            self.flush().await?;
+            let mut row = None;
+            let mut refusal = None;
+            loop {
+                let frame = self.read_frame().await?;
+                match frame.kind() {
+                    b'D' => row = Some(frame),
+                    b'E' => refusal = Some(LinkError::from_error(&frame)),
+                    b'Z' => return refusal.map_or(Ok(row), Err),
+                    _ => {}
+                }
+            }
+        };
+        tokio::time::timeout(limit, running)
+            .await
+            .map_err(|_| LinkError::Deadline)?
+    }
+
+    /// Adds a simple query to the output.
+    pub fn put_query(&mut self, text: &str) {
+        let mut body = Vec::with_capacity(text.len() + 1);
+        body.extend_from_slice(text.as_bytes());
+        body.push(0);
+        self.output
+            .extend_from_slice(WireFrame::new(b'Q', &body).bytes());
+    }
+}
+
+/// Reads the status from a row.
+pub fn parse_status(row: &WireFrame) -> Result<EndpointStatus, LinkError> {
+    let columns = wire_frame::read_row(row.body())?;
+    EndpointStatus::from_text_row(&columns).map_err(|_| LinkError::Protocol)
+}
+
+/// Reads the SQLSTATE of an ErrorResponse.
+pub fn read_sqlstate(frame: &WireFrame) -> Option<&str> {
+    read_field(frame, b'C')
+}
+
+/// Whether an ErrorResponse ends its connection.
+pub fn is_fatal(frame: &WireFrame) -> bool {
+    let severity = read_field(frame, b'V').or_else(|| read_field(frame, b'S'));
+    matches!(severity, Some("FATAL" | "PANIC"))
+}
+
+fn read_field(frame: &WireFrame, wanted: u8) -> Option<&str> {
+    let mut rest = frame.body();
+    while let [field, text @ ..] = rest {
+        if *field == 0 {
+            return None;
+        }
+        let (value, behind) = wire_frame::split_text(text).ok()?;
+        if *field == wanted {
+            return std::str::from_utf8(value).ok();
+        }
+        rest = behind;
+    }
+    None
+}
--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -1,1 +1,18 @@
 //! One connection of a caller or to an endpoint.
+
+pub mod caller_session;
+pub mod caller_stream;
+pub mod cancel_registry;
+pub mod endpoint_lease;
+pub mod endpoint_link;
+pub mod endpoint_pool;
+pub mod exchange;
+pub mod listener;
+pub mod listener_config;
+pub mod local_answer;
+pub mod prepared_statement;
+pub mod request_batch;
+pub mod scram;
+pub mod startup;
+pub mod wire_frame;
+pub mod wire_reply;
--- /dev/null
+++ b/tests/testsuite/scripted_endpoint.rs
@@ -0,0 +1,383 @@
+//! An endpoint that answers by a script, for tests of the caller path.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+
+use bytes::BytesMut;
+use tamaracklb::connection::wire_frame;
+use tamaracklb::connection::wire_frame::WireFrame;
+use tamaracklb::connection::wire_reply;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+
+const FRAME_LIMIT: usize = 64 * 1024 * 1024;
+
+/// What the endpoint saw and how it behaves.
+#[derive(Default)]
+pub struct EndpointScript {
+    /// Texts in order of arrival, each with the number of its connection.
+    pub seen: Mutex<Vec<(u64, String)>>,
+    /// Bytes of copied rows.
+    pub copied: AtomicU64,
+    /// Cancel requests that arrived.
+    pub cancels: AtomicU64,
+    /// Whether it reports the role of a replica and refuses to write.
+    pub replica: AtomicBool,
+    /// The term it reports.
+    pub term: AtomicU64,
+    position: AtomicU64,
+    connections: AtomicU64,
+}
+
+/// An endpoint that listens on loopback.
+pub struct ScriptedEndpoint {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// What it saw.
+    pub script: Arc<EndpointScript>,
+}
+
+impl ScriptedEndpoint {
+    /// Starts a primary of term 1.
+    pub async fn start() -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+        let address = listener.local_addr().expect("address");
+        let script = Arc::new(EndpointScript::default());
+        script.term.store(1, Ordering::Relaxed);
+        let shared = script.clone();
+        tokio::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let number = shared.connections.fetch_add(1, Ordering::Relaxed);
+                tokio::spawn(EndpointScript::serve(shared.clone(), stream, number));
+            }
+        });
+        Self { address, script }
+    }
+}
+
+impl EndpointScript {
+    /// Returns the texts that arrived, without status queries.
+    pub fn texts(&self) -> Vec<String> {
+        let seen = self.seen.lock().expect("lock");
+        let texts = seen.iter().map(|(_, text)| text.clone());
+        texts.filter(|text| !text.contains("platform_")).collect()
+    }
+
+    /// Returns how many connections were opened.
+    pub fn connections(&self) -> u64 {
+        self.connections.load(Ordering::Relaxed)
+    }
+
+    async fn serve(self: Arc<Self>, stream: TcpStream, number: u64) {
+        let mut session = ScriptSession {
+            script: self,
+            stream,
+            input: BytesMut::new(),
+            out: BytesMut::new(),
+            number,
+            status: b'I',
+            statements: HashMap::new(),
+            portals: HashMap::new(),
+            failed: false,
+            copying: None,
+        };
+        // A broken connection ends the session, as at a real endpoint.
+        let _ = session.run().await;
+    }
+}
+
+struct ScriptSession {
+    script: Arc<EndpointScript>,
+    stream: TcpStream,
+    input: BytesMut,
+    out: BytesMut,
+    number: u64,
+    status: u8,
+    statements: HashMap<String, String>,
+    portals: HashMap<String, String>,
+    failed: bool,
+    /// The kind of the message that started a copy: Query or Execute.
+    copying: Option<u8>,
+}
+
+fn text(bytes: &[u8]) -> (String, &[u8]) {
+    let (text, rest) = wire_frame::split_text(bytes).expect("text");
+    (String::from_utf8_lossy(text).into_owned(), rest)
+}
+
+impl ScriptSession {
+    async fn run(&mut self) -> std::io::Result<()> {
+        let length = self.stream.read_u32().await? as usize;
+        let mut packet = vec![0; length - 4];
+        self.stream.read_exact(&mut packet).await?;
+        if packet[..4] == 80_877_102_u32.to_be_bytes() {
+            self.script.cancels.fetch_add(1, Ordering::Relaxed);
+            return Ok(());
+        }
+        self.put(b'R', &0_u32.to_be_bytes());
+        wire_reply::put_parameter("server_version", "16.0", &mut self.out);
+        self.put(b'K', &[0, 0, 0, 7, 0, 0, 0, 9]);
+        wire_reply::put_ready(b'I', &mut self.out);
+        loop {
+            self.stream.write_all_buf(&mut self.out).await?;
+            let frame = loop {
+                let found = WireFrame::split_first(&mut self.input, FRAME_LIMIT);
+                if let Some(frame) = found.expect("frame") {
+                    break frame;
+                }
+                if self.stream.read_buf(&mut self.input).await? == 0 {
+                    return Ok(());
+                }
+            };
+            if !self.answer(&frame).await? {
+                return Ok(());
+            }
+        }
+    }
+
+    fn put(&mut self, kind: u8, body: &[u8]) {
+        self.out
+            .extend_from_slice(WireFrame::new(kind, body).bytes());
+    }
+
+    fn error(&mut self, sqlstate: &'static str) {
+        let error = wire_reply::CallerError::new(sqlstate, "scripted");
+        error.encode(wire_reply::ErrorReach::Request, &mut self.out);
+        self.failed = true;
+        if self.status == b'T' {
+            self.status = b'E';
+        }
+    }
+
+    async fn answer(&mut self, frame: &WireFrame) -> std::io::Result<bool> {
+        if let Some(kind) = self.copying {
+            match frame.kind() {
+                b'd' => {
+                    let bytes = frame.body().len() as u64;
+                    self.script.copied.fetch_add(bytes, Ordering::Relaxed);
+                }
+                b'c' | b'f' => {
+                    self.copying = None;
+                    if frame.kind() == b'f' {
+                        self.error("57014");
+                    } else {
+                        wire_reply::put_complete("COPY 1", &mut self.out);
+                    }
+                    if kind == b'Q' {
+                        self.ready();
+                    }
+                }
+                _ => {}
+            }
+            return Ok(true);
+        }
+        if self.failed && frame.kind() != b'S' && frame.kind() != b'Q' {
+            return Ok(true);
+        }
+        match frame.kind() {
+            b'Q' => {
+                self.failed = false;
+                let (query, _) = text(frame.body());
+                if !self.run_query(&query).await? {
+                    return Ok(false);
+                }
+                if self.copying.is_none() {
+                    self.ready();
+                }
+            }
+            b'P' => {
+                let (name, rest) = text(frame.body());
+                let (query, _) = text(rest);
+                if self.statements.insert(name.clone(), query).is_some() && !name.is_empty() {
+                    self.error("42P05");
+                } else {
+                    self.put(b'1', &[]);
+                }
+            }
+            b'B' => {
+                let (portal, rest) = text(frame.body());
+                let (name, _) = text(rest);
+                match self.statements.get(&name).cloned() {
+                    Some(query) => {
+                        self.portals.insert(portal, query);
+                        self.put(b'2', &[]);
+                    }
+                    None => self.error("26000"),
+                }
+            }
+            b'D' => {
+                let (name, _) = text(&frame.body()[1..]);
+                let whole = frame.body()[0] == b'S';
+                let known = if whole {
+                    self.statements.get(&name)
+                } else {
+                    self.portals.get(&name)
+                };
+                match known.cloned() {
+                    None => self.error("26000"),
+                    Some(query) => {
+                        if whole {
+                            self.put(b't', &[0, 0]);
+                        }
+                        if returns_rows(&query) {
+                            wire_reply::put_text_column("value", &mut self.out);
+                        } else {
+                            self.put(b'n', &[]);
+                        }
+                    }
+                }
+            }
+            b'E' => {
+                let (portal, _) = text(frame.body());
+                let query = self.portals.get(&portal).cloned().unwrap_or_default();
+                return self.run_statement(&query, b'E').await;
+            }
+            b'C' => {
+                let (name, _) = text(&frame.body()[1..]);
+                self.statements.remove(&name);
+                self.put(b'3', &[]);
+            }
+            b'S' => {
+                self.failed = false;
+                self.ready();
+            }
+            b'H' => {}
+            _ => return Ok(false),
+        }
+        Ok(true)
+    }
+
+    fn ready(&mut self) {
+        wire_reply::put_ready(self.status, &mut self.out);
+    }
+
+    async fn run_query(&mut self, query: &str) -> std::io::Result<bool> {
+        if query.trim().is_empty() {
+            self.put(b'I', &[]);
+            return Ok(true);
+        }
+        for statement in query.split(';').filter(|part| !part.trim().is_empty()) {
+            if !self.run_statement(statement, b'Q').await? {
+                return Ok(false);
+            }
+            if self.failed {
+                break;
+            }
+        }
+        Ok(true)
+    }
+
+    /// Runs one statement; returns whether the connection stays open.
+    async fn run_statement(&mut self, query: &str, kind: u8) -> std::io::Result<bool> {
+        let seen = (self.number, query.trim().to_owned());
+        self.script.seen.lock().expect("lock").push(seen);
+        let script = self.script.clone();
+        if query.contains("die now") {
+            return Ok(false);
+        }
+        if query.contains("stay silent") {
+            std::future::pending::<()>().await;
+        }
+        if query.contains("platform_status") {
+            self.put_status();
+            return Ok(true);
+        }
+        let word = query.split_whitespace().next().unwrap_or_default();
+        let word = word.to_ascii_uppercase();
+        let replica = script.replica.load(Ordering::Relaxed);
+        match word.as_str() {
+            "COMMIT" | "ROLLBACK" => self.status = b'I',
+            _ if self.status == b'E' => {
+                self.error("25P02");
+                return Ok(true);
+            }
+            "BEGIN" | "START" => self.status = b'T',
+            "FAIL" => {
+                self.error("22012");
+                return Ok(true);
+            }
+            "COPY" if query.to_ascii_uppercase().contains("FROM STDIN") => {
+                self.copying = Some(kind);
+                self.put(b'G', &[0, 0, 0]);
+                return Ok(true);
+            }
+            "COPY" => {
+                self.put(b'H', &[0, 0, 0]);
+                for _ in 0..1000 {
+                    self.put(b'd', &[b'x'; 1000]);
+                }
+                self.put(b'c', &[]);
+                wire_reply::put_complete("COPY 1000", &mut self.out);
+                return Ok(true);
+            }
+            "SELECT" | "SHOW" if !(replica && query.contains("writing_function")) => {
+                return self.select(query, kind).await;
+            }
+            _ if replica => {
+                self.error("25006");
+                return Ok(true);
+            }
+            _ => {
+                script.position.fetch_add(1, Ordering::Relaxed);
+            }
+        }
+        let tag = match word.as_str() {
+            "INSERT" => "INSERT 0 1",
+            "CREATE" => "CREATE TABLE",
+            word => word,
+        };
+        wire_reply::put_complete(tag, &mut self.out);
+        Ok(true)
+    }
+
+    async fn select(&mut self, query: &str, kind: u8) -> std::io::Result<bool> {
+        if kind == b'Q' {
+            wire_reply::put_text_column("value", &mut self.out);
+        }
+        let rows = if query.contains("many rows") {
+            50_000
+        } else {
+            1
+        };
+        let value = format!("connection {}", self.number);
+        for _ in 0..rows {
+            wire_reply::put_text_row(&value, &mut self.out);
+            if self.out.len() > 64 * 1024 {
+                self.stream.write_all_buf(&mut self.out).await?;
+            }
+        }
+        wire_reply::put_complete(&format!("SELECT {rows}"), &mut self.out);
+        Ok(true)
+    }
+
+    fn put_status(&mut self) {
+        let script = &self.script;
+        let role = if script.replica.load(Ordering::Relaxed) {
+            "replica"
+        } else {
+            "primary"
+        };
+        let term = script.term.load(Ordering::Relaxed).to_string();
+        let position = script.position.load(Ordering::Relaxed).to_string();
+        let mut row = vec![0, 7];
+        for value in [role, &term, &position, "0", "0", "", ""] {
+            row.extend_from_slice(&u32::try_from(value.len()).expect("length").to_be_bytes());
+            row.extend_from_slice(value.as_bytes());
+        }
+        wire_reply::put_text_column("role", &mut self.out);
+        self.put(b'D', &row);
+        wire_reply::put_complete("SELECT 1", &mut self.out);
+    }
+}
+
+fn returns_rows(query: &str) -> bool {
+    let query = query.trim_start().to_ascii_uppercase();
+    query.starts_with("SELECT") || query.starts_with("SHOW")
+}
