--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -5,3 +5,5 @@
 pub mod read_route;
 pub mod refusal;
 pub mod session_floor;
+pub mod sql_token;
+pub mod statement;
