--- a/src/process/peers/fleet_links.rs
+++ b/src/process/peers/fleet_links.rs
@@ -50,6 +50,8 @@
     pub accept_bundle: Box<dyn Fn(String) + Send + Sync>,
     /// Returns what this instance sees of the services that it watches.
     pub services: Box<dyn Fn() -> Vec<ServiceDigest> + Send + Sync>,
+    /// Returns the incarnation number of this instance in each shard of team rates.
+    pub share_incarnations: Box<dyn Fn() -> Vec<u64> + Send + Sync>,
     /// Takes the digest of a peer that answered.
     pub on_digest: Box<dyn Fn(&PeerDigest) + Send + Sync>,
     /// Answers a message for one part of the process.
@@ -107,6 +109,7 @@
             zone: own.zone,
             address: own.address,
             incarnation: self.incarnation,
+            share_incarnations: (self.ports.share_incarnations)(),
             bundle: (self.ports.bundle_version)(),
             store_age_ms: store_age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
             draining: (self.ports.draining)(),
--- a/src/process/peers/peer_digest.rs
+++ b/src/process/peers/peer_digest.rs
@@ -24,6 +24,8 @@
     pub address: SocketAddr,
     /// A random number drawn when its process started.
     pub incarnation: u64,
+    /// Its incarnation number in each shard of team rates.
+    pub share_incarnations: Vec<u64>,
     /// The version of the bundle in force there.
     pub bundle: BundleVersion,
     /// How long ago it last read the store, in milliseconds; `None` if it never did.
