Prepare and describe without a charge or a write class

A request that only prepares, describes or closes went to the primary as a write, was confirmed and was charged a second time for the statement it prepared: with tokio-postgres two confirmed transactions per copy, where caller_copy expects one. Such a request executes nothing, so it now runs wherever a read may run and does not count against the rate. A request whose end is not yet known still counts as a write.

--- a/src/connection/caller_session.rs
+++ b/src/connection/caller_session.rs
@@ -380,7 +380,8 @@
         let mut attempt = RequestAttempt {
             class: self.class_of(plan),
             excluded: Vec::new(),
-            charged: false,
+            // Preparing runs nothing, so only what is executed counts against the rate.
+            charged: !plan.executes,
             arrived,
         };
         for count in 1..=ATTEMPT_LIMIT {
--- a/src/connection/request_batch.rs
+++ b/src/connection/request_batch.rs
@@ -45,6 +45,8 @@
     pub opens: bool,
     /// Whether it may end a transaction.
     pub ends: bool,
+    /// Whether it executes anything; preparing and describing alone does not.
+    pub executes: bool,
     /// Whether the instance answers all of it.
     pub local: bool,
     /// What it needs that is not supported.
@@ -60,6 +62,9 @@
             .is_some_and(|frame| frame.kind() == b'Q');
         let mut plan = BatchPlan {
             simple,
+            executes: simple
+                || !self.complete
+                || self.frames.iter().any(|frame| frame.kind() == b'E'),
             ..BatchPlan::default()
         };
         let mut unknown = false;
@@ -164,13 +169,14 @@
 impl BatchPlan {
     fn judge(&mut self, once: &[String], known: bool, forwarded: bool) {
         let statements = &self.statements;
+        let executes = self.executes;
         let any = |test: fn(&StatementInfo) -> bool| statements.iter().any(test);
         let all = |test: fn(&StatementInfo) -> bool| statements.iter().all(test);
         let has_local = any(StatementInfo::is_local);
-        self.read = known && !statements.is_empty() && all(|info| info.read);
-        self.pure = self.read && all(|info| info.pure);
-        self.once_only = statements.iter().any(|info| info.matches_prefix(once));
-        self.pins = any(|info| info.pins);
+        self.read = known && !statements.is_empty() && (!executes || all(|info| info.read));
+        self.pure = self.read && (!executes || all(|info| info.pure));
+        self.once_only = executes && statements.iter().any(|info| info.matches_prefix(once));
+        self.pins = executes && any(|info| info.pins);
         self.copies = any(|info| info.kind == StatementKind::Copy);
         self.opens = any(|info| matches!(info.kind, StatementKind::Begin { .. }));
         self.ends = any(StatementInfo::ends_transaction);
