--- a/src/connection/exchange.rs
+++ b/src/connection/exchange.rs
@@ -156,7 +156,7 @@
     ) -> Self {
         Self {
             caller,
-            preamble: !lease.in_progress,
+            preamble: false,
             lease,
             prepared,
             plan,
@@ -178,6 +178,8 @@
 
     /// Runs the request up to ReadyForQuery, and the status query behind a transaction.
     pub async fn run(&mut self, batch: &RequestBatch) -> Result<ExchangeEnd, ExchangeFault> {
+        // A caller that flushes waits for each answer, so nothing may be held back from it.
+        self.preamble = batch.complete && !self.lease.in_progress;
         if !self.plan.simple {
             self.input = InputMode::Batch;
         }
@@ -188,6 +190,7 @@
         let mut answer_end = Instant::now() + self.limits.answer_time;
         loop {
             let mut progress = false;
+            self.give_local_answers()?;
             while let Some(frame) = self.lease.link.next_frame()? {
                 self.receive(&frame)?;
                 progress = true;
@@ -272,6 +275,8 @@
             (InputMode::Batch, b'E') => {
                 let (portal, _) = wire_frame::split_text(frame.body())?;
                 let statement = self.lease.portals.get(portal).cloned().flatten();
+                let info = statement.as_ref().and_then(|found| found.info.as_ref());
+                self.lease.pinned |= info.is_some_and(|info| info.pins);
                 self.forward(frame);
                 self.expected.push_back(Expect::Execute(statement));
             }
@@ -326,7 +331,6 @@
                 let what = "mixing settings of tamaracklb with other statements";
                 return Err(ExchangeFault::Refused(CallerError::not_supported(what)));
             }
-            self.lease.pinned |= info.pins;
         }
         let statement = Arc::new(statement);
         let hash = statement.hash;
--- /dev/null
+++ b/tests/testsuite/caller_state.rs
@@ -0,0 +1,162 @@
+//! Guards the state of a session against loss and against leaking into other sessions.
+
+use std::sync::atomic::Ordering;
+
+use tamaracklb::connection::wire_frame::WireFrame;
+use tamaracklb::request::ports::RequestClass;
+
+use crate::caller_fixture::CallerFixture;
+use crate::caller_fixture::sqlstate;
+use crate::raw_caller::RawCaller;
+
+/// A setting must reach every connection the session uses, and no other session.
+#[tokio::test]
+async fn settings_are_replayed() {
+    let fixture = CallerFixture::start().await;
+    let client = fixture.connect().await;
+    client
+        .batch_execute("SET search_path = a")
+        .await
+        .expect("set");
+    client.batch_execute("SELECT 1").await.expect("read");
+    assert_eq!(fixture.replica.texts(), ["SET search_path = a", "SELECT 1"]);
+    let other = fixture.connect().await;
+    other.batch_execute("SELECT 2").await.expect("read");
+    let texts = fixture.replica.texts();
+    assert_eq!(texts[2..], ["RESET ALL", "SELECT 2"]);
+}
+
+/// A setting of a transaction that was rolled back must not be replayed.
+#[tokio::test]
+async fn rolled_back_settings_are_forgotten() {
+    let fixture = CallerFixture::start().await;
+    let client = fixture.connect().await;
+    for statement in ["BEGIN", "SET search_path = a", "ROLLBACK", "SELECT 1"] {
+        client.batch_execute(statement).await.expect("statement");
+    }
+    assert_eq!(fixture.replica.texts(), ["SELECT 1"]);
+}
+
+/// State that only the endpoint holds must keep the session on its connection, without a slot.
+#[tokio::test]
+async fn session_state_pins_the_connection() {
+    let fixture = CallerFixture::start().await;
+    let pinned = fixture.connect().await;
+    let other = fixture.connect().await;
+    pinned
+        .batch_execute("CREATE TEMP TABLE x (y int)")
+        .await
+        .expect("create");
+    assert_eq!(fixture.state.held.load(Ordering::SeqCst), 0);
+    other
+        .batch_execute("INSERT INTO t VALUES (1)")
+        .await
+        .expect("write");
+    pinned.batch_execute("SELECT * FROM x").await.expect("read");
+    let seen = fixture.primary.seen.lock().expect("lock").clone();
+    let number = |part: &str| {
+        seen.iter()
+            .find(|(_, text)| text.contains(part))
+            .map(|(n, _)| *n)
+    };
+    assert_eq!(number("FROM x"), number("TEMP"));
+    assert_ne!(number("INSERT"), number("TEMP"));
+}
+
+/// A pinned session must not hand its connection to others when it ends.
+#[tokio::test]
+async fn pinned_connection_is_closed_with_its_session() {
+    let fixture = CallerFixture::start().await;
+    let pinned = fixture.connect().await;
+    pinned
+        .batch_execute("SELECT pg_advisory_lock(1)")
+        .await
+        .expect("lock");
+    drop(pinned);
+    let handle = fixture.handle.as_ref().expect("handle");
+    while handle.endpoint_connections() > 0 {
+        tokio::time::sleep(std::time::Duration::from_millis(5)).await;
+    }
+}
+
+/// Statements that would change a shared connection for others must be refused.
+#[tokio::test]
+async fn unsupported_statements_are_refused() {
+    let fixture = CallerFixture::start().await;
+    let client = fixture.connect().await;
+    for statement in [
+        "SET ROLE x",
+        "SET SESSION AUTHORIZATION x",
+        "PREPARE TRANSACTION 'x'",
+    ] {
+        let error = client.batch_execute(statement).await.expect_err("refused");
+        assert_eq!(sqlstate(&error), "0A000");
+        let error = client.execute(statement, &[]).await.expect_err("refused");
+        assert_eq!(sqlstate(&error), "0A000");
+    }
+    assert_eq!(fixture.primary.texts(), Vec::<String>::new());
+    client
+        .batch_execute("SELECT 1")
+        .await
+        .expect("next request");
+}
+
+/// Stale reads must be asked for, and must end with the first write of the session.
+#[tokio::test]
+async fn stale_reads_end_with_a_write() {
+    let fixture = CallerFixture::start().await;
+    let client = fixture.connect().await;
+    client
+        .batch_execute("SET tamaracklb.staleness = 'on'")
+        .await
+        .expect("set");
+    for statement in ["SELECT 1", "INSERT INTO t VALUES (1)", "SELECT 2"] {
+        client.batch_execute(statement).await.expect("statement");
+    }
+    assert_eq!(
+        fixture.state.classes(),
+        [
+            RequestClass::StaleRead,
+            RequestClass::Write,
+            RequestClass::Read
+        ]
+    );
+}
+
+/// A name must not be prepared twice, and a dropped one must be free again.
+#[tokio::test]
+async fn prepared_names_are_checked() {
+    let fixture = CallerFixture::start().await;
+    let client = fixture.connect().await;
+    for _ in 0..600 {
+        client.prepare("SELECT 1").await.expect("prepare");
+    }
+    let statement = client.prepare("SELECT 2").await.expect("prepare");
+    client
+        .batch_execute("DEALLOCATE ALL")
+        .await
+        .expect("deallocate");
+    let error = client.query(&statement, &[]).await.expect_err("dropped");
+    assert_eq!(sqlstate(&error), "26000");
+}
+
+/// A caller that flushes must get each answer without Sync, also those the instance gives itself.
+#[tokio::test]
+async fn flushed_answers_are_not_held_back() {
+    let fixture = CallerFixture::start().await;
+    let mut raw = RawCaller::start(&fixture).await;
+    for _ in 0..2 {
+        raw.send(WireFrame::new(b'P', b"\0SELECT 1\0\0\0").bytes())
+            .await;
+        raw.send(WireFrame::new(b'H', b"").bytes()).await;
+        raw.expect_kind(b'1').await;
+        raw.send(WireFrame::new(b'B', b"\0\0\0\0\0\0\0\0").bytes())
+            .await;
+        raw.send(WireFrame::new(b'E', b"\0\0\0\0\0").bytes()).await;
+        raw.send(WireFrame::new(b'H', b"").bytes()).await;
+        raw.expect_kind(b'2').await;
+        raw.expect_kind(b'D').await;
+        raw.send(WireFrame::new(b'S', b"").bytes()).await;
+        raw.expect_kind(b'Z').await;
+    }
+}
--- /dev/null
+++ b/tests/testsuite/raw_caller.rs
@@ -0,0 +1,97 @@
+//! A caller that sends bytes by hand, for what drivers never do.
+
+use bytes::BytesMut;
+use tamaracklb::connection::scram;
+use tamaracklb::connection::scram::ScramClient;
+use tamaracklb::connection::wire_frame::WireFrame;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
+
+use crate::caller_fixture::CallerFixture;
+
+const FRAME_LIMIT: usize = 1024 * 1024;
+
+/// A caller's connection without a driver.
+pub struct RawCaller {
+    /// The connection.
+    pub stream: TcpStream,
+    input: BytesMut,
+}
+
+/// Returns a startup packet with a code and a body.
+pub fn startup_packet(code: u32, body: &[u8]) -> Vec<u8> {
+    let length = u32::try_from(body.len() + 8).expect("length");
+    let mut packet = length.to_be_bytes().to_vec();
+    packet.extend_from_slice(&code.to_be_bytes());
+    packet.extend_from_slice(body);
+    packet
+}
+
+impl RawCaller {
+    /// Connects without sending anything.
+    pub async fn open(fixture: &CallerFixture) -> Self {
+        let stream = TcpStream::connect(fixture.address).await.expect("connect");
+        Self {
+            stream,
+            input: BytesMut::new(),
+        }
+    }
+
+    /// Connects and authenticates with the team's key.
+    pub async fn start(fixture: &CallerFixture) -> Self {
+        let mut caller = Self::open(fixture).await;
+        let body = b"user\0folio\0database\0studio\0\0";
+        caller.send(&startup_packet(196_608, body)).await;
+        caller.expect_kind(b'R').await;
+        let (mut client, first) = ScramClient::start("folio-key", scram::draw_nonce());
+        let mut message = b"SCRAM-SHA-256\0".to_vec();
+        let length = u32::try_from(first.len()).expect("length");
+        message.extend_from_slice(&length.to_be_bytes());
+        message.extend_from_slice(first.as_bytes());
+        caller.send(WireFrame::new(b'p', &message).bytes()).await;
+        let challenge = caller.expect_kind(b'R').await;
+        let last = client.answer(&challenge.body()[4..]).expect("challenge");
+        caller
+            .send(WireFrame::new(b'p', last.as_bytes()).bytes())
+            .await;
+        caller.expect_kind(b'Z').await;
+        caller
+    }
+
+    /// Sends bytes.
+    pub async fn send(&mut self, bytes: &[u8]) {
+        self.stream.write_all(bytes).await.expect("send");
+    }
+
+    /// Sends a simple query.
+    pub async fn send_query(&mut self, query: &str) {
+        let mut body = query.as_bytes().to_vec();
+        body.push(0);
+        self.send(WireFrame::new(b'Q', &body).bytes()).await;
+    }
+
+    /// Returns the next message, or `None` at the end of the connection.
+    pub async fn recv(&mut self) -> Option<WireFrame> {
+        loop {
+            let frame = WireFrame::split_first(&mut self.input, FRAME_LIMIT);
+            if let Some(frame) = frame.expect("frame") {
+                return Some(frame);
+            }
+            if !matches!(self.stream.read_buf(&mut self.input).await, Ok(1..)) {
+                return None;
+            }
+        }
+    }
+
+    /// Reads up to a message of a kind and returns it.
+    pub async fn expect_kind(&mut self, kind: u8) -> WireFrame {
+        loop {
+            let frame = self.recv().await.expect("connection is open");
+            if frame.kind() == kind {
+                return frame;
+            }
+            assert_ne!(frame.kind(), b'E', "unexpected error");
+        }
+    }
+}
--- a/tests/testsuite/scripted_endpoint.rs
+++ b/tests/testsuite/scripted_endpoint.rs
@@ -54,6 +54,7 @@
         let shared = script.clone();
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
+                stream.set_nodelay(true).expect("nodelay");
                 let number = shared.connections.fetch_add(1, Ordering::Relaxed);
                 tokio::spawn(EndpointScript::serve(shared.clone(), stream, number));
             }
@@ -283,7 +284,12 @@
             return Ok(false);
         }
         if query.contains("stay silent") {
-            std::future::pending::<()>().await;
+            let cancels = script.cancels.load(Ordering::Relaxed);
+            while script.cancels.load(Ordering::Relaxed) == cancels {
+                tokio::time::sleep(std::time::Duration::from_millis(5)).await;
+            }
+            self.error("57014");
+            return Ok(true);
         }
         if query.contains("platform_status") {
             self.put_status();
@@ -320,6 +326,7 @@
             "SELECT" | "SHOW" if !(replica && query.contains("writing_function")) => {
                 return self.select(query, kind).await;
             }
+            "SET" | "RESET" | "LISTEN" => {}
             _ if replica => {
                 self.error("25006");
                 return Ok(true);
