Test start-up, codecs and SCRAM against hostile input

Arbitrary, truncated and oversized messages, start-up that never ends, bytes before a TLS handshake, unknown teams and rotated keys.

--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 mod caller_faults;
 mod caller_fixture;
 mod caller_path;
+mod caller_startup;
 mod caller_state;
 mod isolation_evidence;
 mod log_points;
