--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -2,6 +2,7 @@
 
 pub mod endpoint_status;
 pub mod log_setup;
+pub mod peers;
 pub mod setting_fields;
 pub mod settings;
 pub mod settings_parser;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -5,5 +5,8 @@
 mod bundle_signatures;
 mod bundle_versions;
 mod daemon_settings;
+mod isolation_evidence;
 mod key_verifiers;
 mod log_points;
+mod membership_view;
+mod peer_links;
