Add the commands that work on files

check, key new, key signer, bundle sign and bundle diff. Exit codes follow grep(1) and diff(1): 0 for a positive answer, 1 for a negative one, 2 for wrong usage or a failure; argh's own exit on wrong usage uses 1, so that the program maps it.

Private keys go to new files that only their owner can read.

--- /dev/null
+++ b/src/cmd/cmd_error.rs
@@ -0,0 +1,74 @@
+//! Why a command failed.
+
+use std::fmt;
+use std::io;
+use std::path::PathBuf;
+
+use crate::version::bundle_envelope::EnvelopeError;
+use crate::version::fault_list::FaultList;
+use crate::version::ids::TeamId;
+use crate::version::key_verifier::VerifierError;
+use crate::version::signer_key::SignerKeyError;
+
+/// A failure of a command.
+#[derive(Debug)]
+pub enum CmdError {
+    /// The arguments do not fit together.
+    Usage { message: &'static str },
+    /// A file cannot be read or written.
+    File { path: PathBuf, error: io::Error },
+    /// The answer cannot be written.
+    Output(io::Error),
+    /// A bundle or settings file has faults.
+    Faults { path: PathBuf, faults: FaultList },
+    /// An envelope is malformed or not signed by enough signers.
+    Envelope { path: PathBuf, error: EnvelopeError },
+    /// A signing key cannot be read or made.
+    SigningKey {
+        path: PathBuf,
+        error: SignerKeyError,
+    },
+    /// A verifier cannot be computed.
+    Verifier(VerifierError),
+    /// The bundle has no such team.
+    UnknownTeam { team: TeamId },
+    /// The operating system gives no random numbers.
+    NoRandomness,
+}
+
+impl CmdError {
+    /// Returns the exit code: 1 for a negative answer, 2 for a failure.
+    pub fn exit_code(&self) -> u8 {
+        match self {
+            CmdError::Faults { .. } | CmdError::Envelope { .. } => 1,
+            _ => 2,
+        }
+    }
+}
+
+impl fmt::Display for CmdError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            CmdError::Usage { message } => write!(f, "{message}"),
+            CmdError::File { path, error } => write!(f, "{}: {error}", path.display()),
+            CmdError::Output(error) => write!(f, "output: {error}"),
+            CmdError::Faults { path, faults } => {
+                let lines = faults.in_file(&path.display().to_string());
+                write!(f, "faults found\n{lines}")
+            }
+            CmdError::Envelope { path, error } => write!(f, "{}: {error}", path.display()),
+            CmdError::SigningKey { path, error } => write!(f, "{}: {error}", path.display()),
+            CmdError::Verifier(error) => write!(f, "{error}"),
+            CmdError::UnknownTeam { team } => write!(f, "the bundle has no team '{team}'"),
+            CmdError::NoRandomness => write!(f, "the system gives no random numbers"),
+        }
+    }
+}
+
+impl std::error::Error for CmdError {}
+
+impl From<io::Error> for CmdError {
+    fn from(error: io::Error) -> Self {
+        CmdError::Output(error)
+    }
+}
--- /dev/null
+++ b/src/cmd/mod.rs
@@ -0,0 +1,130 @@
+//! The operators' commands, one file per subcommand.
+
+pub mod bundle_diff;
+pub mod bundle_sign;
+pub mod check;
+pub mod cmd_error;
+pub mod cmd_files;
+pub mod key_new;
+pub mod key_signer;
+
+use std::io::Write;
+
+use argh::FromArgs;
+
+use crate::cmd::bundle_diff::BundleDiffCmd;
+use crate::cmd::bundle_sign::BundleSignCmd;
+use crate::cmd::check::CheckCmd;
+use crate::cmd::cmd_error::CmdError;
+use crate::cmd::key_new::KeyNewCmd;
+use crate::cmd::key_signer::KeySignerCmd;
+
+/// How a command ended, where it did its work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CmdStatus {
+    /// The answer is positive; exit code 0.
+    Success,
+    /// The answer is negative, such as a fault found or a difference; exit code 1.
+    Negative,
+}
+
+impl CmdStatus {
+    /// Returns the exit code.
+    pub fn exit_code(self) -> u8 {
+        match self {
+            CmdStatus::Success => 0,
+            CmdStatus::Negative => 1,
+        }
+    }
+}
+
+/// Operate a fleet of tamaracklb instances.
+#[derive(FromArgs)]
+pub struct TopCmd {
+    #[argh(subcommand)]
+    command: SubCmd,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum SubCmd {
+    Check(CheckCmd),
+    Key(KeyCmd),
+    Bundle(BundleCmd),
+}
+
+/// Make keys for teams and for signers.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "key")]
+struct KeyCmd {
+    #[argh(subcommand)]
+    command: KeySubCmd,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum KeySubCmd {
+    New(KeyNewCmd),
+    Signer(KeySignerCmd),
+}
+
+/// Sign, submit, show and compare bundles.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "bundle")]
+struct BundleCmd {
+    #[argh(subcommand)]
+    command: BundleSubCmd,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum BundleSubCmd {
+    Sign(BundleSignCmd),
+    Diff(BundleDiffCmd),
+}
+
+impl TopCmd {
+    /// Runs the command; its answer goes to `output`.
+    pub fn run(self, output: &mut dyn Write) -> Result<CmdStatus, CmdError> {
+        match self.command {
+            SubCmd::Check(command) => command.run(output),
+            SubCmd::Key(key) => match key.command {
+                KeySubCmd::New(command) => command.run(output),
+                KeySubCmd::Signer(command) => command.run(output),
+            },
+            SubCmd::Bundle(bundle) => match bundle.command {
+                BundleSubCmd::Sign(command) => command.run(output),
+                BundleSubCmd::Diff(command) => command.run(output),
+            },
+        }
+    }
+}
+
+/// Parses the arguments of the program, runs the command and returns the exit code.
+///
+/// 0 is a positive answer, 1 a negative one, 2 wrong usage or a failure.
+pub fn run_program(arguments: &[String]) -> u8 {
+    let texts: Vec<&str> = arguments.iter().skip(1).map(String::as_str).collect();
+    match TopCmd::from_args(&["tamaracklb"], &texts) {
+        Ok(command) => run_command(command),
+        Err(exit) if exit.status.is_ok() => {
+            println!("{}", exit.output);
+            0
+        }
+        Err(exit) => {
+            eprintln!("{}", exit.output);
+            2
+        }
+    }
+}
+
+fn run_command(command: TopCmd) -> u8 {
+    let mut output = std::io::stdout().lock();
+    match command.run(&mut output) {
+        Ok(status) => status.exit_code(),
+        Err(error) => {
+            eprintln!("tamaracklb: {error}");
+            error.exit_code()
+        }
+    }
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -9,4 +9,6 @@
 mod key_verifiers;
 mod log_points;
 mod membership_view;
+mod operator_commands;
 mod peer_links;
+mod program_run;
--- /dev/null
+++ b/tests/testsuite/operator_commands.rs
@@ -0,0 +1,141 @@
+//! Operators and their scripts rely on the output and the exit codes of the program.
+
+use std::os::unix::fs::PermissionsExt;
+
+use serde::Deserialize;
+use tamaracklb::version::bundle_parser::parse_bundle;
+use tamaracklb::version::key_verifier::KeyVerifier;
+use tamaracklb::version::secret_text::SecretText;
+
+use crate::bundle_faults::SAMPLE;
+use crate::program_run::ProgramRun;
+
+#[derive(Deserialize)]
+struct NewKey {
+    key: String,
+    salt: String,
+    iterations: u32,
+    keys: Vec<tamaracklb::version::bundle::KeyConfig>,
+}
+
+fn parse_key(text: &str) -> NewKey {
+    serde_saphyr::from_str(text).expect("the output is YAML")
+}
+
+/// Returns settings that trust the signers whose entries `key signer` printed.
+pub fn settings_text(signers: &[String], required: usize) -> String {
+    let entries: String = signers
+        .iter()
+        .flat_map(|text| text.lines().skip(1))
+        .map(|line| format!("  {line}\n"))
+        .collect();
+    format!(
+        "instance_id: i1\navailability_zone: z1\npeer_address: 127.0.0.1:7432\n\
+         peer_tls_certificate_file: pem\npeer_tls_key_file: pem\npeer_tls_authority_file: pem\n\
+         store_addresses: [127.0.0.1:2400]\nendpoint_user: u\nendpoint_password: p\n\
+         required_signatures: {required}\nsigners:\n{entries}"
+    )
+}
+
+/// A script must be able to tell a fault from wrong usage.
+#[test]
+fn exit_codes() {
+    let run = ProgramRun::new()
+        .file("good.yaml", SAMPLE)
+        .file("bad.yaml", &SAMPLE.replace("rate: 50", "rate: 0"));
+    let good = run.run("check good.yaml");
+    assert_eq!((good.code, good.stderr.as_str()), (0, ""));
+    assert_eq!(
+        good.stdout,
+        "good.yaml: bundle v1 is valid: 2 teams, 1 services\n"
+    );
+    let bad = run.run("check good.yaml bad.yaml");
+    assert_eq!(bad.code, 1);
+    let expected = "bad.yaml:20:11: teams[1].rate: 0 is not a finite number above 0\n";
+    assert!(bad.stdout.ends_with(expected), "{bad:?}");
+    assert_eq!(run.run("check missing.yaml").code, 2);
+    assert_eq!(run.run("check").code, 2);
+    assert_eq!(run.run("chekc good.yaml").code, 2);
+    assert_eq!(run.run("").code, 2);
+    assert_eq!(run.run("--help").code, 0);
+}
+
+/// A printed key must be the one that its verifier accepts, within the salt of its team.
+#[test]
+fn new_keys() {
+    let run = ProgramRun::new().file("bundle.yaml", SAMPLE);
+    let first = parse_key(&run.succeed("key new --team archive --id k9 --bundle bundle.yaml"));
+    let mut bundle = parse_bundle(SAMPLE).expect("the sample is valid");
+    let team = bundle.teams.remove(1);
+    assert_eq!(
+        (&first.salt, first.iterations),
+        (&team.salt, team.iterations)
+    );
+    let verifier = KeyVerifier::from_config(&team, &first.keys[0]).expect("it is valid");
+    assert!(verifier.check_key(&SecretText::new(first.key.clone())));
+    let second = parse_key(&run.succeed("key new --team archive --id k9 --bundle bundle.yaml"));
+    assert_ne!(first.key, second.key);
+    let free = parse_key(&run.succeed("key new --team newcomer --id k1"));
+    assert_ne!(free.salt, team.salt);
+    assert_eq!(
+        run.run("key new --team ghost --id k --bundle bundle.yaml")
+            .code,
+        2
+    );
+}
+
+/// A signing key must not be readable by others nor overwrite an older one.
+#[test]
+fn signing_key_files() {
+    let run = ProgramRun::new();
+    run.succeed("key signer --id ops --out ops.pem");
+    let before = run.read("ops.pem");
+    let metadata = std::fs::metadata(run.path("ops.pem")).expect("the file exists");
+    assert_eq!(metadata.permissions().mode() & 0o777, 0o600);
+    assert_eq!(run.run("key signer --id ops --out ops.pem").code, 2);
+    assert_eq!(run.read("ops.pem"), before);
+}
+
+/// Two signers in turn must give an envelope that the settings of the fleet accept.
+#[test]
+fn signing_in_turn() {
+    let run = ProgramRun::new()
+        .file("bundle.yaml", SAMPLE)
+        .file("bad.yaml", "version: 0")
+        .file("pem", "x");
+    let a = run.succeed("key signer --id ops-a --out a.pem");
+    let b = run.succeed("key signer --id ops-b --out b.pem");
+    let run = run.file("settings.yaml", &settings_text(&[a, b], 2));
+
+    run.succeed("bundle sign --key a.pem --signer ops-a --out one.json bundle.yaml");
+    let one = run.run("check --settings settings.yaml one.json");
+    assert_eq!(one.code, 1);
+    assert!(
+        one.stdout.contains("1 valid signatures, 2 required"),
+        "{one:?}"
+    );
+    let two = run.succeed("bundle sign --key b.pem --signer ops-b one.json");
+    let run = run.file("two.json", &two);
+    let answer = run.succeed("check --settings settings.yaml two.json");
+    assert!(
+        answer.ends_with("2 teams, 1 services, enough signatures\n"),
+        "{answer}"
+    );
+    let faulty = run.run("bundle sign --key a.pem --signer ops-a bad.yaml");
+    assert_eq!((faulty.code, faulty.stdout.as_str()), (1, ""));
+}
+
+/// The exit code of a diff follows diff(1).
+#[test]
+fn diff_exit_codes() {
+    let run = ProgramRun::new()
+        .file("old.yaml", SAMPLE)
+        .file("new.yaml", &SAMPLE.replace("version: 1", "version: 2"));
+    let changed = run.run("bundle diff old.yaml new.yaml");
+    assert_eq!(
+        (changed.code, changed.stdout.as_str()),
+        (1, "~ version: 1 -> 2\n")
+    );
+    assert_eq!(run.run("bundle diff old.yaml old.yaml").code, 0);
+    assert_eq!(run.run("bundle diff old.yaml missing.yaml").code, 2);
+}
