Submit bundles by compare-and-swap

The logic takes the two store calls as closures, so that tests can lose answers and let other operators come first. After a lost answer the store is read again; from then on no failure claims that nothing was submitted, since the lost write may have taken effect.

A submission is checked like an instance checks it, so that `bundle/current` never holds what no instance accepts. A text there that is no valid envelope is only replaced where the operator names its revision; replacing it silently was ruled out, since a newer program may understand what this one does not.

--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -1,5 +1,6 @@
 //! One running instance: what lives as long as its process.
 
+pub mod bundle_submission;
 pub mod endpoint_status;
 pub mod log_setup;
 pub mod peers;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 mod bundle_diffs;
 mod bundle_faults;
 mod bundle_signatures;
+mod bundle_submissions;
 mod bundle_versions;
 mod daemon_settings;
 mod isolation_evidence;
