--- a/src/request/mod.rs
+++ b/src/request/mod.rs
@@ -2,4 +2,8 @@
 
 pub mod log_point;
 pub mod ports;
+pub mod read_route;
 pub mod refusal;
+pub mod session_floor;
+pub mod sql_token;
+pub mod statement;
