--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -3,6 +3,7 @@
 mod bundle_diffs;
 mod bundle_faults;
 mod bundle_signatures;
+mod bundle_submissions;
 mod bundle_versions;
 mod caller_copy;
 mod caller_ending;
@@ -16,7 +17,9 @@
 mod key_verifiers;
 mod log_points;
 mod membership_view;
+mod operator_commands;
 mod peer_links;
 mod raw_caller;
+mod program_run;
 mod scripted_endpoint;
 mod standin_endpoint;
