--- a/src/process/share_driver.rs
+++ b/src/process/share_driver.rs
@@ -152,7 +152,9 @@
                     deferral.get_or_insert_with(|| Deferral::new(self.clone(), number, team));
                 }
                 answer => {
-                    deferral.take().map(Deferral::settle);
+                    if let Some(deferral) = deferral.take() {
+                        deferral.settle();
+                    }
                     let refused = answer == Admission::Refused;
                     return if refused {
                         Err(RequestRefusal::AboveRate)
