Add the adapters to the store and to an endpoint's platform functions

Store: ntex's HTTP client, on one thread of its own that takes requests over a channel. The client cannot move between threads, and the daemon calls the store from several; a second HTTP library was ruled out, as ntex is already in the build. A compare-and-swap without an answer reads the key back: its value there means written, an unchanged key means repeat, and any other revision is reported as overtaken, because the write may have been in between.

A status of 500 and above counts as unknown: only the store's own refusals below that promise that nothing was applied. A connection that ends before the answer is reported by ntex as a connect error without a cause; it is told apart from a failed connect, which surely sent nothing.

Endpoints: status, fence and promote share one warm connection; waits have a second one, as an endpoint runs the calls of a connection in order. A connection found closed is replaced within the same call, one that gives no answer is dropped after the deadline.

--- /dev/null
+++ b/src/process/control_error.rs
@@ -0,0 +1,48 @@
+//! Why a call to an endpoint's control connection failed.
+
+use std::fmt;
+
+use crate::process::endpoint_status::StatusError;
+use crate::process::failover::call_failure::CallFailure;
+
+/// Why a call to an endpoint failed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum ControlError {
+    /// The endpoint's host refuses or resets new connections, or has no route.
+    ConnectRefused,
+    /// A new connection was not open within the deadline.
+    ConnectTimeout,
+    /// A connection that was open gave no answer within the deadline, or it ended.
+    NoAnswer,
+    /// The endpoint answered with an error.
+    Refused { sqlstate: String },
+    /// The answer is no status.
+    BadAnswer(StatusError),
+}
+
+impl ControlError {
+    /// Returns the failure as the failover decisions see it.
+    pub fn call_failure(&self) -> CallFailure {
+        match self {
+            ControlError::ConnectRefused | ControlError::ConnectTimeout => {
+                CallFailure::ConnectFailed
+            }
+            ControlError::NoAnswer => CallFailure::NoAnswer,
+            ControlError::Refused { .. } | ControlError::BadAnswer(_) => CallFailure::Refused,
+        }
+    }
+}
+
+impl fmt::Display for ControlError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            ControlError::ConnectRefused => write!(f, "endpoint: connection refused"),
+            ControlError::ConnectTimeout => write!(f, "endpoint: connect timed out"),
+            ControlError::NoAnswer => write!(f, "endpoint: no answer on an open connection"),
+            ControlError::Refused { sqlstate } => write!(f, "endpoint: refused with {sqlstate}"),
+            ControlError::BadAnswer(error) => write!(f, "endpoint: invalid answer, {error}"),
+        }
+    }
+}
+
+impl std::error::Error for ControlError {}
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -1,12 +1,18 @@
 //! One running instance: what lives as long as its process.
 
+pub mod control_error;
+pub mod endpoint_control;
 pub mod endpoint_status;
+pub mod failover;
 pub mod log_setup;
 pub mod peers;
 pub mod setting_fields;
 pub mod settings;
 pub mod settings_parser;
-pub mod failover;
 pub mod shares;
 pub mod slots;
+pub mod store_calls;
+pub mod store_client;
+pub mod store_error;
+pub mod store_transport;
 pub mod timers;
