Bring bundles from store and peers into force, and mend a racing test

Cause: (1) nothing carried a bundle from the store to the process. The idle cancel now belongs to a client that never runs anything, which no delay excuses. Conclusion: the check is as strict as before and no longer depends on timing.

--- /dev/null
+++ b/src/process/bundle_feed.rs
@@ -0,0 +1,141 @@
+//! Brings newer bundles and the list of instances from the store into the process.
+//!
+//! Only a few instances of each zone wait on the store; the others hear of a new bundle from their
+//! peers. An instance whose peers bring no fresh view of the store reads it itself.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use store_wire::InstanceEntry;
+use store_wire::InstanceState;
+use tracing::warn;
+
+use crate::process::bundle_intake::BundleIntake;
+use crate::process::bundle_intake::BundleSource;
+use crate::process::peers::fleet_links::FleetLinks;
+use crate::process::peers::membership_view::MemberRecord;
+use crate::process::slots::rendezvous::member_weight;
+use crate::process::store_client::StoreClient;
+use crate::process::store_error::StoreError;
+use crate::process::timers;
+
+/// The key of the bundle in the store.
+pub const BUNDLE_KEY: &str = "bundle/current";
+
+/// How many instances of each zone hold a watch on the store.
+pub const WATCHERS_PER_ZONE: usize = 2;
+
+const WATCH_WAIT: Duration = Duration::from_secs(1);
+const POLL_PERIOD: Duration = Duration::from_millis(500);
+const RETRY_PERIOD: Duration = Duration::from_millis(300);
+const STALE_VIEW: Duration = Duration::from_millis(1_500);
+const LIST_PERIOD: Duration = Duration::from_secs(5);
+
+/// The way from the store to the bundle in force.
+pub struct BundleFeed {
+    client: StoreClient,
+    intake: Arc<BundleIntake>,
+    links: Arc<FleetLinks>,
+}
+
+impl BundleFeed {
+    /// Creates a feed that has read nothing yet.
+    pub fn new(client: StoreClient, intake: Arc<BundleIntake>, links: Arc<FleetLinks>) -> Self {
+        Self {
+            client,
+            intake,
+            links,
+        }
+    }
+
+    /// Follows the bundle key for as long as the process lives.
+    pub async fn follow_bundle(&self) {
+        let mut revision = 0;
+        loop {
+            let now = timers::now();
+            let stale = self
+                .links
+                .monitor()
+                .newest_view_age(now)
+                .is_none_or(|a| a > STALE_VIEW);
+            let watches = self.is_watcher();
+            if !watches && !stale {
+                tokio::time::sleep(POLL_PERIOD).await;
+                continue;
+            }
+            let wait = if watches { WATCH_WAIT } else { Duration::ZERO };
+            if let Err(error) = self.read_changes(&mut revision, wait).await {
+                tracing::debug!("bundle: store did not answer: {error}");
+                tokio::time::sleep(RETRY_PERIOD).await;
+            }
+        }
+    }
+
+    async fn read_changes(&self, revision: &mut u64, wait: Duration) -> Result<(), StoreError> {
+        let sent_at = timers::now();
+        // The first read must not wait, as it tells a new instance what is in force.
+        let wait = if *revision == 0 { Duration::ZERO } else { wait };
+        let answer = self.client.watch(BUNDLE_KEY, *revision, wait).await?;
+        for event in &answer.events {
+            if let Some(text) = event.value.as_ref().filter(|_| event.key == BUNDLE_KEY) {
+                self.intake.offer(text, BundleSource::Store);
+            }
+        }
+        *revision = answer.revision.max(1);
+        self.links.monitor().record_store_read(sent_at);
+        Ok(())
+    }
+
+    fn is_watcher(&self) -> bool {
+        let (own, live) = {
+            let view = self.links.view();
+            (view.own().clone(), view.live(timers::now()))
+        };
+        is_store_watcher(&own, &live)
+    }
+
+    /// Follows the platform's list of instances for as long as the process lives.
+    pub async fn follow_instances(&self) {
+        loop {
+            match self.client.instances().await {
+                Ok(list) => self.take_list(&list),
+                Err(error) => tracing::debug!("peers: no instance list: {error}"),
+            }
+            tokio::time::sleep(LIST_PERIOD).await;
+        }
+    }
+
+    fn take_list(&self, list: &[InstanceEntry]) {
+        let listed: Vec<(MemberRecord, bool)> = list.iter().filter_map(read_entry).collect();
+        if listed.len() < list.len() {
+            warn!(
+                "peers: {} entries of the instance list are invalid",
+                list.len() - listed.len()
+            );
+        }
+        self.links.view().set_listed(listed, timers::now());
+    }
+}
+
+/// Returns whether an instance is one of the few of its zone that wait on the store.
+pub fn is_store_watcher(own: &MemberRecord, live: &[MemberRecord]) -> bool {
+    let mut ranks: BTreeMap<u64, &MemberRecord> = BTreeMap::new();
+    for member in live.iter().filter(|member| member.zone == own.zone) {
+        ranks.insert(member_weight(BUNDLE_KEY, &member.instance), member);
+    }
+    ranks
+        .values()
+        .rev()
+        .take(WATCHERS_PER_ZONE)
+        .any(|member| member.instance == own.instance)
+}
+
+fn read_entry(entry: &InstanceEntry) -> Option<(MemberRecord, bool)> {
+    let record = MemberRecord {
+        instance: entry.id.parse().ok()?,
+        zone: entry.zone.parse().ok()?,
+        address: entry.address.parse().ok()?,
+    };
+    Some((record, entry.state == InstanceState::Leaving))
+}
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -1,5 +1,7 @@
 //! One running instance: what lives as long as its process.
 
+pub mod bundle_feed;
+pub mod bundle_intake;
 pub mod bundle_submission;
 pub mod control_error;
 pub mod endpoint_control;
--- a/src/process/peers/fleet_links.rs
+++ b/src/process/peers/fleet_links.rs
@@ -1,5 +1,6 @@
 //! Keeps an instance in touch with its peers: heartbeats, evidence and newer bundles.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -169,6 +170,24 @@
         futures_util::future::join_all(probes).await;
     }
 
+    /// Asks addresses whose instances are not known, as at a start while the store is out.
+    pub async fn probe_seeds(&self, mesh: &PeerMesh, seeds: &[SocketAddr]) {
+        let known: Vec<SocketAddr> = self
+            .view()
+            .known()
+            .into_iter()
+            .map(|peer| peer.address)
+            .collect();
+        for &seed in seeds.iter().filter(|seed| !known.contains(seed)) {
+            let request = PeerRequest::Heartbeat(self.digest());
+            match mesh.ask(seed, &request, HEARTBEAT_LIMIT).await {
+                Ok(PeerReply::Heartbeat(digest)) => self.meet_stranger(&digest),
+                Ok(_) => debug!("peers: {seed} gave another answer than a heartbeat"),
+                Err(error) => debug!("peers: seed did not answer: {error}"),
+            }
+        }
+    }
+
     async fn probe_peer(&self, mesh: &PeerMesh, peer: &MemberRecord) -> Result<(), PeerError> {
         let asked_at = (self.ports.now)();
         let request = PeerRequest::Heartbeat(self.digest());
--- a/src/process/peers/isolation_monitor.rs
+++ b/src/process/peers/isolation_monitor.rs
@@ -127,6 +127,15 @@
         self.store_seen_at.map(|at| now.saturating_since(at))
     }
 
+    /// Returns how old the newest view of the store is, this instance's own or a peer's.
+    pub fn newest_view_age(&self, now: MonotonicTime) -> Option<Duration> {
+        let peers = self.views.values().filter_map(|view| view.store_seen_at);
+        peers
+            .chain(self.store_seen_at)
+            .max()
+            .map(|at| now.saturating_since(at))
+    }
+
     /// Judges the evidence at `now` for an instance that has the bundle `bundle` in force.
     pub fn evidence(&self, now: MonotonicTime, bundle: BundleVersion) -> StoreEvidence {
         let fresh = |at: MonotonicTime| now.saturating_since(at) <= EVIDENCE_LIMIT;
--- a/tests/testsuite/caller_faults.rs
+++ b/tests/testsuite/caller_faults.rs
@@ -207,7 +207,10 @@
     let fixture = CallerFixture::start().await;
     let client = fixture.connect().await;
     let token = client.cancel_token();
-    token
+    // The driver does not wait until a cancel request was handled, so the idle one has a client
+    // of its own: a late one for this client could rightly reach the request below.
+    let idle = fixture.connect().await;
+    idle.cancel_token()
         .cancel_query(tokio_postgres::NoTls)
         .await
         .expect("idle cancel");
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -19,7 +19,7 @@
 mod membership_view;
 mod operator_commands;
 mod peer_links;
-mod raw_caller;
 mod program_run;
+mod raw_caller;
 mod scripted_endpoint;
 mod standin_endpoint;
