Drive the controller of a database group

Cause: the decisions on groups are pure and need calls to endpoints around them. Ruled out: holding the lock across a call; each call runs in a task of its own and takes the lock for its answer only. A waiter that is dropped is taken out of the controller, so that abandoned commits are not waited for. Measured: not yet, the daemon is not wired. Conclusion: interfaces in place.

--- /dev/null
+++ b/src/process/group_watcher.rs
@@ -0,0 +1,339 @@
+//! Watches one database group: carries out what its controller decides.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use tokio::sync::oneshot;
+use tracing::debug;
+
+use crate::process::control_error::ControlError;
+use crate::process::endpoint_control::EndpointControl;
+use crate::process::endpoint_status::EndpointStatus;
+use crate::process::failover::call_failure::CallFailure;
+use crate::process::failover::confirmation_tracker::ConfirmId;
+use crate::process::failover::failover_limits::FailoverLimits;
+use crate::process::failover::failure_evidence::WatcherReport;
+use crate::process::failover::group_controller::GroupAction;
+use crate::process::failover::group_controller::GroupController;
+use crate::process::failover::group_controller::WatchSettings;
+use crate::process::failover::group_event::GroupEvent;
+use crate::process::failover::group_view::GroupMember;
+use crate::process::failover::promotion_plan::PromotionAction;
+use crate::process::timers;
+use crate::process::timers::MonotonicTime;
+use crate::request::log_point::LogPoint;
+use crate::request::read_route::RouteCandidate;
+use crate::request::refusal::RequestRefusal;
+use crate::request::session_floor::FloorId;
+use crate::version::ids::EndpointId;
+
+/// How often the controller is told of the time; it needs that every 50 ms at least.
+pub const WATCH_TICK: Duration = Duration::from_millis(20);
+
+const CALL_TIMEOUT: Duration = Duration::from_millis(500);
+const AWAIT_MARGIN: Duration = Duration::from_millis(500);
+
+/// Takes the decisions that are worth a journal entry.
+pub type EventFn = Box<dyn Fn(GroupEvent) + Send + Sync>;
+
+/// An endpoint of a group and the way to control it.
+#[derive(Debug)]
+pub struct WatchedEndpoint {
+    /// Its place in the group.
+    pub member: GroupMember,
+    /// Its control connection.
+    pub control: Arc<EndpointControl>,
+}
+
+struct WatcherState {
+    controller: GroupController,
+    controls: BTreeMap<EndpointId, Arc<EndpointControl>>,
+    confirms: HashMap<ConfirmId, oneshot::Sender<Result<(), RequestRefusal>>>,
+    floors: HashMap<FloorId, oneshot::Sender<Result<LogPoint, RequestRefusal>>>,
+}
+
+/// The view of one group and the calls to its endpoints.
+pub struct GroupWatcher {
+    state: Mutex<WatcherState>,
+    on_event: EventFn,
+}
+
+impl GroupWatcher {
+    /// Creates a watcher that knows nothing of its group yet.
+    pub fn new(
+        endpoints: Vec<WatchedEndpoint>,
+        settings: WatchSettings,
+        limits: FailoverLimits,
+        seed: u64,
+        on_event: EventFn,
+    ) -> Self {
+        let members = endpoints
+            .iter()
+            .map(|endpoint| endpoint.member.clone())
+            .collect();
+        let state = WatcherState {
+            controller: GroupController::new(members, settings, limits, seed),
+            controls: controls_of(endpoints),
+            confirms: HashMap::new(),
+            floors: HashMap::new(),
+        };
+        Self {
+            state: Mutex::new(state),
+            on_event,
+        }
+    }
+
+    /// Replaces the endpoints of the group.
+    pub fn set_endpoints(&self, endpoints: Vec<WatchedEndpoint>) {
+        let members = endpoints
+            .iter()
+            .map(|endpoint| endpoint.member.clone())
+            .collect();
+        let mut state = self.lock();
+        state.controller.set_members(members);
+        state.controls = controls_of(endpoints);
+    }
+
+    /// Replaces the watchers of the group.
+    pub fn set_watchers(&self, settings: WatchSettings) {
+        self.lock().controller.set_watchers(settings);
+    }
+
+    /// Takes what another watcher says of a primary.
+    pub fn on_report(&self, report: WatcherReport) {
+        self.lock().controller.on_report(report);
+    }
+
+    /// Returns the primary and for how long this instance could open no connection to it.
+    pub fn own_report(&self, now: MonotonicTime) -> Option<(EndpointId, Duration)> {
+        self.lock().controller.own_report(now)
+    }
+
+    /// Returns the primary that takes writes, if one is known.
+    pub fn primary(&self) -> Option<EndpointId> {
+        let state = self.lock();
+        state
+            .controller
+            .view()
+            .writable_primary()
+            .map(|primary| primary.endpoint.clone())
+    }
+
+    /// Returns the highest point that an endpoint of the group reported.
+    pub fn highest_point(&self) -> LogPoint {
+        let state = self.lock();
+        let points = state
+            .controller
+            .view()
+            .endpoints()
+            .filter_map(|view| view.status.as_ref());
+        points.map(|status| status.point).max().unwrap_or_default()
+    }
+
+    /// Returns the endpoints as candidates for a request.
+    pub fn candidates(&self, load: impl Fn(&EndpointId) -> f64) -> Vec<RouteCandidate> {
+        self.lock().controller.candidates(timers::now(), load)
+    }
+
+    /// Waits until a majority holds a point that the named primary reported.
+    pub async fn confirm(
+        self: &Arc<Self>,
+        primary: EndpointId,
+        point: LogPoint,
+        limit: Duration,
+    ) -> Result<(), RequestRefusal> {
+        let (sender, receiver) = oneshot::channel();
+        let now = timers::now();
+        let (id, actions) = {
+            let mut state = self.lock();
+            let (id, actions) = state.controller.confirm(primary, point, now + limit, now);
+            state.confirms.insert(id, sender);
+            (id, actions)
+        };
+        let _cancel = CancelGuard {
+            watcher: self,
+            wait: WaitId::Confirm(id),
+        };
+        self.perform(actions);
+        receiver
+            .await
+            .unwrap_or(Err(RequestRefusal::OutcomeUnknown))
+    }
+
+    /// Waits for the floor of a session that starts now.
+    pub async fn floor(self: &Arc<Self>, limit: Duration) -> Result<LogPoint, RequestRefusal> {
+        let (sender, receiver) = oneshot::channel();
+        let now = timers::now();
+        let (id, actions) = {
+            let mut state = self.lock();
+            let (id, actions) = state.controller.floor(now + limit, now);
+            state.floors.insert(id, sender);
+            (id, actions)
+        };
+        let _cancel = CancelGuard {
+            watcher: self,
+            wait: WaitId::Floor(id),
+        };
+        self.perform(actions);
+        receiver.await.unwrap_or(Err(RequestRefusal::NoEndpoint))
+    }
+
+    /// Moves the controller on with the time.
+    pub fn tick(self: &Arc<Self>) {
+        let actions = self.lock().controller.tick(timers::now());
+        self.perform(actions);
+    }
+
+    fn perform(self: &Arc<Self>, actions: Vec<GroupAction>) {
+        for action in actions {
+            match action {
+                GroupAction::Status { endpoint } => self.ask_status(endpoint),
+                GroupAction::Await {
+                    endpoint,
+                    point,
+                    timeout,
+                } => {
+                    self.ask_await(endpoint, point, timeout);
+                }
+                GroupAction::Promotion(action) => self.ask_promotion(action),
+                GroupAction::Confirmed((id, outcome)) => {
+                    if let Some(sender) = self.lock().confirms.remove(&id) {
+                        let _ = sender.send(outcome);
+                    }
+                }
+                GroupAction::FloorReady((id, outcome)) => {
+                    if let Some(sender) = self.lock().floors.remove(&id) {
+                        let _ = sender.send(outcome);
+                    }
+                }
+                GroupAction::Event(event) => (self.on_event)(event),
+            }
+        }
+    }
+
+    fn ask_status(self: &Arc<Self>, endpoint: EndpointId) {
+        let watcher = self.clone();
+        let control = self.control_of(&endpoint);
+        tokio::spawn(async move {
+            let asked_at = timers::now();
+            let answer = match control {
+                Some(control) => control.status(CALL_TIMEOUT).await,
+                None => return,
+            };
+            let answer = watcher.read_answer(&endpoint, answer);
+            let now = timers::now();
+            let actions = watcher
+                .lock()
+                .controller
+                .on_status(&endpoint, asked_at, answer, now);
+            watcher.perform(actions);
+        });
+    }
+
+    fn ask_await(self: &Arc<Self>, endpoint: EndpointId, point: LogPoint, wait: Duration) {
+        let watcher = self.clone();
+        let control = self.control_of(&endpoint);
+        tokio::spawn(async move {
+            let asked_at = timers::now();
+            let answer = match control {
+                Some(control) => control.await_point(point, wait, AWAIT_MARGIN).await,
+                None => return,
+            };
+            let answer = watcher.read_answer(&endpoint, answer);
+            let now = timers::now();
+            let actions = watcher
+                .lock()
+                .controller
+                .on_await(&endpoint, point, asked_at, answer, now);
+            watcher.perform(actions);
+        });
+    }
+
+    fn ask_promotion(self: &Arc<Self>, action: PromotionAction) {
+        let watcher = self.clone();
+        let endpoint = match &action {
+            PromotionAction::Fence { endpoint, .. } | PromotionAction::Promote { endpoint, .. } => {
+                endpoint.clone()
+            }
+        };
+        let Some(control) = self.control_of(&endpoint) else {
+            return;
+        };
+        tokio::spawn(async move {
+            let asked_at = timers::now();
+            let answer = match &action {
+                PromotionAction::Fence { term, proposer, .. } => {
+                    control.fence(*term, proposer, CALL_TIMEOUT).await
+                }
+                PromotionAction::Promote { term, proposer, .. } => {
+                    control.promote(*term, proposer, CALL_TIMEOUT).await
+                }
+            };
+            let answer = watcher.read_answer(&endpoint, answer);
+            let now = timers::now();
+            let actions = watcher
+                .lock()
+                .controller
+                .on_answer(&endpoint, asked_at, answer, now);
+            watcher.perform(actions);
+        });
+    }
+
+    fn read_answer(
+        &self,
+        endpoint: &EndpointId,
+        answer: Result<EndpointStatus, ControlError>,
+    ) -> Result<EndpointStatus, CallFailure> {
+        answer.map_err(|error| {
+            debug!("group: call to {endpoint} failed: {error}");
+            error.call_failure()
+        })
+    }
+
+    fn control_of(&self, endpoint: &EndpointId) -> Option<Arc<EndpointControl>> {
+        self.lock().controls.get(endpoint).cloned()
+    }
+
+    fn lock(&self) -> MutexGuard<'_, WatcherState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+enum WaitId {
+    Confirm(ConfirmId),
+    Floor(FloorId),
+}
+
+/// Takes a waiter out of the controller when its future is dropped.
+struct CancelGuard<'a> {
+    watcher: &'a GroupWatcher,
+    wait: WaitId,
+}
+
+impl Drop for CancelGuard<'_> {
+    fn drop(&mut self) {
+        let mut state = self.watcher.lock();
+        match self.wait {
+            WaitId::Confirm(id) => {
+                if state.confirms.remove(&id).is_some() {
+                    state.controller.cancel_confirm(id);
+                }
+            }
+            WaitId::Floor(id) => {
+                if state.floors.remove(&id).is_some() {
+                    state.controller.cancel_floor(id);
+                }
+            }
+        }
+    }
+}
+
+fn controls_of(endpoints: Vec<WatchedEndpoint>) -> BTreeMap<EndpointId, Arc<EndpointControl>> {
+    let named = |endpoint: WatchedEndpoint| (endpoint.member.endpoint, endpoint.control);
+    endpoints.into_iter().map(named).collect()
+}
