--- /dev/null
+++ b/src/process/decision_journal.rs
@@ -0,0 +1,208 @@
+//! A bounded journal of the decisions of one instance, and the merged journal of several.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::collections::VecDeque;
+use std::fmt;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::process::journal_decision::DecisionEvidence;
+use crate::process::journal_decision::JournalDecision;
+use crate::process::wall_time::WallTime;
+use crate::request::ports::RequestRecord;
+use crate::request::refusal::RequestRefusal;
+use crate::version::ids::InstanceId;
+use crate::version::ids::ServiceId;
+use crate::version::ids::TeamId;
+
+/// How many decisions an instance keeps.
+pub const JOURNAL_ENTRIES: usize = 4096;
+
+/// How many sums of refusals an instance keeps within one period.
+const MAX_REFUSAL_SUMS: usize = 1024;
+
+/// One decision.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct JournalEntry {
+    /// The number of the entry on its instance; numbers have no gaps.
+    pub sequence: u64,
+    /// When it was decided.
+    pub time: WallTime,
+    /// What was decided.
+    pub decision: JournalDecision,
+    /// What it rests on.
+    #[serde(default)]
+    pub evidence: Vec<DecisionEvidence>,
+}
+
+/// A part of the journal of one instance.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct JournalPage {
+    /// The instance.
+    pub instance: InstanceId,
+    /// A number that differs between two runs of the instance.
+    pub incarnation: u64,
+    /// How many entries the bound pushed out since the start.
+    pub dropped: u64,
+    /// The entries in order.
+    pub entries: Vec<JournalEntry>,
+}
+
+/// An entry of a merged journal.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct MergedEntry {
+    /// The instance that decided.
+    pub instance: InstanceId,
+    /// The entry.
+    #[serde(flatten)]
+    pub entry: JournalEntry,
+}
+
+impl fmt::Display for MergedEntry {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let entry = &self.entry;
+        write!(f, "{} {} {}", entry.time, self.instance, entry.decision)?;
+        for evidence in &entry.evidence {
+            write!(f, "\n    because {evidence}")?;
+        }
+        Ok(())
+    }
+}
+
+type RefusalKey = (TeamId, ServiceId, RequestRefusal);
+
+#[derive(Debug, Default)]
+struct JournalState {
+    entries: VecDeque<JournalEntry>,
+    next_sequence: u64,
+    refusals: HashMap<RefusalKey, u64>,
+}
+
+/// The journal of one instance.
+#[derive(Debug)]
+pub struct DecisionJournal {
+    instance: InstanceId,
+    incarnation: u64,
+    capacity: usize,
+    state: Mutex<JournalState>,
+}
+
+impl DecisionJournal {
+    /// Creates an empty journal that keeps at most `capacity` entries.
+    pub fn new(instance: InstanceId, incarnation: u64, capacity: usize) -> Self {
+        Self {
+            instance,
+            incarnation,
+            capacity: capacity.max(1),
+            state: Mutex::default(),
+        }
+    }
+
+    /// Adds a decision; the oldest one goes where the journal is full.
+    pub fn append(
+        &self,
+        time: WallTime,
+        decision: JournalDecision,
+        evidence: Vec<DecisionEvidence>,
+    ) {
+        let mut state = self.lock();
+        push_entry(&mut state, self.capacity, time, decision, evidence);
+    }
+
+    /// Counts a refused request for the next sum.
+    pub fn note_request(&self, record: &RequestRecord) {
+        let Some(refusal) = record.refusal else {
+            return;
+        };
+        let key = (record.team.clone(), record.service.clone(), refusal);
+        let mut state = self.lock();
+        if state.refusals.len() < MAX_REFUSAL_SUMS || state.refusals.contains_key(&key) {
+            *state.refusals.entry(key).or_default() += 1;
+        }
+    }
+
+    /// Adds one entry for each team, service and refusal that was counted since the last call.
+    pub fn sum_refusals(&self, time: WallTime) {
+        let mut state = self.lock();
+        let sums: BTreeMap<String, (RefusalKey, u64)> = std::mem::take(&mut state.refusals)
+            .into_iter()
+            .map(|(key, count)| (format!("{} {} {:?}", key.0, key.1, key.2), (key, count)))
+            .collect();
+        for ((team, service, refusal), count) in sums.into_values() {
+            let decision = JournalDecision::Refused {
+                team,
+                service,
+                refusal,
+                count,
+            };
+            push_entry(&mut state, self.capacity, time, decision, Vec::new());
+        }
+    }
+
+    /// Returns the entries after a sequence number, or all of them.
+    pub fn page(&self, after: Option<u64>) -> JournalPage {
+        let state = self.lock();
+        let is_later = |entry: &&JournalEntry| after.is_none_or(|after| entry.sequence > after);
+        JournalPage {
+            instance: self.instance.clone(),
+            incarnation: self.incarnation,
+            dropped: state.next_sequence - state.entries.len() as u64,
+            entries: state.entries.iter().filter(is_later).cloned().collect(),
+        }
+    }
+
+    // A panic while the lock is held leaves whole entries, so the journal stays usable.
+    fn lock(&self) -> MutexGuard<'_, JournalState> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+fn push_entry(
+    state: &mut JournalState,
+    capacity: usize,
+    time: WallTime,
+    decision: JournalDecision,
+    evidence: Vec<DecisionEvidence>,
+) {
+    if state.entries.len() == capacity {
+        state.entries.pop_front();
+    }
+    let sequence = state.next_sequence;
+    state.next_sequence += 1;
+    state.entries.push_back(JournalEntry {
+        sequence,
+        time,
+        decision,
+        evidence,
+    });
+}
+
+/// Merges the journals of several instances by time; a page that comes twice counts once.
+///
+/// Entries of one instance keep their order even where its clock was set back.
+pub fn merge_journals(pages: Vec<JournalPage>) -> Vec<MergedEntry> {
+    let mut merged = BTreeMap::new();
+    for page in pages {
+        let mut latest = WallTime::default();
+        for entry in page.entries {
+            latest = latest.max(entry.time);
+            let key = (
+                latest,
+                page.instance.clone(),
+                page.incarnation,
+                entry.sequence,
+            );
+            let instance = page.instance.clone();
+            merged.insert(key, MergedEntry { instance, entry });
+        }
+    }
+    merged.into_values().collect()
+}
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -1,8 +1,10 @@
 //! One running instance: what lives as long as its process.
 
 pub mod bundle_submission;
+pub mod decision_journal;
 pub mod endpoint_status;
 pub mod failover;
+pub mod journal_decision;
 pub mod log_setup;
 pub mod peers;
 pub mod setting_fields;
@@ -11,3 +13,4 @@
 pub mod shares;
 pub mod slots;
 pub mod timers;
+pub mod wall_time;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -9,6 +9,7 @@
 mod caller_fixture;
 mod caller_path;
 mod daemon_settings;
+mod decision_journal;
 mod isolation_evidence;
 mod key_verifiers;
 mod log_points;
