Report how fast objectives burn, per team and service

Refusals inside the rate, unknown outcomes and time without a primary burn the budget. Refusals above the rate do not, nor those that a caller causes.

The failed share of a window is the share of bad requests or of time without a primary, whichever is higher. A sum was ruled out, since it counts an outage twice; requests alone were ruled out, since they miss an outage in which nobody called.

Counts are kept in rings from 5 s to 12 h buckets, so that memory does not grow with time: under 500 buckets after 100 days with a request every minute (test bounded_memory). A request costs one addition; the rings are written once per 5 s.

--- /dev/null
+++ b/src/process/burn_report.rs
@@ -0,0 +1,235 @@
+//! How fast each team and service uses up the error budget of its objective.
+//!
+//! Refusals inside the rate, unknown outcomes and time without a primary burn the budget. Refusals
+//! above the rate do not, nor do those that a caller causes: a withdrawn key, a team that may not
+//! use the service, an unknown service, a transaction that the caller left open too long.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::collections::hash_map::DefaultHasher;
+use std::hash::Hash;
+use std::hash::Hasher;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use crate::process::burn_page::BurnPage;
+use crate::process::burn_page::BurnRow;
+use crate::process::burn_page::BurnSpan;
+use crate::process::burn_window::BurnCounts;
+use crate::process::burn_window::BurnWindow;
+use crate::process::timers::MonotonicTime;
+use crate::request::ports::RequestRecord;
+use crate::request::refusal::RequestRefusal;
+use crate::version::bundle::BundleConfig;
+use crate::version::bundle::ObjectiveConfig;
+use crate::version::ids::InstanceId;
+use crate::version::ids::ServiceId;
+use crate::version::ids::TeamId;
+
+/// The windows that every objective is shown over, besides its own, in seconds.
+pub const BURN_SPANS_S: [u64; 4] = [300, 3600, 6 * 3600, 72 * 3600];
+
+const SHARDS: usize = 16;
+
+/// How a request counts against the objective.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RequestVerdict {
+    /// It was answered.
+    Good,
+    /// It burns the budget.
+    Bad,
+    /// It does not count.
+    Excluded,
+}
+
+/// Returns how a request counts that ended like this.
+pub fn judge_request(refusal: Option<RequestRefusal>) -> RequestVerdict {
+    match refusal {
+        None => RequestVerdict::Good,
+        Some(
+            RequestRefusal::AboveRate
+            | RequestRefusal::KeyWithdrawn
+            | RequestRefusal::TeamNotAllowed
+            | RequestRefusal::UnknownService
+            | RequestRefusal::TransactionDeadline,
+        ) => RequestVerdict::Excluded,
+        Some(
+            RequestRefusal::QueueFull
+            | RequestRefusal::QueueDeadline
+            | RequestRefusal::NoPrimary
+            | RequestRefusal::NoEndpoint
+            | RequestRefusal::Isolated
+            | RequestRefusal::Draining
+            | RequestRefusal::OutcomeUnknown,
+        ) => RequestVerdict::Bad,
+    }
+}
+
+#[derive(Debug, Default)]
+struct ServiceState {
+    window: BurnWindow,
+    absent_since: Option<MonotonicTime>,
+}
+
+type TeamShard = Mutex<HashMap<(TeamId, ServiceId), BurnWindow>>;
+
+/// The counts of one instance since its start.
+#[derive(Debug)]
+pub struct BurnReport {
+    instance: InstanceId,
+    started: MonotonicTime,
+    teams: Vec<TeamShard>,
+    services: Mutex<HashMap<ServiceId, ServiceState>>,
+}
+
+impl BurnReport {
+    /// Creates empty counts.
+    pub fn new(instance: InstanceId, started: MonotonicTime) -> Self {
+        Self {
+            instance,
+            started,
+            teams: (0..SHARDS).map(|_| Mutex::default()).collect(),
+            services: Mutex::default(),
+        }
+    }
+
+    /// Counts a request that ended.
+    pub fn note_request(&self, record: &RequestRecord, now: MonotonicTime) {
+        let mut counts = BurnCounts::default();
+        match judge_request(record.refusal) {
+            RequestVerdict::Good => counts.good = 1,
+            RequestVerdict::Bad => counts.bad = 1,
+            RequestVerdict::Excluded => counts.excluded = 1,
+        }
+        let key = (record.team.clone(), record.service.clone());
+        let mut shard = lock(&self.teams[shard_index(&key)]);
+        shard.entry(key).or_default().add(counts, now);
+    }
+
+    /// Notes whether a service has a primary; call it at each change and at least once a minute.
+    pub fn note_primary(&self, service: &ServiceId, present: bool, now: MonotonicTime) {
+        let mut services = lock(&self.services);
+        let state = services.entry(service.clone()).or_default();
+        if let Some(since) = state.absent_since.take() {
+            let counts = BurnCounts {
+                absent_ms: whole_ms(now.saturating_since(since)),
+                ..BurnCounts::default()
+            };
+            state.window.add(counts, now);
+        }
+        state.absent_since = (!present).then_some(now);
+    }
+
+    /// Returns the counts over the windows of every objective, with the burn rates.
+    pub fn page(&self, bundle: &BundleConfig, now: MonotonicTime) -> BurnPage {
+        let mut rows = Vec::new();
+        for objective in &bundle.objectives {
+            let absent = self.absent_spans(objective, now);
+            let teams = self.team_spans(objective, now);
+            let mut total = absent.clone();
+            for spans in teams.values() {
+                for (sum, span) in total.iter_mut().zip(spans) {
+                    sum.add(*span);
+                }
+            }
+            rows.push(self.row(objective, None, &total, now));
+            for (team, mut spans) in teams {
+                for (span, absent) in spans.iter_mut().zip(&absent) {
+                    span.absent_ms = absent.absent_ms;
+                }
+                rows.push(self.row(objective, Some(team), &spans, now));
+            }
+        }
+        BurnPage {
+            instances: vec![self.instance.clone()],
+            rows,
+        }
+    }
+
+    fn row(
+        &self,
+        objective: &ObjectiveConfig,
+        team: Option<TeamId>,
+        spans: &[BurnCounts],
+        now: MonotonicTime,
+    ) -> BurnRow {
+        let age = now.saturating_since(self.started);
+        let spans = objective_spans(objective)
+            .iter()
+            .zip(spans)
+            .map(|(&span, &counts)| BurnSpan {
+                span_s: span.as_secs(),
+                covered_ms: whole_ms(age.min(span)),
+                counts,
+            })
+            .collect();
+        BurnRow {
+            service: objective.service.clone(),
+            team,
+            target: objective.target,
+            window_hours: objective.window_hours,
+            spans,
+        }
+    }
+
+    fn absent_spans(&self, objective: &ObjectiveConfig, now: MonotonicTime) -> Vec<BurnCounts> {
+        let services = lock(&self.services);
+        let state = services.get(&objective.service);
+        let sum = |span: Duration| {
+            let mut counts =
+                state.map_or(BurnCounts::default(), |state| state.window.sum(span, now));
+            // Time without a primary that still goes on is not in the window yet.
+            let since = state.and_then(|state| state.absent_since);
+            let open = since.map_or(Duration::ZERO, |since| now.saturating_since(since));
+            counts.absent_ms += whole_ms(open);
+            counts.absent_ms = counts.absent_ms.min(whole_ms(span));
+            counts
+        };
+        objective_spans(objective).into_iter().map(sum).collect()
+    }
+
+    fn team_spans(
+        &self,
+        objective: &ObjectiveConfig,
+        now: MonotonicTime,
+    ) -> BTreeMap<TeamId, Vec<BurnCounts>> {
+        let spans = objective_spans(objective);
+        let mut teams = BTreeMap::new();
+        for shard in &self.teams {
+            for ((team, service), window) in lock(shard).iter() {
+                if *service == objective.service {
+                    let sums = spans.iter().map(|&span| window.sum(span, now)).collect();
+                    teams.insert(team.clone(), sums);
+                }
+            }
+        }
+        teams
+    }
+}
+
+/// The fixed windows and that of the objective.
+fn objective_spans(objective: &ObjectiveConfig) -> Vec<Duration> {
+    let own = u64::from(objective.window_hours) * 3600;
+    let mut spans: Vec<u64> = BURN_SPANS_S.to_vec();
+    if !spans.contains(&own) {
+        spans.push(own);
+    }
+    spans.into_iter().map(Duration::from_secs).collect()
+}
+
+fn shard_index(key: &(TeamId, ServiceId)) -> usize {
+    let mut hasher = DefaultHasher::new();
+    key.hash(&mut hasher);
+    usize::try_from(hasher.finish() % SHARDS as u64).unwrap_or(0)
+}
+
+fn whole_ms(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
+
+// Counts stay usable after a panic elsewhere: each update is a plain addition.
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -1,6 +1,9 @@
 //! One running instance: what lives as long as its process.
 
 pub mod bundle_submission;
+pub mod burn_page;
+pub mod burn_report;
+pub mod burn_window;
 pub mod decision_journal;
 pub mod endpoint_status;
 pub mod failover;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 mod bundle_signatures;
 mod bundle_submissions;
 mod bundle_versions;
+mod burn_report;
 mod caller_ending;
 mod caller_fixture;
 mod caller_path;
