--- /dev/null
+++ b/src/process/metrics.rs
@@ -0,0 +1,325 @@
+//! The metrics of one instance, in the Prometheus text format.
+//!
+//! Names end with their unit; `docs/OPERATIONS.md` lists them.
+
+use std::fmt;
+
+use prometheus::Gauge;
+use prometheus::GaugeVec;
+use prometheus::HistogramOpts;
+use prometheus::HistogramVec;
+use prometheus::IntCounter;
+use prometheus::IntCounterVec;
+use prometheus::IntGauge;
+use prometheus::IntGaugeVec;
+use prometheus::Opts;
+use prometheus::Registry;
+use prometheus::TextEncoder;
+use prometheus::core::Collector;
+
+use crate::process::burn_page::BurnPage;
+use crate::request::ports::RequestClass;
+use crate::request::ports::RequestRecord;
+use crate::request::refusal::RequestRefusal;
+use crate::version::ids::TeamId;
+
+/// From 100 us to 30 s: waits inside one zone up to the longest timeouts of callers.
+const SECONDS_BUCKETS: [f64; 15] = [
+    0.0001, 0.00025, 0.0005, 0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 1.0, 3.0, 10.0,
+    30.0,
+];
+
+/// Why metrics cannot be made or written.
+#[derive(Debug)]
+pub struct MetricsError(prometheus::Error);
+
+impl fmt::Display for MetricsError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "metrics: {}", self.0)
+    }
+}
+
+impl std::error::Error for MetricsError {}
+
+impl From<prometheus::Error> for MetricsError {
+    fn from(error: prometheus::Error) -> Self {
+        Self(error)
+    }
+}
+
+/// The metrics of one instance; the daemon sets the public ones.
+pub struct ProcessMetrics {
+    registry: Registry,
+    requests: IntCounterVec,
+    reads: IntCounterVec,
+    waits: HistogramVec,
+    durations: HistogramVec,
+    burn_rate: GaugeVec,
+    budget_left: GaugeVec,
+    /// Open connections of callers.
+    pub caller_connections: IntGauge,
+    /// Open connections to endpoints, by service and endpoint.
+    pub endpoint_connections: IntGaugeVec,
+    /// Whether a service has a primary, by service.
+    pub primary_present: IntGaugeVec,
+    /// The term of a group, by service.
+    pub group_term: IntGaugeVec,
+    /// Promotions by this instance, by service.
+    pub promotions: IntCounterVec,
+    /// The version in force.
+    pub bundle_version: IntGauge,
+    /// Bundles that were refused.
+    pub bundle_refusals: IntCounter,
+    /// Calls of the store, by operation and outcome.
+    pub store_calls: IntCounterVec,
+    /// Time since the store was last heard.
+    pub store_silence: Gauge,
+    /// Peers that answer.
+    pub live_peers: IntGauge,
+    /// Whether the instance refuses requests because it is isolated.
+    pub isolated: IntGauge,
+    /// Whether the instance is stopping.
+    pub draining: IntGauge,
+    /// Decisions in the journal, by kind.
+    pub decisions: IntCounterVec,
+}
+
+impl ProcessMetrics {
+    /// Creates all metrics at zero.
+    pub fn new(program_version: &str) -> Result<Self, MetricsError> {
+        let registry = Registry::new();
+        let build = int_gauges(
+            &registry,
+            "tamaracklb_build_info",
+            "Always 1; the label names the program version.",
+            &["version"],
+        )?;
+        build.with_label_values(&[program_version]).set(1);
+        Ok(Self {
+            requests: counters(
+                &registry,
+                "tamaracklb_requests_total",
+                "Requests that ended, by outcome.",
+                &["team", "service", "class", "outcome"],
+            )?,
+            reads: counters(
+                &registry,
+                "tamaracklb_reads_total",
+                "Answered reads, by the role of the endpoint that served them.",
+                &["service", "class", "role"],
+            )?,
+            waits: histograms(
+                &registry,
+                "tamaracklb_request_wait_seconds",
+                "Time from the arrival of a request to its permit.",
+            )?,
+            durations: histograms(
+                &registry,
+                "tamaracklb_request_duration_seconds",
+                "Time from the arrival of a request to its end.",
+            )?,
+            burn_rate: gauges(
+                &registry,
+                "tamaracklb_slo_burn_rate_ratio",
+                "Error budget use relative to the allowed use; above 1 the budget does not last.",
+                &["service", "team", "objective", "window"],
+            )?,
+            budget_left: gauges(
+                &registry,
+                "tamaracklb_slo_budget_left_ratio",
+                "Share of the error budget that is left in the window of the objective.",
+                &["service", "team", "objective"],
+            )?,
+            caller_connections: int_gauge(
+                &registry,
+                "tamaracklb_caller_connections",
+                "Open connections of callers.",
+            )?,
+            endpoint_connections: int_gauges(
+                &registry,
+                "tamaracklb_endpoint_connections",
+                "Open connections to endpoints.",
+                &["service", "endpoint"],
+            )?,
+            primary_present: int_gauges(
+                &registry,
+                "tamaracklb_primary_present",
+                "1 while the service has a primary.",
+                &["service"],
+            )?,
+            group_term: int_gauges(
+                &registry,
+                "tamaracklb_group_term",
+                "The highest term seen in the group.",
+                &["service"],
+            )?,
+            promotions: counters(
+                &registry,
+                "tamaracklb_promotions_total",
+                "Promotions by this instance.",
+                &["service"],
+            )?,
+            bundle_version: int_gauge(
+                &registry,
+                "tamaracklb_bundle_version",
+                "The bundle version in force; 0 where there is none.",
+            )?,
+            bundle_refusals: counter(
+                &registry,
+                "tamaracklb_bundle_refusals_total",
+                "Bundles that were refused.",
+            )?,
+            store_calls: counters(
+                &registry,
+                "tamaracklb_store_calls_total",
+                "Calls of the store, by outcome; a waiting watch counts as one.",
+                &["operation", "outcome"],
+            )?,
+            store_silence: gauge(
+                &registry,
+                "tamaracklb_store_silence_seconds",
+                "Time since the store was last heard.",
+            )?,
+            live_peers: int_gauge(&registry, "tamaracklb_live_peers", "Peers that answer.")?,
+            isolated: int_gauge(
+                &registry,
+                "tamaracklb_isolated",
+                "1 while the instance refuses requests because it is isolated.",
+            )?,
+            draining: int_gauge(
+                &registry,
+                "tamaracklb_draining",
+                "1 while the instance is stopping.",
+            )?,
+            decisions: counters(
+                &registry,
+                "tamaracklb_decisions_total",
+                "Decisions in the journal.",
+                &["kind"],
+            )?,
+            registry,
+        })
+    }
+
+    /// Counts a request that ended.
+    pub fn note_request(&self, record: &RequestRecord) {
+        let class = class_label(record.class);
+        let service = record.service.as_str();
+        let outcome = outcome_label(record.refusal);
+        self.requests
+            .with_label_values(&[record.team.as_str(), service, class, outcome])
+            .inc();
+        self.waits
+            .with_label_values(&[service, class])
+            .observe(record.wait.as_secs_f64());
+        self.durations
+            .with_label_values(&[service, class])
+            .observe(record.total.as_secs_f64());
+        if record.class != RequestClass::Write && record.refusal.is_none() {
+            let role = if record.replica { "replica" } else { "primary" };
+            self.reads.with_label_values(&[service, class, role]).inc();
+        }
+    }
+
+    /// Sets the gauges of the objectives; rows that are gone disappear.
+    pub fn set_burn(&self, page: &BurnPage) {
+        self.burn_rate.reset();
+        self.budget_left.reset();
+        for row in &page.rows {
+            let team = row.team.as_ref().map_or("", TeamId::as_str);
+            let objective = format!("{}h", row.window_hours);
+            let labels = [row.service.as_str(), team, &objective];
+            let left = row.budget_left();
+            self.budget_left.with_label_values(&labels).set(left);
+            for span in &row.spans {
+                let window = format!("{}s", span.span_s);
+                let labels = [labels[0], labels[1], labels[2], &window];
+                let rate = span.burn_rate(row.target);
+                self.burn_rate.with_label_values(&labels).set(rate);
+            }
+        }
+    }
+
+    /// Returns all metrics in the text format.
+    pub fn render(&self) -> Result<String, MetricsError> {
+        Ok(TextEncoder::new().encode_to_string(&self.registry.gather())?)
+    }
+}
+
+fn class_label(class: RequestClass) -> &'static str {
+    match class {
+        RequestClass::Write => "write",
+        RequestClass::Read => "read",
+        RequestClass::StaleRead => "stale_read",
+    }
+}
+
+fn outcome_label(refusal: Option<RequestRefusal>) -> &'static str {
+    match refusal {
+        None => "answered",
+        Some(RequestRefusal::AboveRate) => "above_rate",
+        Some(RequestRefusal::QueueFull) => "queue_full",
+        Some(RequestRefusal::QueueDeadline) => "queue_deadline",
+        Some(RequestRefusal::NoPrimary) => "no_primary",
+        Some(RequestRefusal::NoEndpoint) => "no_endpoint",
+        Some(RequestRefusal::Isolated) => "isolated",
+        Some(RequestRefusal::KeyWithdrawn) => "key_withdrawn",
+        Some(RequestRefusal::TeamNotAllowed) => "team_not_allowed",
+        Some(RequestRefusal::UnknownService) => "unknown_service",
+        Some(RequestRefusal::Draining) => "draining",
+        Some(RequestRefusal::TransactionDeadline) => "transaction_deadline",
+        Some(RequestRefusal::OutcomeUnknown) => "outcome_unknown",
+    }
+}
+
+fn register<C>(registry: &Registry, collector: C) -> Result<C, MetricsError>
+where
+    C: Collector + Clone + 'static,
+{
+    registry.register(Box::new(collector.clone()))?;
+    Ok(collector)
+}
+
+fn counter(registry: &Registry, name: &str, help: &str) -> Result<IntCounter, MetricsError> {
+    register(registry, IntCounter::new(name, help)?)
+}
+
+fn counters(
+    registry: &Registry,
+    name: &str,
+    help: &str,
+    labels: &[&str],
+) -> Result<IntCounterVec, MetricsError> {
+    register(registry, IntCounterVec::new(Opts::new(name, help), labels)?)
+}
+
+fn gauge(registry: &Registry, name: &str, help: &str) -> Result<Gauge, MetricsError> {
+    register(registry, Gauge::new(name, help)?)
+}
+
+fn gauges(
+    registry: &Registry,
+    name: &str,
+    help: &str,
+    labels: &[&str],
+) -> Result<GaugeVec, MetricsError> {
+    register(registry, GaugeVec::new(Opts::new(name, help), labels)?)
+}
+
+fn int_gauge(registry: &Registry, name: &str, help: &str) -> Result<IntGauge, MetricsError> {
+    register(registry, IntGauge::new(name, help)?)
+}
+
+fn int_gauges(
+    registry: &Registry,
+    name: &str,
+    help: &str,
+    labels: &[&str],
+) -> Result<IntGaugeVec, MetricsError> {
+    register(registry, IntGaugeVec::new(Opts::new(name, help), labels)?)
+}
+
+fn histograms(registry: &Registry, name: &str, help: &str) -> Result<HistogramVec, MetricsError> {
+    let options = HistogramOpts::new(name, help).buckets(SECONDS_BUCKETS.to_vec());
+    register(registry, HistogramVec::new(options, &["service", "class"])?)
+}
