Keep a runtime for each service and route requests by it

Cause: nothing joined the bundle's services, their groups and the callers' requests. Ruled out: refusing at once while a group has no primary; the request waits up to its queue deadline, so that a failover shorter than that refuses nothing. Slots are counted for this instance alone until the slot coordinator is wired. Conclusion: interfaces in place.

--- /dev/null
+++ b/src/process/service_table.rs
@@ -0,0 +1,233 @@
+//! The services of the bundle in force, and the admission of requests to them.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::sync::RwLock;
+use std::time::Duration;
+
+use crate::process::failover::failure_evidence::WatcherReport;
+use crate::process::failover::group_controller::WatchSettings;
+use crate::process::failover::group_event::GroupEvent;
+use crate::process::peers::membership_view::MemberRecord;
+use crate::process::peers::peer_digest::ServiceDigest;
+use crate::process::service_runtime::EndpointLogin;
+use crate::process::service_runtime::ServiceRuntime;
+use crate::process::slots::rendezvous::RendezvousMember;
+use crate::process::slots::rendezvous::spread_order;
+use crate::process::timers;
+use crate::process::timers::MonotonicTime;
+use crate::request::ports::AdmitQuery;
+use crate::request::ports::SlotPermit;
+use crate::request::read_route::RouteCandidate;
+use crate::request::read_route::RouteQuery;
+use crate::request::read_route::choose_endpoint;
+use crate::request::refusal::RequestRefusal;
+use crate::version::bundle::BundleConfig;
+use crate::version::ids::InstanceId;
+use crate::version::ids::ServiceId;
+use crate::version::ids::ZoneId;
+
+/// How many instances watch a group for failures of its primary.
+pub const GROUP_WATCHERS: usize = 5;
+
+const ROUTE_RETRY: Duration = Duration::from_millis(20);
+
+/// Takes the decisions on a service's group that are worth a journal entry.
+pub type ServiceEventFn = Arc<dyn Fn(&ServiceId, GroupEvent) + Send + Sync>;
+
+/// The services of one instance.
+pub struct ServiceTable {
+    instance: InstanceId,
+    zone: ZoneId,
+    login: EndpointLogin,
+    on_event: ServiceEventFn,
+    services: RwLock<HashMap<ServiceId, Arc<ServiceRuntime>>>,
+}
+
+impl ServiceTable {
+    /// Creates a table without services.
+    pub fn new(
+        instance: InstanceId,
+        zone: ZoneId,
+        login: EndpointLogin,
+        on_event: ServiceEventFn,
+    ) -> Self {
+        Self {
+            instance,
+            zone,
+            login,
+            on_event,
+            services: RwLock::default(),
+        }
+    }
+
+    /// Takes the services of a newer bundle.
+    pub fn set_bundle(&self, config: &BundleConfig, live: &[MemberRecord]) {
+        let mut services = self.services.write().unwrap_or_else(|e| e.into_inner());
+        services.retain(|id, _| config.services.iter().any(|service| service.id == *id));
+        for service in &config.services {
+            match services.get(&service.id) {
+                Some(runtime) => runtime.set_config(service),
+                None => {
+                    let on_event = self.on_event.clone();
+                    let id = service.id.clone();
+                    let runtime = ServiceRuntime::new(
+                        service,
+                        self.login.clone(),
+                        self.watch_settings(&service.id, live),
+                        rand::random(),
+                        Box::new(move |event| on_event(&id, event)),
+                    );
+                    services.insert(service.id.clone(), Arc::new(runtime));
+                }
+            }
+        }
+    }
+
+    /// Takes the live instances, on which the watchers of each group depend.
+    pub fn set_live(&self, live: &[MemberRecord]) {
+        for (id, runtime) in self.all() {
+            runtime.watcher.set_watchers(self.watch_settings(&id, live));
+        }
+    }
+
+    fn watch_settings(&self, service: &ServiceId, live: &[MemberRecord]) -> WatchSettings {
+        let members: Vec<RendezvousMember> = live
+            .iter()
+            .map(|member| RendezvousMember {
+                instance: member.instance.clone(),
+                zone: member.zone.clone(),
+            })
+            .collect();
+        let mut watchers = spread_order(service.as_str(), &members);
+        watchers.truncate(GROUP_WATCHERS);
+        WatchSettings {
+            instance: self.instance.clone(),
+            first_in_line: watchers.first() == Some(&self.instance),
+            watchers,
+        }
+    }
+
+    /// Lets each group's watcher do what is due.
+    pub fn tick(&self) {
+        for (_, runtime) in self.all() {
+            runtime.watcher.tick();
+        }
+    }
+
+    /// Returns what this instance sees of the services, for its heartbeat.
+    pub fn digests(&self) -> Vec<ServiceDigest> {
+        let now = timers::now();
+        let digest_of = |(service, runtime): (ServiceId, Arc<ServiceRuntime>)| {
+            let report = runtime.watcher.own_report(now);
+            let failing = report
+                .as_ref()
+                .map_or(Duration::ZERO, |(_, failing)| *failing);
+            ServiceDigest {
+                service,
+                primary: report.map(|(endpoint, _)| endpoint),
+                point: runtime.watcher.highest_point(),
+                unreachable_ms: u64::try_from(failing.as_millis()).unwrap_or(u64::MAX),
+            }
+        };
+        self.all().into_iter().map(digest_of).collect()
+    }
+
+    /// Takes what a peer sees of a service.
+    pub fn on_report(&self, peer: &InstanceId, digest: &ServiceDigest, received_at: MonotonicTime) {
+        let Some(runtime) = self.get(&digest.service) else {
+            return;
+        };
+        let Some(primary) = digest.primary.clone() else {
+            return;
+        };
+        runtime.watcher.on_report(WatcherReport {
+            instance: peer.clone(),
+            primary,
+            connect_failing_for: Duration::from_millis(digest.unreachable_ms),
+            received_at,
+        });
+    }
+
+    /// Returns a service.
+    pub fn get(&self, service: &ServiceId) -> Option<Arc<ServiceRuntime>> {
+        self.services
+            .read()
+            .unwrap_or_else(|e| e.into_inner())
+            .get(service)
+            .cloned()
+    }
+
+    /// Returns all services.
+    pub fn all(&self) -> Vec<(ServiceId, Arc<ServiceRuntime>)> {
+        let services = self.services.read().unwrap_or_else(|e| e.into_inner());
+        services
+            .iter()
+            .map(|(id, runtime)| (id.clone(), runtime.clone()))
+            .collect()
+    }
+
+    /// Chooses an endpoint for a request and waits for one of its slots.
+    ///
+    /// While no endpoint is eligible, as during a failover, the request waits as well.
+    pub async fn take_permit(&self, query: &AdmitQuery) -> Result<SlotPermit, RequestRefusal> {
+        let deadline = timers::now() + query.wait;
+        let runtime = self
+            .get(&query.service)
+            .ok_or(RequestRefusal::UnknownService)?;
+        loop {
+            let left = deadline.saturating_since(timers::now());
+            match self.choose(&runtime, query) {
+                Ok(candidate) => return grant_permit(&runtime, candidate, left).await,
+                Err(refusal) if left.is_zero() => return Err(refusal),
+                Err(_) => tokio::time::sleep(ROUTE_RETRY.min(left)).await,
+            }
+        }
+    }
+
+    fn choose(
+        &self,
+        runtime: &ServiceRuntime,
+        query: &AdmitQuery,
+    ) -> Result<RouteCandidate, RequestRefusal> {
+        let mut candidates = runtime
+            .watcher
+            .candidates(|endpoint| runtime.load_of(endpoint));
+        let limit = runtime.config().staleness_limit_ms;
+        let route = RouteQuery {
+            class: query.class,
+            floor: query.floor,
+            staleness_limit: limit.map(|limit| Duration::from_millis(limit.0)),
+            zone: &self.zone,
+            excluded: &query.excluded,
+            seed: rand::random(),
+        };
+        let index = choose_endpoint(&candidates, &route)?;
+        Ok(candidates.swap_remove(index))
+    }
+}
+
+async fn grant_permit(
+    runtime: &Arc<ServiceRuntime>,
+    candidate: RouteCandidate,
+    limit: Duration,
+) -> Result<SlotPermit, RequestRefusal> {
+    let endpoint = candidate.endpoint;
+    let slot = runtime.take_slot(&endpoint, limit).await?;
+    let address = runtime
+        .address_of(&endpoint)
+        .ok_or(RequestRefusal::NoEndpoint)?;
+    let watcher = runtime.watcher.clone();
+    let used = endpoint.clone();
+    let superseded = move || watcher.primary().is_some_and(|primary| primary != used);
+    Ok(SlotPermit {
+        endpoint,
+        address,
+        primary: candidate.primary,
+        known_point: candidate.point,
+        superseded: candidate
+            .primary
+            .then(|| Box::new(superseded) as Box<dyn Fn() -> bool + Send>),
+        on_release: Some(Box::new(move || drop(slot))),
+    })
+}
