Start a daemon from its settings

Cause: the parts had no process around them. Ruled out: one runtime for callers and control; the caller listener keeps its own threads, so that a slow control call cannot delay a caller. Measured: not yet.

--- /dev/null
+++ b/src/process/daemon.rs
@@ -0,0 +1,294 @@
+//! A daemon: starts the parts of an instance, keeps them going and stops them.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::OnceLock;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use sha2::Digest;
+use sha2::Sha256;
+use tokio::task::JoinHandle;
+use tracing::info;
+
+use crate::connection::listener;
+use crate::connection::listener::ListenerHandle;
+use crate::connection::listener_config::CallerLimits;
+use crate::connection::listener_config::ListenerConfig;
+use crate::connection::listener_config::SecretText;
+use crate::process::bundle_feed::BundleFeed;
+use crate::process::bundle_intake::BundleSource;
+use crate::process::caller_tls::load_caller_tls;
+use crate::process::daemon_error::DaemonError;
+use crate::process::daemon_parts::DaemonParts;
+use crate::process::group_watcher::WATCH_TICK;
+use crate::process::journal_decision::JournalDecision;
+use crate::process::peers::fleet_links::HEARTBEAT_PERIOD;
+use crate::process::peers::membership_view::MemberRecord;
+use crate::process::peers::peer_identity::PeerIdentity;
+use crate::process::peers::peer_mesh::PeerMesh;
+use crate::process::settings::DaemonSettings;
+use crate::process::share_driver::TICK_PERIOD;
+use crate::process::store_client::StoreClient;
+use crate::process::timers::TimerGuard;
+use crate::process::timers::TimerService;
+use crate::process::wall_time::WallTime;
+use crate::request::ports::RequestPorts;
+use crate::request::refusal::RequestRefusal;
+
+const MEMBERS_PERIOD: Duration = Duration::from_millis(250);
+const SEED_PERIOD: Duration = Duration::from_secs(2);
+const SHARE_RETURN_LIMIT: Duration = Duration::from_secs(3);
+const DRAIN_POLL: Duration = Duration::from_millis(50);
+const MAX_WORKERS: usize = 4;
+
+/// A running daemon.
+pub struct Daemon {
+    parts: Arc<DaemonParts>,
+    listener: Option<ListenerHandle>,
+    caller_address: SocketAddr,
+    timers: Vec<TimerGuard>,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl Daemon {
+    /// Starts a daemon; it serves callers as soon as it has a bundle.
+    pub async fn start(settings: DaemonSettings) -> Result<Daemon, DaemonError> {
+        let store_address = *settings
+            .store_addresses
+            .first()
+            .ok_or(DaemonError::NoStore)?;
+        let store = StoreClient::start(store_address, settings.store_timeout)
+            .map_err(|error| DaemonError::StoreClient { error })?;
+        let own = MemberRecord {
+            instance: settings.instance_id.clone(),
+            zone: settings.availability_zone.clone(),
+            address: settings.peer_address,
+        };
+        let parts = Arc::new(DaemonParts::new(&settings, own, &store));
+        start_mesh(&settings, &parts)?;
+        load_bundle_file(&settings, &parts)?;
+        let timers = subscribe_timers(&parts, &settings.peer_addresses);
+        let tasks = spawn_feeds(&parts, store);
+        let listener = start_listener(&settings, &parts)?;
+        let started = JournalDecision::Started {
+            program_version: env!("CARGO_PKG_VERSION").to_owned(),
+        };
+        parts.journal.append(WallTime::now(), started, Vec::new());
+        let caller_address = listener.address();
+        info!(
+            "daemon: {} serves callers on {caller_address}",
+            settings.instance_id
+        );
+        Ok(Daemon {
+            parts,
+            listener: Some(listener),
+            caller_address,
+            timers,
+            tasks,
+        })
+    }
+
+    /// Returns where callers connect.
+    pub fn caller_address(&self) -> SocketAddr {
+        self.caller_address
+    }
+
+    /// Returns the parts, for reports and tests.
+    pub fn parts(&self) -> &Arc<DaemonParts> {
+        &self.parts
+    }
+
+    /// Stops accepting, lets open transactions end, gives shares back, and ends the tasks.
+    pub async fn drain(mut self) {
+        info!("daemon: draining");
+        self.parts.draining.store(true, Ordering::Relaxed);
+        let started = JournalDecision::DrainStarted {
+            open_transactions: 0,
+        };
+        self.parts
+            .journal
+            .append(WallTime::now(), started, Vec::new());
+        if let Some(listener) = self.listener.take() {
+            listener.stop().await;
+        }
+        self.return_shares().await;
+        self.timers.clear();
+        self.tasks.iter().for_each(JoinHandle::abort);
+        info!("daemon: stopped");
+    }
+
+    async fn return_shares(&self) {
+        self.parts.shares.drain();
+        let wait = async {
+            while !self.parts.shares.is_drained() {
+                tokio::time::sleep(DRAIN_POLL).await;
+            }
+        };
+        if tokio::time::timeout(SHARE_RETURN_LIMIT, wait)
+            .await
+            .is_err()
+        {
+            info!("daemon: stopped before all shares were given back");
+        }
+    }
+}
+
+impl Drop for Daemon {
+    fn drop(&mut self) {
+        self.tasks.iter().for_each(JoinHandle::abort);
+    }
+}
+
+fn start_mesh(settings: &DaemonSettings, parts: &Arc<DaemonParts>) -> Result<(), DaemonError> {
+    let identity = PeerIdentity::from_files(
+        &settings.peer_tls.certificate,
+        &settings.peer_tls.key,
+        &settings.peer_tls_authority,
+    )?;
+    let links = parts.links.clone();
+    let answer = move |request| -> futures_util::future::BoxFuture<'static, _> {
+        let links = links.clone();
+        Box::pin(async move { links.answer(request).await })
+    };
+    let mesh = PeerMesh::start(settings.peer_address, &identity, Box::new(answer))?;
+    let _ = OnceLock::set(&parts.mesh, Arc::new(mesh));
+    Ok(())
+}
+
+fn load_bundle_file(settings: &DaemonSettings, parts: &DaemonParts) -> Result<(), DaemonError> {
+    if let Some(path) = &settings.bundle_file {
+        let text = std::fs::read_to_string(path).map_err(|error| DaemonError::ReadFile {
+            path: path.clone(),
+            error,
+        })?;
+        parts.intake.offer(&text, BundleSource::File);
+        parts.apply_bundle();
+    }
+    Ok(())
+}
+
+fn subscribe_timers(parts: &Arc<DaemonParts>, seeds: &[SocketAddr]) -> Vec<TimerGuard> {
+    let service = TimerService::default();
+    let (watched, shared, members) = (parts.clone(), parts.clone(), parts.clone());
+    let (probing, seeding) = (parts.clone(), parts.clone());
+    let seeds: Arc<[SocketAddr]> = seeds.into();
+    vec![
+        service.subscribe(WATCH_TICK, move |_| watched.services.tick()),
+        service.subscribe(TICK_PERIOD, move |_| shared.shares.tick()),
+        service.subscribe(MEMBERS_PERIOD, move |_| members.apply_members()),
+        service.subscribe(HEARTBEAT_PERIOD, move |_| {
+            if let Some(mesh) = probing.mesh.get().cloned() {
+                let links = probing.links.clone();
+                tokio::spawn(async move { links.probe_peers(&mesh).await });
+            }
+        }),
+        service.subscribe(SEED_PERIOD, move |_| {
+            if let Some(mesh) = seeding.mesh.get().cloned() {
+                let (links, seeds) = (seeding.links.clone(), seeds.clone());
+                tokio::spawn(async move { links.probe_seeds(&mesh, &seeds).await });
+            }
+        }),
+    ]
+}
+
+fn spawn_feeds(parts: &Arc<DaemonParts>, store: StoreClient) -> Vec<JoinHandle<()>> {
+    let feed = Arc::new(BundleFeed::new(
+        store,
+        parts.intake.clone(),
+        parts.links.clone(),
+    ));
+    let lister = feed.clone();
+    let applier = parts.clone();
+    vec![
+        tokio::spawn(async move { feed.follow_bundle().await }),
+        tokio::spawn(async move { lister.follow_instances().await }),
+        tokio::spawn(async move {
+            let mut changes = applier.bundles.subscribe();
+            while changes.changed().await.is_ok() {
+                applier.apply_bundle();
+            }
+        }),
+    ]
+}
+
+fn start_listener(
+    settings: &DaemonSettings,
+    parts: &Arc<DaemonParts>,
+) -> Result<ListenerHandle, DaemonError> {
+    let password = settings.endpoint_password.expose();
+    let workers = std::thread::available_parallelism()
+        .map_or(1, usize::from)
+        .min(MAX_WORKERS);
+    let config = ListenerConfig {
+        address: settings.caller_address,
+        workers,
+        tls: settings
+            .caller_tls
+            .as_ref()
+            .map(load_caller_tls)
+            .transpose()?,
+        endpoint_user: settings.endpoint_user.clone(),
+        endpoint_password: SecretText::new(password),
+        salt_secret: SecretText::new(salt_secret(password)),
+        limits: CallerLimits {
+            startup_time: settings.startup_timeout,
+            message_bytes: settings.max_message_bytes,
+            queue_wait: settings.queue_timeout,
+            connect_time: settings.connect_timeout,
+            confirm_time: settings.confirm_timeout,
+            transaction_time: settings.transaction_timeout,
+            drain_time: settings.drain_timeout,
+            ..CallerLimits::default()
+        },
+    };
+    Ok(listener::serve(
+        config,
+        Arc::new(request_ports(settings, parts)),
+    )?)
+}
+
+/// Derives the secret of made-up salts, which must be the same on all instances.
+fn salt_secret(password: &str) -> String {
+    let digest = Sha256::new()
+        .chain_update(b"salt:")
+        .chain_update(password)
+        .finalize();
+    digest.iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+fn request_ports(settings: &DaemonSettings, parts: &Arc<DaemonParts>) -> RequestPorts {
+    let (bundle, admit, confirm, floor) =
+        (parts.clone(), parts.clone(), parts.clone(), parts.clone());
+    let (limit, record, draining) = (parts.clone(), parts.clone(), parts.clone());
+    let (confirm_limit, floor_limit) = (settings.confirm_timeout, settings.queue_timeout);
+    RequestPorts {
+        bundle: Box::new(move || bundle.bundle()),
+        admit: Box::new(move |query| {
+            let parts = admit.clone();
+            Box::pin(async move { parts.admit(query).await })
+        }),
+        confirm: Box::new(move |service, endpoint, point| {
+            let runtime = confirm.services.get(&service);
+            Box::pin(async move {
+                let runtime = runtime.ok_or(RequestRefusal::OutcomeUnknown)?;
+                runtime
+                    .watcher
+                    .confirm(endpoint, point, confirm_limit)
+                    .await
+            })
+        }),
+        floor: Box::new(move |service| {
+            let runtime = floor.services.get(&service);
+            Box::pin(async move {
+                let runtime = runtime.ok_or(RequestRefusal::UnknownService)?;
+                runtime.watcher.floor(floor_limit).await
+            })
+        }),
+        connection_limit: Box::new(move |service, endpoint| {
+            limit.connection_limit(service, endpoint)
+        }),
+        record: Box::new(move |outcome| record.journal.note_request(&outcome)),
+        draining: Box::new(move || draining.is_draining()),
+    }
+}
--- /dev/null
+++ b/src/process/daemon_error.rs
@@ -0,0 +1,63 @@
+//! Failures that keep a daemon from starting.
+
+use std::fmt;
+use std::io;
+use std::path::PathBuf;
+
+use crate::connection::listener::ListenerError;
+use crate::process::peers::peer_error::PeerError;
+
+/// Why a daemon did not start.
+#[derive(Debug)]
+pub enum DaemonError {
+    /// A file that the settings name cannot be read.
+    ReadFile { path: PathBuf, error: io::Error },
+    /// The certificate for callers cannot be used.
+    CallerTls { error: rustls::Error },
+    /// A file holds no certificate or no key.
+    EmptyFile { path: PathBuf },
+    /// The store client's thread did not start.
+    StoreClient { error: io::Error },
+    /// The settings name no store.
+    NoStore,
+    /// The links to peers did not start.
+    Peers(PeerError),
+    /// The caller listener did not start.
+    Listener(ListenerError),
+}
+
+impl fmt::Display for DaemonError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            DaemonError::ReadFile { path, error } => {
+                write!(f, "cannot read {}: {error}", path.display())
+            }
+            DaemonError::CallerTls { error } => {
+                write!(f, "the certificate for callers cannot be used: {error}")
+            }
+            DaemonError::EmptyFile { path } => {
+                write!(f, "{} holds no certificate or key", path.display())
+            }
+            DaemonError::StoreClient { error } => {
+                write!(f, "cannot start the store client: {error}")
+            }
+            DaemonError::NoStore => write!(f, "the settings name no store"),
+            DaemonError::Peers(error) => write!(f, "cannot start the peer links: {error}"),
+            DaemonError::Listener(error) => write!(f, "{error}"),
+        }
+    }
+}
+
+impl std::error::Error for DaemonError {}
+
+impl From<PeerError> for DaemonError {
+    fn from(error: PeerError) -> Self {
+        DaemonError::Peers(error)
+    }
+}
+
+impl From<ListenerError> for DaemonError {
+    fn from(error: ListenerError) -> Self {
+        DaemonError::Listener(error)
+    }
+}
--- /dev/null
+++ b/src/process/daemon_parts.rs
@@ -0,0 +1,405 @@
+//! The parts of a daemon and the calls between them.
+
+use std::sync::Arc;
+use std::sync::OnceLock;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use store_wire::CasRequest;
+use tracing::debug;
+use tracing::info;
+
+use crate::process::bundle_intake::BundleIntake;
+use crate::process::bundle_intake::BundleSource;
+use crate::process::decision_journal::DecisionJournal;
+use crate::process::decision_journal::JOURNAL_ENTRIES;
+use crate::process::digest_table::DigestTable;
+use crate::process::failover::group_event::GroupEvent;
+use crate::process::journal_decision::JournalDecision;
+use crate::process::peers::fleet_links::FleetLinks;
+use crate::process::peers::fleet_links::FleetPorts;
+use crate::process::peers::isolation_monitor::StoreEvidence;
+use crate::process::peers::membership_view::MemberRecord;
+use crate::process::peers::peer_digest::PeerDigest;
+use crate::process::peers::peer_mesh::PeerMesh;
+use crate::process::peers::peer_message::PeerPart;
+use crate::process::service_runtime::EndpointLogin;
+use crate::process::service_table::ServiceTable;
+use crate::process::settings::DaemonSettings;
+use crate::process::share_driver::SHARE_SHARDS;
+use crate::process::share_driver::ShareDriver;
+use crate::process::share_driver::ShareEnvelope;
+use crate::process::share_driver::SharePorts;
+use crate::process::shares::messages::StoreAnswer;
+use crate::process::shares::settings::ShareSettings;
+use crate::process::shares::table::ShareTable;
+use crate::process::slots::rendezvous::RendezvousMember;
+use crate::process::slots::rendezvous::spread_order;
+use crate::process::store_client::StoreClient;
+use crate::process::store_client::SwapOutcome;
+use crate::process::timers;
+use crate::process::wall_time::WallTime;
+use crate::request::ports::AdmitQuery;
+use crate::request::ports::SlotPermit;
+use crate::request::refusal::RequestRefusal;
+use crate::version::bundle::BundleConfig;
+use crate::version::bundle_store::BundleStore;
+use crate::version::ids::EndpointId;
+use crate::version::ids::InstanceId;
+use crate::version::ids::ServiceId;
+use crate::version::units::ConnectionCount;
+
+/// How many peers an instance asks for their state.
+pub const PEER_LINKS: usize = 15;
+
+const SHARE_SEND_LIMIT: Duration = Duration::from_secs(1);
+
+/// Control connections that one instance may have open to an endpoint at once.
+const CONTROL_CONNECTIONS: u32 = 2;
+
+/// What lives as long as a daemon.
+pub struct DaemonParts {
+    /// The journal of decisions.
+    pub journal: Arc<DecisionJournal>,
+    /// The bundle in force.
+    pub bundles: Arc<BundleStore>,
+    /// The way by which bundles come into force.
+    pub intake: Arc<BundleIntake>,
+    /// The links to peers.
+    pub links: Arc<FleetLinks>,
+    /// The services of the bundle in force.
+    pub services: Arc<ServiceTable>,
+    /// The teams' rates.
+    pub shares: Arc<ShareDriver>,
+    /// The latest digests of peers.
+    pub digests: Arc<DigestTable>,
+    /// Whether the daemon is stopping.
+    pub draining: Arc<AtomicBool>,
+    /// The QUIC endpoint, once it is open.
+    pub mesh: Arc<OnceLock<Arc<PeerMesh>>>,
+}
+
+impl DaemonParts {
+    /// Creates the parts of a daemon whose process starts.
+    pub fn new(settings: &DaemonSettings, own: MemberRecord, store: &StoreClient) -> Self {
+        let incarnation: u64 = rand::random();
+        let instance = settings.instance_id.clone();
+        let journal = Arc::new(DecisionJournal::new(
+            instance.clone(),
+            incarnation,
+            JOURNAL_ENTRIES,
+        ));
+        let bundles = Arc::new(BundleStore::new(
+            settings.signers.clone(),
+            settings.required_signatures,
+        ));
+        let intake = Arc::new(new_intake(bundles.clone(), journal.clone()));
+        let draining = Arc::new(AtomicBool::new(false));
+        let digests = Arc::new(DigestTable::default());
+        let mesh = Arc::new(OnceLock::new());
+        let links_cell = Arc::new(OnceLock::new());
+        let services = Arc::new(new_services(settings, journal.clone()));
+        let shares = Arc::new(ShareDriver::new(
+            &instance,
+            ShareSettings::default(),
+            rand::random(),
+            share_ports(store, links_cell.clone(), mesh.clone()),
+        ));
+        let ports = fleet_ports(&bundles, &intake, &services, &shares, &digests, &draining);
+        let links = Arc::new(FleetLinks::new(own, incarnation, ports));
+        let _ = links_cell.set(links.clone());
+        Self {
+            journal,
+            bundles,
+            intake,
+            links,
+            services,
+            shares,
+            digests,
+            draining,
+            mesh,
+        }
+    }
+
+    /// Returns the bundle in force, or one without teams and services.
+    pub fn bundle(&self) -> Arc<BundleConfig> {
+        self.bundles
+            .config()
+            .unwrap_or_else(|| Arc::new(empty_bundle()))
+    }
+
+    /// Brings services and rates in line with the bundle in force.
+    pub fn apply_bundle(&self) {
+        let bundle = self.bundle();
+        let live = self.links.view().live(timers::now());
+        self.services.set_bundle(&bundle, &live);
+        self.shares.set_bundle(&bundle);
+    }
+
+    /// Tells the parts who takes part in the fleet.
+    pub fn apply_members(&self) {
+        let now = timers::now();
+        let (live, known) = {
+            let view = self.links.view();
+            (view.live(now), view.known())
+        };
+        self.digests.keep_only(&known);
+        self.digests.record(&self.links.digest(), now);
+        self.services.set_live(&live);
+        for shard in 0..SHARE_SHARDS {
+            self.shares
+                .set_members(shard, self.digests.share_members(shard, &live));
+        }
+        for (service, _) in self.services.all() {
+            for (peer, report, at) in self.digests.service_reports(&service, now) {
+                self.services.on_report(&peer, &report, at);
+            }
+        }
+    }
+
+    /// Admits a request: evidence about the bundle, rate, endpoint and slot, in this order.
+    pub async fn admit(&self, query: AdmitQuery) -> Result<SlotPermit, RequestRefusal> {
+        if self.links.evidence() == StoreEvidence::Isolated {
+            return Err(RequestRefusal::Isolated);
+        }
+        if !query.charged {
+            self.shares.admit(&query.team).await?;
+        }
+        self.services.take_permit(&query).await
+    }
+
+    /// Returns how many connections this instance may hold to an endpoint.
+    ///
+    /// The endpoint's connections count for all instances, control connections included.
+    pub fn connection_limit(&self, service: &ServiceId, endpoint: &EndpointId) -> ConnectionCount {
+        let bundle = self.bundle();
+        let config = bundle
+            .services
+            .iter()
+            .filter(|config| config.id == *service)
+            .flat_map(|config| &config.endpoints)
+            .find(|config| config.id == *endpoint);
+        let Some(config) = config else {
+            return ConnectionCount(0);
+        };
+        let live = self.links.view().live(timers::now()).len();
+        let live = u32::try_from(live).unwrap_or(u32::MAX).max(1);
+        let control = live.saturating_mul(CONTROL_CONNECTIONS);
+        let each = config.connections.0.saturating_sub(control) / live;
+        // More connections than slots would only wait for each other inside the endpoint.
+        ConnectionCount(each.clamp(1, config.slots.0.max(1)))
+    }
+
+    /// Returns whether the daemon is stopping.
+    pub fn is_draining(&self) -> bool {
+        self.draining.load(Ordering::Relaxed)
+    }
+}
+
+fn empty_bundle() -> BundleConfig {
+    BundleConfig {
+        version: Default::default(),
+        teams: Vec::new(),
+        services: Vec::new(),
+        objectives: Vec::new(),
+    }
+}
+
+fn new_intake(bundles: Arc<BundleStore>, journal: Arc<DecisionJournal>) -> BundleIntake {
+    let accepted = bundles.clone();
+    BundleIntake::new(
+        bundles,
+        Box::new(move |version, _: BundleSource| {
+            let bundle = accepted.accepted();
+            let signatures = bundle.iter().flat_map(|bundle| &bundle.envelope.signatures);
+            let signers = signatures
+                .map(|signature| signature.signer.clone())
+                .collect();
+            let decision = JournalDecision::BundleAccepted { version, signers };
+            journal.append(WallTime::now(), decision, Vec::new());
+        }),
+    )
+}
+
+fn new_services(settings: &DaemonSettings, journal: Arc<DecisionJournal>) -> ServiceTable {
+    let login = EndpointLogin {
+        user: settings.endpoint_user.clone(),
+        password: settings.endpoint_password.clone(),
+    };
+    let on_event = move |service: &ServiceId, event: GroupEvent| {
+        info!("failover: {service}: {event}");
+        if let Some(decision) = journal_group_event(service, event) {
+            journal.append(WallTime::now(), decision, Vec::new());
+        }
+    };
+    ServiceTable::new(
+        settings.instance_id.clone(),
+        settings.availability_zone.clone(),
+        login,
+        Arc::new(on_event),
+    )
+}
+
+fn journal_group_event(service: &ServiceId, event: GroupEvent) -> Option<JournalDecision> {
+    let service = service.clone();
+    match event {
+        GroupEvent::Promoted { endpoint, term } => Some(JournalDecision::Promoted {
+            service,
+            endpoint,
+            term,
+        }),
+        GroupEvent::PrimaryChanged { endpoint, term } => Some(JournalDecision::PrimaryChanged {
+            service,
+            endpoint,
+            term,
+        }),
+        GroupEvent::PromotionDropped
+        | GroupEvent::PromotionPaused
+        | GroupEvent::PromotionSuperseded { .. } => Some(JournalDecision::PromotionDropped {
+            service,
+            reason: event.to_string(),
+        }),
+        GroupEvent::PromotionPlanned { .. } => None,
+    }
+}
+
+fn share_ports(
+    store: &StoreClient,
+    links: Arc<OnceLock<Arc<FleetLinks>>>,
+    mesh: Arc<OnceLock<Arc<PeerMesh>>>,
+) -> SharePorts {
+    let read_store = store.clone();
+    let write_store = store.clone();
+    SharePorts {
+        send: Box::new(move |to, envelope| {
+            if let (Some(links), Some(mesh)) = (links.get(), mesh.get()) {
+                send_share(links.clone(), mesh.clone(), to, envelope);
+            }
+        }),
+        read: Box::new(move |key| {
+            let store = read_store.clone();
+            Box::pin(async move { read_table(&store, &key).await })
+        }),
+        write: Box::new(move |key, expected_revision, table| {
+            let store = write_store.clone();
+            Box::pin(async move { write_table(&store, key, expected_revision, &table).await })
+        }),
+    }
+}
+
+fn send_share(
+    links: Arc<FleetLinks>,
+    mesh: Arc<PeerMesh>,
+    to: InstanceId,
+    envelope: ShareEnvelope,
+) {
+    tokio::spawn(async move {
+        let Ok(payload) = postcard::to_allocvec(&envelope) else {
+            return;
+        };
+        let sent = links
+            .ask_part(&mesh, &to, PeerPart::Shares, payload, SHARE_SEND_LIMIT)
+            .await;
+        if let Err(error) = sent {
+            debug!("shares: message to {to} was lost: {error}");
+        }
+    });
+}
+
+async fn read_table(store: &StoreClient, key: &str) -> StoreAnswer {
+    match store.get(key).await {
+        Ok(None) => StoreAnswer::Value(None),
+        Ok(Some(entry)) => match serde_json::from_str::<ShareTable>(&entry.value) {
+            Ok(table) => StoreAnswer::Value(Some((entry.revision, Box::new(table)))),
+            Err(_) => {
+                tracing::error!("shares: the table under {key} is unreadable");
+                StoreAnswer::Unknown
+            }
+        },
+        Err(_) => StoreAnswer::Unknown,
+    }
+}
+
+async fn write_table(
+    store: &StoreClient,
+    key: String,
+    expected_revision: u64,
+    table: &ShareTable,
+) -> StoreAnswer {
+    let Ok(value) = serde_json::to_string(table) else {
+        return StoreAnswer::Unknown;
+    };
+    let request = CasRequest {
+        key,
+        expected_revision,
+        value,
+        lease: None,
+    };
+    match store.compare_and_swap(&request).await {
+        Ok(SwapOutcome::Written { revision }) => StoreAnswer::Written { revision },
+        Ok(SwapOutcome::Conflict { .. }) => StoreAnswer::Conflict,
+        Err(_) => StoreAnswer::Unknown,
+    }
+}
+
+fn fleet_ports(
+    bundles: &Arc<BundleStore>,
+    intake: &Arc<BundleIntake>,
+    services: &Arc<ServiceTable>,
+    shares: &Arc<ShareDriver>,
+    digests: &Arc<DigestTable>,
+    draining: &Arc<AtomicBool>,
+) -> FleetPorts {
+    let (version_of, text_of) = (bundles.clone(), bundles.clone());
+    let intake = intake.clone();
+    let services = services.clone();
+    let (incarnations_of, receiver) = (shares.clone(), shares.clone());
+    let digests = digests.clone();
+    let draining = draining.clone();
+    FleetPorts {
+        now: Box::new(timers::now),
+        bundle_version: Box::new(move || version_of.version()),
+        bundle_text: Box::new(move || {
+            text_of
+                .accepted()
+                .and_then(|bundle| bundle.envelope.to_json().ok())
+        }),
+        accept_bundle: Box::new(move |text| intake.offer(&text, BundleSource::Peer)),
+        services: Box::new(move || services.digests()),
+        share_incarnations: Box::new(move || incarnations_of.incarnations()),
+        on_digest: Box::new(move |digest: &PeerDigest| digests.record(digest, timers::now())),
+        on_part: Box::new(move |part, payload| {
+            let receiver = receiver.clone();
+            Box::pin(async move {
+                match part {
+                    PeerPart::Shares => {
+                        receiver.on_message(postcard::from_bytes(&payload).ok()?);
+                        Some(Vec::new())
+                    }
+                    PeerPart::Slots => None,
+                }
+            })
+        }),
+        draining: Box::new(move || draining.load(Ordering::Relaxed)),
+        choose_peers: Box::new(choose_peers),
+    }
+}
+
+/// Chooses the peers that an instance asks, spread over the zones.
+pub fn choose_peers(own: &MemberRecord, known: &[MemberRecord]) -> Vec<MemberRecord> {
+    let members: Vec<RendezvousMember> = known
+        .iter()
+        .map(|member| RendezvousMember {
+            instance: member.instance.clone(),
+            zone: member.zone.clone(),
+        })
+        .collect();
+    let chosen = spread_order(own.instance.as_str(), &members);
+    let chosen = &chosen[..chosen.len().min(PEER_LINKS)];
+    known
+        .iter()
+        .filter(|member| chosen.contains(&member.instance))
+        .cloned()
+        .collect()
+}
