--- a/src/process/failover/failover_limits.rs
+++ b/src/process/failover/failover_limits.rs
@@ -22,6 +22,8 @@
     pub proposal_delay: Duration,
     /// Period after which a fence or promote call without an answer is repeated.
     pub call_retry: Duration,
+    /// Time for which a plan waits for a fenced majority without the failed primary.
+    pub fence_grace: Duration,
     /// Time after which a promote call without an answer leads to a higher term.
     pub promote_timeout: Duration,
     /// Mean of the first back-off after a lost race; it doubles three times.
@@ -43,6 +45,7 @@
             stranded_replica: Duration::from_secs(5),
             proposal_delay: Duration::from_millis(300),
             call_retry: Duration::from_millis(250),
+            fence_grace: Duration::from_millis(300),
             promote_timeout: Duration::from_secs(1),
             backoff: Duration::from_millis(100),
             settle_time: Duration::from_secs(2),
--- a/src/process/failover/group_controller.rs
+++ b/src/process/failover/group_controller.rs
@@ -15,10 +15,12 @@
 use crate::process::failover::confirmation_tracker::ConfirmationTracker;
 use crate::process::failover::failover_limits::FailoverLimits;
 use crate::process::failover::failure_detector::FailureDetector;
+use crate::process::failover::failure_evidence::FailureEvidence;
 use crate::process::failover::failure_evidence::WatcherReport;
 use crate::process::failover::group_event::GroupEvent;
 use crate::process::failover::group_view::GroupMember;
 use crate::process::failover::group_view::GroupView;
+use crate::process::failover::promotion_plan::PlanRequest;
 use crate::process::failover::promotion_plan::PromotionAction;
 use crate::process::failover::promotion_plan::PromotionEnd;
 use crate::process::failover::promotion_plan::PromotionPlan;
@@ -84,6 +86,7 @@
     view: GroupView,
     detector: FailureDetector,
     plan: Option<PromotionPlan>,
+    ordered: bool,
     tracker: ConfirmationTracker,
     floors: FloorWaiters,
     reports: BTreeMap<InstanceId, WatcherReport>,
@@ -107,6 +110,7 @@
             view: GroupView::new(members, limits.upstream_silence, limits.report_age),
             detector: FailureDetector::new(limits.clone()),
             plan: None,
+            ordered: false,
             tracker: ConfirmationTracker::new(&ids),
             floors: FloorWaiters::default(),
             reports: BTreeMap::new(),
@@ -334,7 +338,7 @@
     fn judge(&mut self, now: MonotonicTime, actions: &mut Vec<GroupAction>) {
         let watched = self.settings.watchers.contains(&self.settings.instance);
         let open = self.plan.as_ref().is_none_or(PromotionPlan::is_waiting);
-        if !watched || !open {
+        if !watched || !open || (self.ordered && self.plan.is_some()) {
             return;
         }
         let reports: Vec<_> = self.reports.values().cloned().collect();
@@ -352,7 +356,9 @@
                 actions.push(GroupAction::Event(GroupEvent::PromotionDropped));
             }
             (Some(evidence), false) => {
-                self.start_plan(now);
+                let suspect = self.suspect_of(&evidence);
+                self.start_plan(suspect, now);
+                self.ordered = false;
                 actions.push(GroupAction::Event(GroupEvent::PromotionPlanned {
                     evidence,
                 }));
@@ -361,8 +367,27 @@
         }
     }
 
-    /// Starts a promotion without evidence, as an operator's order does.
-    pub fn start_plan(&mut self, now: MonotonicTime) {
+    /// Starts a promotion without evidence.
+    pub fn order_promotion(&mut self, now: MonotonicTime) -> Vec<GroupAction> {
+        self.start_plan(None, now);
+        self.ordered = true;
+        let mut actions = Vec::new();
+        self.follow_up(now, &mut actions);
+        actions
+    }
+
+    /// Returns the primary if the evidence shows that it, and not only its fence, is the fault.
+    fn suspect_of(&self, evidence: &FailureEvidence) -> Option<EndpointId> {
+        match evidence {
+            FailureEvidence::UpstreamSilence { .. } | FailureEvidence::ConnectFailure { .. } => {
+                let primary = self.view.primary();
+                primary.map(|primary| primary.endpoint.clone())
+            }
+            FailureEvidence::PrimaryFenced { .. } | FailureEvidence::ReplicaStranded { .. } => None,
+        }
+    }
+
+    fn start_plan(&mut self, suspect: Option<EndpointId>, now: MonotonicTime) {
         let delay = if self.settings.first_in_line {
             Duration::ZERO
         } else {
@@ -373,15 +398,15 @@
         let term = primary
             .unwrap_or_default()
             .max(self.view.highest_log_term());
-        let mut plan = PromotionPlan::new(
-            self.calls.keys().cloned().collect(),
-            self.settings.instance.to_string(),
-            self.limits.clone(),
-            term,
+        let request = PlanRequest {
+            members: self.calls.keys().cloned().collect(),
+            suspect,
+            instance: self.settings.instance.clone(),
+            log_term: term,
             delay,
-            self.rng.random(),
-            now,
-        );
+            seed: self.rng.random(),
+        };
+        let mut plan = PromotionPlan::new(request, self.limits.clone(), now);
         for view in self.view.endpoints() {
             if let Some(status) = &view.status {
                 plan.observe(&view.member.endpoint, status, now);
--- a/src/process/failover/promotion_plan.rs
+++ b/src/process/failover/promotion_plan.rs
@@ -1,5 +1,6 @@
 //! One attempt to give a group a new primary.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -15,6 +16,7 @@
 use crate::request::log_point::LogPoint;
 use crate::request::log_point::LogTerm;
 use crate::version::ids::EndpointId;
+use crate::version::ids::InstanceId;
 
 /// A call that the plan asks for; it may be repeated.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -49,7 +51,9 @@
     Waiting {
         until: MonotonicTime,
     },
-    Fencing,
+    Fencing {
+        since: MonotonicTime,
+    },
     Promoting {
         endpoint: EndpointId,
         since: MonotonicTime,
@@ -61,6 +65,23 @@
     Ended(PromotionEnd),
 }
 
+/// What a plan is made for.
+#[derive(Debug, Clone)]
+pub struct PlanRequest {
+    /// The endpoints of the group.
+    pub members: Vec<EndpointId>,
+    /// The primary, where it is the one that failed.
+    pub suspect: Option<EndpointId>,
+    /// The instance that proposes.
+    pub instance: InstanceId,
+    /// The highest term of a log.
+    pub log_term: LogTerm,
+    /// Time before the first fence.
+    pub delay: Duration,
+    /// The seed of back-offs and proposer names.
+    pub seed: u64,
+}
+
 /// Fences a majority at a new term, chooses the highest point among them and promotes it.
 ///
 /// Success is read from statuses alone, so that a lost answer is made up for by repeating the
@@ -69,12 +90,10 @@
 /// instance included, can take part in its fences.
 #[derive(Debug, Clone)]
 pub struct PromotionPlan {
-    members: Vec<EndpointId>,
-    instance: String,
+    request: PlanRequest,
     limits: FailoverLimits,
     rng: ChaCha8Rng,
     phase: PlanPhase,
-    initial_term: LogTerm,
     term: LogTerm,
     proposer: String,
     highest_term: LogTerm,
@@ -86,33 +105,23 @@
 }
 
 impl PromotionPlan {
-    /// Creates a plan that starts to fence after `delay`.
-    ///
-    /// `primary_term` is the term of the primary that is given up.
-    pub fn new(
-        members: Vec<EndpointId>,
-        instance: String,
-        limits: FailoverLimits,
-        primary_term: LogTerm,
-        delay: Duration,
-        seed: u64,
-        now: MonotonicTime,
-    ) -> Self {
+    /// Creates a plan that starts to fence after the delay of the request.
+    pub fn new(request: PlanRequest, limits: FailoverLimits, now: MonotonicTime) -> Self {
         Self {
-            members,
-            instance,
             limits,
-            rng: ChaCha8Rng::seed_from_u64(seed),
-            phase: PlanPhase::Waiting { until: now + delay },
-            initial_term: primary_term,
+            rng: ChaCha8Rng::seed_from_u64(request.seed),
+            phase: PlanPhase::Waiting {
+                until: now + request.delay,
+            },
             term: LogTerm::default(),
             proposer: String::new(),
-            highest_term: primary_term,
+            highest_term: request.log_term,
             fenced: BTreeMap::new(),
             refused: BTreeSet::new(),
             sent: BTreeMap::new(),
             attempts: 0,
             last_step: now,
+            request,
         }
     }
 
@@ -153,11 +162,11 @@
         let ours = status.fenced_term == self.term && status.fenced_by == self.proposer;
         match self.phase.clone() {
             // The term of a log that reaches this plan's term is no longer free.
-            PlanPhase::Fencing if status.point.term >= self.term => self.back_off(now),
-            PlanPhase::Fencing if ours => {
+            PlanPhase::Fencing { .. } if status.point.term >= self.term => self.back_off(now),
+            PlanPhase::Fencing { .. } if ours => {
                 self.fenced.insert(endpoint.clone(), status.point);
             }
-            PlanPhase::Fencing if status.fenced_term >= self.term => {
+            PlanPhase::Fencing { .. } if status.fenced_term >= self.term => {
                 self.refused.insert(endpoint.clone());
             }
             PlanPhase::Promoting {
@@ -185,7 +194,7 @@
     fn observe_other_primary(&mut self, endpoint: &EndpointId, status: &EndpointStatus) {
         let term = status.point.term;
         let later = status.role == EndpointRole::Primary
-            && term > self.initial_term
+            && term > self.request.log_term
             && term >= self.term
             && status.fenced_term <= term;
         let own = term == self.term && self.is_chosen(endpoint);
@@ -220,7 +229,7 @@
         self.advance(now);
         match self.phase.clone() {
             PlanPhase::Waiting { .. } | PlanPhase::Ended(_) => Vec::new(),
-            PlanPhase::Fencing | PlanPhase::Settling { .. } => self.fence_calls(now),
+            PlanPhase::Fencing { .. } | PlanPhase::Settling { .. } => self.fence_calls(now),
             PlanPhase::Promoting { endpoint, .. } => {
                 if !self.is_due(&endpoint, now) {
                     return Vec::new();
@@ -235,16 +244,14 @@
     }
 
     fn advance(&mut self, now: MonotonicTime) {
-        let majority = self.members.len() / 2 + 1;
+        let majority = self.request.members.len() / 2 + 1;
         match self.phase.clone() {
-            PlanPhase::Waiting { until } if now >= until => self.start_term(),
-            PlanPhase::Fencing if self.fenced.len() >= majority => {
-                let chosen = self
-                    .fenced
-                    .iter()
-                    .max_by_key(|&(endpoint, point)| (point, std::cmp::Reverse(endpoint)));
-                if let Some((endpoint, _)) = chosen {
-                    let endpoint = endpoint.clone();
+            PlanPhase::Waiting { until } if now >= until => self.start_term(now),
+            PlanPhase::Fencing { since } if self.fenced.len() >= majority => {
+                let answered = self.fenced.len() + self.refused.len();
+                let complete = answered == self.request.members.len()
+                    || now.saturating_since(since) >= self.limits.fence_grace;
+                if let Some(endpoint) = self.choose(complete) {
                     self.sent.clear();
                     self.phase = PlanPhase::Promoting {
                         endpoint,
@@ -252,7 +259,9 @@
                     };
                 }
             }
-            PlanPhase::Fencing if self.members.len() - self.refused.len() < majority => {
+            PlanPhase::Fencing { .. }
+                if self.request.members.len() - self.refused.len() < majority =>
+            {
                 self.back_off(now);
             }
             PlanPhase::Promoting { since, .. }
@@ -261,7 +270,7 @@
                 self.back_off(now);
             }
             PlanPhase::Settling { endpoint, since } => {
-                let all = self.fenced.len() == self.members.len();
+                let all = self.fenced.len() == self.request.members.len();
                 if all || now.saturating_since(since) >= self.limits.settle_time {
                     let term = self.term;
                     self.phase = PlanPhase::Ended(PromotionEnd::Promoted { endpoint, term });
@@ -271,15 +280,43 @@
         }
     }
 
-    fn start_term(&mut self) {
+    /// Chooses the endpoint to promote among the fenced.
+    ///
+    /// An endpoint may be promoted if it holds as much as every endpoint of some fenced majority:
+    /// each confirmed point is held by one of these. The highest such endpoint other than the
+    /// suspect is taken; the suspect itself only once no more answers are waited for. A primary
+    /// that is cut off from its replicas often has the highest point, with entries that nobody
+    /// acknowledged, and would be just as cut off in the new term.
+    fn choose(&self, complete: bool) -> Option<EndpointId> {
+        let majority = self.request.members.len() / 2 + 1;
+        let is_safe = |point: &LogPoint| {
+            let covered = self.fenced.values().filter(|other| *other <= point);
+            covered.count() >= majority
+        };
+        self.fenced
+            .iter()
+            .filter(|(_, point)| is_safe(point))
+            .filter(|(endpoint, _)| complete || self.request.suspect.as_ref() != Some(endpoint))
+            .max_by_key(|&(endpoint, point)| {
+                let suspected = self.request.suspect.as_ref() == Some(endpoint);
+                (!suspected, point, Reverse(endpoint))
+            })
+            .map(|(endpoint, _)| endpoint.clone())
+    }
+
+    fn start_term(&mut self, now: MonotonicTime) {
         self.attempts += 1;
         self.term = LogTerm(self.highest_term.0 + 1);
         self.highest_term = self.term;
-        self.proposer = format!("{}-{:016x}", self.instance, self.rng.random::<u64>());
+        self.proposer = format!(
+            "{}-{:016x}",
+            self.request.instance,
+            self.rng.random::<u64>()
+        );
         self.fenced.clear();
         self.refused.clear();
         self.sent.clear();
-        self.phase = PlanPhase::Fencing;
+        self.phase = PlanPhase::Fencing { since: now };
     }
 
     fn back_off(&mut self, now: MonotonicTime) {
@@ -291,7 +328,7 @@
 
     fn fence_calls(&mut self, now: MonotonicTime) -> Vec<PromotionAction> {
         let mut calls = Vec::new();
-        for endpoint in self.members.clone() {
+        for endpoint in self.request.members.clone() {
             let known = self.fenced.contains_key(&endpoint) || self.refused.contains(&endpoint);
             if !known && self.is_due(&endpoint, now) {
                 calls.push(PromotionAction::Fence {
