--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -1,5 +1,33 @@
 //! One running instance: what lives as long as its process.
 
+pub mod bundle_feed;
+pub mod bundle_intake;
+pub mod bundle_submission;
+pub mod burn_page;
+pub mod burn_report;
+pub mod burn_window;
+pub mod control_error;
+pub mod decision_journal;
+pub mod digest_table;
+pub mod endpoint_control;
 pub mod endpoint_status;
 pub mod failover;
+pub mod group_watcher;
+pub mod http_server;
+pub mod instance_status;
+pub mod journal_decision;
+pub mod log_setup;
+pub mod metrics;
+pub mod peers;
+pub mod setting_fields;
+pub mod settings;
+pub mod settings_parser;
+pub mod share_driver;
+pub mod shares;
+pub mod slots;
+pub mod store_calls;
+pub mod store_client;
+pub mod store_error;
+pub mod store_transport;
 pub mod timers;
+pub mod wall_time;
