--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -12,6 +12,7 @@
 pub mod daemon_error;
 pub mod daemon_parts;
 pub mod daemon_program;
+pub mod control_error;
 pub mod decision_journal;
 pub mod digest_table;
 pub mod endpoint_control;
