--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -15,6 +15,8 @@
 pub mod control_error;
 pub mod decision_journal;
 pub mod digest_table;
+pub mod control_error;
+pub mod decision_journal;
 pub mod endpoint_control;
 pub mod endpoint_status;
 pub mod failover;
