Start a complete system with tamaracklb dev

Cause: a newcomer needs a running system from one command. Ruled out: caller ports chosen by the daemon; the settings refuse port 0, so dev picks free ports itself and writes the same settings file that an operator would.

--- a/src/cmd/cmd_error.rs
+++ b/src/cmd/cmd_error.rs
@@ -4,6 +4,7 @@
 use std::io;
 use std::path::PathBuf;
 
+use crate::cmd::dev_system::DevError;
 use crate::version::bundle_envelope::EnvelopeError;
 use crate::version::fault_list::FaultList;
 use crate::version::ids::TeamId;
@@ -32,6 +33,8 @@
     Verifier(VerifierError),
     /// The bundle has no such team.
     UnknownTeam { team: TeamId },
+    /// The system of `dev` did not start.
+    Dev(DevError),
     /// The operating system gives no random numbers.
     NoRandomness,
 }
@@ -51,6 +54,7 @@
         match self {
             CmdError::Usage { message } => write!(f, "{message}"),
             CmdError::File { path, error } => write!(f, "{}: {error}", path.display()),
+            CmdError::Dev(error) => write!(f, "{error}"),
             CmdError::Output(error) => write!(f, "output: {error}"),
             CmdError::Faults { path, faults } => {
                 let lines = faults.in_file(&path.display().to_string());
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -5,6 +5,8 @@
 pub mod check;
 pub mod cmd_error;
 pub mod cmd_files;
+pub mod dev;
+pub mod dev_system;
 pub mod key_new;
 pub mod key_signer;
 
@@ -16,6 +18,7 @@
 use crate::cmd::bundle_sign::BundleSignCmd;
 use crate::cmd::check::CheckCmd;
 use crate::cmd::cmd_error::CmdError;
+use crate::cmd::dev::DevCmd;
 use crate::cmd::key_new::KeyNewCmd;
 use crate::cmd::key_signer::KeySignerCmd;
 
@@ -51,6 +54,7 @@
     Check(CheckCmd),
     Key(KeyCmd),
     Bundle(BundleCmd),
+    Dev(DevCmd),
 }
 
 /// Make keys for teams and for signers.
@@ -88,6 +92,7 @@
     pub fn run(self, output: &mut dyn Write) -> Result<CmdStatus, CmdError> {
         match self.command {
             SubCmd::Check(command) => command.run(output),
+            SubCmd::Dev(command) => command.run(output),
             SubCmd::Key(key) => match key.command {
                 KeySubCmd::New(command) => command.run(output),
                 KeySubCmd::Signer(command) => command.run(output),
