Add the commands that ask the store and the instances

bundle submit, bundle show and bundle diff against the store; status, drain, report and explain against the HTTP port of instances. Each address of the store is tried in turn; a write moves on only where the store was surely not reached, so that an unknown outcome stays unknown.

A command that asks several instances shows those that answer, names the others on standard error and exits with 2, so that a script does not take a part for the whole. The HTTP port runs on a thread of its own and stops when its handle is dropped.

--- a/src/cmd/cmd_error.rs
+++ b/src/cmd/cmd_error.rs
@@ -4,6 +4,8 @@
 use std::io;
 use std::path::PathBuf;
 
+use crate::cmd::instance_client::InstanceFailure;
+use crate::process::bundle_submission::SubmitError;
 use crate::version::bundle_envelope::EnvelopeError;
 use crate::version::fault_list::FaultList;
 use crate::version::ids::TeamId;
@@ -32,6 +34,16 @@
     Verifier(VerifierError),
     /// The bundle has no such team.
     UnknownTeam { team: TeamId },
+    /// A submission did not take effect, or that is not known.
+    Submit(SubmitError),
+    /// The store cannot be read.
+    Store { message: String },
+    /// The store has no bundle.
+    NoBundle,
+    /// Some instances gave no answer.
+    Instances { failures: Vec<InstanceFailure> },
+    /// An answer cannot be written as JSON.
+    Json(serde_json::Error),
     /// The operating system gives no random numbers.
     NoRandomness,
 }
@@ -41,6 +53,8 @@
     pub fn exit_code(&self) -> u8 {
         match self {
             CmdError::Faults { .. } | CmdError::Envelope { .. } => 1,
+            CmdError::Submit(SubmitError::Store { .. } | SubmitError::Unknown { .. }) => 2,
+            CmdError::Submit(_) => 1,
             _ => 2,
         }
     }
@@ -60,6 +74,14 @@
             CmdError::SigningKey { path, error } => write!(f, "{}: {error}", path.display()),
             CmdError::Verifier(error) => write!(f, "{error}"),
             CmdError::UnknownTeam { team } => write!(f, "the bundle has no team '{team}'"),
+            CmdError::Submit(error) => write!(f, "{error}"),
+            CmdError::Store { message } => write!(f, "{message}"),
+            CmdError::NoBundle => write!(f, "the store has no bundle"),
+            CmdError::Instances { failures } => {
+                let lines: Vec<String> = failures.iter().map(ToString::to_string).collect();
+                write!(f, "{}", lines.join("\ntamaracklb: "))
+            }
+            CmdError::Json(error) => write!(f, "{error}"),
             CmdError::NoRandomness => write!(f, "the system gives no random numbers"),
         }
     }
--- /dev/null
+++ b/src/cmd/explain.rs
@@ -0,0 +1,87 @@
+//! `tamaracklb explain`: shows what the fleet decided and why.
+
+use std::io::Write;
+use std::net::SocketAddr;
+
+use argh::FromArgs;
+
+use crate::cmd::CmdStatus;
+use crate::cmd::cmd_error::CmdError;
+use crate::cmd::instance_client::get_all;
+use crate::process::decision_journal::JournalPage;
+use crate::process::decision_journal::MergedEntry;
+use crate::process::decision_journal::merge_journals;
+use crate::version::ids::ServiceId;
+use crate::version::ids::TeamId;
+
+/// Show the decisions of all instances in the order of time, with their evidence.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "explain")]
+pub struct ExplainCmd {
+    /// the HTTP address of an instance, repeatable; 127.0.0.1:9432 where it is left out
+    #[argh(option)]
+    instance: Vec<SocketAddr>,
+
+    /// only decisions about this service
+    #[argh(option)]
+    service: Option<ServiceId>,
+
+    /// only decisions about this team
+    #[argh(option)]
+    team: Option<TeamId>,
+
+    /// only the last so many decisions
+    #[argh(option)]
+    last: Option<usize>,
+
+    /// print JSON
+    #[argh(switch)]
+    json: bool,
+}
+
+impl ExplainCmd {
+    /// Writes the merged journal of the instances that answer.
+    pub fn run(self, output: &mut dyn Write) -> Result<CmdStatus, CmdError> {
+        let mut all = get_all::<JournalPage>(&self.instance, "/journal");
+        let pages = std::mem::take(&mut all.answers);
+        if !self.json {
+            write_gaps(&pages, output)?;
+        }
+        let mut entries = merge_journals(pages);
+        entries.retain(|entry| self.selects(entry));
+        let skipped = self
+            .last
+            .map_or(0, |last| entries.len().saturating_sub(last));
+        let shown = &entries[skipped..];
+        if self.json {
+            let text = serde_json::to_string_pretty(shown).map_err(CmdError::Json)?;
+            writeln!(output, "{text}")?;
+        } else {
+            for entry in shown {
+                writeln!(output, "{entry}")?;
+            }
+        }
+        all.check_complete()?;
+        Ok(CmdStatus::Success)
+    }
+
+    fn selects(&self, entry: &MergedEntry) -> bool {
+        let decision = &entry.entry.decision;
+        let service = self.service.as_ref();
+        let team = self.team.as_ref();
+        (service.is_none() || decision.service() == service)
+            && (team.is_none() || decision.team() == team)
+    }
+}
+
+/// Tells which journals do not reach back to the start of their instance.
+fn write_gaps(pages: &[JournalPage], output: &mut dyn Write) -> Result<(), CmdError> {
+    for page in pages.iter().filter(|page| page.dropped > 0) {
+        let (instance, dropped) = (&page.instance, page.dropped);
+        writeln!(
+            output,
+            "# {instance}: the oldest {dropped} decisions are gone"
+        )?;
+    }
+    Ok(())
+}
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -1,23 +1,37 @@
 //! The operators' commands, one file per subcommand.
 
 pub mod bundle_diff;
+pub mod bundle_show;
 pub mod bundle_sign;
+pub mod bundle_submit;
 pub mod check;
 pub mod cmd_error;
 pub mod cmd_files;
+pub mod cmd_store;
+pub mod drain;
+pub mod explain;
+pub mod instance_client;
 pub mod key_new;
 pub mod key_signer;
+pub mod report;
+pub mod status;
 
 use std::io::Write;
 
 use argh::FromArgs;
 
 use crate::cmd::bundle_diff::BundleDiffCmd;
+use crate::cmd::bundle_show::BundleShowCmd;
 use crate::cmd::bundle_sign::BundleSignCmd;
+use crate::cmd::bundle_submit::BundleSubmitCmd;
 use crate::cmd::check::CheckCmd;
 use crate::cmd::cmd_error::CmdError;
+use crate::cmd::drain::DrainCmd;
+use crate::cmd::explain::ExplainCmd;
 use crate::cmd::key_new::KeyNewCmd;
 use crate::cmd::key_signer::KeySignerCmd;
+use crate::cmd::report::ReportCmd;
+use crate::cmd::status::StatusCmd;
 
 /// How a command ended, where it did its work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -51,6 +65,10 @@
     Check(CheckCmd),
     Key(KeyCmd),
     Bundle(BundleCmd),
+    Status(StatusCmd),
+    Drain(DrainCmd),
+    Report(ReportCmd),
+    Explain(ExplainCmd),
 }
 
 /// Make keys for teams and for signers.
@@ -80,6 +98,8 @@
 #[argh(subcommand)]
 enum BundleSubCmd {
     Sign(BundleSignCmd),
+    Submit(BundleSubmitCmd),
+    Show(BundleShowCmd),
     Diff(BundleDiffCmd),
 }
 
@@ -94,8 +114,14 @@
             },
             SubCmd::Bundle(bundle) => match bundle.command {
                 BundleSubCmd::Sign(command) => command.run(output),
+                BundleSubCmd::Submit(command) => command.run(output),
+                BundleSubCmd::Show(command) => command.run(output),
                 BundleSubCmd::Diff(command) => command.run(output),
             },
+            SubCmd::Status(command) => command.run(output),
+            SubCmd::Drain(command) => command.run(output),
+            SubCmd::Report(command) => command.run(output),
+            SubCmd::Explain(command) => command.run(output),
         }
     }
 }
--- /dev/null
+++ b/src/cmd/report.rs
@@ -0,0 +1,41 @@
+//! `tamaracklb report`: shows how fast objectives burn.
+
+use std::io::Write;
+use std::net::SocketAddr;
+
+use argh::FromArgs;
+
+use crate::cmd::CmdStatus;
+use crate::cmd::cmd_error::CmdError;
+use crate::cmd::instance_client::get_all;
+use crate::process::burn_page::BurnPage;
+use crate::process::burn_page::merge_pages;
+
+/// Show the service-level burn of each team and service, summed over instances.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "report")]
+pub struct ReportCmd {
+    /// the HTTP address of an instance, repeatable; 127.0.0.1:9432 where it is left out
+    #[argh(option)]
+    instance: Vec<SocketAddr>,
+
+    /// print JSON
+    #[argh(switch)]
+    json: bool,
+}
+
+impl ReportCmd {
+    /// Writes the merged report of the instances that answer.
+    pub fn run(self, output: &mut dyn Write) -> Result<CmdStatus, CmdError> {
+        let mut all = get_all::<BurnPage>(&self.instance, "/report");
+        let merged = merge_pages(std::mem::take(&mut all.answers));
+        if self.json {
+            let text = serde_json::to_string_pretty(&merged).map_err(CmdError::Json)?;
+            writeln!(output, "{text}")?;
+        } else {
+            write!(output, "{merged}")?;
+        }
+        all.check_complete()?;
+        Ok(CmdStatus::Success)
+    }
+}
--- a/src/process/bundle_submission.rs
+++ b/src/process/bundle_submission.rs
@@ -32,6 +32,8 @@
 pub enum BundleWriteError {
     /// Another write came first; nothing was changed.
     Conflict,
+    /// The store refused or was not reached; nothing was changed.
+    NotApplied { message: String },
     /// No answer arrived; the write may have taken effect.
     Unanswered { message: String },
 }
@@ -81,8 +83,8 @@
     },
     /// The store holds a text that is not an envelope with a valid bundle.
     UnreadableCurrent { revision: u64 },
-    /// The store cannot be read; nothing was sent.
-    Read(BundleReadError),
+    /// The store cannot be read or written; nothing was changed.
+    Store { message: String },
     /// Other submissions came first each time; nothing was changed.
     Busy,
     /// The store did not answer; the bundle may have become current.
@@ -108,11 +110,11 @@
                 "not submitted: revision {revision} of '{BUNDLE_KEY}' is not a valid envelope; \
                  '--replace-revision {revision}' replaces it"
             ),
-            SubmitError::Read(error) => write!(f, "not submitted: store: {}", error.message),
+            SubmitError::Store { message } => write!(f, "not submitted: {message}"),
             SubmitError::Busy => write!(f, "not submitted: other submissions came first"),
             SubmitError::Unknown { message } => write!(
                 f,
-                "outcome unknown, store: {message}; check with 'bundle show' and submit again"
+                "outcome unknown: {message}; check with 'bundle show' and submit again"
             ),
         }
     }
@@ -141,7 +143,9 @@
         let current = match ((ports.read)().await, &unanswered) {
             (Ok(current), _) => current,
             (Err(_), Some(_)) => break,
-            (Err(error), None) => return Err(SubmitError::Read(error)),
+            (Err(BundleReadError { message }), None) => {
+                return Err(SubmitError::Store { message });
+            }
         };
         let revision = current.as_ref().map_or(0, |stored| stored.revision);
         if let Some(stored) = current
@@ -155,6 +159,10 @@
         match (ports.write)(revision, text.clone()).await {
             Ok(_) => return Ok(SubmitOutcome::Accepted { version }),
             Err(BundleWriteError::Conflict) => {}
+            Err(BundleWriteError::NotApplied { message }) if unanswered.is_none() => {
+                return Err(SubmitError::Store { message });
+            }
+            Err(BundleWriteError::NotApplied { .. }) => break,
             Err(BundleWriteError::Unanswered { message }) => unanswered = Some(message),
         }
     }
--- a/src/process/http_server.rs
+++ b/src/process/http_server.rs
@@ -5,9 +5,13 @@
 use std::net::IpAddr;
 use std::net::TcpListener;
 use std::sync::Arc;
+use std::sync::mpsc;
+use std::thread;
 
 use ntex::http::StatusCode;
 use ntex::http::header;
+use ntex::rt::DefaultRuntime;
+use ntex::rt::System;
 use ntex::server::Server;
 use ntex::time::Seconds;
 use ntex::web;
@@ -29,6 +33,7 @@
 
 /// The longest time that an open HTTP request delays the end of the server.
 const SHUTDOWN_S: u16 = 2;
+const MAX_CONNECTIONS: usize = 256;
 
 /// What the HTTP port needs of the process.
 pub struct HttpPorts {
@@ -98,8 +103,47 @@
     }
 }
 
-/// Serves the HTTP port until the returned server is stopped; call it within an ntex system.
-pub fn start_http_server(listener: TcpListener, ports: Arc<HttpPorts>) -> io::Result<Server> {
+/// A running HTTP port; it stops when this is dropped.
+#[derive(Debug)]
+pub struct HttpServerHandle {
+    server: Server,
+}
+
+impl Drop for HttpServerHandle {
+    fn drop(&mut self) {
+        // The command is sent at once; the returned future only waits for the end.
+        drop(self.server.stop(false));
+    }
+}
+
+/// Serves the HTTP port on a thread of its own, so that a busy process still answers.
+pub fn start_http_server(
+    listener: TcpListener,
+    ports: Arc<HttpPorts>,
+) -> io::Result<HttpServerHandle> {
+    let (sender, receiver) = mpsc::channel();
+    thread::Builder::new()
+        .name("http-server".to_owned())
+        .spawn(move || {
+            System::new("http-server", DefaultRuntime).block_on(async move {
+                match run_server(listener, ports) {
+                    Ok(server) => {
+                        let _ = sender.send(Ok(server.clone()));
+                        let _ = server.await;
+                    }
+                    Err(error) => {
+                        let _ = sender.send(Err(error));
+                    }
+                }
+            });
+        })?;
+    let server = receiver
+        .recv()
+        .map_err(|_| io::Error::from(io::ErrorKind::BrokenPipe))??;
+    Ok(HttpServerHandle { server })
+}
+
+fn run_server(listener: TcpListener, ports: Arc<HttpPorts>) -> io::Result<Server> {
     let server = HttpServer::new(async move || {
         App::new()
             .state(Arc::clone(&ports))
@@ -113,6 +157,7 @@
     });
     let server = server
         .workers(1)
+        .maxconn(MAX_CONNECTIONS)
         .disable_signals()
         .shutdown_timeout(Seconds(SHUTDOWN_S))
         .listen(listener)?;
--- a/tests/testsuite/operator_commands.rs
+++ b/tests/testsuite/operator_commands.rs
@@ -23,7 +23,7 @@
 }
 
 /// Returns settings that trust the signers whose entries `key signer` printed.
-pub fn settings_text(signers: &[String], required: usize) -> String {
+pub fn settings_text(signers: &[String], required: usize, store: &str) -> String {
     let entries: String = signers
         .iter()
         .flat_map(|text| text.lines().skip(1))
@@ -32,7 +32,7 @@
     format!(
         "instance_id: i1\navailability_zone: z1\npeer_address: 127.0.0.1:7432\n\
          peer_tls_certificate_file: pem\npeer_tls_key_file: pem\npeer_tls_authority_file: pem\n\
-         store_addresses: [127.0.0.1:2400]\nendpoint_user: u\nendpoint_password: p\n\
+         store_addresses: [{store}]\nendpoint_user: u\nendpoint_password: p\n\
          required_signatures: {required}\nsigners:\n{entries}"
     )
 }
@@ -105,7 +105,10 @@
         .file("pem", "x");
     let a = run.succeed("key signer --id ops-a --out a.pem");
     let b = run.succeed("key signer --id ops-b --out b.pem");
-    let run = run.file("settings.yaml", &settings_text(&[a, b], 2));
+    let run = run.file(
+        "settings.yaml",
+        &settings_text(&[a, b], 2, "127.0.0.1:2400"),
+    );
 
     run.succeed("bundle sign --key a.pem --signer ops-a --out one.json bundle.yaml");
     let one = run.run("check --settings settings.yaml one.json");
