--- a/crates/standins/src/store/routes.rs
+++ b/crates/standins/src/store/routes.rs
@@ -9,6 +9,7 @@
 use ntex::http::StatusCode;
 use ntex::util::Bytes;
 use ntex::web;
+use ntex::web::HttpRequest;
 use ntex::web::HttpResponse;
 use ntex::web::ServiceConfig;
 use ntex::web::types::Json;
@@ -34,6 +35,7 @@
 use crate::store::shared::StoreShared;
 use crate::store::state::CasRefusal;
 
+const KEY_PATH: &str = "/v1/keys/";
 const LEASE_CHECK: Duration = Duration::from_millis(20);
 
 type SharedState = State<Arc<StoreShared>>;
@@ -116,16 +118,36 @@
     error(StatusCode::NOT_FOUND, "lease_not_found", "no such lease")
 }
 
-async fn get_key(shared: SharedState, path: Path<String>) -> HttpResponse {
+async fn get_key(shared: SharedState, request: HttpRequest) -> HttpResponse {
     if let Some(refusal) = admit(&shared, CallKind::Get).await {
         return refusal;
     }
-    match shared.update(|state| state.get(&path)) {
+    // The path of the router keeps the escapes of some characters.
+    let path = request.uri().path();
+    let escaped = path.strip_prefix(KEY_PATH).unwrap_or(path);
+    let key = percent_decode(escaped);
+    match shared.update(|state| state.get(&key)) {
         Some(entry) => HttpResponse::Ok().json(&entry),
         None => error(StatusCode::NOT_FOUND, "key_not_found", "no such key"),
     }
 }
 
+fn percent_decode(text: &str) -> String {
+    let mut bytes = Vec::new();
+    let mut rest = text.as_bytes();
+    while let Some((&first, tail)) = rest.split_first() {
+        let escaped = text_byte(tail).filter(|_| first == b'%');
+        bytes.push(escaped.unwrap_or(first));
+        rest = if escaped.is_some() { &tail[2..] } else { tail };
+    }
+    String::from_utf8_lossy(&bytes).into_owned()
+}
+
+fn text_byte(digits: &[u8]) -> Option<u8> {
+    let digits = std::str::from_utf8(digits.get(..2)?).ok()?;
+    u8::from_str_radix(digits, 16).ok()
+}
+
 async fn compare_and_swap(shared: SharedState, request: Json<CasRequest>) -> HttpResponse {
     if let Some(refusal) = admit(&shared, CallKind::Cas).await {
         return refusal;
--- /dev/null
+++ b/tests/testsuite/support/mod.rs
@@ -0,0 +1,3 @@
+//! What several feature tests use.
+
+pub mod group;
