--- a/src/process/peers/fleet_links.rs
+++ b/src/process/peers/fleet_links.rs
@@ -1,5 +1,6 @@
 //! Keeps an instance in touch with its peers: heartbeats, evidence and newer bundles.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
@@ -50,6 +51,8 @@
     pub accept_bundle: Box<dyn Fn(String) + Send + Sync>,
     /// Returns what this instance sees of the services that it watches.
     pub services: Box<dyn Fn() -> Vec<ServiceDigest> + Send + Sync>,
+    /// Returns the incarnation number of this instance in each shard of team rates.
+    pub share_incarnations: Box<dyn Fn() -> Vec<u64> + Send + Sync>,
     /// Takes the digest of a peer that answered.
     pub on_digest: Box<dyn Fn(&PeerDigest) + Send + Sync>,
     /// Answers a message for one part of the process.
@@ -107,6 +110,7 @@
             zone: own.zone,
             address: own.address,
             incarnation: self.incarnation,
+            share_incarnations: (self.ports.share_incarnations)(),
             bundle: (self.ports.bundle_version)(),
             store_age_ms: store_age.map(|age| u64::try_from(age.as_millis()).unwrap_or(u64::MAX)),
             draining: (self.ports.draining)(),
@@ -166,6 +170,24 @@
         futures_util::future::join_all(probes).await;
     }
 
+    /// Asks addresses whose instances are not known, as at a start while the store is out.
+    pub async fn probe_seeds(&self, mesh: &PeerMesh, seeds: &[SocketAddr]) {
+        let known: Vec<SocketAddr> = self
+            .view()
+            .known()
+            .into_iter()
+            .map(|peer| peer.address)
+            .collect();
+        for &seed in seeds.iter().filter(|seed| !known.contains(seed)) {
+            let request = PeerRequest::Heartbeat(self.digest());
+            match mesh.ask(seed, &request, HEARTBEAT_LIMIT).await {
+                Ok(PeerReply::Heartbeat(digest)) => self.meet_stranger(&digest),
+                Ok(_) => debug!("peers: {seed} gave another answer than a heartbeat"),
+                Err(error) => debug!("peers: seed did not answer: {error}"),
+            }
+        }
+    }
+
     async fn probe_peer(&self, mesh: &PeerMesh, peer: &MemberRecord) -> Result<(), PeerError> {
         let asked_at = (self.ports.now)();
         let request = PeerRequest::Heartbeat(self.digest());
