--- a/src/process/shares/holder.rs
+++ b/src/process/shares/holder.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::sync::Arc;
 use std::time::Duration;
 
 use crate::process::shares::bucket::BorrowedShare;
@@ -53,7 +54,7 @@
 pub struct ShareHolder {
     me: InstanceIncarnation,
     settings: ShareSettings,
-    table: Option<ShareTable>,
+    table: Option<Arc<ShareTable>>,
     limits: BTreeMap<TeamId, TeamLimit>,
     teams: BTreeMap<TeamId, TeamBucket>,
     live: BTreeSet<InstanceIncarnation>,
@@ -87,7 +88,7 @@
     }
 
     /// Returns the table it goes by.
-    pub fn table(&self) -> Option<&ShareTable> {
+    pub fn table(&self) -> Option<&Arc<ShareTable>> {
         self.table.as_ref()
     }
 
@@ -172,7 +173,7 @@
         {
             self.votes.clear();
         }
-        self.table = Some(table.clone());
+        self.table = Some(Arc::new(table.clone()));
         self.next_renewal = now;
         self.cut_all(now);
         !owned || owns || gave_all
@@ -278,7 +279,7 @@
         for (team, bucket) in &mut self.teams {
             let own = own_share(
                 &self.settings,
-                self.table.as_ref(),
+                self.table.as_deref(),
                 &self.me,
                 self.kept,
                 self.lease_end,
@@ -753,7 +754,7 @@
     fn own_share(&self, team: &TeamId) -> OwnShare {
         own_share(
             &self.settings,
-            self.table.as_ref(),
+            self.table.as_deref(),
             &self.me,
             self.kept,
             self.lease_end,
@@ -775,7 +776,7 @@
         for (team, bucket) in &mut self.teams {
             let own = own_share(
                 &self.settings,
-                self.table.as_ref(),
+                self.table.as_deref(),
                 &self.me,
                 self.kept,
                 self.lease_end,
--- a/src/process/shares/keeper.rs
+++ b/src/process/shares/keeper.rs
@@ -9,7 +9,6 @@
 use crate::process::shares::table::ShareTable;
 use crate::process::shares::table::TeamLimit;
 use crate::process::slots::rendezvous::RendezvousMember;
-use crate::process::slots::rendezvous::rendezvous_order;
 use crate::process::slots::rendezvous::spread_order;
 use crate::process::timers::MonotonicTime;
 use crate::version::ids::BundleVersion;
@@ -33,8 +32,8 @@
 pub struct KeeperView<'a> {
     /// The shard's name, which orders the instances.
     pub shard: &'a str,
-    /// The instance that decides.
-    pub me: &'a InstanceIncarnation,
+    /// The place of the deciding instance in the rendezvous order.
+    pub rank: Option<usize>,
     /// The live instances.
     pub members: &'a [ShareMember],
     /// The bundle in force here.
@@ -297,11 +296,9 @@
         now: MonotonicTime,
         causes: &mut BTreeSet<ChangeCause>,
     ) -> bool {
-        let order = rendezvous_order(view.shard, &zone_members(view.members));
-        let rank = order.iter().position(|id| *id == view.me.instance);
         let since = *self.causes.entry(cause.clone()).or_insert(now);
         causes.insert(cause);
-        let Some(rank) = rank.and_then(|rank| u32::try_from(rank).ok()) else {
+        let Some(rank) = view.rank.and_then(|rank| u32::try_from(rank).ok()) else {
             return false;
         };
         now.saturating_since(since) >= delay + self.settings.keeper_stagger * rank
--- a/src/process/shares/shard.rs
+++ b/src/process/shares/shard.rs
@@ -51,6 +51,8 @@
     witness: ShareWitness,
     keeper: ShareKeeper,
     members: Vec<ShareMember>,
+    /// The place of this instance in the rendezvous order of the shard.
+    rank: Option<usize>,
     bundle: BundleVersion,
     limits: BTreeMap<TeamId, TeamLimit>,
     /// The newest table version whose revision is known, and that revision.
@@ -81,6 +83,7 @@
             settings,
             rng,
             members: Vec::new(),
+            rank: None,
             bundle: BundleVersion(0),
             limits: BTreeMap::new(),
             revision: (0, 0),
@@ -120,9 +123,14 @@
 
     /// Takes the live instances.
     pub fn set_members(&mut self, members: Vec<ShareMember>) {
+        if members == self.members {
+            return;
+        }
         let live = members.iter().map(|m| m.incarnation.clone()).collect();
         self.holder.set_live(live);
         self.members = members;
+        let order = rendezvous_order(&self.name, &zone_members(&self.members));
+        self.rank = order.iter().position(|id| *id == self.me.instance);
     }
 
     /// Decides on one request.
@@ -256,7 +264,7 @@
             }
             ShareMessage::NeedTable { version } => {
                 if let Some(table) = self.holder.table().filter(|t| t.version > version) {
-                    let message = ShareMessage::Table(Box::new(table.clone()));
+                    let message = ShareMessage::Table(Box::new(ShareTable::clone(table)));
                     out.push(ShareAction::Send { to, message });
                 }
             }
@@ -305,7 +313,7 @@
         receivers.sort();
         receivers.dedup();
         for to in receivers {
-            let message = ShareMessage::Table(Box::new(table.clone()));
+            let message = ShareMessage::Table(Box::new(ShareTable::clone(table)));
             out.push(ShareAction::Send { to, message });
         }
     }
@@ -314,14 +322,14 @@
         if now < self.next_push {
             return;
         }
-        let rank = self.rank().unwrap_or(usize::MAX);
+        let rank = self.rank.unwrap_or(usize::MAX);
         let slow = if rank == 0 { 1 } else { 5 };
         self.next_push = now + self.settings.keeper_stagger / 5 * slow;
         if rank > 1 {
             return;
         }
         for to in self.keeper.missing_acks(table) {
-            let message = ShareMessage::Table(Box::new(table.clone()));
+            let message = ShareMessage::Table(Box::new(ShareTable::clone(table)));
             out.push(ShareAction::Send { to, message });
         }
     }
@@ -329,7 +337,7 @@
     fn change_table(&mut self, table: &ShareTable, now: MonotonicTime, out: &mut Vec<ShareAction>) {
         let view = KeeperView {
             shard: &self.name,
-            me: &self.me,
+            rank: self.rank,
             members: &self.members,
             bundle: self.bundle,
             limits: &self.limits,
@@ -393,20 +401,17 @@
         if self.call.is_some() || now < self.next_read {
             return;
         }
-        if self.absent {
-            let order = rendezvous_order(&self.name, &zone_members(&self.members));
-            if order.first() == Some(&self.me.instance) && self.bundle > BundleVersion(0) {
-                let mut witnesses = spread_order(&self.name, &zone_members(&self.members));
-                witnesses.truncate(self.settings.witnesses);
-                let table = ShareTable {
-                    bundle: self.bundle,
-                    teams: self.limits.clone(),
-                    ..ShareTable::first(self.me.clone(), witnesses)
-                };
-                self.next_read = now + self.settings.keeper_stagger;
-                self.write(table, 0, now, out);
-                return;
-            }
+        if self.absent && self.rank == Some(0) && self.bundle > BundleVersion(0) {
+            let mut witnesses = spread_order(&self.name, &zone_members(&self.members));
+            witnesses.truncate(self.settings.witnesses);
+            let table = ShareTable {
+                bundle: self.bundle,
+                teams: self.limits.clone(),
+                ..ShareTable::first(self.me.clone(), witnesses)
+            };
+            self.next_read = now + self.settings.keeper_stagger;
+            self.write(table, 0, now, out);
+            return;
         }
         let table = self.holder.table();
         let is_witness = table.is_some_and(|t| {
@@ -451,10 +456,4 @@
             table,
         });
     }
-
-    fn rank(&self) -> Option<usize> {
-        rendezvous_order(&self.name, &zone_members(&self.members))
-            .iter()
-            .position(|id| *id == self.me.instance)
-    }
 }
--- /dev/null
+++ b/src/process/slots/queue.rs
@@ -0,0 +1,596 @@
+//! The queue for a service's slots: deficit round robin between teams, charged with slot time.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use crate::process::slots::messages::PermitId;
+use crate::process::slots::messages::SlotClass;
+use crate::process::timers::MonotonicTime;
+use crate::request::refusal::RequestRefusal;
+use crate::version::ids::EndpointId;
+use crate::version::ids::InstanceId;
+use crate::version::ids::TeamId;
+use crate::version::units::SlotCount;
+use crate::version::units::TeamWeight;
+
+/// How the next request is chosen; all but the first serve as baselines of the measurement.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum QueueOrder {
+    /// Deficit round robin between teams by measured slot time.
+    SlotTime,
+    /// First come, first served.
+    Arrival,
+    /// Each team has the same fixed part of the slots.
+    EvenSplit,
+}
+
+/// The bounds of a queue.
+#[derive(Debug, Clone)]
+pub struct QueueSettings {
+    /// How the next request is chosen.
+    pub order: QueueOrder,
+    /// The most requests that wait, for each slot of the service.
+    pub length_per_slot: usize,
+    /// The longest wait.
+    pub max_wait: Duration,
+    /// Slot time added to every team's deficit in a round, at weight 1.
+    pub quantum: Duration,
+    /// How long a team counts as active after its last request.
+    pub active_window: Duration,
+    /// How many times longer than others' a team's transactions are to count as long.
+    pub long_factor: f64,
+    /// Whether a team must leave slots to other active teams.
+    pub keeps_reserve: bool,
+    /// Whether a request whose deadline cannot be met is refused at once.
+    pub refuses_early: bool,
+}
+
+impl Default for QueueSettings {
+    fn default() -> Self {
+        Self {
+            order: QueueOrder::SlotTime,
+            length_per_slot: 64,
+            max_wait: Duration::from_secs(5),
+            quantum: Duration::from_millis(5),
+            active_window: Duration::from_secs(10),
+            long_factor: 4.0,
+            keeps_reserve: true,
+            refuses_early: true,
+        }
+    }
+}
+
+/// A request that waits for a slot.
+#[derive(Debug, Clone)]
+pub struct SlotRequest {
+    /// Its name.
+    pub id: PermitId,
+    /// The team that pays.
+    pub team: TeamId,
+    /// How it uses the service.
+    pub class: SlotClass,
+    /// The endpoints that may serve it, the preferred one first.
+    pub eligible: Vec<EndpointId>,
+    /// When it gives up.
+    pub deadline: MonotonicTime,
+}
+
+/// What became of a request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum SlotAction {
+    /// It may run.
+    Grant { id: PermitId, endpoint: EndpointId },
+    /// It did not run and will not.
+    Refuse {
+        id: PermitId,
+        refusal: RequestRefusal,
+    },
+}
+
+#[derive(Debug, Clone)]
+struct TeamQueue {
+    weight: f64,
+    waiting: VecDeque<(u64, SlotRequest)>,
+    deficit: f64,
+    round: u64,
+    /// The mean slot time of its transactions, in seconds.
+    mean: Option<f64>,
+    running: BTreeMap<EndpointId, u32>,
+    last_active: MonotonicTime,
+}
+
+impl TeamQueue {
+    fn running_total(&self) -> u32 {
+        self.running.values().sum()
+    }
+}
+
+#[derive(Debug, Clone)]
+struct EndpointSlots {
+    slots: u32,
+    used: u32,
+}
+
+#[derive(Debug, Clone)]
+struct RunningPermit {
+    team: TeamId,
+    endpoint: EndpointId,
+    since: MonotonicTime,
+    charged: f64,
+}
+
+/// The queue of one service.
+#[derive(Debug, Clone)]
+pub struct SlotQueue {
+    settings: QueueSettings,
+    endpoints: BTreeMap<EndpointId, EndpointSlots>,
+    teams: BTreeMap<TeamId, TeamQueue>,
+    /// Teams in the order of service; the first is served while its deficit lasts.
+    rotation: VecDeque<TeamId>,
+    running: BTreeMap<PermitId, RunningPermit>,
+    rounds: u64,
+    arrivals: u64,
+    waiting: usize,
+}
+
+impl SlotQueue {
+    /// Creates a queue without endpoints.
+    pub fn new(settings: QueueSettings) -> Self {
+        Self {
+            settings,
+            endpoints: BTreeMap::new(),
+            teams: BTreeMap::new(),
+            rotation: VecDeque::new(),
+            running: BTreeMap::new(),
+            rounds: 0,
+            arrivals: 0,
+            waiting: 0,
+        }
+    }
+
+    /// Sets the endpoints and their slots; permits on removed ones stay until they end.
+    pub fn set_endpoints(&mut self, slots: &[(EndpointId, SlotCount)]) {
+        self.endpoints = slots
+            .iter()
+            .map(|(endpoint, slots)| {
+                let running = self.running.values().filter(|p| p.endpoint == *endpoint);
+                let used = u32::try_from(running.count()).unwrap_or(u32::MAX);
+                let slots = EndpointSlots {
+                    slots: slots.0,
+                    used,
+                };
+                (endpoint.clone(), slots)
+            })
+            .collect();
+    }
+
+    /// Sets the weight of a team; teams that were never set have weight 1.
+    pub fn set_weight(&mut self, team: &TeamId, weight: TeamWeight, now: MonotonicTime) {
+        self.team(team, now).weight = weight.0.max(0.01);
+    }
+
+    /// Returns how many requests wait.
+    pub fn waiting(&self) -> usize {
+        self.waiting
+    }
+
+    /// Returns the endpoint of a permit that runs.
+    pub fn running_endpoint(&self, id: &PermitId) -> Option<&EndpointId> {
+        self.running.get(id).map(|permit| &permit.endpoint)
+    }
+
+    /// Returns how many permits name an endpoint.
+    pub fn used(&self, endpoint: &EndpointId) -> u32 {
+        self.endpoints.get(endpoint).map_or(0, |slots| slots.used)
+    }
+
+    /// Returns whether a request waits.
+    pub fn is_waiting(&self, id: &PermitId) -> bool {
+        self.teams
+            .values()
+            .any(|team| team.waiting.iter().any(|(_, r)| r.id == *id))
+    }
+
+    /// Adds a request and grants what can run.
+    pub fn push(&mut self, request: SlotRequest, now: MonotonicTime) -> Vec<SlotAction> {
+        let mut actions = self.push_held(request, now);
+        self.dispatch(now, &mut actions);
+        actions
+    }
+
+    /// Adds a request without granting anything yet.
+    pub fn push_held(&mut self, mut request: SlotRequest, now: MonotonicTime) -> Vec<SlotAction> {
+        let mut actions = Vec::new();
+        request.deadline = request.deadline.min(now + self.settings.max_wait);
+        let total = self.total_slots();
+        self.team(&request.team, now).last_active = now;
+        if self.settings.refuses_early
+            && now + self.expected_wait(&request.team, now) > request.deadline
+        {
+            let refusal = RequestRefusal::QueueDeadline;
+            actions.push(SlotAction::Refuse {
+                id: request.id,
+                refusal,
+            });
+            return actions;
+        }
+        self.arrivals += 1;
+        let arrival = self.arrivals;
+        self.waiting += 1;
+        self.team(&request.team, now)
+            .waiting
+            .push_back((arrival, request));
+        let bound = self.settings.length_per_slot * usize::try_from(total).unwrap_or(1);
+        if self.waiting > bound.max(1) {
+            // The longest queue loses its newest request, so that no team fills the queue for others.
+            let longest = self.teams.values_mut().max_by(|a, b| {
+                let length = |team: &TeamQueue| team.waiting.len() as f64 / team.weight;
+                length(a).total_cmp(&length(b))
+            });
+            if let Some((_, dropped)) = longest.and_then(|team| team.waiting.pop_back()) {
+                self.waiting -= 1;
+                let refusal = RequestRefusal::QueueFull;
+                actions.push(SlotAction::Refuse {
+                    id: dropped.id,
+                    refusal,
+                });
+            }
+        }
+        actions
+    }
+
+    /// Ends a permit; `used` is the slot time that its holder measured.
+    pub fn release(
+        &mut self,
+        id: &PermitId,
+        used: Option<Duration>,
+        now: MonotonicTime,
+    ) -> Vec<SlotAction> {
+        let mut actions = Vec::new();
+        if let Some(permit) = self.running.remove(id) {
+            let age = now.saturating_since(permit.since);
+            let used = used.unwrap_or(age).min(age).as_secs_f64();
+            if let Some(slots) = self.endpoints.get_mut(&permit.endpoint) {
+                slots.used = slots.used.saturating_sub(1);
+            }
+            let team = self.team(&permit.team, now);
+            team.deficit -= used - permit.charged;
+            team.mean = Some(team.mean.map_or(used, |mean| mean * 0.9 + used * 0.1));
+            if let Some(running) = team.running.get_mut(&permit.endpoint) {
+                *running = running.saturating_sub(1);
+            }
+        }
+        self.dispatch(now, &mut actions);
+        actions
+    }
+
+    /// Counts a permit that was granted elsewhere.
+    pub fn note_running(
+        &mut self,
+        id: PermitId,
+        team: &TeamId,
+        endpoint: &EndpointId,
+        now: MonotonicTime,
+    ) {
+        if !self.running.contains_key(&id) {
+            self.start(id, team, endpoint, 0.0, now);
+        }
+    }
+
+    /// Forgets a request whose caller gave up.
+    pub fn cancel(&mut self, id: &PermitId) {
+        for team in self.teams.values_mut() {
+            let before = team.waiting.len();
+            team.waiting.retain(|(_, request)| request.id != *id);
+            self.waiting -= before - team.waiting.len();
+        }
+    }
+
+    /// Ends everything of an instance that is judged dead.
+    pub fn remove_instance(
+        &mut self,
+        instance: &InstanceId,
+        now: MonotonicTime,
+    ) -> Vec<SlotAction> {
+        for team in self.teams.values_mut() {
+            let before = team.waiting.len();
+            team.waiting
+                .retain(|(_, request)| request.id.instance != *instance);
+            self.waiting -= before - team.waiting.len();
+        }
+        let mut actions = Vec::new();
+        for id in self.running_of(instance, now) {
+            actions.extend(self.release(&id, None, now));
+        }
+        actions
+    }
+
+    /// Returns how long a permit has run.
+    pub fn age(&self, id: &PermitId, now: MonotonicTime) -> Duration {
+        let permit = self.running.get(id);
+        permit.map_or(Duration::ZERO, |permit| now.saturating_since(permit.since))
+    }
+
+    /// Returns the permits of an instance that were granted before a time.
+    pub fn running_of(&self, instance: &InstanceId, before: MonotonicTime) -> Vec<PermitId> {
+        let of = self
+            .running
+            .iter()
+            .filter(|(id, permit)| id.instance == *instance && permit.since <= before);
+        of.map(|(id, _)| id.clone()).collect()
+    }
+
+    /// Refuses what has waited too long.
+    pub fn tick(&mut self, now: MonotonicTime) -> Vec<SlotAction> {
+        let mut actions = Vec::new();
+        for team in self.teams.values_mut() {
+            team.waiting.retain(|(_, request)| {
+                let keep = request.deadline > now;
+                if !keep {
+                    let refusal = RequestRefusal::QueueDeadline;
+                    let id = request.id.clone();
+                    actions.push(SlotAction::Refuse { id, refusal });
+                }
+                keep
+            });
+        }
+        self.waiting -= actions.len();
+        self.dispatch(now, &mut actions);
+        actions
+    }
+
+    /// Returns the time until a new request of a team would get a slot at its fair part.
+    fn expected_wait(&self, team: &TeamId, now: MonotonicTime) -> Duration {
+        let Some(queue) = self.teams.get(team) else {
+            return Duration::ZERO;
+        };
+        if queue.waiting.is_empty() {
+            return Duration::ZERO;
+        }
+        let mean = queue.mean.unwrap_or_else(|| self.mean(None));
+        let weights = self.active_weight(now).max(queue.weight);
+        let slots = f64::from(self.total_slots().max(1)) * queue.weight / weights;
+        Duration::from_secs_f64(queue.waiting.len() as f64 * mean / slots)
+    }
+
+    fn dispatch(&mut self, now: MonotonicTime, actions: &mut Vec<SlotAction>) {
+        while self.waiting > 0 {
+            let Some((team, index, endpoint)) = self.choose(now) else {
+                return;
+            };
+            let mean = self.mean(None);
+            let queue = self.team(&team, now);
+            let Some((_, request)) = queue.waiting.remove(index) else {
+                return;
+            };
+            let charged = queue.mean.unwrap_or(mean);
+            queue.deficit -= charged;
+            self.waiting -= 1;
+            self.start(request.id.clone(), &team, &endpoint, charged, now);
+            actions.push(SlotAction::Grant {
+                id: request.id,
+                endpoint,
+            });
+        }
+    }
+
+    fn start(
+        &mut self,
+        id: PermitId,
+        team: &TeamId,
+        endpoint: &EndpointId,
+        charged: f64,
+        now: MonotonicTime,
+    ) {
+        if let Some(slots) = self.endpoints.get_mut(endpoint) {
+            slots.used += 1;
+        }
+        let queue = self.team(team, now);
+        *queue.running.entry(endpoint.clone()).or_default() += 1;
+        queue.last_active = now;
+        let permit = RunningPermit {
+            team: team.clone(),
+            endpoint: endpoint.clone(),
+            since: now,
+            charged,
+        };
+        self.running.insert(id, permit);
+    }
+
+    /// Returns the team to serve, the place of its request and the endpoint.
+    fn choose(&mut self, now: MonotonicTime) -> Option<(TeamId, usize, EndpointId)> {
+        let mut ready = BTreeMap::new();
+        for team in &self.rotation {
+            if let Some(found) = self.dispatchable(team, now) {
+                ready.insert(team.clone(), found);
+            }
+        }
+        let chosen = if self.settings.order == QueueOrder::Arrival {
+            let arrival = |team: &TeamId| {
+                ready
+                    .get(team)
+                    .map(|(index, _)| self.teams[team].waiting[*index].0)
+            };
+            ready.keys().min_by_key(|team| arrival(team)).cloned()?
+        } else {
+            self.next_in_rotation(&ready.keys().cloned().collect(), now)?
+        };
+        let (index, endpoint) = ready.remove(&chosen)?;
+        Some((chosen, index, endpoint))
+    }
+
+    /// Serves the first team with deficit left, and starts new rounds until there is one.
+    fn next_in_rotation(&mut self, ready: &BTreeSet<TeamId>, now: MonotonicTime) -> Option<TeamId> {
+        let quantum = self.settings.quantum.as_secs_f64();
+        let mut fewest = u64::MAX;
+        for team in ready {
+            let queue = self.team(team, now);
+            if queue.deficit <= 0.0 {
+                let rounds = (-queue.deficit / (quantum * queue.weight)).floor() as u64 + 1;
+                fewest = fewest.min(rounds);
+            } else {
+                fewest = 0;
+            }
+        }
+        if ready.is_empty() {
+            return None;
+        }
+        if fewest > 0 {
+            self.rounds += fewest;
+            for team in ready {
+                self.team(team, now);
+            }
+        }
+        let place = self.rotation.iter().position(|team| {
+            ready.contains(team)
+                && self
+                    .teams
+                    .get(team)
+                    .is_some_and(|queue| queue.deficit > 0.0)
+        })?;
+        // Teams that were passed over move behind, and the served one stays first while it may.
+        self.rotation.rotate_left(place);
+        self.rotation.front().cloned()
+    }
+
+    /// Returns the first request of a team that an endpoint can take now.
+    fn dispatchable(&self, team: &TeamId, now: MonotonicTime) -> Option<(usize, EndpointId)> {
+        const LOOKAHEAD: usize = 16;
+        let queue = self.teams.get(team)?;
+        if queue.waiting.is_empty() || queue.running_total() >= self.team_limit(queue, now) {
+            return None;
+        }
+        let long = self.is_long(queue);
+        let alone = !self.others_active(team, now);
+        for (index, (_, request)) in queue.waiting.iter().enumerate().take(LOOKAHEAD) {
+            let free = request.eligible.iter().filter(|endpoint| {
+                self.endpoints.get(*endpoint).is_some_and(|slots| {
+                    let held = queue.running.get(*endpoint).copied().unwrap_or(0);
+                    let reserve = if !self.settings.keeps_reserve
+                        || alone
+                        || self.settings.order != QueueOrder::SlotTime
+                    {
+                        slots.slots
+                    } else if long {
+                        1
+                    } else {
+                        slots.slots.saturating_sub(1).max(1)
+                    };
+                    slots.used < slots.slots && held < reserve
+                })
+            });
+            let best = free.max_by_key(|endpoint| {
+                let slots = &self.endpoints[*endpoint];
+                let preferred = request
+                    .eligible
+                    .iter()
+                    .position(|e| e == *endpoint)
+                    .unwrap_or(0);
+                (slots.slots - slots.used, std::cmp::Reverse(preferred))
+            });
+            if let Some(endpoint) = best {
+                return Some((index, endpoint.clone()));
+            }
+        }
+        None
+    }
+
+    /// Returns the most slots that a team may hold while other teams are active.
+    ///
+    /// Transactions are not interrupted, so that a team which takes all slots at a quiet moment
+    /// would block the others for as long as its transactions run.
+    fn team_limit(&self, queue: &TeamQueue, now: MonotonicTime) -> u32 {
+        let total = self.total_slots();
+        let teams = u32::try_from(self.teams.len().max(1)).unwrap_or(u32::MAX);
+        match self.settings.order {
+            QueueOrder::Arrival => total,
+            QueueOrder::EvenSplit => (total / teams).max(1),
+            QueueOrder::SlotTime if !self.settings.keeps_reserve => total,
+            QueueOrder::SlotTime => {
+                let weights = self.active_weight(now).max(queue.weight);
+                let fair = f64::from(total) * queue.weight / weights;
+                let spare = if self.is_long(queue) { 4.0 } else { 2.0 };
+                let limit = fair + (f64::from(total) - fair) / spare;
+                (limit.floor() as u32).max(1)
+            }
+        }
+    }
+
+    fn is_long(&self, queue: &TeamQueue) -> bool {
+        let others = self.mean(Some(queue));
+        queue
+            .mean
+            .is_some_and(|mean| mean > others * self.settings.long_factor)
+    }
+
+    fn others_active(&self, team: &TeamId, now: MonotonicTime) -> bool {
+        let active = |queue: &TeamQueue| {
+            now.saturating_since(queue.last_active) < self.settings.active_window
+        };
+        self.teams
+            .iter()
+            .any(|(id, queue)| id != team && active(queue))
+    }
+
+    fn active_weight(&self, now: MonotonicTime) -> f64 {
+        let active = |queue: &&TeamQueue| {
+            now.saturating_since(queue.last_active) < self.settings.active_window
+        };
+        self.teams
+            .values()
+            .filter(active)
+            .map(|queue| queue.weight)
+            .sum()
+    }
+
+    /// Returns the mean slot time over teams, in seconds, leaving one out.
+    fn mean(&self, except: Option<&TeamQueue>) -> f64 {
+        let mut sum = 0.0;
+        let mut count = 0;
+        for queue in self.teams.values() {
+            if except.is_some_and(|e| std::ptr::eq(e, queue)) {
+                continue;
+            }
+            if let Some(mean) = queue.mean {
+                sum += mean;
+                count += 1;
+            }
+        }
+        if count == 0 {
+            self.settings.quantum.as_secs_f64()
+        } else {
+            sum / f64::from(count)
+        }
+    }
+
+    fn total_slots(&self) -> u32 {
+        self.endpoints.values().map(|slots| slots.slots).sum()
+    }
+
+    /// Returns a team with its deficit brought up to the present round.
+    ///
+    /// A debt is paid off by rounds also while the team is idle; credit stays within one quantum.
+    fn team(&mut self, team: &TeamId, now: MonotonicTime) -> &mut TeamQueue {
+        if !self.teams.contains_key(team) {
+            self.rotation.push_back(team.clone());
+        }
+        let rounds = self.rounds;
+        let quantum = self.settings.quantum.as_secs_f64();
+        let queue = self.teams.entry(team.clone()).or_insert_with(|| TeamQueue {
+            weight: 1.0,
+            waiting: VecDeque::new(),
+            deficit: 0.0,
+            round: rounds,
+            mean: None,
+            running: BTreeMap::new(),
+            last_active: now,
+        });
+        let step = quantum * queue.weight;
+        queue.deficit =
+            (queue.deficit + (rounds - queue.round) as f64 * step).min(step.max(queue.deficit));
+        queue.round = rounds;
+        queue
+    }
+}
