Queue for slots at the service's coordinator

Cause: each instance counted slots for itself, so that 15 instances could send 45 statements at once to an endpoint with 3 slots. Ruled out: a separate message for each answer of the coordinator; the answer to a request travels back on the same stream, which saves half a round trip. Conclusion: permits come from one queue for each service, with the local part as fallback.

--- a/src/process/daemon_parts.rs
+++ b/src/process/daemon_parts.rs
@@ -34,6 +34,9 @@
 use crate::process::shares::messages::StoreAnswer;
 use crate::process::shares::settings::ShareSettings;
 use crate::process::shares::table::ShareTable;
+use crate::process::slot_driver::SlotEnvelope;
+use crate::process::slot_driver::SlotSendFn;
+use crate::process::slots::messages::SlotMessage;
 use crate::process::slots::rendezvous::RendezvousMember;
 use crate::process::slots::rendezvous::spread_order;
 use crate::process::store_client::StoreClient;
@@ -53,7 +56,7 @@
 /// How many peers an instance asks for their state.
 pub const PEER_LINKS: usize = 15;
 
-const SHARE_SEND_LIMIT: Duration = Duration::from_secs(1);
+const PART_SEND_LIMIT: Duration = Duration::from_secs(1);
 
 /// Control connections that one instance may have open to an endpoint at once.
 const CONTROL_CONNECTIONS: u32 = 2;
@@ -99,7 +102,11 @@
         let digests = Arc::new(DigestTable::default());
         let mesh = Arc::new(OnceLock::new());
         let links_cell = Arc::new(OnceLock::new());
-        let services = Arc::new(new_services(settings, journal.clone()));
+        let services = Arc::new(new_services(
+            settings,
+            journal.clone(),
+            slot_send(links_cell.clone(), mesh.clone()),
+        ));
         let shares = Arc::new(ShareDriver::new(
             &instance,
             ShareSettings::default(),
@@ -222,7 +229,11 @@
     )
 }
 
-fn new_services(settings: &DaemonSettings, journal: Arc<DecisionJournal>) -> ServiceTable {
+fn new_services(
+    settings: &DaemonSettings,
+    journal: Arc<DecisionJournal>,
+    send: SlotSendFn,
+) -> ServiceTable {
     let login = EndpointLogin {
         user: settings.endpoint_user.clone(),
         password: settings.endpoint_password.clone(),
@@ -238,6 +249,7 @@
         settings.availability_zone.clone(),
         login,
         Arc::new(on_event),
+        send,
     )
 }
 
@@ -299,7 +311,7 @@
             return;
         };
         let sent = links
-            .ask_part(&mesh, &to, PeerPart::Shares, payload, SHARE_SEND_LIMIT)
+            .ask_part(&mesh, &to, PeerPart::Shares, payload, PART_SEND_LIMIT)
             .await;
         if let Err(error) = sent {
             debug!("shares: message to {to} was lost: {error}");
@@ -307,6 +319,42 @@
     });
 }
 
+fn slot_send(
+    links: Arc<OnceLock<Arc<FleetLinks>>>,
+    mesh: Arc<OnceLock<Arc<PeerMesh>>>,
+) -> SlotSendFn {
+    Arc::new(move |to, envelope| {
+        let (links, mesh) = (links.get().cloned(), mesh.get().cloned());
+        Box::pin(async move {
+            let (Some(links), Some(mesh)) = (links, mesh) else {
+                return Vec::new();
+            };
+            send_slot(&links, &mesh, &to, &envelope)
+                .await
+                .unwrap_or_default()
+        })
+    })
+}
+
+async fn send_slot(
+    links: &FleetLinks,
+    mesh: &PeerMesh,
+    to: &InstanceId,
+    envelope: &SlotEnvelope,
+) -> Option<Vec<SlotMessage>> {
+    let payload = postcard::to_allocvec(envelope).ok()?;
+    match links
+        .ask_part(mesh, to, PeerPart::Slots, payload, PART_SEND_LIMIT)
+        .await
+    {
+        Ok(reply) => postcard::from_bytes(&reply).ok(),
+        Err(error) => {
+            debug!("slots: message to {to} was lost: {error}");
+            None
+        }
+    }
+}
+
 async fn read_table(store: &StoreClient, key: &str) -> StoreAnswer {
     match store.get(key).await {
         Ok(None) => StoreAnswer::Value(None),
@@ -353,7 +401,7 @@
 ) -> FleetPorts {
     let (version_of, text_of) = (bundles.clone(), bundles.clone());
     let intake = intake.clone();
-    let services = services.clone();
+    let (services, slot_services) = (services.clone(), services.clone());
     let (incarnations_of, receiver) = (shares.clone(), shares.clone());
     let digests = digests.clone();
     let draining = draining.clone();
@@ -371,13 +419,17 @@
         on_digest: Box::new(move |digest: &PeerDigest| digests.record(digest, timers::now())),
         on_part: Box::new(move |part, payload| {
             let receiver = receiver.clone();
+            let slots = slot_services.clone();
             Box::pin(async move {
                 match part {
                     PeerPart::Shares => {
                         receiver.on_message(postcard::from_bytes(&payload).ok()?);
                         Some(Vec::new())
                     }
-                    PeerPart::Slots => None,
+                    PeerPart::Slots => {
+                        let envelope = postcard::from_bytes(&payload).ok()?;
+                        postcard::to_allocvec(&slots.on_slot_message(envelope)).ok()
+                    }
                 }
             })
         }),
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -31,6 +31,7 @@
 pub mod settings_parser;
 pub mod share_driver;
 pub mod shares;
+pub mod slot_driver;
 pub mod slots;
 pub mod store_calls;
 pub mod store_client;
--- a/src/process/service_runtime.rs
+++ b/src/process/service_runtime.rs
@@ -6,10 +6,6 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
-use std::time::Duration;
-
-use tokio::sync::OwnedSemaphorePermit;
-use tokio::sync::Semaphore;
 
 use crate::process::endpoint_control::ControlTarget;
 use crate::process::endpoint_control::EndpointControl;
@@ -19,9 +15,12 @@
 use crate::process::group_watcher::EventFn;
 use crate::process::group_watcher::GroupWatcher;
 use crate::process::group_watcher::WatchedEndpoint;
-use crate::request::refusal::RequestRefusal;
+use crate::process::slot_driver::SlotDriver;
+use crate::process::slot_driver::SlotPlan;
+use crate::process::slot_driver::SlotSendFn;
 use crate::version::bundle::EndpointConfig;
 use crate::version::bundle::ServiceConfig;
+use crate::version::bundle::TeamConfig;
 use crate::version::ids::EndpointId;
 use crate::version::secret_text::SecretText;
 
@@ -35,10 +34,8 @@
 }
 
 #[derive(Debug, Clone)]
-struct EndpointSlots {
+struct EndpointAccess {
     address: SocketAddr,
-    total: usize,
-    free: Arc<Semaphore>,
     control: Arc<EndpointControl>,
 }
 
@@ -46,26 +43,32 @@
 pub struct ServiceRuntime {
     /// The watcher of its group.
     pub watcher: Arc<GroupWatcher>,
+    /// The permits for its slots.
+    pub slots: Arc<SlotDriver>,
     login: EndpointLogin,
     config: Mutex<Arc<ServiceConfig>>,
-    endpoints: Mutex<BTreeMap<EndpointId, EndpointSlots>>,
+    endpoints: Mutex<BTreeMap<EndpointId, EndpointAccess>>,
 }
 
 impl ServiceRuntime {
     /// Creates the runtime of a service that appears in a bundle.
     pub fn new(
         config: &ServiceConfig,
+        teams: &[TeamConfig],
         login: EndpointLogin,
         settings: WatchSettings,
-        seed: u64,
         on_event: EventFn,
+        send: SlotSendFn,
     ) -> Self {
+        let instance = settings.instance.clone();
+        let slots = SlotDriver::new(config.id.clone(), instance, slot_plan(config, teams), send);
         let mut endpoints = BTreeMap::new();
         let watched = update_endpoints(&mut endpoints, config, &login);
         let limits = FailoverLimits::default();
-        let watcher = GroupWatcher::new(watched, settings, limits, seed, on_event);
+        let watcher = GroupWatcher::new(watched, settings, limits, rand::random(), on_event);
         Self {
             watcher: Arc::new(watcher),
+            slots: Arc::new(slots),
             login,
             config: Mutex::new(Arc::new(config.clone())),
             endpoints: Mutex::new(endpoints),
@@ -73,7 +76,8 @@
     }
 
     /// Takes the service's part of a newer bundle.
-    pub fn set_config(&self, config: &ServiceConfig) {
+    pub fn set_config(&self, config: &ServiceConfig, teams: &[TeamConfig]) {
+        self.slots.set_plan(slot_plan(config, teams));
         let watched = update_endpoints(&mut self.lock_endpoints(), config, &self.login);
         self.watcher.set_endpoints(watched);
         *self.config.lock().unwrap_or_else(PoisonError::into_inner) = Arc::new(config.clone());
@@ -91,64 +95,45 @@
     pub fn address_of(&self, endpoint: &EndpointId) -> Option<SocketAddr> {
         self.lock_endpoints()
             .get(endpoint)
-            .map(|slots| slots.address)
-    }
-
-    /// Returns the share of an endpoint's slots that this instance uses.
-    pub fn load_of(&self, endpoint: &EndpointId) -> f64 {
-        let endpoints = self.lock_endpoints();
-        endpoints.get(endpoint).map_or(0.0, |slots| {
-            let used = slots.total.saturating_sub(slots.free.available_permits());
-            used as f64 / slots.total.max(1) as f64
-        })
-    }
-
-    /// Waits for a slot of an endpoint.
-    pub async fn take_slot(
-        &self,
-        endpoint: &EndpointId,
-        limit: Duration,
-    ) -> Result<OwnedSemaphorePermit, RequestRefusal> {
-        let free = self
-            .lock_endpoints()
-            .get(endpoint)
-            .map(|slots| slots.free.clone());
-        let free = free.ok_or(RequestRefusal::NoEndpoint)?;
-        match tokio::time::timeout(limit, free.acquire_owned()).await {
-            Ok(Ok(permit)) => Ok(permit),
-            Ok(Err(_)) => Err(RequestRefusal::NoEndpoint),
-            Err(_) => Err(RequestRefusal::QueueDeadline),
-        }
+            .map(|access| access.address)
     }
 
-    fn lock_endpoints(&self) -> MutexGuard<'_, BTreeMap<EndpointId, EndpointSlots>> {
+    fn lock_endpoints(&self) -> MutexGuard<'_, BTreeMap<EndpointId, EndpointAccess>> {
         self.endpoints
             .lock()
             .unwrap_or_else(PoisonError::into_inner)
     }
 }
 
+fn slot_plan(config: &ServiceConfig, teams: &[TeamConfig]) -> SlotPlan {
+    let endpoints = config.endpoints.iter();
+    SlotPlan {
+        slots: endpoints
+            .map(|endpoint| (endpoint.id.clone(), endpoint.slots))
+            .collect(),
+        weights: teams
+            .iter()
+            .map(|team| (team.id.clone(), team.weight))
+            .collect(),
+    }
+}
+
 /// Brings the endpoints in line with a bundle and returns them for the watcher.
 fn update_endpoints(
-    endpoints: &mut BTreeMap<EndpointId, EndpointSlots>,
+    endpoints: &mut BTreeMap<EndpointId, EndpointAccess>,
     config: &ServiceConfig,
     login: &EndpointLogin,
 ) -> Vec<WatchedEndpoint> {
-    endpoints.retain(|id, slots| {
-        let still = |endpoint: &EndpointConfig| {
-            endpoint.id == *id
-                && endpoint.address == slots.address
-                && endpoint.slots.0 as usize == slots.total
-        };
+    endpoints.retain(|id, access| {
+        let still =
+            |endpoint: &EndpointConfig| endpoint.id == *id && endpoint.address == access.address;
         config.endpoints.iter().any(still)
     });
     let watch = |endpoint: &EndpointConfig| {
-        let slots = endpoints
+        let access = endpoints
             .entry(endpoint.id.clone())
-            .or_insert_with(|| EndpointSlots {
+            .or_insert_with(|| EndpointAccess {
                 address: endpoint.address,
-                total: endpoint.slots.0 as usize,
-                free: Arc::new(Semaphore::new(endpoint.slots.0 as usize)),
                 control: Arc::new(EndpointControl::new(ControlTarget {
                     address: endpoint.address,
                     database: config.id.to_string(),
@@ -162,7 +147,7 @@
                 zone: endpoint.zone.clone(),
                 leaving: endpoint.leaving,
             },
-            control: slots.control.clone(),
+            control: access.control.clone(),
         }
     };
     config.endpoints.iter().map(watch).collect()
--- a/src/process/service_table.rs
+++ b/src/process/service_table.rs
@@ -12,6 +12,12 @@
 use crate::process::peers::peer_digest::ServiceDigest;
 use crate::process::service_runtime::EndpointLogin;
 use crate::process::service_runtime::ServiceRuntime;
+use crate::process::slot_driver::HeldSlot;
+use crate::process::slot_driver::SlotEnvelope;
+use crate::process::slot_driver::SlotSendFn;
+use crate::process::slots::messages::PermitQuery;
+use crate::process::slots::messages::SlotClass;
+use crate::process::slots::messages::SlotMessage;
 use crate::process::slots::rendezvous::RendezvousMember;
 use crate::process::slots::rendezvous::spread_order;
 use crate::process::timers;
@@ -41,6 +47,7 @@
     zone: ZoneId,
     login: EndpointLogin,
     on_event: ServiceEventFn,
+    send: SlotSendFn,
     services: RwLock<HashMap<ServiceId, Arc<ServiceRuntime>>>,
 }
 
@@ -51,12 +58,14 @@
         zone: ZoneId,
         login: EndpointLogin,
         on_event: ServiceEventFn,
+        send: SlotSendFn,
     ) -> Self {
         Self {
             instance,
             zone,
             login,
             on_event,
+            send,
             services: RwLock::default(),
         }
     }
@@ -67,17 +76,19 @@
         services.retain(|id, _| config.services.iter().any(|service| service.id == *id));
         for service in &config.services {
             match services.get(&service.id) {
-                Some(runtime) => runtime.set_config(service),
+                Some(runtime) => runtime.set_config(service, &config.teams),
                 None => {
                     let on_event = self.on_event.clone();
                     let id = service.id.clone();
                     let runtime = ServiceRuntime::new(
                         service,
+                        &config.teams,
                         self.login.clone(),
                         self.watch_settings(&service.id, live),
-                        rand::random(),
                         Box::new(move |event| on_event(&id, event)),
+                        self.send.clone(),
                     );
+                    runtime.slots.set_live(&rendezvous_members(live));
                     services.insert(service.id.clone(), Arc::new(runtime));
                 }
             }
@@ -88,17 +99,12 @@
     pub fn set_live(&self, live: &[MemberRecord]) {
         for (id, runtime) in self.all() {
             runtime.watcher.set_watchers(self.watch_settings(&id, live));
+            runtime.slots.set_live(&rendezvous_members(live));
         }
     }
 
     fn watch_settings(&self, service: &ServiceId, live: &[MemberRecord]) -> WatchSettings {
-        let members: Vec<RendezvousMember> = live
-            .iter()
-            .map(|member| RendezvousMember {
-                instance: member.instance.clone(),
-                zone: member.zone.clone(),
-            })
-            .collect();
+        let members = rendezvous_members(live);
         let mut watchers = spread_order(service.as_str(), &members);
         watchers.truncate(GROUP_WATCHERS);
         WatchSettings {
@@ -112,6 +118,7 @@
     pub fn tick(&self) {
         for (_, runtime) in self.all() {
             runtime.watcher.tick();
+            runtime.slots.tick();
         }
     }
 
@@ -167,7 +174,15 @@
             .collect()
     }
 
-    /// Chooses an endpoint for a request and waits for one of its slots.
+    /// Takes a slot message of another instance and returns the answers for it.
+    pub fn on_slot_message(&self, envelope: SlotEnvelope) -> Vec<SlotMessage> {
+        match self.get(&envelope.service) {
+            Some(runtime) => runtime.slots.on_envelope(envelope),
+            None => Vec::new(),
+        }
+    }
+
+    /// Chooses endpoints for a request and waits for a slot of one of them.
     ///
     /// While no endpoint is eligible, as during a failover, the request waits as well.
     pub async fn take_permit(&self, query: &AdmitQuery) -> Result<SlotPermit, RequestRefusal> {
@@ -177,43 +192,84 @@
             .ok_or(RequestRefusal::UnknownService)?;
         loop {
             let left = deadline.saturating_since(timers::now());
-            match self.choose(&runtime, query) {
-                Ok(candidate) => return grant_permit(&runtime, candidate, left).await,
+            let eligible = match self.eligible(&runtime, query) {
+                Ok(eligible) => eligible,
                 Err(refusal) if left.is_zero() => return Err(refusal),
-                Err(_) => tokio::time::sleep(ROUTE_RETRY.min(left)).await,
+                Err(_) => {
+                    tokio::time::sleep(ROUTE_RETRY.min(left)).await;
+                    continue;
+                }
+            };
+            let permit_query = PermitQuery {
+                team: query.team.clone(),
+                class: SlotClass::from(query.class),
+                eligible: eligible
+                    .iter()
+                    .map(|candidate| candidate.endpoint.clone())
+                    .collect(),
+                wait_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
+            };
+            let slot = runtime.slots.take(permit_query).await?;
+            // A long wait may have outlived the primary that the request was queued for.
+            let present = self.eligible(&runtime, query).unwrap_or_default();
+            let granted = present.into_iter().find(|c| c.endpoint == *slot.endpoint());
+            if let Some(candidate) = granted {
+                return new_permit(&runtime, candidate, slot);
             }
         }
     }
 
-    fn choose(
+    /// Returns the endpoints that may serve a request, the preferred one first.
+    ///
+    /// The primary serves reads only where no replica may, so that its slots stay for writes.
+    fn eligible(
         &self,
         runtime: &ServiceRuntime,
         query: &AdmitQuery,
-    ) -> Result<RouteCandidate, RequestRefusal> {
-        let mut candidates = runtime
+    ) -> Result<Vec<RouteCandidate>, RequestRefusal> {
+        let candidates = runtime
             .watcher
-            .candidates(|endpoint| runtime.load_of(endpoint));
+            .candidates(|endpoint| runtime.slots.load_of(endpoint));
         let limit = runtime.config().staleness_limit_ms;
-        let route = RouteQuery {
-            class: query.class,
-            floor: query.floor,
-            staleness_limit: limit.map(|limit| Duration::from_millis(limit.0)),
-            zone: &self.zone,
-            excluded: &query.excluded,
-            seed: rand::random(),
-        };
-        let index = choose_endpoint(&candidates, &route)?;
-        Ok(candidates.swap_remove(index))
+        let mut excluded = query.excluded.clone();
+        let mut eligible: Vec<RouteCandidate> = Vec::new();
+        loop {
+            let route = RouteQuery {
+                class: query.class,
+                floor: query.floor,
+                staleness_limit: limit.map(|limit| Duration::from_millis(limit.0)),
+                zone: &self.zone,
+                excluded: &excluded,
+                seed: rand::random(),
+            };
+            let chosen = match choose_endpoint(&candidates, &route) {
+                Ok(index) => &candidates[index],
+                Err(refusal) if eligible.is_empty() => return Err(refusal),
+                Err(_) => return Ok(eligible),
+            };
+            if chosen.primary && !eligible.is_empty() {
+                return Ok(eligible);
+            }
+            excluded.push(chosen.endpoint.clone());
+            eligible.push(chosen.clone());
+        }
     }
 }
 
-async fn grant_permit(
+fn rendezvous_members(live: &[MemberRecord]) -> Vec<RendezvousMember> {
+    let member_of = |member: &MemberRecord| RendezvousMember {
+        instance: member.instance.clone(),
+        zone: member.zone.clone(),
+    };
+    live.iter().map(member_of).collect()
+}
+
+fn new_permit(
     runtime: &Arc<ServiceRuntime>,
     candidate: RouteCandidate,
-    limit: Duration,
+    slot: HeldSlot,
 ) -> Result<SlotPermit, RequestRefusal> {
     let endpoint = candidate.endpoint;
-    let slot = runtime.take_slot(&endpoint, limit).await?;
     let address = runtime
         .address_of(&endpoint)
         .ok_or(RequestRefusal::NoEndpoint)?;
