Run the caller path against the stand-in endpoints

Against stand-ins whose open connections fall silent, a prepare was repeated on another endpoint and refused with 42P05: the first attempt had already noted the name.

--- a/src/connection/caller_session.rs
+++ b/src/connection/caller_session.rs
@@ -578,6 +578,14 @@
             &withdrawn,
         );
         let result = exchange.run(batch).await;
+        if may_retry
+            && matches!(
+                result,
+                Ok(ExchangeEnd::ReadOnly) | Err(ExchangeFault::Link(_))
+            )
+        {
+            exchange.restore_names();
+        }
         let (held, begun, complete) = (exchange.held, exchange.begun, exchange.complete);
         self.cancel.point_to(None);
         match result {
--- a/src/connection/exchange.rs
+++ b/src/connection/exchange.rs
@@ -135,6 +135,8 @@
     /// Whether a commit was answered that the caller does not know of yet.
     pub commit_held: bool,
     expected: VecDeque<Expect>,
+    /// Names that the request changed, with what they stood for before.
+    replaced: Vec<(Vec<u8>, Option<Arc<PreparedStatement>>)>,
     input: InputMode,
     preamble: bool,
     failed: bool,
@@ -167,6 +169,7 @@
             complete: false,
             commit_held: false,
             expected: VecDeque::new(),
+            replaced: Vec::new(),
             input: InputMode::Closed,
             failed: false,
             read_only: false,
@@ -338,7 +341,8 @@
         let taken = !name.is_empty() && self.prepared.contains_key(&name);
         let known = self.lease.link.prepared.contains(&hash);
         if !taken {
-            self.prepared.insert(name.clone(), statement.clone());
+            let before = self.prepared.insert(name.clone(), statement.clone());
+            self.replaced.push((name.clone(), before));
         }
         if known && !taken {
             let answer = WireFrame::new(b'1', &[]);
@@ -414,7 +418,8 @@
     fn send_close(&mut self, frame: &WireFrame) -> Result<(), ExchangeFault> {
         if let Some((b'S', rest)) = frame.body().split_first() {
             let (name, _) = wire_frame::split_text(rest)?;
-            self.prepared.remove(name);
+            let before = self.prepared.remove(name);
+            self.replaced.push((name.to_vec(), before));
             self.expected
                 .push_back(Expect::Local(WireFrame::new(b'3', &[])));
         } else {
@@ -498,6 +503,16 @@
         Ok(self.caller.write(frame.bytes())?)
     }
 
+    /// Returns the prepared names of the session to what they were before the request.
+    pub fn restore_names(&mut self) {
+        while let Some((name, before)) = self.replaced.pop() {
+            match before {
+                Some(statement) => self.prepared.insert(name, statement),
+                None => self.prepared.remove(&name),
+            };
+        }
+    }
+
     /// Passes on what was held back.
     pub fn release(&mut self) -> Result<(), ExchangeFault> {
         self.begun = true;
--- /dev/null
+++ b/tests/testsuite/standin_fixture.rs
@@ -0,0 +1,204 @@
+//! A listener on a group of stand-in endpoints, with ports that ask them directly.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::time::Duration;
+
+use standins::endpoint::EndpointConfig;
+use standins::endpoint::EndpointHandle;
+use tamaracklb::connection::listener;
+use tamaracklb::connection::listener::ListenerHandle;
+use tamaracklb::connection::listener_config::CallerLimits;
+use tamaracklb::connection::listener_config::ListenerConfig;
+use tamaracklb::connection::listener_config::SecretText;
+use tamaracklb::request::log_point::LogPoint;
+use tamaracklb::request::ports::AdmitQuery;
+use tamaracklb::request::ports::RequestClass;
+use tamaracklb::request::ports::RequestPorts;
+use tamaracklb::request::ports::SlotPermit;
+use tamaracklb::request::refusal::RequestRefusal;
+use tamaracklb::version::units::ConnectionCount;
+use tokio_postgres::Client;
+
+use crate::caller_fixture;
+
+/// Endpoints of one group with the number of reads that each kind served.
+pub struct StandinGroup {
+    /// The endpoints; the first starts as the primary.
+    pub endpoints: Vec<Mutex<EndpointHandle>>,
+    /// Admitted requests, with whether they went to a replica.
+    pub admitted: Mutex<Vec<(RequestClass, bool)>>,
+}
+
+/// A listener on a group of stand-in endpoints.
+pub struct StandinFixture {
+    /// The group.
+    pub group: Arc<StandinGroup>,
+    /// The listener.
+    pub handle: ListenerHandle,
+}
+
+fn point(endpoint: &EndpointHandle) -> LogPoint {
+    let report = endpoint.report();
+    LogPoint::new(report.term, report.position)
+}
+
+impl StandinGroup {
+    fn start(config: &EndpointConfig) -> Self {
+        let endpoints: Vec<EndpointHandle> = (0..3)
+            .map(|index| {
+                let config = EndpointConfig {
+                    name: format!("endpoint-{index}"),
+                    primary: index == 0,
+                    connect_ms: 0,
+                    ..config.clone()
+                };
+                standins::endpoint::start(config).expect("endpoint")
+            })
+            .collect();
+        let links: Vec<SocketAddr> = endpoints.iter().map(EndpointHandle::link).collect();
+        for (index, endpoint) in endpoints.iter().enumerate() {
+            let mut peers = links.clone();
+            peers.remove(index);
+            endpoint.set_peers(peers);
+        }
+        Self {
+            endpoints: endpoints.into_iter().map(Mutex::new).collect(),
+            admitted: Mutex::default(),
+        }
+    }
+
+    /// Returns an endpoint by its number.
+    pub fn endpoint(&self, index: usize) -> MutexGuard<'_, EndpointHandle> {
+        self.endpoints[index].lock().expect("lock")
+    }
+
+    /// Applies a change to endpoints from a number on.
+    pub fn change_from(&self, first: usize, change: impl Fn(&EndpointHandle)) {
+        for index in first..self.endpoints.len() {
+            change(&self.endpoint(index));
+        }
+    }
+
+    fn points(&self) -> Vec<LogPoint> {
+        let count = 0..self.endpoints.len();
+        count.map(|index| point(&self.endpoint(index))).collect()
+    }
+
+    fn admit(&self, query: &AdmitQuery) -> Result<SlotPermit, RequestRefusal> {
+        let usable = |index: usize| {
+            let name = format!("endpoint-{index}");
+            let endpoint = self.endpoint(index);
+            let fresh = query.class == RequestClass::StaleRead || point(&endpoint) >= query.floor;
+            query.class != RequestClass::Write
+                && endpoint.report().role == "replica"
+                && fresh
+                && !query.excluded.iter().any(|id| id.as_str() == name)
+        };
+        let mut indexes = 0..self.endpoints.len();
+        let replica = indexes.clone().find(|&index| usable(index));
+        let primary = indexes.find(|&index| self.endpoint(index).report().role == "primary");
+        let chosen = replica.or(primary).ok_or(RequestRefusal::NoPrimary)?;
+        let address = self.endpoint(chosen).address();
+        let known_point = point(&self.endpoint(chosen));
+        let mut admitted = self.admitted.lock().expect("lock");
+        admitted.push((query.class, replica.is_some()));
+        Ok(SlotPermit {
+            endpoint: format!("endpoint-{chosen}").parse().expect("id"),
+            address,
+            primary: replica.is_none(),
+            known_point,
+            superseded: None,
+            on_release: None,
+        })
+    }
+
+    fn holds(&self, wanted: LogPoint) -> bool {
+        let holders = (0..self.endpoints.len()).filter(|&index| {
+            let report = self.endpoint(index).report();
+            report.term == wanted.term.0
+                && report.position >= wanted.position.0
+                && report.fenced_term <= wanted.term.0
+        });
+        holders.count() > self.endpoints.len() / 2
+    }
+
+    async fn confirm(&self, wanted: LogPoint) -> Result<(), RequestRefusal> {
+        for _ in 0..1000 {
+            if self.holds(wanted) {
+                return Ok(());
+            }
+            tokio::time::sleep(Duration::from_millis(1)).await;
+        }
+        Err(RequestRefusal::OutcomeUnknown)
+    }
+
+    fn ports(self: &Arc<Self>) -> RequestPorts {
+        let (admit, confirm, floor) = (self.clone(), self.clone(), self.clone());
+        let bundle = Arc::new(caller_fixture::sample_bundle());
+        RequestPorts {
+            bundle: Box::new(move || bundle.clone()),
+            admit: Box::new(move |query| Box::pin(std::future::ready(admit.admit(&query)))),
+            confirm: Box::new(move |_, _, point| {
+                let group = confirm.clone();
+                Box::pin(async move { group.confirm(point).await })
+            }),
+            floor: Box::new(move |_| {
+                let highest = floor.points().into_iter().max();
+                Box::pin(std::future::ready(
+                    highest.ok_or(RequestRefusal::NoEndpoint),
+                ))
+            }),
+            connection_limit: Box::new(|_, _| ConnectionCount(10)),
+            record: Box::new(|_| {}),
+            draining: Box::new(|| false),
+        }
+    }
+
+    /// Returns the share of reads that replicas served.
+    pub fn replica_share(&self) -> f64 {
+        let admitted = self.admitted.lock().expect("lock");
+        let reads = admitted
+            .iter()
+            .filter(|(class, _)| *class != RequestClass::Write);
+        let (mut all, mut served) = (0.0, 0.0);
+        for (_, replica) in reads {
+            all += 1.0;
+            served += f64::from(u8::from(*replica));
+        }
+        served / all
+    }
+}
+
+impl StandinFixture {
+    /// Starts three endpoints and a listener.
+    pub fn start(config: &EndpointConfig) -> Self {
+        Self::start_with(config, CallerLimits::default())
+    }
+
+    /// Starts three endpoints and a listener with limits.
+    pub fn start_with(config: &EndpointConfig, limits: CallerLimits) -> Self {
+        let group = Arc::new(StandinGroup::start(config));
+        let config = ListenerConfig {
+            address: "127.0.0.1:0".parse().expect("address"),
+            workers: 2,
+            tls: None,
+            endpoint_user: "instance".to_owned(),
+            endpoint_password: SecretText::new("instance-password"),
+            salt_secret: SecretText::new("salt secret"),
+            limits,
+        };
+        let handle = listener::serve(config, Arc::new(group.ports())).expect("listener");
+        Self { group, handle }
+    }
+
+    /// Connects with the team's key.
+    pub async fn connect(&self) -> Client {
+        let mut config = tokio_postgres::Config::new();
+        config.host("127.0.0.1").port(self.handle.address().port());
+        config.user("folio").password("folio-key").dbname("studio");
+        caller_fixture::connect(&config).await.expect("connect")
+    }
+}
