--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -34,7 +34,7 @@
 mod scripted_endpoint;
 mod standin_endpoint;
 mod standin_faults;
+mod standin_fixture;
 mod store_adapter;
 mod store_commands;
 mod support;
-mod standin_fixture;
