Run whole systems of separate processes in tests

A fluent builder starts a store, endpoints and daemons from the built programs, submits a signed bundle, waits until each daemon serves, and kills its own processes by id when it is dropped.

Ports come from below the range that the operating system hands out itself: with ports of that range, 2 of 5 systems started at once lost one to another connection ("Address already in use"). Port 0 was ruled out for daemons, as their peers and the store's list must know the address first.

The tests cover read-your-writes over two daemons, a killed primary, a silent store and a planned stop.

--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -38,3 +38,4 @@
 mod store_adapter;
 mod store_commands;
 mod support;
+mod whole_system;
--- a/tests/testsuite/support/mod.rs
+++ b/tests/testsuite/support/mod.rs
@@ -1,3 +1,8 @@
 //! What several feature tests use.
 
+pub mod admin_client;
+pub mod child_process;
+pub mod free_ports;
 pub mod group;
+pub mod running_system;
+pub mod system_builder;
--- /dev/null
+++ b/tests/testsuite/support/running_system.rs
@@ -0,0 +1,194 @@
+//! A running system of separate processes.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use standins::endpoint::EndpointFaults;
+use standins::endpoint::log::LogEntry;
+use standins::endpoint::shared::EndpointCounters;
+use standins::endpoint::shared::ShownCredential;
+use standins::endpoint::state::ExecutedWrite;
+use standins::endpoint::status::EndpointReport;
+use standins::store::CallCounts;
+use standins::store::StoreFaults;
+use tempfile::TempDir;
+use tokio::net::TcpStream;
+use tokio_postgres::Client;
+use tokio_postgres::NoTls;
+
+use crate::support::admin_client;
+use crate::support::child_process::ChildProcess;
+use crate::support::system_builder::SERVICE;
+use crate::support::system_builder::SystemTeam;
+
+const START_ATTEMPTS: usize = 1000;
+const START_PAUSE: Duration = Duration::from_millis(20);
+
+/// A stand-in endpoint in a process of its own.
+#[derive(Debug)]
+pub struct EndpointProcess {
+    /// Where clients connect.
+    pub address: SocketAddr,
+    /// Its admin port.
+    pub admin: SocketAddr,
+    /// The process.
+    pub process: ChildProcess,
+}
+
+impl EndpointProcess {
+    /// Puts faults in force.
+    pub async fn set_faults(&self, faults: EndpointFaults) {
+        admin_client::put(self.admin, "/faults", &faults).await;
+    }
+
+    /// Closes all open connections.
+    pub async fn close_connections(&self) {
+        admin_client::post(self.admin, "/close").await;
+    }
+
+    /// Returns what the platform functions report.
+    pub async fn report(&self) -> EndpointReport {
+        admin_client::get(self.admin, "/status").await
+    }
+
+    /// Returns the log.
+    pub async fn log(&self) -> Vec<LogEntry> {
+        admin_client::get(self.admin, "/log").await
+    }
+
+    /// Returns the writes it committed as the primary.
+    pub async fn executed(&self) -> Vec<ExecutedWrite> {
+        admin_client::get(self.admin, "/executed").await
+    }
+
+    /// Returns the credentials it was shown.
+    pub async fn shown(&self) -> Vec<ShownCredential> {
+        admin_client::get(self.admin, "/shown").await
+    }
+
+    /// Returns the counters.
+    pub async fn counters(&self) -> EndpointCounters {
+        admin_client::get(self.admin, "/counters").await
+    }
+}
+
+/// The stand-in store in a process of its own.
+#[derive(Debug)]
+pub struct StoreProcess {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// The process.
+    pub process: ChildProcess,
+}
+
+impl StoreProcess {
+    /// Puts faults in force.
+    pub async fn set_faults(&self, faults: StoreFaults) {
+        admin_client::put(self.address, "/admin/faults", &faults).await;
+    }
+
+    /// Lets all leases lapse now.
+    pub async fn lapse_leases(&self) {
+        admin_client::post(self.address, "/admin/lapse").await;
+    }
+
+    /// Returns the calls that arrived.
+    pub async fn calls(&self) -> CallCounts {
+        admin_client::get(self.address, "/admin/calls").await
+    }
+}
+
+/// A daemon in a process of its own.
+#[derive(Debug)]
+pub struct DaemonProcess {
+    /// Where callers connect.
+    pub address: SocketAddr,
+    /// The process.
+    pub process: ChildProcess,
+}
+
+/// A running system; its processes end when this is dropped.
+#[derive(Debug)]
+pub struct RunningSystem {
+    /// The daemons.
+    pub daemons: Vec<DaemonProcess>,
+    /// The endpoints; the first starts as primary.
+    pub endpoints: Vec<EndpointProcess>,
+    /// The store.
+    pub store: StoreProcess,
+    /// The teams of the bundle.
+    pub teams: Vec<SystemTeam>,
+    /// The folder of settings and logs.
+    pub folder: TempDir,
+}
+
+impl RunningSystem {
+    /// Connects a caller of the first team to a daemon.
+    pub async fn try_connect(&self, daemon: usize) -> Result<Client, tokio_postgres::Error> {
+        let address = self.daemons[daemon].address;
+        let team = &self.teams[0];
+        let (client, connection) = tokio_postgres::Config::new()
+            .host(address.ip().to_string())
+            .port(address.port())
+            .user(&team.id)
+            .password(&team.key)
+            .dbname(SERVICE)
+            .connect(NoTls)
+            .await?;
+        tokio::spawn(connection);
+        Ok(client)
+    }
+
+    /// Connects a caller of the first team, and fails the test where that is not possible.
+    pub async fn connect(&self, daemon: usize) -> Client {
+        let result = self.try_connect(daemon).await;
+        result.unwrap_or_else(|error| panic!("{error:?}\n{}", self.logs()))
+    }
+
+    /// Returns what the processes logged.
+    pub fn logs(&self) -> String {
+        let mut text = String::new();
+        for entry in std::fs::read_dir(self.folder.path()).unwrap() {
+            let path = entry.unwrap().path();
+            if path.extension().is_some_and(|kind| kind == "log") {
+                let log = std::fs::read_to_string(&path).unwrap_or_default();
+                text += &format!("--- {}\n{log}", path.display());
+            }
+        }
+        text
+    }
+
+    /// Waits until the stand-ins listen.
+    pub async fn wait_for_ports(&self) {
+        let endpoints = self.endpoints.iter().flat_map(|e| [e.address, e.admin]);
+        for address in endpoints.chain([self.store.address]) {
+            self.wait_until("a port is open", async || {
+                TcpStream::connect(address).await.is_ok()
+            })
+            .await;
+        }
+    }
+
+    /// Waits until each daemon answers a statement of the first team.
+    pub async fn wait_for_daemons(&self) {
+        for index in 0..self.daemons.len() {
+            self.wait_until("a daemon serves", async || {
+                match self.try_connect(index).await {
+                    Ok(client) => client.simple_query("SELECT 1").await.is_ok(),
+                    Err(_) => false,
+                }
+            })
+            .await;
+        }
+    }
+
+    async fn wait_until(&self, what: &str, condition: impl AsyncFn() -> bool) {
+        for _ in 0..START_ATTEMPTS {
+            if condition().await {
+                return;
+            }
+            tokio::time::sleep(START_PAUSE).await;
+        }
+        panic!("{what} did not happen\n{}", self.logs());
+    }
+}
--- /dev/null
+++ b/tests/testsuite/whole_system.rs
@@ -0,0 +1,155 @@
+//! The programs must work together as separate processes, with nothing but their published
+//! protocols between them.
+
+use std::time::Duration;
+
+use standins::endpoint::EndpointFaults;
+use standins::store::StoreFaults;
+use standins::store::StoreOutage;
+
+use crate::support::group::read;
+use crate::support::group::write;
+use crate::support::system_builder::SystemBuilder;
+use crate::support::system_builder::SystemTeam;
+
+const ATTEMPTS: usize = 300;
+const PAUSE: Duration = Duration::from_millis(100);
+
+/// Guards against a write through one daemon that a session on another does not see, and against
+/// an endpoint that is shown a caller's key.
+#[tokio::test]
+async fn daemons_share_a_group() {
+    let team = |id: &str| SystemTeam {
+        id: id.to_owned(),
+        key: format!("{id}-key"),
+        rate: 100.0,
+        burst: 100.0,
+    };
+    let teams = vec![team("ikoyi-studio"), team("ibadan-press")];
+    let system = SystemBuilder::new().teams(teams).start().await;
+    let first = system.connect(0).await;
+    write(&first, "a", "1").await.unwrap();
+    let second = system.connect(1).await;
+    assert_eq!(read(&second, "a").await.as_deref(), Some("1"));
+    let executed = system.endpoints[0].executed().await;
+    assert_eq!(executed.len(), 1);
+    for endpoint in &system.endpoints {
+        for credential in endpoint.shown().await {
+            assert_eq!(credential.user, "instance");
+            assert_ne!(credential.password, system.teams[0].key);
+        }
+    }
+}
+
+/// Guards against acknowledged writes that are lost when the primary's process dies, and against a
+/// group that takes no writes afterwards.
+#[tokio::test]
+async fn killed_primary_is_replaced() {
+    let mut system = SystemBuilder::new().start().await;
+    let client = system.connect(0).await;
+    for index in 0..10 {
+        write(&client, &format!("before-{index}"), "1")
+            .await
+            .unwrap();
+    }
+    system.endpoints[0].process.kill();
+    let mut written = false;
+    for _ in 0..ATTEMPTS {
+        // An unknown outcome ends the session; the next attempt has one of its own.
+        if let Ok(client) = system.try_connect(1).await {
+            written = write(&client, "after", "1").await.is_ok();
+        }
+        if written {
+            break;
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+    assert!(written, "{}", system.logs());
+    let client = system.connect(0).await;
+    for key in (0..10).map(|index| format!("before-{index}")) {
+        assert_eq!(read(&client, &key).await.as_deref(), Some("1"), "{key}");
+    }
+    let mut primaries = 0;
+    for endpoint in &system.endpoints[1..] {
+        let report = endpoint.report().await;
+        assert!(report.fenced_term >= 2, "{report:?}");
+        primaries += usize::from(report.role == "primary");
+    }
+    assert_eq!(primaries, 1);
+}
+
+/// Guards against daemons that stop to serve when the store is out or forgets their leases.
+#[tokio::test]
+async fn store_outage_does_not_stop_service() {
+    let system = SystemBuilder::new().start().await;
+    let before = system.store.calls().await;
+    assert!(before.total() > 0);
+    system.store.lapse_leases().await;
+    system
+        .store
+        .set_faults(StoreFaults {
+            outage: StoreOutage::Silent,
+            ..StoreFaults::default()
+        })
+        .await;
+    for round in 0..10 {
+        for daemon in 0..2 {
+            let client = system.connect(daemon).await;
+            write(&client, "a", &round.to_string()).await.unwrap();
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+}
+
+/// Guards against a planned stop that reports a failure or never ends.
+#[tokio::test]
+async fn terminated_daemon_ends_cleanly() {
+    let mut system = SystemBuilder::new().start().await;
+    system.daemons[0].process.signal("TERM");
+    let mut ended = None;
+    for _ in 0..ATTEMPTS {
+        ended = system.daemons[0].process.ended();
+        if ended.is_some() {
+            break;
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+    let status = ended.unwrap_or_else(|| panic!("{}", system.logs()));
+    assert!(status.success(), "{status}\n{}", system.logs());
+    system.connect(1).await;
+}
+
+/// Guards against an admin port that does less than the handle of a stand-in in the same process.
+#[tokio::test]
+async fn stand_ins_are_steered_from_outside() {
+    let system = SystemBuilder::new()
+        .endpoints(2)
+        .endpoint(|config| config.connect_ms = 0)
+        .daemons(0)
+        .start()
+        .await;
+    let [primary, replica] = &system.endpoints[..] else {
+        panic!("the system has two endpoints");
+    };
+    assert_eq!(primary.report().await.role, "primary");
+    assert_eq!(replica.report().await.role, "replica");
+    assert_eq!(primary.log().await.len(), 1);
+    primary
+        .set_faults(EndpointFaults {
+            refuse_connections: true,
+            ..EndpointFaults::default()
+        })
+        .await;
+    while tokio::net::TcpStream::connect(primary.address)
+        .await
+        .is_ok()
+    {
+        tokio::time::sleep(PAUSE).await;
+    }
+    primary.close_connections().await;
+    assert_eq!(primary.counters().await.running, 0);
+    replica.process.signal("STOP");
+    replica.process.signal("CONT");
+    assert_eq!(replica.report().await.term, 1);
+    system.store.process.signal("CONT");
+}
