--- a/tests/testsuite/http_port.rs
+++ b/tests/testsuite/http_port.rs
@@ -26,13 +26,14 @@
 use crate::decision_journal::record;
 use crate::program_run::ProgramRun;
 
-struct FakeInstance {
-    address: SocketAddr,
+/// The HTTP port of an instance that only has a journal.
+pub struct FakeInstance {
+    pub address: SocketAddr,
     drains: Arc<AtomicUsize>,
     _server: HttpServerHandle,
 }
 
-fn status(instance: &InstanceId, bundle: u64) -> InstanceStatus {
+fn sample_status(instance: &InstanceId, bundle: u64) -> InstanceStatus {
     InstanceStatus {
         instance: instance.clone(),
         zone: "z1".parse().expect("the id is valid"),
@@ -51,40 +52,41 @@
     }
 }
 
-/// Starts the HTTP port of an instance that only has a journal.
-fn start(instance: &str, bundle: u64, token: Option<&str>) -> FakeInstance {
-    let id: InstanceId = instance.parse().expect("the id is valid");
-    let journal = DecisionJournal::new(id.clone(), 1, 10);
-    journal.append(
-        WallTime(bundle * 1000),
-        JournalDecision::StoreLost,
-        Vec::new(),
-    );
-    let metrics = ProcessMetrics::new("0").expect("the names are valid");
-    metrics.note_request(&record("acme", Some(RequestRefusal::NoPrimary)));
-    let drains = Arc::new(AtomicUsize::new(0));
-    let counted = Arc::clone(&drains);
-    let page = BurnPage {
-        instances: vec![id.clone()],
-        rows: Vec::new(),
-    };
-    let ports = HttpPorts {
-        metrics: Box::new(move || metrics.render()),
-        status: Box::new(move || status(&id, bundle)),
-        journal: Box::new(move |after| journal.page(after)),
-        report: Box::new(move || page.clone()),
-        drain: Box::new(move || {
-            counted.fetch_add(1, Ordering::SeqCst);
-        }),
-        operator_token: token.map(|token| SecretText::new(token.to_owned())),
-    };
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
-    let address = listener.local_addr().expect("it is bound");
-    let server = start_http_server(listener, Arc::new(ports)).expect("the server starts");
-    FakeInstance {
-        address,
-        drains,
-        _server: server,
+impl FakeInstance {
+    pub fn start(instance: &str, bundle: u64, token: Option<&str>) -> Self {
+        let id: InstanceId = instance.parse().expect("the id is valid");
+        let journal = DecisionJournal::new(id.clone(), 1, 10);
+        journal.append(
+            WallTime(bundle * 1000),
+            JournalDecision::StoreLost,
+            Vec::new(),
+        );
+        let metrics = ProcessMetrics::new("0").expect("the names are valid");
+        metrics.note_request(&record("acme", Some(RequestRefusal::NoPrimary)));
+        let drains = Arc::new(AtomicUsize::new(0));
+        let counted = Arc::clone(&drains);
+        let page = BurnPage {
+            instances: vec![id.clone()],
+            rows: Vec::new(),
+        };
+        let ports = HttpPorts {
+            metrics: Box::new(move || metrics.render()),
+            status: Box::new(move || sample_status(&id, bundle)),
+            journal: Box::new(move |after| journal.page(after)),
+            report: Box::new(move || page.clone()),
+            drain: Box::new(move || {
+                counted.fetch_add(1, Ordering::SeqCst);
+            }),
+            operator_token: token.map(|token| SecretText::new(token.to_owned())),
+        };
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+        let address = listener.local_addr().expect("it is bound");
+        let server = start_http_server(listener, Arc::new(ports)).expect("the server starts");
+        Self {
+            address,
+            drains,
+            _server: server,
+        }
     }
 }
 
@@ -105,7 +107,10 @@
 /// A balancer must send callers only to instances that can serve them.
 #[test]
 fn ready_and_health() {
-    let (ready, fresh) = (start("i1", 3, None), start("i2", 0, None));
+    let (ready, fresh) = (
+        FakeInstance::start("i1", 3, None),
+        FakeInstance::start("i2", 0, None),
+    );
     assert_eq!(get(ready.address, "GET", "/ready").0, 200);
     assert_eq!(get(fresh.address, "GET", "/health").0, 200);
     let (code, body) = get(fresh.address, "GET", "/ready");
@@ -120,7 +125,7 @@
 /// Dashboards and alerts depend on the names and labels of the metrics.
 #[test]
 fn metric_text() {
-    let instance = start("i1", 3, None);
+    let instance = FakeInstance::start("i1", 3, None);
     let (code, body) = get(instance.address, "GET", "/metrics");
     assert_eq!(code, 200);
     let line = "tamaracklb_requests_total{class=\"write\",outcome=\"no_primary\",\
@@ -140,7 +145,10 @@
 #[test]
 fn operator_view() {
     let run = ProgramRun::new();
-    let (first, second) = (start("i1", 2, None), start("i2", 1, None));
+    let (first, second) = (
+        FakeInstance::start("i1", 2, None),
+        FakeInstance::start("i2", 1, None),
+    );
     let both = format!("--instance {} --instance {}", first.address, second.address);
     let shown = run.succeed(&format!("status {both}"));
     assert!(
@@ -162,7 +170,7 @@
         run.succeed(&format!("report {both}"))
             .starts_with("instances: 2\n")
     );
-    let fresh = start("i3", 0, None);
+    let fresh = FakeInstance::start("i3", 0, None);
     assert_eq!(
         run.run(&format!("status --instance {}", fresh.address))
             .code,
@@ -185,7 +193,7 @@
 /// Nobody but an operator may stop an instance.
 #[test]
 fn drain_needs_token() {
-    let instance = start("i1", 1, Some("letmein"));
+    let instance = FakeInstance::start("i1", 1, Some("letmein"));
     let run = ProgramRun::new()
         .file("good", "letmein\n")
         .file("bad", "letme");
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -24,6 +24,7 @@
 mod key_verifiers;
 mod log_points;
 mod membership_view;
+mod operations_page;
 mod operator_commands;
 mod peer_links;
 mod program_run;
--- /dev/null
+++ b/tests/testsuite/operations_page.rs
@@ -0,0 +1,149 @@
+//! Commands that operators copy from the pages must work as shown, and the pages must be complete.
+
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::os::unix::fs::PermissionsExt;
+use std::path::Path;
+use std::process::Command;
+
+use standins::store::config::StoreConfig;
+
+use crate::bundle_faults::SAMPLE;
+use crate::http_port::FakeInstance;
+use crate::operator_commands::settings_text;
+use crate::program_run::ProgramRun;
+
+const PAGE: &str = include_str!("../../docs/OPERATIONS.md");
+const SQLSTATE_PAGE: &str = include_str!("../../docs/sqlstate.md");
+const METRICS_SOURCE: &str = include_str!("../../src/process/metrics.rs");
+
+/// An editor that raises the version of a bundle and leaves other files alone.
+const EDITOR: &str = "#!/bin/sh
+grep -q '^version: ' \"$1\" || exit 0
+count=$(($(cat edits 2>/dev/null || echo 0) + 1))
+echo $count > edits
+sed -i \"s/^version: .*/version: $count/\" \"$1\"
+";
+
+/// Returns the commands of the page in order.
+fn page_commands() -> Vec<&'static str> {
+    let mut inside = false;
+    let mut commands = Vec::new();
+    for line in PAGE.lines().map(str::trim) {
+        match line {
+            "```sh" => inside = true,
+            "```" => inside = false,
+            _ if inside => commands.push(line),
+            _ => {}
+        }
+    }
+    commands
+}
+
+fn run_command(run: &ProgramRun, line: &str, instances: &[SocketAddr; 2]) {
+    let text = line
+        .replace("10.20.1.21:9432", &instances[0].to_string())
+        .replace("10.20.2.21:9432", &instances[1].to_string());
+    let program = Path::new(env!("CARGO_BIN_EXE_tamaracklb"));
+    let folder = program.parent().expect("the program is in a folder");
+    let path = format!("{}:/usr/bin:/bin", folder.display());
+    let output = Command::new("sh")
+        .args(["-c", &text])
+        .env("PATH", path)
+        .env("EDITOR", "./editor")
+        .current_dir(run.folder())
+        .output()
+        .expect("sh can be run");
+    let expected = if line.ends_with("# exits with 1") {
+        1
+    } else {
+        0
+    };
+    assert_eq!(output.status.code(), Some(expected), "{line}: {output:?}");
+}
+
+/// The page must lead from nothing to a rolled-back bundle without a step that fails.
+#[test]
+fn commands_work() {
+    let store = standins::store::handle::start(&StoreConfig::default()).expect("it starts");
+    let first = FakeInstance::start("i1", 1, Some("letmein"));
+    let second = FakeInstance::start("i2", 1, None);
+    let run = ProgramRun::new()
+        .file("editor", EDITOR)
+        .file("operator-token", "letmein\n")
+        .file("pem", "x");
+    let executable = std::fs::Permissions::from_mode(0o755);
+    std::fs::set_permissions(run.path("editor"), executable).expect("it is our file");
+    std::fs::create_dir(run.path("examples")).expect("the folder is new");
+    let mut run = run.file("examples/bundle.yaml", SAMPLE);
+    let commands = page_commands();
+    assert!(commands.len() > 20, "{commands:?}");
+    for line in commands {
+        run_command(&run, line, &[first.address, second.address]);
+        if line.contains("--id ops-b") {
+            let signers = [run.read("ops-a.yaml"), run.read("ops-b.yaml")];
+            let address = store.address().to_string();
+            run = run.file("settings.yaml", &settings_text(&signers, 2, &address));
+        }
+    }
+    let entry = store.get("bundle/current").expect("a bundle is current");
+    assert_eq!(entry.revision, 3, "first bundle, change and rollback");
+}
+
+fn metric_names(text: &str) -> BTreeSet<&str> {
+    let is_name = |c: char| c.is_ascii_lowercase() || c == '_';
+    text.split(|c: char| !is_name(c))
+        .filter(|word| word.starts_with("tamaracklb_"))
+        .collect()
+}
+
+/// A metric that the page lacks, or only the page has, misleads whoever writes an alert.
+#[test]
+fn metrics_listed() {
+    let table = PAGE
+        .split("## Metrics")
+        .nth(1)
+        .expect("the page has the section");
+    let table = table.split("## Alerts").next().expect("the section ends");
+    assert_eq!(metric_names(table), metric_names(METRICS_SOURCE));
+    let alerts = PAGE
+        .split("## Alerts")
+        .nth(1)
+        .expect("the page has the section");
+    assert!(metric_names(alerts).is_subset(&metric_names(table)));
+}
+
+/// Returns the SQLSTATE literals of all source files of a folder.
+fn source_codes(folder: &str) -> BTreeSet<String> {
+    let folder = Path::new(env!("CARGO_MANIFEST_DIR")).join(folder);
+    let mut codes = BTreeSet::new();
+    for entry in std::fs::read_dir(folder).expect("the folder exists") {
+        let path = entry.expect("the folder can be read").path();
+        let text = std::fs::read_to_string(path).expect("the file can be read");
+        let is_code = |word: &&str| {
+            word.len() == 5
+                && word.starts_with(|c: char| c.is_ascii_digit())
+                && word
+                    .chars()
+                    .all(|c| c.is_ascii_digit() || c.is_ascii_uppercase())
+        };
+        codes.extend(text.split('"').filter(is_code).map(str::to_owned));
+    }
+    codes
+}
+
+/// A code that a caller can get must be on the page.
+#[test]
+fn sqlstates_listed() {
+    let listed: BTreeSet<String> = SQLSTATE_PAGE
+        .lines()
+        .filter_map(|line| line.strip_prefix("| ")?.split(' ').next())
+        .filter(|word| word.len() == 5)
+        .map(str::to_owned)
+        .collect();
+    let mut used = source_codes("src/request");
+    used.extend(source_codes("src/connection"));
+    // An endpoint's code that the proxy only reads; it never answers with it.
+    used.remove("25006");
+    assert_eq!(listed, used);
+}
