--- a/src/cmd/cmd_error.rs
+++ b/src/cmd/cmd_error.rs
@@ -4,6 +4,7 @@
 use std::io;
 use std::path::PathBuf;
 
+use crate::cmd::dev_system::DevError;
 use crate::cmd::instance_client::InstanceFailure;
 use crate::process::bundle_submission::SubmitError;
 use crate::version::bundle_envelope::EnvelopeError;
@@ -34,6 +35,8 @@
     Verifier(VerifierError),
     /// The bundle has no such team.
     UnknownTeam { team: TeamId },
+    /// The system of `dev` did not start.
+    Dev(DevError),
     /// A submission did not take effect, or that is not known.
     Submit(SubmitError),
     /// The store cannot be read.
@@ -65,6 +68,7 @@
         match self {
             CmdError::Usage { message } => write!(f, "{message}"),
             CmdError::File { path, error } => write!(f, "{}: {error}", path.display()),
+            CmdError::Dev(error) => write!(f, "{error}"),
             CmdError::Output(error) => write!(f, "output: {error}"),
             CmdError::Faults { path, faults } => {
                 let lines = faults.in_file(&path.display().to_string());
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -8,6 +8,8 @@
 pub mod cmd_error;
 pub mod cmd_files;
 pub mod cmd_store;
+pub mod dev;
+pub mod dev_system;
 pub mod drain;
 pub mod explain;
 pub mod instance_client;
@@ -26,6 +28,7 @@
 use crate::cmd::bundle_submit::BundleSubmitCmd;
 use crate::cmd::check::CheckCmd;
 use crate::cmd::cmd_error::CmdError;
+use crate::cmd::dev::DevCmd;
 use crate::cmd::drain::DrainCmd;
 use crate::cmd::explain::ExplainCmd;
 use crate::cmd::key_new::KeyNewCmd;
@@ -65,6 +68,7 @@
     Check(CheckCmd),
     Key(KeyCmd),
     Bundle(BundleCmd),
+    Dev(DevCmd),
     Status(StatusCmd),
     Drain(DrainCmd),
     Report(ReportCmd),
@@ -108,6 +112,7 @@
     pub fn run(self, output: &mut dyn Write) -> Result<CmdStatus, CmdError> {
         match self.command {
             SubCmd::Check(command) => command.run(output),
+            SubCmd::Dev(command) => command.run(output),
             SubCmd::Key(key) => match key.command {
                 KeySubCmd::New(command) => command.run(output),
                 KeySubCmd::Signer(command) => command.run(output),
