--- a/examples/limits_bench/report.rs
+++ b/examples/limits_bench/report.rs
@@ -29,7 +29,7 @@
         for (title, rows) in [("rates", &self.rates), ("slots", &self.slots)] {
             let _ = writeln!(text, "{title}");
             for row in rows {
-                let _ = write!(text, "  {:<44} {:<18}", row.scenario, row.variant);
+                let _ = write!(text, "  {:<56} {:<11}", row.scenario, row.variant);
                 for (name, value) in &row.figures {
                     let _ = write!(text, " {name}={value:.3}");
                 }
--- a/examples/limits_bench/scenarios.rs
+++ b/examples/limits_bench/scenarios.rs
@@ -24,10 +24,9 @@
         .collect()
 }
 
-fn team_loads(slots: f64) -> Vec<SlotLoad> {
-    // All teams at their rates use half of the replicas' slots and 0.35 of the primary's.
-    let reads = 2.0 * slots * 0.5 / 0.010;
-    let writes = slots * 0.35 / 0.012;
+fn team_loads(slots: f64, replica_use: f64, primary_use: f64) -> Vec<SlotLoad> {
+    let reads = 2.0 * slots * replica_use / 0.010;
+    let writes = slots * primary_use / 0.012;
     TEAM_PARTS
         .iter()
         .map(|part| SlotLoad {
@@ -35,13 +34,21 @@
             writes: writes / (reads + writes),
             read_ms: 8.0,
             write_ms: 10.0,
+            weight: part * 8.0,
+            limit: None,
         })
         .collect()
 }
 
 fn measure_slots(report: &mut BenchReport) {
-    for (deployment, slots) in [("9 slots", 3), ("6 slots", 2)] {
-        let usual = team_loads(slots as f64);
+    // The parts of the replicas' and the primary's slots that all teams use at their rates.
+    for (deployment, slots, replica_use, primary_use) in [
+        ("9 slots, use 0.35/0.25", 3, 0.35, 0.25),
+        ("6 slots, use 0.35/0.25", 2, 0.35, 0.25),
+        ("9 slots, use 0.50/0.35", 3, 0.50, 0.35),
+        ("6 slots, use 0.50/0.35", 2, 0.50, 0.35),
+    ] {
+        let usual = team_loads(slots as f64, replica_use, primary_use);
         let noisy = 1;
         let mut quiet = usual.clone();
         quiet[noisy].rate = 0.0;
@@ -49,20 +56,23 @@
         five[noisy].rate *= 5.0;
         let mut long_reads = usual.clone();
         long_reads[noisy] = SlotLoad {
-            rate: 1.0,
+            rate: 0.4,
             writes: 0.0,
             read_ms: 800.0,
-            write_ms: 0.0,
+            ..usual[noisy]
         };
         let mut long_writes = usual.clone();
         long_writes[noisy] = SlotLoad {
-            rate: 0.5,
+            rate: 0.2,
             writes: 1.0,
-            read_ms: 0.0,
             write_ms: 400.0,
+            ..usual[noisy]
         };
+        let mut limited = five.clone();
+        limited[noisy].limit = Some(usual[noisy].rate);
         let cases = [
-            ("five times its rate", five),
+            ("five times its rate", limited),
+            ("five times its rate, no limiter", five),
             ("long reads", long_reads),
             ("long writes", long_writes),
         ];
@@ -75,15 +85,26 @@
                 order,
                 ..QueueSettings::default()
             };
-            let without = run_slots(slots, &quiet, &settings);
-            for (case, loads) in &cases {
-                let with = run_slots(slots, loads, &settings);
+            let sims = std::thread::scope(|scope| {
+                let all = [&quiet, &usual]
+                    .into_iter()
+                    .chain(cases.iter().map(|(_, loads)| loads));
+                let runs = all.map(|loads| scope.spawn(|| run_slots(slots, loads, &settings)));
+                let runs = runs.collect::<Vec<_>>();
+                let sims = runs.into_iter().map(|run| run.join().expect("no panic"));
+                sims.collect::<Vec<_>>()
+            });
+            let (without, at_rate) = (&sims[0], &sims[1]);
+            for ((case, loads), with) in cases.iter().zip(&sims[2..]) {
                 let mut kept = f64::MAX;
                 let mut ratio = 0.0_f64;
+                let mut ratio_at_rate = 0.0_f64;
                 let mut p99 = 0.0_f64;
                 for team in (0..loads.len()).filter(|&team| team != noisy) {
                     kept = kept.min(with.results[team].kept_percent());
                     ratio = ratio.max(with.results[team].p99_ms() / without.results[team].p99_ms());
+                    let before = at_rate.results[team].p99_ms();
+                    ratio_at_rate = ratio_at_rate.max(with.results[team].p99_ms() / before);
                     p99 = p99.max(with.results[team].p99_ms());
                 }
                 report.slots.push(ReportRow {
@@ -91,7 +112,8 @@
                     variant: name.to_owned(),
                     figures: figures(&[
                         ("kept_percent_worst", kept),
-                        ("p99_ratio_worst", ratio),
+                        ("p99_ratio_absent", ratio),
+                        ("p99_ratio_at_rate", ratio_at_rate),
                         ("p99_ms_worst", p99),
                         ("p99_ms_without", without.results[0].p99_ms()),
                         ("noisy_kept_percent", with.results[noisy].kept_percent()),
@@ -105,6 +127,6 @@
 
 fn run_slots(slots: usize, loads: &[SlotLoad], settings: &QueueSettings) -> SlotSim {
     let mut sim = SlotSim::new(15, slots, loads, settings.clone(), 11);
-    sim.run_until(65 * crate::slot_sim::SECOND);
+    sim.run_until(205 * crate::slot_sim::SECOND);
     sim
 }
--- a/examples/limits_bench/slot_sim.rs
+++ b/examples/limits_bench/slot_sim.rs
@@ -22,6 +22,7 @@
 use tamaracklb::version::ids::InstanceId;
 use tamaracklb::version::ids::TeamId;
 use tamaracklb::version::units::SlotCount;
+use tamaracklb::version::units::TeamWeight;
 
 pub const MS: u64 = 1_000_000;
 pub const SECOND: u64 = 1000 * MS;
@@ -40,6 +41,10 @@
     pub read_ms: f64,
     /// The mean time of a write on the endpoint, in ms.
     pub write_ms: f64,
+    /// The weight where teams compete.
+    pub weight: f64,
+    /// The rate that the limiter in front lets through, with half a second of it as burst.
+    pub limit: Option<f64>,
 }
 
 /// How a team fared.
@@ -128,6 +133,7 @@
     rng: ChaCha8Rng,
     arrivals: Vec<ChaCha8Rng>,
     loads: Vec<SlotLoad>,
+    limiters: Vec<(f64, u64)>,
     nodes: Vec<SimNode>,
     endpoints: Vec<SimEndpoint>,
     queue: BinaryHeap<Reverse<(u64, u64)>>,
@@ -162,6 +168,10 @@
                 .map(|t| ChaCha8Rng::seed_from_u64(seed * 1000 + t))
                 .collect(),
             loads: loads.to_vec(),
+            limiters: loads
+                .iter()
+                .map(|load| (load.limit.unwrap_or(0.0) / 2.0, 0))
+                .collect(),
             nodes: (0..nodes)
                 .map(|n| SimNode {
                     id: id(n),
@@ -318,6 +328,15 @@
         else {
             return;
         };
+        if let Some(limit) = load.limit {
+            let (tokens, at) = &mut self.limiters[team];
+            *tokens = (*tokens + limit * (self.now - *at) as f64 / 1e9).min(limit / 2.0);
+            *at = self.now;
+            if *tokens < 1.0 {
+                return;
+            }
+            *tokens -= 1.0;
+        }
         if self.now >= self.counted_from {
             self.results[team].offered += 1;
         }
@@ -468,7 +487,9 @@
             let first = serving.first() == Some(&n.id);
             if first && n.coordinator.is_none() {
                 let mut coordinator = SlotCoordinator::new(self.settings.clone(), now);
-                coordinator.set_service(&slots, &[], now);
+                let weights = self.loads.iter().enumerate();
+                let weights = weights.map(|(team, load)| (team_id(team), TeamWeight(load.weight)));
+                coordinator.set_service(&slots, &weights.collect::<Vec<_>>(), now);
                 n.coordinator = Some(coordinator);
             } else if !first {
                 n.coordinator = None;
--- a/src/process/slots/queue.rs
+++ b/src/process/slots/queue.rs
@@ -37,8 +37,12 @@
     pub max_wait: Duration,
     /// Slot time added to every team's deficit in a round, at weight 1.
     pub quantum: Duration,
+    /// The most rounds of unused deficit that a team keeps, for its bursts.
+    pub credit_rounds: f64,
     /// How long a team counts as active after its last request.
     pub active_window: Duration,
+    /// The time constant of the estimate of held slots.
+    pub usage_window: Duration,
     /// How many times longer than others' a team's transactions are to count as long.
     pub long_factor: f64,
     /// Whether a team must leave slots to other active teams.
@@ -54,7 +58,9 @@
             length_per_slot: 64,
             max_wait: Duration::from_secs(5),
             quantum: Duration::from_millis(5),
+            credit_rounds: 8.0,
             active_window: Duration::from_secs(10),
+            usage_window: Duration::from_secs(2),
             long_factor: 4.0,
             keeps_reserve: true,
             refuses_early: true,
@@ -99,9 +105,24 @@
     mean: Option<f64>,
     running: BTreeMap<EndpointId, u32>,
     last_active: MonotonicTime,
+    /// The mean number of slots held lately, as of `usage_at`.
+    usage: f64,
+    usage_at: MonotonicTime,
 }
 
 impl TeamQueue {
+    /// Brings the usage estimate up to date, before the number of held slots changes.
+    fn note_usage(&mut self, window: Duration, now: MonotonicTime) {
+        self.usage = self.usage_now(window, now);
+        self.usage_at = now;
+    }
+
+    fn usage_now(&self, window: Duration, now: MonotonicTime) -> f64 {
+        let age = now.saturating_since(self.usage_at).as_secs_f64();
+        let held = f64::from(self.running_total());
+        held + (self.usage - held) * (-age / window.as_secs_f64()).exp()
+    }
+
     fn running_total(&self) -> u32 {
         self.running.values().sum()
     }
@@ -255,7 +276,9 @@
             if let Some(slots) = self.endpoints.get_mut(&permit.endpoint) {
                 slots.used = slots.used.saturating_sub(1);
             }
+            let window = self.settings.usage_window;
             let team = self.team(&permit.team, now);
+            team.note_usage(window, now);
             team.deficit -= used - permit.charged;
             team.mean = Some(team.mean.map_or(used, |mean| mean * 0.9 + used * 0.1));
             if let Some(running) = team.running.get_mut(&permit.endpoint) {
@@ -387,7 +410,9 @@
         if let Some(slots) = self.endpoints.get_mut(endpoint) {
             slots.used += 1;
         }
+        let window = self.settings.usage_window;
         let queue = self.team(team, now);
+        queue.note_usage(window, now);
         *queue.running.entry(endpoint.clone()).or_default() += 1;
         queue.last_active = now;
         let permit = RunningPermit {
@@ -462,23 +487,17 @@
         if queue.waiting.is_empty() || queue.running_total() >= self.team_limit(queue, now) {
             return None;
         }
-        let long = self.is_long(queue);
-        let alone = !self.others_active(team, now);
+        let others = self.others_active(team, now);
+        let reserves = others && self.must_reserve(queue, now);
+        let leaves_last = reserves || (others && self.is_ahead(queue, now));
         for (index, (_, request)) in queue.waiting.iter().enumerate().take(LOOKAHEAD) {
             let free = request.eligible.iter().filter(|endpoint| {
                 self.endpoints.get(*endpoint).is_some_and(|slots| {
                     let held = queue.running.get(*endpoint).copied().unwrap_or(0);
-                    let reserve = if !self.settings.keeps_reserve
-                        || alone
-                        || self.settings.order != QueueOrder::SlotTime
-                    {
-                        slots.slots
-                    } else if long {
-                        1
-                    } else {
-                        slots.slots.saturating_sub(1).max(1)
-                    };
-                    slots.used < slots.slots && held < reserve
+                    let free = slots.slots.saturating_sub(slots.used);
+                    // With a single slot there is nothing to leave.
+                    let last = free == 1 && slots.slots > 1;
+                    free > 0 && !(leaves_last && last) && !(reserves && held > 0)
                 })
             });
             let best = free.max_by_key(|endpoint| {
@@ -497,27 +516,53 @@
         None
     }
 
-    /// Returns the most slots that a team may hold while other teams are active.
-    ///
-    /// Transactions are not interrupted, so that a team which takes all slots at a quiet moment
-    /// would block the others for as long as its transactions run.
+    /// Returns the most slots that a team may hold.
     fn team_limit(&self, queue: &TeamQueue, now: MonotonicTime) -> u32 {
         let total = self.total_slots();
         let teams = u32::try_from(self.teams.len().max(1)).unwrap_or(u32::MAX);
         match self.settings.order {
             QueueOrder::Arrival => total,
             QueueOrder::EvenSplit => (total / teams).max(1),
-            QueueOrder::SlotTime if !self.settings.keeps_reserve => total,
-            QueueOrder::SlotTime => {
-                let weights = self.active_weight(now).max(queue.weight);
-                let fair = f64::from(total) * queue.weight / weights;
-                let spare = if self.is_long(queue) { 4.0 } else { 2.0 };
-                let limit = fair + (f64::from(total) - fair) / spare;
-                (limit.floor() as u32).max(1)
+            QueueOrder::SlotTime if !self.must_reserve(queue, now) => total,
+            QueueOrder::SlotTime if self.is_long(queue) => {
+                self.fair_slots(queue, now).ceil() as u32
             }
+            QueueOrder::SlotTime => (self.fair_slots(queue, now).floor() as u32).max(1),
         }
     }
 
+    /// Whether a team must leave slots to others: its transactions are long, or it uses more than
+    /// its part.
+    ///
+    /// Transactions are not interrupted, so that a team which takes all slots at a quiet moment
+    /// would block the others for as long as its transactions run.
+    fn must_reserve(&self, queue: &TeamQueue, now: MonotonicTime) -> bool {
+        let usage = queue.usage_now(self.settings.usage_window, now);
+        self.settings.order == QueueOrder::SlotTime
+            && self.settings.keeps_reserve
+            && (self.is_long(queue) || usage > self.fair_slots(queue, now) * 1.1 + 0.3)
+    }
+
+    /// Whether a team uses clearly more than its part of the slots in use, and so may not take the
+    /// last free slot of an endpoint.
+    fn is_ahead(&self, queue: &TeamQueue, now: MonotonicTime) -> bool {
+        let window = self.settings.usage_window;
+        let total = self
+            .teams
+            .values()
+            .map(|queue| queue.usage_now(window, now))
+            .sum::<f64>();
+        let weights = self.active_weight(now).max(queue.weight);
+        self.settings.order == QueueOrder::SlotTime
+            && self.settings.keeps_reserve
+            && queue.usage_now(window, now) > total * queue.weight / weights * 1.5 + 0.3
+    }
+
+    fn fair_slots(&self, queue: &TeamQueue, now: MonotonicTime) -> f64 {
+        let weights = self.active_weight(now).max(queue.weight);
+        f64::from(self.total_slots()) * queue.weight / weights
+    }
+
     fn is_long(&self, queue: &TeamQueue) -> bool {
         let others = self.mean(Some(queue));
         queue
@@ -571,13 +616,14 @@
 
     /// Returns a team with its deficit brought up to the present round.
     ///
-    /// A debt is paid off by rounds also while the team is idle; credit stays within one quantum.
+    /// A debt is paid off by rounds also while the team is idle; credit is bounded.
     fn team(&mut self, team: &TeamId, now: MonotonicTime) -> &mut TeamQueue {
         if !self.teams.contains_key(team) {
             self.rotation.push_back(team.clone());
         }
         let rounds = self.rounds;
         let quantum = self.settings.quantum.as_secs_f64();
+        let credit_rounds = self.settings.credit_rounds;
         let queue = self.teams.entry(team.clone()).or_insert_with(|| TeamQueue {
             weight: 1.0,
             waiting: VecDeque::new(),
@@ -586,10 +632,12 @@
             mean: None,
             running: BTreeMap::new(),
             last_active: now,
+            usage: 0.0,
+            usage_at: now,
         });
         let step = quantum * queue.weight;
-        queue.deficit =
-            (queue.deficit + (rounds - queue.round) as f64 * step).min(step.max(queue.deficit));
+        let grown = queue.deficit + (rounds - queue.round) as f64 * step;
+        queue.deficit = grown.min((step * credit_rounds).max(queue.deficit));
         queue.round = rounds;
         queue
     }
