--- a/src/process/daemon.rs
+++ b/src/process/daemon.rs
@@ -20,8 +20,10 @@
 use crate::process::bundle_intake::BundleSource;
 use crate::process::caller_tls::load_caller_tls;
 use crate::process::daemon_error::DaemonError;
+use crate::process::daemon_http::start_http;
 use crate::process::daemon_parts::DaemonParts;
 use crate::process::group_watcher::WATCH_TICK;
+use crate::process::http_server::HttpServerHandle;
 use crate::process::journal_decision::JournalDecision;
 use crate::process::peers::fleet_links::HEARTBEAT_PERIOD;
 use crate::process::peers::membership_view::MemberRecord;
@@ -37,6 +39,7 @@
 use crate::request::refusal::RequestRefusal;
 
 const MEMBERS_PERIOD: Duration = Duration::from_millis(250);
+const REFUSALS_PERIOD: Duration = Duration::from_secs(10);
 const SEED_PERIOD: Duration = Duration::from_secs(2);
 const SHARE_RETURN_LIMIT: Duration = Duration::from_secs(3);
 const DRAIN_POLL: Duration = Duration::from_millis(50);
@@ -47,6 +50,8 @@
     parts: Arc<DaemonParts>,
     listener: Option<ListenerHandle>,
     caller_address: SocketAddr,
+    http_address: SocketAddr,
+    _http: HttpServerHandle,
     timers: Vec<TimerGuard>,
     tasks: Vec<JoinHandle<()>>,
 }
@@ -65,12 +70,17 @@
             zone: settings.availability_zone.clone(),
             address: settings.peer_address,
         };
-        let parts = Arc::new(DaemonParts::new(&settings, own, &store));
+        let parts = Arc::new(DaemonParts::new(&settings, own, &store)?);
         start_mesh(&settings, &parts)?;
         load_bundle_file(&settings, &parts)?;
         let timers = subscribe_timers(&parts, &settings.peer_addresses);
         let tasks = spawn_feeds(&parts, store);
         let listener = start_listener(&settings, &parts)?;
+        let (http, http_address) =
+            start_http(&settings, &parts).map_err(|error| DaemonError::Http {
+                address: settings.http_address,
+                error,
+            })?;
         let started = JournalDecision::Started {
             program_version: env!("CARGO_PKG_VERSION").to_owned(),
         };
@@ -84,6 +94,8 @@
             parts,
             listener: Some(listener),
             caller_address,
+            http_address,
+            _http: http,
             timers,
             tasks,
         })
@@ -94,6 +106,17 @@
         self.caller_address
     }
 
+    /// Returns where operators ask.
+    pub fn http_address(&self) -> SocketAddr {
+        self.http_address
+    }
+
+    /// Waits until an operator asks for a graceful stop over HTTP.
+    pub async fn drain_requested(&self) {
+        let mut request = self.parts.drain_request.subscribe();
+        let _ = request.wait_for(|requested| *requested).await;
+    }
+
     /// Returns the parts, for reports and tests.
     pub fn parts(&self) -> &Arc<DaemonParts> {
         &self.parts
@@ -103,8 +126,9 @@
     pub async fn drain(mut self) {
         info!("daemon: draining");
         self.parts.draining.store(true, Ordering::Relaxed);
+        let open = self.parts.open_transactions.load(Ordering::Relaxed);
         let started = JournalDecision::DrainStarted {
-            open_transactions: 0,
+            open_transactions: open,
         };
         self.parts
             .journal
@@ -171,12 +195,18 @@
 fn subscribe_timers(parts: &Arc<DaemonParts>, seeds: &[SocketAddr]) -> Vec<TimerGuard> {
     let service = TimerService::default();
     let (watched, shared, members) = (parts.clone(), parts.clone(), parts.clone());
-    let (probing, seeding) = (parts.clone(), parts.clone());
+    let (probing, seeding, refusals) = (parts.clone(), parts.clone(), parts.clone());
     let seeds: Arc<[SocketAddr]> = seeds.into();
     vec![
         service.subscribe(WATCH_TICK, move |_| watched.services.tick()),
         service.subscribe(TICK_PERIOD, move |_| shared.shares.tick()),
-        service.subscribe(MEMBERS_PERIOD, move |_| members.apply_members()),
+        service.subscribe(MEMBERS_PERIOD, move |_| {
+            members.apply_members();
+            members.note_primaries();
+        }),
+        service.subscribe(REFUSALS_PERIOD, move |_| {
+            refusals.journal.sum_refusals(WallTime::now())
+        }),
         service.subscribe(HEARTBEAT_PERIOD, move |_| {
             if let Some(mesh) = probing.mesh.get().cloned() {
                 let links = probing.links.clone();
@@ -288,7 +318,7 @@
         connection_limit: Box::new(move |service, endpoint| {
             limit.connection_limit(service, endpoint)
         }),
-        record: Box::new(move |outcome| record.journal.note_request(&outcome)),
+        record: Box::new(move |outcome| record.record(&outcome)),
         draining: Box::new(move || draining.is_draining()),
     }
 }
--- a/src/process/daemon_error.rs
+++ b/src/process/daemon_error.rs
@@ -2,9 +2,11 @@
 
 use std::fmt;
 use std::io;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 
 use crate::connection::listener::ListenerError;
+use crate::process::metrics::MetricsError;
 use crate::process::peers::peer_error::PeerError;
 
 /// Why a daemon did not start.
@@ -22,6 +24,13 @@
     NoStore,
     /// The links to peers did not start.
     Peers(PeerError),
+    /// The HTTP port cannot be opened.
+    Http {
+        address: SocketAddr,
+        error: io::Error,
+    },
+    /// The metrics cannot be registered.
+    Metrics(MetricsError),
     /// The caller listener did not start.
     Listener(ListenerError),
 }
@@ -43,6 +52,10 @@
             }
             DaemonError::NoStore => write!(f, "the settings name no store"),
             DaemonError::Peers(error) => write!(f, "cannot start the peer links: {error}"),
+            DaemonError::Http { address, error } => {
+                write!(f, "cannot open the HTTP port {address}: {error}")
+            }
+            DaemonError::Metrics(error) => write!(f, "{error}"),
             DaemonError::Listener(error) => write!(f, "{error}"),
         }
     }
@@ -56,6 +69,12 @@
     }
 }
 
+impl From<MetricsError> for DaemonError {
+    fn from(error: MetricsError) -> Self {
+        DaemonError::Metrics(error)
+    }
+}
+
 impl From<ListenerError> for DaemonError {
     fn from(error: ListenerError) -> Self {
         DaemonError::Listener(error)
--- a/src/process/daemon_parts.rs
+++ b/src/process/daemon_parts.rs
@@ -3,20 +3,25 @@
 use std::sync::Arc;
 use std::sync::OnceLock;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use store_wire::CasRequest;
+use tokio::sync::watch;
 use tracing::debug;
 use tracing::info;
 
 use crate::process::bundle_intake::BundleIntake;
 use crate::process::bundle_intake::BundleSource;
+use crate::process::burn_report::BurnReport;
+use crate::process::daemon_error::DaemonError;
 use crate::process::decision_journal::DecisionJournal;
 use crate::process::decision_journal::JOURNAL_ENTRIES;
 use crate::process::digest_table::DigestTable;
 use crate::process::failover::group_event::GroupEvent;
 use crate::process::journal_decision::JournalDecision;
+use crate::process::metrics::ProcessMetrics;
 use crate::process::peers::fleet_links::FleetLinks;
 use crate::process::peers::fleet_links::FleetPorts;
 use crate::process::peers::isolation_monitor::StoreEvidence;
@@ -42,8 +47,10 @@
 use crate::process::store_client::StoreClient;
 use crate::process::store_client::SwapOutcome;
 use crate::process::timers;
+use crate::process::timers::MonotonicTime;
 use crate::process::wall_time::WallTime;
 use crate::request::ports::AdmitQuery;
+use crate::request::ports::RequestRecord;
 use crate::request::ports::SlotPermit;
 use crate::request::refusal::RequestRefusal;
 use crate::version::bundle::BundleConfig;
@@ -79,13 +86,27 @@
     pub digests: Arc<DigestTable>,
     /// Whether the daemon is stopping.
     pub draining: Arc<AtomicBool>,
+    /// The counts for the service-level report.
+    pub burn: Arc<BurnReport>,
+    /// The metrics.
+    pub metrics: Arc<ProcessMetrics>,
+    /// When the process started.
+    pub started: MonotonicTime,
+    /// Transactions that hold a permit.
+    pub open_transactions: Arc<AtomicU64>,
+    /// Becomes true when an operator asks for a graceful stop.
+    pub drain_request: watch::Sender<bool>,
     /// The QUIC endpoint, once it is open.
     pub mesh: Arc<OnceLock<Arc<PeerMesh>>>,
 }
 
 impl DaemonParts {
     /// Creates the parts of a daemon whose process starts.
-    pub fn new(settings: &DaemonSettings, own: MemberRecord, store: &StoreClient) -> Self {
+    pub fn new(
+        settings: &DaemonSettings,
+        own: MemberRecord,
+        store: &StoreClient,
+    ) -> Result<Self, DaemonError> {
         let incarnation: u64 = rand::random();
         let instance = settings.instance_id.clone();
         let journal = Arc::new(DecisionJournal::new(
@@ -116,7 +137,8 @@
         let ports = fleet_ports(&bundles, &intake, &services, &shares, &digests, &draining);
         let links = Arc::new(FleetLinks::new(own, incarnation, ports));
         let _ = links_cell.set(links.clone());
-        Self {
+        let started = timers::now();
+        Ok(Self {
             journal,
             bundles,
             intake,
@@ -125,8 +147,13 @@
             shares,
             digests,
             draining,
+            burn: Arc::new(BurnReport::new(instance, started)),
+            metrics: Arc::new(ProcessMetrics::new(env!("CARGO_PKG_VERSION"))?),
+            started,
+            open_transactions: Arc::new(AtomicU64::new(0)),
+            drain_request: watch::Sender::new(false),
             mesh,
-        }
+        })
     }
 
     /// Returns the bundle in force, or one without teams and services.
@@ -173,7 +200,33 @@
         if !query.charged {
             self.shares.admit(&query.team).await?;
         }
-        self.services.take_permit(&query).await
+        let mut permit = self.services.take_permit(&query).await?;
+        let open = self.open_transactions.clone();
+        open.fetch_add(1, Ordering::Relaxed);
+        let release = permit.on_release.take();
+        permit.on_release = Some(Box::new(move || {
+            open.fetch_sub(1, Ordering::Relaxed);
+            if let Some(release) = release {
+                release();
+            }
+        }));
+        Ok(permit)
+    }
+
+    /// Counts a request that ended.
+    pub fn record(&self, record: &RequestRecord) {
+        self.journal.note_request(record);
+        self.burn.note_request(record, timers::now());
+        self.metrics.note_request(record);
+    }
+
+    /// Notes which services have a primary, for the time without one in the report.
+    pub fn note_primaries(&self) {
+        let now = timers::now();
+        for (service, runtime) in self.services.all() {
+            self.burn
+                .note_primary(&service, runtime.watcher.primary().is_some(), now);
+        }
     }
 
     /// Returns how many connections this instance may hold to an endpoint.
--- a/src/process/daemon_program.rs
+++ b/src/process/daemon_program.rs
@@ -108,6 +108,7 @@
             _ = signals.terminate.recv() => break,
             _ = signals.interrupt.recv() => break,
             _ = signals.hangup.recv() => reload(path, control),
+            () = daemon.drain_requested() => break,
         }
     }
     tokio::select! {
--- a/src/process/group_watcher.rs
+++ b/src/process/group_watcher.rs
@@ -22,6 +22,7 @@
 use crate::process::failover::group_controller::GroupController;
 use crate::process::failover::group_controller::WatchSettings;
 use crate::process::failover::group_event::GroupEvent;
+use crate::process::failover::group_view::EndpointView;
 use crate::process::failover::group_view::GroupMember;
 use crate::process::failover::promotion_plan::PromotionAction;
 use crate::process::timers;
@@ -36,6 +37,7 @@
 pub const WATCH_TICK: Duration = Duration::from_millis(20);
 
 const CALL_TIMEOUT: Duration = Duration::from_millis(500);
+const REPORT_AGE: Duration = Duration::from_secs(1);
 const AWAIT_MARGIN: Duration = Duration::from_millis(500);
 
 /// Takes the decisions that are worth a journal entry.
@@ -50,6 +52,19 @@
     pub control: Arc<EndpointControl>,
 }
 
+/// What is known of one endpoint.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct EndpointSnapshot {
+    /// The endpoint.
+    pub endpoint: EndpointId,
+    /// Its last status.
+    pub status: Option<EndpointStatus>,
+    /// Whether it answered lately.
+    pub live: bool,
+    /// Whether it takes no new work.
+    pub leaving: bool,
+}
+
 struct WatcherState {
     controller: GroupController,
     controls: BTreeMap<EndpointId, Arc<EndpointControl>>,
@@ -135,6 +150,19 @@
         points.map(|status| status.point).max().unwrap_or_default()
     }
 
+    /// Returns what is known of each endpoint.
+    pub fn snapshots(&self) -> Vec<EndpointSnapshot> {
+        let now = timers::now();
+        let state = self.lock();
+        let snapshot = |view: &EndpointView| EndpointSnapshot {
+            endpoint: view.member.endpoint.clone(),
+            status: view.status.clone(),
+            live: view.fresh_status(REPORT_AGE, now).is_some(),
+            leaving: view.member.leaving,
+        };
+        state.controller.view().endpoints().map(snapshot).collect()
+    }
+
     /// Returns the endpoints as candidates for a request.
     pub fn candidates(&self, load: impl Fn(&EndpointId) -> f64) -> Vec<RouteCandidate> {
         self.lock().controller.candidates(timers::now(), load)
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -10,6 +10,7 @@
 pub mod control_error;
 pub mod daemon;
 pub mod daemon_error;
+pub mod daemon_http;
 pub mod daemon_parts;
 pub mod daemon_program;
 pub mod decision_journal;
--- a/src/process/slot_driver.rs
+++ b/src/process/slot_driver.rs
@@ -69,6 +69,7 @@
     client: SlotClient,
     coordinator: Option<SlotCoordinator>,
     live: BTreeSet<InstanceId>,
+    first: Option<InstanceId>,
     waiters: HashMap<u64, PermitSender>,
     active: HashMap<EndpointId, usize>,
 }
@@ -91,6 +92,7 @@
             client: SlotClient::new(),
             coordinator: None,
             live: BTreeSet::new(),
+            first: None,
             waiters: HashMap::new(),
             active: HashMap::new(),
         };
@@ -134,6 +136,7 @@
             outgoing.extend(self.deliver(&mut state, answers, now));
         }
         state.live = live;
+        state.first = first.clone();
         let total = state.plan.total();
         let actions = state
             .client
@@ -151,6 +154,11 @@
         }
     }
 
+    /// Returns the instance that coordinates the service's slots.
+    pub fn coordinator(&self) -> Option<InstanceId> {
+        self.lock().first.clone()
+    }
+
     /// Returns the share of an endpoint's slots that this instance uses.
     pub fn load_of(&self, endpoint: &EndpointId) -> f64 {
         let state = self.lock();
