--- a/src/cmd/dev.rs
+++ b/src/cmd/dev.rs
@@ -6,6 +6,7 @@
 
 use crate::cmd::CmdStatus;
 use crate::cmd::cmd_error::CmdError;
+use crate::cmd::dev_exercise::run_exercise;
 use crate::cmd::dev_system::DevSystem;
 use crate::cmd::dev_system::SERVICE;
 use crate::cmd::dev_system::TEAMS;
@@ -15,7 +16,11 @@
 /// Start a store, three endpoints and two instances on loopback, and serve until Ctrl-C.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "dev")]
-pub struct DevCmd {}
+pub struct DevCmd {
+    /// run a short load with a failed primary in the middle, print a verdict, and exit
+    #[argh(switch)]
+    exercise: bool,
+}
 
 impl DevCmd {
     /// Serves until the process is interrupted.
@@ -26,10 +31,15 @@
             .build()?;
         runtime.block_on(async {
             let system = DevSystem::start().await.map_err(CmdError::Dev)?;
-            print_lines(&system, output)?;
-            tokio::signal::ctrl_c().await?;
+            let status = if self.exercise {
+                run_exercise(&system, output).await?
+            } else {
+                print_lines(&system, output)?;
+                tokio::signal::ctrl_c().await?;
+                CmdStatus::Success
+            };
             system.stop().await;
-            Ok(CmdStatus::Success)
+            Ok(status)
         })
     }
 }
--- /dev/null
+++ b/src/cmd/dev_exercise.rs
@@ -0,0 +1,324 @@
+//! `tamaracklb dev --exercise`: a short mixed load with a failed primary in the middle.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::io::Write;
+use std::time::Duration;
+use std::time::Instant;
+
+use standins::endpoint::EndpointFaults;
+use standins::endpoint::EndpointHandle;
+use standins::endpoint::log::ClientStatement;
+
+use crate::cmd::CmdStatus;
+use crate::cmd::cmd_error::CmdError;
+use crate::cmd::dev_system::DevSystem;
+use crate::cmd::dev_system::SERVICE;
+use crate::cmd::dev_system::TEAMS;
+use crate::cmd::exercise_client::ClientPlan;
+use crate::cmd::exercise_client::ClientReport;
+use crate::cmd::exercise_client::WriteOutcome;
+use crate::cmd::exercise_client::WriteRecord;
+use crate::process::metrics::ReadCounts;
+
+const WARM_UP: Duration = Duration::from_millis(500);
+const HEALTHY_TIME: Duration = Duration::from_secs(2);
+const TOTAL_TIME: Duration = Duration::from_secs(9);
+const SETTLE_TIME: Duration = Duration::from_secs(2);
+const CLIENT_PAUSE: Duration = Duration::from_millis(5);
+const CLIENTS_PER_TEAM: usize = 3;
+
+/// The longest failover gap that counts as a success.
+const GAP_LIMIT: Duration = Duration::from_secs(5);
+
+/// The lowest share of reads that replicas must serve.
+const REPLICA_SHARE: f64 = 0.8;
+
+/// The lowest share of its requests that the worst-served team must get outside the gap.
+const TEAM_SHARE: f64 = 0.98;
+
+struct ExerciseRun {
+    reports: Vec<(String, ClientReport)>,
+    failed_at: Instant,
+    reads: ReadCounts,
+}
+
+struct Verdict {
+    name: &'static str,
+    held: bool,
+    detail: String,
+}
+
+/// Runs the exercise, prints measures and verdicts, and tells whether all held.
+pub async fn run_exercise(
+    system: &DevSystem,
+    output: &mut dyn Write,
+) -> Result<CmdStatus, CmdError> {
+    tokio::time::sleep(WARM_UP).await;
+    let run = run_load(system).await;
+    tokio::time::sleep(SETTLE_TIME).await;
+    let mut verdicts = measure(&run, output)?;
+    verdicts.extend(check_requirements(&run, &system.endpoints));
+    for verdict in &verdicts {
+        let word = if verdict.held { "held" } else { "FAILED" };
+        writeln!(output, "{word:>6}  {}: {}", verdict.name, verdict.detail)?;
+    }
+    let all_held = verdicts.iter().all(|verdict| verdict.held);
+    Ok(if all_held {
+        CmdStatus::Success
+    } else {
+        CmdStatus::Negative
+    })
+}
+
+async fn run_load(system: &DevSystem) -> ExerciseRun {
+    let end = Instant::now() + TOTAL_TIME;
+    let clients = client_plans(system).into_iter().map(|plan| {
+        let team = plan.team.clone();
+        tokio::spawn(async move { (team, plan.run(end).await) })
+    });
+    let clients: Vec<_> = clients.collect();
+    tokio::time::sleep(HEALTHY_TIME).await;
+    let failed_at = Instant::now();
+    // The primary stays reachable for nobody, but keeps running and comes back later.
+    let faults = EndpointFaults {
+        freeze: true,
+        ..EndpointFaults::default()
+    };
+    system.endpoints[0].set_faults(faults);
+    let mut reports = Vec::new();
+    for client in clients {
+        reports.extend(client.await.ok());
+    }
+    system.endpoints[0].set_faults(EndpointFaults::default());
+    let mut reads = ReadCounts::default();
+    for daemon in &system.daemons {
+        let counts = daemon.parts().metrics.read_counts();
+        reads.replica += counts.replica;
+        reads.primary += counts.primary;
+    }
+    ExerciseRun {
+        reports,
+        failed_at,
+        reads,
+    }
+}
+
+fn client_plans(system: &DevSystem) -> Vec<ClientPlan> {
+    let addresses: Vec<_> = system
+        .daemons
+        .iter()
+        .map(|daemon| daemon.caller_address())
+        .collect();
+    let mut plans = Vec::new();
+    for (team, key) in TEAMS {
+        for number in 0..CLIENTS_PER_TEAM {
+            plans.push(ClientPlan {
+                name: format!("{team}-{number}"),
+                team: team.to_owned(),
+                key: key.to_owned(),
+                service: SERVICE.to_owned(),
+                write_address: addresses[number % addresses.len()],
+                read_address: addresses[(number + 1) % addresses.len()],
+                pause: CLIENT_PAUSE,
+            });
+        }
+    }
+    plans
+}
+
+/// Prints the four measures and judges them.
+fn measure(run: &ExerciseRun, output: &mut dyn Write) -> Result<Vec<Verdict>, CmdError> {
+    let reads = run.reads.replica + run.reads.primary;
+    let replica_share = run.reads.replica as f64 / reads.max(1) as f64;
+    let gap = failover_gap(run);
+    let worst = worst_team(run);
+    let refused = count(run, WriteOutcome::AboveRate);
+    writeln!(
+        output,
+        "reads served by replicas   {:.1} % of {reads}",
+        replica_share * 100.0
+    )?;
+    match gap {
+        Some(gap) => writeln!(output, "failover gap               {} ms", gap.as_millis())?,
+        None => writeln!(
+            output,
+            "failover gap               no write after the failure"
+        )?,
+    }
+    writeln!(
+        output,
+        "worst-served team          {:.1} % before the failure",
+        worst * 100.0
+    )?;
+    writeln!(output, "refused inside the rate    {refused}")?;
+    Ok(vec![
+        Verdict {
+            name: "replica reads",
+            held: replica_share >= REPLICA_SHARE,
+            detail: format!(
+                "{:.1} %, at least {:.0} %",
+                replica_share * 100.0,
+                REPLICA_SHARE * 100.0
+            ),
+        },
+        Verdict {
+            name: "failover gap",
+            held: gap.is_some_and(|gap| gap <= GAP_LIMIT),
+            detail: format!("at most {} ms", GAP_LIMIT.as_millis()),
+        },
+        Verdict {
+            name: "worst-served team",
+            held: worst >= TEAM_SHARE,
+            detail: format!("at least {:.0} %", TEAM_SHARE * 100.0),
+        },
+        Verdict {
+            name: "no refusal inside the rate",
+            held: refused == 0,
+            detail: format!("{refused} refused"),
+        },
+    ])
+}
+
+fn all_writes(run: &ExerciseRun) -> impl Iterator<Item = &WriteRecord> {
+    run.reports.iter().flat_map(|(_, report)| &report.writes)
+}
+
+fn count(run: &ExerciseRun, outcome: WriteOutcome) -> usize {
+    all_writes(run)
+        .filter(|write| write.outcome == outcome)
+        .count()
+}
+
+fn failover_gap(run: &ExerciseRun) -> Option<Duration> {
+    let acknowledged = all_writes(run)
+        .filter(|write| write.outcome == WriteOutcome::Acknowledged)
+        .map(|write| write.ended_at);
+    let mut times: Vec<Instant> = acknowledged.collect();
+    times.sort();
+    // The longest pause after the failure began; an acknowledgement may still be under way then.
+    let gaps = times.windows(2).filter(|pair| pair[1] > run.failed_at);
+    gaps.map(|pair| pair[1] - pair[0]).max()
+}
+
+/// Returns the share of writes that the worst-served team had acknowledged before the failure.
+fn worst_team(run: &ExerciseRun) -> f64 {
+    let mut teams: BTreeMap<&str, (usize, usize)> = BTreeMap::new();
+    for (team, report) in &run.reports {
+        let (served, offered) = teams.entry(team).or_default();
+        for write in report
+            .writes
+            .iter()
+            .filter(|write| write.ended_at < run.failed_at)
+        {
+            *offered += 1;
+            *served += usize::from(write.outcome == WriteOutcome::Acknowledged);
+        }
+    }
+    let shares = teams
+        .values()
+        .map(|(served, offered)| *served as f64 / (*offered).max(1) as f64);
+    shares.fold(1.0, f64::min)
+}
+
+/// Compares what callers were told with what the endpoints did.
+fn check_requirements(run: &ExerciseRun, endpoints: &[EndpointHandle]) -> Vec<Verdict> {
+    let executed = executed_counts(endpoints);
+    let survived = surviving_keys(endpoints);
+    let lost = all_writes(run)
+        .filter(|write| write.outcome == WriteOutcome::Acknowledged)
+        .filter(|write| !survived.contains(&write.key))
+        .count();
+    let false_refusals = all_writes(run)
+        .filter(|write| {
+            matches!(
+                write.outcome,
+                WriteOutcome::NotRun | WriteOutcome::AboveRate
+            )
+        })
+        .filter(|write| executed.contains_key(&write.key))
+        .count();
+    let repeated = executed.values().filter(|&&count| count > 1).count();
+    let stale: usize = run
+        .reports
+        .iter()
+        .map(|(_, report)| report.stale_reads.len())
+        .sum();
+    let reads: usize = run.reports.iter().map(|(_, report)| report.reads).sum();
+    let keys_shown = endpoints
+        .iter()
+        .flat_map(EndpointHandle::shown)
+        .filter(|shown| {
+            TEAMS
+                .iter()
+                .any(|(team, key)| shown.user == *team || shown.password == *key)
+        })
+        .count();
+    let verdict = |name, faults: usize, detail| Verdict {
+        name,
+        held: faults == 0,
+        detail,
+    };
+    vec![
+        verdict(
+            "no acknowledged write lost",
+            lost,
+            format!("{lost} of {} lost", count(run, WriteOutcome::Acknowledged)),
+        ),
+        verdict(
+            "read-your-writes",
+            stale,
+            format!("{stale} of {reads} reads too old"),
+        ),
+        verdict(
+            "nothing run twice",
+            repeated,
+            format!("{repeated} writes run more than once"),
+        ),
+        verdict(
+            "refusals that say not run",
+            false_refusals,
+            format!(
+                "{false_refusals} of {} had run",
+                count(run, WriteOutcome::NotRun)
+            ),
+        ),
+        verdict(
+            "keys kept from endpoints",
+            keys_shown,
+            format!("{keys_shown} shown"),
+        ),
+    ]
+}
+
+/// Returns the key that a statement of the exercise writes.
+fn key_of(statement: &ClientStatement) -> Option<String> {
+    let key = statement.parameters.first()?.clone();
+    key.filter(|_| statement.text.starts_with("INSERT INTO kv"))
+}
+
+/// Returns how often each key was written, over all endpoints and terms.
+fn executed_counts(endpoints: &[EndpointHandle]) -> BTreeMap<String, usize> {
+    let mut counts = BTreeMap::new();
+    for write in endpoints.iter().flat_map(EndpointHandle::executed) {
+        for statement in &write.statements {
+            if let Some(key) = key_of(statement) {
+                *counts.entry(key).or_default() += 1;
+            }
+        }
+    }
+    counts
+}
+
+/// Returns the keys in the log of the primary with the highest term.
+fn surviving_keys(endpoints: &[EndpointHandle]) -> BTreeSet<String> {
+    let primary = endpoints
+        .iter()
+        .filter(|endpoint| endpoint.report().role == "primary");
+    let Some(primary) = primary.max_by_key(|endpoint| endpoint.report().term) else {
+        return BTreeSet::new();
+    };
+    let entries = primary.log();
+    let changes = entries.iter().flat_map(|entry| &entry.changes);
+    changes.map(|change| change.key.clone()).collect()
+}
--- a/src/process/metrics.rs
+++ b/src/process/metrics.rs
@@ -47,6 +47,15 @@
     }
 }
 
+/// Answered reads by the role of the endpoint.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct ReadCounts {
+    /// Answered by replicas.
+    pub replica: u64,
+    /// Answered by primaries.
+    pub primary: u64,
+}
+
 /// The metrics of one instance; the daemon sets the public ones.
 pub struct ProcessMetrics {
     registry: Registry,
@@ -221,6 +230,27 @@
         }
     }
 
+    /// Returns how many reads replicas and primaries answered.
+    pub fn read_counts(&self) -> ReadCounts {
+        let mut counts = ReadCounts::default();
+        for family in self.reads.collect() {
+            for metric in family.get_metric() {
+                let replica = metric
+                    .get_label()
+                    .iter()
+                    .any(|label| label.value() == "replica");
+                let value = metric.get_counter().get_value() as u64;
+                let count = if replica {
+                    &mut counts.replica
+                } else {
+                    &mut counts.primary
+                };
+                *count += value;
+            }
+        }
+        counts
+    }
+
     /// Sets the gauges of the objectives; rows that are gone disappear.
     pub fn set_burn(&self, page: &BurnPage) {
         self.burn_rate.reset();
