Check a group's history for linearizability

Records overlapping writes and primary reads of callers on two daemons while the primary is cut off from its replicas and comes back, and checks each key as a register with todc-utils. A write without an answer may take effect at any later time: it ends after all other operations. A write refused as not run must have no effect, so it is left out.

Reads use FOR UPDATE, as a plain read only promises its session's floor and may rightly return an older value than another session has seen.

--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -24,6 +24,7 @@
 mod http_port;
 mod isolation_evidence;
 mod key_verifiers;
+mod linear_history;
 mod log_points;
 mod membership_view;
 mod operations_page;
--- a/tests/testsuite/support/mod.rs
+++ b/tests/testsuite/support/mod.rs
@@ -4,5 +4,6 @@
 pub mod child_process;
 pub mod free_ports;
 pub mod group;
+pub mod operation_history;
 pub mod running_system;
 pub mod system_builder;
