Let an owner's share accrue before the first request of a team

An owner opened a team's bucket, empty, at its first request, which was therefore refused. Ruled out: starting the bucket full, since an earlier owner may have used the burst in the same window. Conclusion: owners open buckets for all teams when they adopt a table or a bundle.

--- a/src/process/shares/holder.rs
+++ b/src/process/shares/holder.rs
@@ -136,9 +136,23 @@
             }
         }
         self.limits = limits;
+        self.open_buckets(now);
         self.cut_all(now);
     }
 
+    /// Starts a bucket for each team, so that an owner's share accrues before the first request.
+    ///
+    /// It starts empty, as an earlier owner may have used the burst.
+    fn open_buckets(&mut self, now: MonotonicTime) {
+        if self.units() > 0 {
+            for team in self.limits.keys() {
+                self.teams
+                    .entry(team.clone())
+                    .or_insert_with(|| TeamBucket::new(now));
+            }
+        }
+    }
+
     /// Takes the incarnations that are believed to live.
     pub fn set_live(&mut self, live: BTreeSet<InstanceIncarnation>) {
         self.live = live;
@@ -175,6 +189,7 @@
         }
         self.table = Some(Arc::new(table.clone()));
         self.next_renewal = now;
+        self.open_buckets(now);
         self.cut_all(now);
         !owned || owns || gave_all
     }
