--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -39,3 +39,4 @@
 mod store_adapter;
 mod store_commands;
 mod support;
+mod whole_system;
