Count store calls from the counters of the store client

The client counts each call by kind and knows no outcome, so that the metric has the operation only. The counters are raised to the client's, so that no call is counted with each scrape.

--- a/src/process/metrics.rs
+++ b/src/process/metrics.rs
@@ -18,6 +18,8 @@
 use prometheus::core::Collector;
 
 use crate::process::burn_page::BurnPage;
+use crate::process::store_calls::StoreCallKind;
+use crate::process::store_calls::StoreCalls;
 use crate::request::ports::RequestClass;
 use crate::request::ports::RequestRecord;
 use crate::request::refusal::RequestRefusal;
@@ -51,6 +53,7 @@
 pub struct ProcessMetrics {
     registry: Registry,
     requests: IntCounterVec,
+    store_calls: IntCounterVec,
     reads: IntCounterVec,
     waits: HistogramVec,
     durations: HistogramVec,
@@ -70,8 +73,6 @@
     pub bundle_version: IntGauge,
     /// Bundles that were refused.
     pub bundle_refusals: IntCounter,
-    /// Calls of the store, by operation and outcome.
-    pub store_calls: IntCounterVec,
     /// Time since the store was last heard.
     pub store_silence: Gauge,
     /// Peers that answer.
@@ -172,8 +173,8 @@
             store_calls: counters(
                 &registry,
                 "tamaracklb_store_calls_total",
-                "Calls of the store, by outcome; a waiting watch counts as one.",
-                &["operation", "outcome"],
+                "Calls of the store, failed and repeated ones included.",
+                &["operation"],
             )?,
             store_silence: gauge(
                 &registry,
@@ -221,6 +222,14 @@
         }
     }
 
+    /// Raises the counters of store calls to those of the client; only one client may be given.
+    pub fn note_store_calls(&self, calls: &StoreCalls) {
+        for kind in StoreCallKind::ALL {
+            let counter = self.store_calls.with_label_values(&[kind.label()]);
+            counter.inc_by(calls.of(kind).saturating_sub(counter.get()));
+        }
+    }
+
     /// Sets the gauges of the objectives; rows that are gone disappear.
     pub fn set_burn(&self, page: &BurnPage) {
         self.burn_rate.reset();
--- a/tests/testsuite/http_port.rs
+++ b/tests/testsuite/http_port.rs
@@ -17,6 +17,8 @@
 use tamaracklb::process::instance_status::InstanceStatus;
 use tamaracklb::process::journal_decision::JournalDecision;
 use tamaracklb::process::metrics::ProcessMetrics;
+use tamaracklb::process::store_calls::StoreCallKind;
+use tamaracklb::process::store_calls::StoreCalls;
 use tamaracklb::process::wall_time::WallTime;
 use tamaracklb::request::refusal::RequestRefusal;
 use tamaracklb::version::ids::BundleVersion;
@@ -141,6 +143,21 @@
     );
 }
 
+/// Store calls are counted elsewhere and must not be counted again with each scrape.
+#[test]
+fn store_call_counters() {
+    let metrics = ProcessMetrics::new("0").expect("the names are valid");
+    let calls = StoreCalls::default();
+    calls.count(StoreCallKind::Watch);
+    metrics.note_store_calls(&calls);
+    calls.count(StoreCallKind::Watch);
+    metrics.note_store_calls(&calls);
+    metrics.note_store_calls(&calls);
+    let text = metrics.render().expect("the metrics can be written");
+    let line = "tamaracklb_store_calls_total{operation=\"watch\"} 2\n";
+    assert!(text.contains(line), "{text}");
+}
+
 /// The commands must show all instances that answer and tell of those that do not.
 #[test]
 fn operator_view() {
