Ask all instances that the store lists, and fit the expected bundle

The limit of a bundle text was 700,000 bytes. A bundle of 780 services and 500 teams with one key each has 548,510 bytes, so that a second key for each team did not fit. The limit is now 960,000; the envelope stays at 1,000,000.

--- a/src/cmd/cmd_error.rs
+++ b/src/cmd/cmd_error.rs
@@ -43,6 +43,8 @@
     Store { message: String },
     /// The store has no bundle.
     NoBundle,
+    /// The store lists no instances.
+    NoInstances,
     /// Some instances gave no answer.
     Instances { failures: Vec<InstanceFailure> },
     /// An answer cannot be written as JSON.
@@ -81,6 +83,7 @@
             CmdError::Submit(error) => write!(f, "{error}"),
             CmdError::Store { message } => write!(f, "{message}"),
             CmdError::NoBundle => write!(f, "the store has no bundle"),
+            CmdError::NoInstances => write!(f, "the store lists no instances"),
             CmdError::Instances { failures } => {
                 let lines: Vec<String> = failures.iter().map(ToString::to_string).collect();
                 write!(f, "{}", lines.join("\ntamaracklb: "))
--- a/src/cmd/cmd_store.rs
+++ b/src/cmd/cmd_store.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use store_wire::CasRequest;
+use store_wire::InstanceEntry;
 
 use crate::cmd::cmd_error::CmdError;
 use crate::process::bundle_submission::BUNDLE_KEY;
@@ -16,18 +17,42 @@
 use crate::process::store_client::SwapOutcome;
 use crate::process::store_error::StoreError;
 
-/// Returns the calls on the current bundle; reads and writes go to the first address that answers.
-pub fn connect_store(settings: &DaemonSettings) -> Result<BundlePorts, CmdError> {
+/// Starts a client for each address of the store.
+fn start_clients(settings: &DaemonSettings) -> Result<Arc<Vec<StoreClient>>, CmdError> {
     let start = |&address: &SocketAddr| {
         StoreClient::start(address, settings.store_timeout).map_err(CmdError::Output)
     };
     let clients: Result<Vec<StoreClient>, CmdError> =
         settings.store_addresses.iter().map(start).collect();
-    let clients = Arc::new(clients?);
+    let clients = clients?;
     if clients.is_empty() {
         let message = "the settings name no store_addresses";
         return Err(CmdError::Usage { message });
     }
+    Ok(Arc::new(clients))
+}
+
+/// Returns the addresses for peers of the instances that the store lists.
+pub fn list_instances(settings: &DaemonSettings) -> Result<Vec<SocketAddr>, CmdError> {
+    let clients = start_clients(settings)?;
+    let entries = block_on(async {
+        let mut last = StoreError::Stopped;
+        for client in clients.iter() {
+            match client.instances().await {
+                Ok(entries) => return Ok(entries),
+                Err(error) => last = error,
+            }
+        }
+        let message = last.to_string();
+        Err(CmdError::Store { message })
+    })??;
+    let read = |entry: &InstanceEntry| entry.address.parse().ok();
+    Ok(entries.iter().filter_map(read).collect())
+}
+
+/// Returns the calls on the current bundle; reads and writes go to the first address that answers.
+pub fn connect_store(settings: &DaemonSettings) -> Result<BundlePorts, CmdError> {
+    let clients = start_clients(settings)?;
     let (readers, writers) = (Arc::clone(&clients), clients);
     Ok(BundlePorts {
         read: Box::new(move || {
--- a/src/cmd/explain.rs
+++ b/src/cmd/explain.rs
@@ -2,12 +2,14 @@
 
 use std::io::Write;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 
 use argh::FromArgs;
 
 use crate::cmd::CmdStatus;
 use crate::cmd::cmd_error::CmdError;
 use crate::cmd::instance_client::get_all;
+use crate::cmd::instance_list::find_instances;
 use crate::process::decision_journal::JournalPage;
 use crate::process::decision_journal::MergedEntry;
 use crate::process::decision_journal::merge_journals;
@@ -22,6 +24,10 @@
     #[argh(option)]
     instance: Vec<SocketAddr>,
 
+    /// settings of any instance; all instances that the store lists are asked
+    #[argh(option)]
+    settings: Option<PathBuf>,
+
     /// only decisions about this service
     #[argh(option)]
     service: Option<ServiceId>,
@@ -42,7 +48,8 @@
 impl ExplainCmd {
     /// Writes the merged journal of the instances that answer.
     pub fn run(self, output: &mut dyn Write) -> Result<CmdStatus, CmdError> {
-        let mut all = get_all::<JournalPage>(&self.instance, "/journal");
+        let addresses = find_instances(&self.instance, self.settings.as_deref())?;
+        let mut all = get_all::<JournalPage>(&addresses, "/journal");
         let pages = std::mem::take(&mut all.answers);
         if !self.json {
             write_gaps(&pages, output)?;
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -13,6 +13,7 @@
 pub mod drain;
 pub mod explain;
 pub mod instance_client;
+pub mod instance_list;
 pub mod key_new;
 pub mod key_signer;
 pub mod report;
--- a/src/cmd/report.rs
+++ b/src/cmd/report.rs
@@ -2,12 +2,14 @@
 
 use std::io::Write;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 
 use argh::FromArgs;
 
 use crate::cmd::CmdStatus;
 use crate::cmd::cmd_error::CmdError;
 use crate::cmd::instance_client::get_all;
+use crate::cmd::instance_list::find_instances;
 use crate::process::burn_page::BurnPage;
 use crate::process::burn_page::merge_pages;
 
@@ -19,6 +21,10 @@
     #[argh(option)]
     instance: Vec<SocketAddr>,
 
+    /// settings of any instance; all instances that the store lists are asked
+    #[argh(option)]
+    settings: Option<PathBuf>,
+
     /// print JSON
     #[argh(switch)]
     json: bool,
@@ -27,7 +33,8 @@
 impl ReportCmd {
     /// Writes the merged report of the instances that answer.
     pub fn run(self, output: &mut dyn Write) -> Result<CmdStatus, CmdError> {
-        let mut all = get_all::<BurnPage>(&self.instance, "/report");
+        let addresses = find_instances(&self.instance, self.settings.as_deref())?;
+        let mut all = get_all::<BurnPage>(&addresses, "/report");
         let merged = merge_pages(std::mem::take(&mut all.answers));
         if self.json {
             let text = serde_json::to_string_pretty(&merged).map_err(CmdError::Json)?;
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -2,12 +2,14 @@
 
 use std::io::Write;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 
 use argh::FromArgs;
 
 use crate::cmd::CmdStatus;
 use crate::cmd::cmd_error::CmdError;
 use crate::cmd::instance_client::get_all;
+use crate::cmd::instance_list::find_instances;
 use crate::process::instance_status::InstanceStatus;
 
 /// Show the status of instances; the exit code is 1 where any is not ready.
@@ -18,6 +20,10 @@
     #[argh(option)]
     instance: Vec<SocketAddr>,
 
+    /// settings of any instance; all instances that the store lists are asked
+    #[argh(option)]
+    settings: Option<PathBuf>,
+
     /// print JSON
     #[argh(switch)]
     json: bool,
@@ -26,7 +32,8 @@
 impl StatusCmd {
     /// Writes the status of each instance that answers.
     pub fn run(self, output: &mut dyn Write) -> Result<CmdStatus, CmdError> {
-        let all = get_all::<InstanceStatus>(&self.instance, "/status");
+        let addresses = find_instances(&self.instance, self.settings.as_deref())?;
+        let all = get_all::<InstanceStatus>(&addresses, "/status");
         if self.json {
             let text = serde_json::to_string_pretty(&all.answers).map_err(CmdError::Json)?;
             writeln!(output, "{text}")?;
--- a/src/version/bundle_parser.rs
+++ b/src/version/bundle_parser.rs
@@ -28,8 +28,8 @@
 use crate::version::yaml_reader::Located;
 use crate::version::yaml_reader::MapReader;
 
-/// The largest bundle text in bytes; with its envelope it must fit into a store value of 1 MB.
-pub const MAX_BUNDLE_BYTES: usize = 700_000;
+/// The largest bundle text in bytes; the envelope, which escapes line ends, may have 1,000,000.
+pub const MAX_BUNDLE_BYTES: usize = 960_000;
 /// The SCRAM iteration count where a bundle states none.
 pub const DEFAULT_ITERATIONS: u32 = 4096;
 /// The SCRAM iteration counts that are accepted; RFC 7677 asks for at least 4096.
