--- a/src/process/daemon_parts.rs
+++ b/src/process/daemon_parts.rs
@@ -3,20 +3,25 @@
 use std::sync::Arc;
 use std::sync::OnceLock;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use store_wire::CasRequest;
+use tokio::sync::watch;
 use tracing::debug;
 use tracing::info;
 
 use crate::process::bundle_intake::BundleIntake;
 use crate::process::bundle_intake::BundleSource;
+use crate::process::burn_report::BurnReport;
+use crate::process::daemon_error::DaemonError;
 use crate::process::decision_journal::DecisionJournal;
 use crate::process::decision_journal::JOURNAL_ENTRIES;
 use crate::process::digest_table::DigestTable;
 use crate::process::failover::group_event::GroupEvent;
 use crate::process::journal_decision::JournalDecision;
+use crate::process::metrics::ProcessMetrics;
 use crate::process::peers::fleet_links::FleetLinks;
 use crate::process::peers::fleet_links::FleetPorts;
 use crate::process::peers::isolation_monitor::StoreEvidence;
@@ -34,13 +39,18 @@
 use crate::process::shares::messages::StoreAnswer;
 use crate::process::shares::settings::ShareSettings;
 use crate::process::shares::table::ShareTable;
+use crate::process::slot_driver::SlotEnvelope;
+use crate::process::slot_driver::SlotSendFn;
+use crate::process::slots::messages::SlotMessage;
 use crate::process::slots::rendezvous::RendezvousMember;
 use crate::process::slots::rendezvous::spread_order;
 use crate::process::store_client::StoreClient;
 use crate::process::store_client::SwapOutcome;
 use crate::process::timers;
+use crate::process::timers::MonotonicTime;
 use crate::process::wall_time::WallTime;
 use crate::request::ports::AdmitQuery;
+use crate::request::ports::RequestRecord;
 use crate::request::ports::SlotPermit;
 use crate::request::refusal::RequestRefusal;
 use crate::version::bundle::BundleConfig;
@@ -53,7 +63,7 @@
 /// How many peers an instance asks for their state.
 pub const PEER_LINKS: usize = 15;
 
-const SHARE_SEND_LIMIT: Duration = Duration::from_secs(1);
+const PART_SEND_LIMIT: Duration = Duration::from_secs(1);
 
 /// Control connections that one instance may have open to an endpoint at once.
 const CONTROL_CONNECTIONS: u32 = 2;
@@ -76,13 +86,27 @@
     pub digests: Arc<DigestTable>,
     /// Whether the daemon is stopping.
     pub draining: Arc<AtomicBool>,
+    /// The counts for the service-level report.
+    pub burn: Arc<BurnReport>,
+    /// The metrics.
+    pub metrics: Arc<ProcessMetrics>,
+    /// When the process started.
+    pub started: MonotonicTime,
+    /// Transactions that hold a permit.
+    pub open_transactions: Arc<AtomicU64>,
+    /// Becomes true when an operator asks for a graceful stop.
+    pub drain_request: watch::Sender<bool>,
     /// The QUIC endpoint, once it is open.
     pub mesh: Arc<OnceLock<Arc<PeerMesh>>>,
 }
 
 impl DaemonParts {
     /// Creates the parts of a daemon whose process starts.
-    pub fn new(settings: &DaemonSettings, own: MemberRecord, store: &StoreClient) -> Self {
+    pub fn new(
+        settings: &DaemonSettings,
+        own: MemberRecord,
+        store: &StoreClient,
+    ) -> Result<Self, DaemonError> {
         let incarnation: u64 = rand::random();
         let instance = settings.instance_id.clone();
         let journal = Arc::new(DecisionJournal::new(
@@ -99,7 +123,11 @@
         let digests = Arc::new(DigestTable::default());
         let mesh = Arc::new(OnceLock::new());
         let links_cell = Arc::new(OnceLock::new());
-        let services = Arc::new(new_services(settings, journal.clone()));
+        let services = Arc::new(new_services(
+            settings,
+            journal.clone(),
+            slot_send(links_cell.clone(), mesh.clone()),
+        ));
         let shares = Arc::new(ShareDriver::new(
             &instance,
             ShareSettings::default(),
@@ -109,7 +137,8 @@
         let ports = fleet_ports(&bundles, &intake, &services, &shares, &digests, &draining);
         let links = Arc::new(FleetLinks::new(own, incarnation, ports));
         let _ = links_cell.set(links.clone());
-        Self {
+        let started = timers::now();
+        Ok(Self {
             journal,
             bundles,
             intake,
@@ -118,8 +147,13 @@
             shares,
             digests,
             draining,
+            burn: Arc::new(BurnReport::new(instance, started)),
+            metrics: Arc::new(ProcessMetrics::new(env!("CARGO_PKG_VERSION"))?),
+            started,
+            open_transactions: Arc::new(AtomicU64::new(0)),
+            drain_request: watch::Sender::new(false),
             mesh,
-        }
+        })
     }
 
     /// Returns the bundle in force, or one without teams and services.
@@ -166,7 +200,33 @@
         if !query.charged {
             self.shares.admit(&query.team).await?;
         }
-        self.services.take_permit(&query).await
+        let mut permit = self.services.take_permit(&query).await?;
+        let open = self.open_transactions.clone();
+        open.fetch_add(1, Ordering::Relaxed);
+        let release = permit.on_release.take();
+        permit.on_release = Some(Box::new(move || {
+            open.fetch_sub(1, Ordering::Relaxed);
+            if let Some(release) = release {
+                release();
+            }
+        }));
+        Ok(permit)
+    }
+
+    /// Counts a request that ended.
+    pub fn record(&self, record: &RequestRecord) {
+        self.journal.note_request(record);
+        self.burn.note_request(record, timers::now());
+        self.metrics.note_request(record);
+    }
+
+    /// Notes which services have a primary, for the time without one in the report.
+    pub fn note_primaries(&self) {
+        let now = timers::now();
+        for (service, runtime) in self.services.all() {
+            self.burn
+                .note_primary(&service, runtime.watcher.primary().is_some(), now);
+        }
     }
 
     /// Returns how many connections this instance may hold to an endpoint.
@@ -222,7 +282,11 @@
     )
 }
 
-fn new_services(settings: &DaemonSettings, journal: Arc<DecisionJournal>) -> ServiceTable {
+fn new_services(
+    settings: &DaemonSettings,
+    journal: Arc<DecisionJournal>,
+    send: SlotSendFn,
+) -> ServiceTable {
     let login = EndpointLogin {
         user: settings.endpoint_user.clone(),
         password: settings.endpoint_password.clone(),
@@ -238,6 +302,7 @@
         settings.availability_zone.clone(),
         login,
         Arc::new(on_event),
+        send,
     )
 }
 
@@ -299,7 +364,7 @@
             return;
         };
         let sent = links
-            .ask_part(&mesh, &to, PeerPart::Shares, payload, SHARE_SEND_LIMIT)
+            .ask_part(&mesh, &to, PeerPart::Shares, payload, PART_SEND_LIMIT)
             .await;
         if let Err(error) = sent {
             debug!("shares: message to {to} was lost: {error}");
@@ -307,6 +372,42 @@
     });
 }
 
+fn slot_send(
+    links: Arc<OnceLock<Arc<FleetLinks>>>,
+    mesh: Arc<OnceLock<Arc<PeerMesh>>>,
+) -> SlotSendFn {
+    Arc::new(move |to, envelope| {
+        let (links, mesh) = (links.get().cloned(), mesh.get().cloned());
+        Box::pin(async move {
+            let (Some(links), Some(mesh)) = (links, mesh) else {
+                return Vec::new();
+            };
+            send_slot(&links, &mesh, &to, &envelope)
+                .await
+                .unwrap_or_default()
+        })
+    })
+}
+
+async fn send_slot(
+    links: &FleetLinks,
+    mesh: &PeerMesh,
+    to: &InstanceId,
+    envelope: &SlotEnvelope,
+) -> Option<Vec<SlotMessage>> {
+    let payload = postcard::to_allocvec(envelope).ok()?;
+    match links
+        .ask_part(mesh, to, PeerPart::Slots, payload, PART_SEND_LIMIT)
+        .await
+    {
+        Ok(reply) => postcard::from_bytes(&reply).ok(),
+        Err(error) => {
+            debug!("slots: message to {to} was lost: {error}");
+            None
+        }
+    }
+}
+
 async fn read_table(store: &StoreClient, key: &str) -> StoreAnswer {
     match store.get(key).await {
         Ok(None) => StoreAnswer::Value(None),
@@ -353,7 +454,7 @@
 ) -> FleetPorts {
     let (version_of, text_of) = (bundles.clone(), bundles.clone());
     let intake = intake.clone();
-    let services = services.clone();
+    let (services, slot_services) = (services.clone(), services.clone());
     let (incarnations_of, receiver) = (shares.clone(), shares.clone());
     let digests = digests.clone();
     let draining = draining.clone();
@@ -371,13 +472,17 @@
         on_digest: Box::new(move |digest: &PeerDigest| digests.record(digest, timers::now())),
         on_part: Box::new(move |part, payload| {
             let receiver = receiver.clone();
+            let slots = slot_services.clone();
             Box::pin(async move {
                 match part {
                     PeerPart::Shares => {
                         receiver.on_message(postcard::from_bytes(&payload).ok()?);
                         Some(Vec::new())
                     }
-                    PeerPart::Slots => None,
+                    PeerPart::Slots => {
+                        let envelope = postcard::from_bytes(&payload).ok()?;
+                        postcard::to_allocvec(&slots.on_slot_message(envelope)).ok()
+                    }
                 }
             })
         }),
