--- a/tests/testsuite/failover_history.rs
+++ b/tests/testsuite/failover_history.rs
@@ -101,6 +101,7 @@
     };
     config.stale_reads = seed.is_multiple_of(5);
     config.far_lag = rng.random_bool(0.4).then_some(1500);
+    config.rules.fence_demotes = rng.random_bool(0.5);
     let mut at = 2000;
     for _ in 0..rng.random_range(1..=3) {
         config = random_fault(config, at, &mut rng);
@@ -324,6 +325,7 @@
     let leaky = |seed| {
         let mut config = slow_promotion(seed);
         config.rules.fence_holds = false;
+        config.rules.fence_demotes = false;
         config
     };
     hold_over(0..10, leaky);
--- a/tests/testsuite/failover_sim.rs
+++ b/tests/testsuite/failover_sim.rs
@@ -730,7 +730,7 @@
                     return;
                 }
             }
-            Call::Fence(term, proposer) => endpoint.fence(*term, proposer),
+            Call::Fence(term, proposer) => endpoint.fence(*term, proposer, self.now),
             Call::Promote(term, proposer) => {
                 if endpoint.promote(*term, proposer, &mut self.logs) {
                     let values = endpoint.log.iter().map(|entry| entry.value).collect();
--- a/tests/testsuite/group_model.rs
+++ b/tests/testsuite/group_model.rs
@@ -24,6 +24,8 @@
 pub struct ModelRules {
     /// A fenced endpoint takes no entries and no writes of lower terms.
     pub fence_holds: bool,
+    /// A primary that is fenced at a higher term becomes a replica at once.
+    pub fence_demotes: bool,
     /// A promotion fails where the log already has entries of a higher term.
     pub promote_checks_log: bool,
 }
@@ -32,6 +34,7 @@
     fn default() -> Self {
         Self {
             fence_holds: true,
+            fence_demotes: true,
             promote_checks_log: true,
         }
     }
@@ -103,8 +106,12 @@
         true
     }
 
-    pub fn fence(&mut self, term: u64, proposer: &str) {
+    pub fn fence(&mut self, term: u64, proposer: &str, now: u64) {
         if term > self.fenced_term {
+            if self.rules.fence_demotes && self.is_primary() && term > self.term() {
+                self.role = EndpointRole::Replica;
+                self.heard_at = now;
+            }
             self.fenced_term = term;
             self.fenced_by = proposer.to_owned();
         }
