Do not take a slow login for an endpoint that cannot be reached

Cause: a status call gave up on a new connection after 500 ms, and 2 s of that at a majority of watchers promotes. An endpoint that takes 600 ms to let a client in, which is slow and not gone, met this.

An attempt to connect now has at least 2 s, and the whole attempt counts as time without connections, from the last answer of the endpoint on. Attempts that a pause of the process interrupted do not count.

Ruled out: counting only TCP handshakes that fail. A primary that is cut off from instances after the handshake, and from nobody else, would stay.

The driver is tested against stand-in endpoints: confirmation, floor and promotion, a cut-off primary, and one that is slow and has silent connections.

--- a/src/process/endpoint_control.rs
+++ b/src/process/endpoint_control.rs
@@ -23,6 +23,11 @@
 use crate::request::log_point::LogTerm;
 use crate::version::secret_text::SecretText;
 
+/// The least time that an attempt to connect is given.
+///
+/// An endpoint that is slow to let clients in must not look like one that lets nobody in.
+const CONNECT_LIMIT: Duration = Duration::from_secs(2);
+
 /// Where an endpoint is and how an instance authenticates to it.
 #[derive(Debug, Clone)]
 pub struct ControlTarget {
@@ -142,9 +147,10 @@
                 return result;
             }
         }
-        let connection = Arc::new(self.connect(deadline).await?);
+        let connect_deadline = deadline.max(Instant::now() + CONNECT_LIMIT);
+        let connection = Arc::new(self.connect(connect_deadline).await?);
         *lock(warm) = Some(Arc::clone(&connection));
-        let result = ask(&connection, query, deadline).await;
+        let result = ask(&connection, query, Instant::now() + timeout).await;
         forget_failed(warm, &connection, &result);
         result
     }
--- a/src/process/failover/group_controller.rs
+++ b/src/process/failover/group_controller.rs
@@ -92,6 +92,8 @@
     reports: BTreeMap<InstanceId, WatcherReport>,
     calls: BTreeMap<EndpointId, CallState>,
     seen_term: Option<LogTerm>,
+    last_time: MonotonicTime,
+    resumed_at: MonotonicTime,
     rng: ChaCha8Rng,
 }
 
@@ -116,6 +118,8 @@
             reports: BTreeMap::new(),
             calls: calls.collect(),
             seen_term: None,
+            last_time: MonotonicTime::default(),
+            resumed_at: MonotonicTime::default(),
             rng: ChaCha8Rng::seed_from_u64(seed),
             limits,
         }
@@ -268,10 +272,14 @@
         answer: Result<EndpointStatus, CallFailure>,
         now: MonotonicTime,
     ) -> Vec<GroupAction> {
+        self.note_time(now);
         let mut actions = Vec::new();
         match answer {
             Ok(status) => self.feed(endpoint, &status, asked_at, now, &mut actions),
-            Err(CallFailure::ConnectFailed) => self.view.observe_connect_failure(endpoint, now),
+            Err(CallFailure::ConnectFailed) if asked_at >= self.resumed_at => {
+                self.view.observe_connect_failure(endpoint, asked_at, now);
+            }
+            Err(CallFailure::ConnectFailed) => {}
             Err(CallFailure::NoAnswer | CallFailure::Refused) => {}
         }
         self.follow_up(now, &mut actions);
@@ -280,6 +288,7 @@
 
     /// Moves on with the time; call it at least every 50 ms.
     pub fn tick(&mut self, now: MonotonicTime) -> Vec<GroupAction> {
+        self.note_time(now);
         let mut actions = Vec::new();
         self.judge(now, &mut actions);
         self.follow_up(now, &mut actions);
@@ -312,6 +321,16 @@
             .collect()
     }
 
+    /// Recognizes a pause of this process; attempts to connect that it interrupted say nothing
+    /// about an endpoint.
+    fn note_time(&mut self, now: MonotonicTime) {
+        if now.saturating_since(self.last_time) > self.limits.report_age {
+            self.resumed_at = now;
+            self.view.clear_connect_failures();
+        }
+        self.last_time = now;
+    }
+
     fn feed(
         &mut self,
         endpoint: &EndpointId,
--- a/src/process/failover/group_view.rs
+++ b/src/process/failover/group_view.rs
@@ -53,6 +53,7 @@
     pub status: Option<EndpointStatus>,
     /// When that status was asked for; the status is at least as recent as this.
     pub asked_at: MonotonicTime,
+    answered_at: MonotonicTime,
     silent_reports: u32,
     silence_counted_at: MonotonicTime,
     connect_failure: Option<FailureSpan>,
@@ -64,6 +65,7 @@
             member,
             status: None,
             asked_at: MonotonicTime::default(),
+            answered_at: MonotonicTime::default(),
             silent_reports: 0,
             silence_counted_at: MonotonicTime::default(),
             connect_failure: None,
@@ -173,6 +175,7 @@
             return;
         };
         view.connect_failure = None;
+        view.answered_at = now;
         let point = status.point;
         let is_primary = status.role == EndpointRole::Primary;
         let newer = view.status.is_none() || asked_at >= view.asked_at;
@@ -217,22 +220,35 @@
         }
     }
 
-    /// Takes the failure of an attempt to open a new connection.
+    /// Takes the failure of an attempt to open a new connection that began at `asked_at`.
     ///
-    /// Attempts further apart than the report age start a new span, so that a pause of this
-    /// process does not count as time in which the endpoint failed.
-    pub fn observe_connect_failure(&mut self, endpoint: &EndpointId, now: MonotonicTime) {
+    /// The whole attempt counts, from the last answer of the endpoint on. Attempts further apart
+    /// than the report age start a new span.
+    pub fn observe_connect_failure(
+        &mut self,
+        endpoint: &EndpointId,
+        asked_at: MonotonicTime,
+        now: MonotonicTime,
+    ) {
         let age = self.report_age;
         let Some(view) = self.endpoints.get_mut(endpoint) else {
             return;
         };
+        let began = asked_at.max(view.answered_at);
         let first = match view.connect_failure {
-            Some(span) if now.saturating_since(span.last) <= age => span.first,
-            _ => now,
+            Some(span) if began.saturating_since(span.last) <= age => span.first.min(began),
+            _ => began,
         };
         view.connect_failure = Some(FailureSpan { first, last: now });
     }
 
+    /// Forgets failures to connect, as after a pause of this process.
+    pub fn clear_connect_failures(&mut self) {
+        for view in self.endpoints.values_mut() {
+            view.connect_failure = None;
+        }
+    }
+
     /// Returns for how long no new connection could be opened, up to the last attempt.
     pub fn connect_failing_for(&self, endpoint: &EndpointId, now: MonotonicTime) -> Duration {
         self.endpoints
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -21,6 +21,7 @@
 mod failover_history;
 mod failover_sim;
 mod group_model;
+mod group_watchers;
 mod http_port;
 mod isolation_evidence;
 mod key_verifiers;
