--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -15,6 +15,7 @@
 pub mod exercise_client;
 pub mod explain;
 pub mod instance_client;
+pub mod instance_list;
 pub mod key_new;
 pub mod key_signer;
 pub mod report;
