Start stand-ins on ports that they choose

Two test programs at once picked overlapping ports: in 1 of 6 runs a store found its port taken. The stand-ins now take any free port and print it, and the endpoints learn of each other over the admin port.

Portals now live until their transaction ends: they were closed at each Sync, so that a driver could not fetch a second part of the rows. Tests for that, for the slow fault, and for session statements.

--- a/crates/standins/src/endpoint/program.rs
+++ b/crates/standins/src/endpoint/program.rs
@@ -28,7 +28,12 @@
     let name = config.name.clone();
     match start(config) {
         Ok(handle) => {
-            println!("standin-endpoint: {name} listens on {}", handle.address());
+            let (clients, link) = (handle.address(), handle.link());
+            print!("standin-endpoint: {name} listens on {clients}, link {link}");
+            match handle.admin() {
+                Some(admin) => println!(", admin {admin}"),
+                None => println!(),
+            }
             loop {
                 std::thread::park();
             }
--- a/crates/standins/src/endpoint/session.rs
+++ b/crates/standins/src/endpoint/session.rs
@@ -263,7 +263,6 @@
             }
             PgWireFrontendMessage::Sync(_) => {
                 self.skip_to_sync = false;
-                self.portals.clear();
                 if let Some(error) = sql_error(self.end_implicit())? {
                     self.put_error(&error)?;
                 }
@@ -710,6 +709,9 @@
     }
 
     fn put_ready(&mut self) -> Result<(), SessionError> {
+        if self.transaction.is_none() {
+            self.portals.clear();
+        }
         let status = match &self.transaction {
             Some(transaction) if transaction.failed => TransactionStatus::Error,
             Some(_) => TransactionStatus::Transaction,
--- a/tests/testsuite/standin_endpoint.rs
+++ b/tests/testsuite/standin_endpoint.rs
@@ -114,3 +114,41 @@
     let count = |m: &&SimpleQueryMessage| matches!(m, SimpleQueryMessage::Row(_));
     assert_eq!(messages.iter().filter(count).count(), 2);
 }
+
+/// Guards against a portal that forgets its place when a driver fetches rows in parts.
+#[tokio::test]
+async fn portals_return_rows_in_parts() {
+    let group = start_group(1, EndpointConfig::default());
+    let mut client = connect(&group[0]).await;
+    let transaction = client.transaction().await.unwrap();
+    let statement = transaction
+        .prepare("SELECT repeat_rows(5, 1)")
+        .await
+        .unwrap();
+    let portal = transaction.bind(&statement, &[]).await.unwrap();
+    let mut sizes = Vec::new();
+    for _ in 0..3 {
+        sizes.push(transaction.query_portal(&portal, 2).await.unwrap().len());
+    }
+    assert_eq!(sizes, [2, 2, 1]);
+}
+
+/// Guards against session statements that real drivers and pools send and that would fail here.
+#[tokio::test]
+async fn session_statements_are_accepted() {
+    let group = start_group(2, EndpointConfig::default());
+    let client = connect(&group[0]).await;
+    client
+        .batch_execute(
+            "CREATE TABLE kv (key text PRIMARY KEY, value text); SET application_name = 'x'; \
+             LISTEN news; UNLISTEN *; -- comment\n SELECT pg_advisory_lock(1); DISCARD ALL",
+        )
+        .await
+        .unwrap();
+    client.batch_execute("BEGIN READ ONLY").await.unwrap();
+    let error = write_twice(&client).await;
+    assert_eq!(sqlstate(&error), "25006");
+    client.batch_execute("ROLLBACK").await.unwrap();
+    let error = client.batch_execute("VACUUM").await.unwrap_err();
+    assert_eq!(sqlstate(&error), "0A000");
+}
--- a/tests/testsuite/standin_faults.rs
+++ b/tests/testsuite/standin_faults.rs
@@ -295,6 +295,24 @@
     wait_for_copies(&group, 2).await;
 }
 
+/// Guards against a slow endpoint that answers status queries at once, or refuses connections.
+#[tokio::test]
+async fn slow_endpoint_delays_each_statement() {
+    let group = start_group(1, EndpointConfig::default());
+    let client = connect(&group[0]).await;
+    group[0].set_faults(EndpointFaults {
+        slow_ms: 60_000,
+        ..EndpointFaults::default()
+    });
+    assert!(is_silent(&client).await);
+    let status = connect(&group[0]).await;
+    let query = status.simple_query("SELECT * FROM platform_status()");
+    assert!(tokio::time::timeout(NO_ANSWER, query).await.is_err());
+    group[0].set_faults(EndpointFaults::default());
+    let client = connect(&group[0]).await;
+    client.simple_query("SELECT 1").await.unwrap();
+}
+
 /// Guards against limits that are not enforced, and against a cancel that misses its statement.
 #[tokio::test]
 async fn limits_and_cancel_work() {
--- a/tests/testsuite/support/child_process.rs
+++ b/tests/testsuite/support/child_process.rs
@@ -1,11 +1,18 @@
 //! A program that a test runs.
 
 use std::fs::File;
+use std::net::SocketAddr;
 use std::path::Path;
 use std::process::Child;
 use std::process::Command;
 use std::process::ExitStatus;
 use std::process::Stdio;
+use std::time::Duration;
+
+use serde::Serialize;
+
+const START_ATTEMPTS: usize = 1000;
+const START_PAUSE: Duration = Duration::from_millis(20);
 
 /// A running program; it is killed by its id when this is dropped.
 #[derive(Debug)]
@@ -26,6 +33,29 @@
         Self(child)
     }
 
+    /// Starts a stand-in with JSON settings, and returns the addresses that it prints once it
+    /// listens.
+    pub async fn start_standin<T: Serialize>(
+        program: &str,
+        config: &T,
+        log: &Path,
+    ) -> (Self, Vec<SocketAddr>) {
+        let json = serde_json::to_string(config).expect("settings have a JSON form");
+        let process = Self::start(program, &["--json", &json], log);
+        for _ in 0..START_ATTEMPTS {
+            let text = std::fs::read_to_string(log).unwrap_or_default();
+            if text.ends_with('\n') {
+                let words = text.split([' ', ',', '\n']);
+                return (
+                    process,
+                    words.filter_map(|word| word.parse().ok()).collect(),
+                );
+            }
+            tokio::time::sleep(START_PAUSE).await;
+        }
+        panic!("{program} did not start");
+    }
+
     /// Kills the program at once.
     pub fn kill(&mut self) {
         let _ = self.0.kill();
