Take the first bundle that an empty store ever gets

The feed raised the revision of the empty answer from 0 to 1, to tell it from "nothing read yet", and the first write then has revision 1, which a watch after 1 does not report.

The feed now keeps `None` until its first read. The new test runs the built daemon and the built operators' program on an empty stand-in store; without the change it stays at "no bundle". It also checks that JSON log lines parse and show no password at level debug.

--- a/src/process/bundle_feed.rs
+++ b/src/process/bundle_feed.rs
@@ -51,7 +51,7 @@
 
     /// Follows the bundle key for as long as the process lives.
     pub async fn follow_bundle(&self) {
-        let mut revision = 0;
+        let mut revision = None;
         loop {
             let now = timers::now();
             let stale = self
@@ -72,17 +72,22 @@
         }
     }
 
-    async fn read_changes(&self, revision: &mut u64, wait: Duration) -> Result<(), StoreError> {
+    async fn read_changes(
+        &self,
+        revision: &mut Option<u64>,
+        wait: Duration,
+    ) -> Result<(), StoreError> {
         let sent_at = timers::now();
         // The first read must not wait, as it tells a new instance what is in force.
-        let wait = if *revision == 0 { Duration::ZERO } else { wait };
-        let answer = self.client.watch(BUNDLE_KEY, *revision, wait).await?;
+        let wait = revision.map_or(Duration::ZERO, |_| wait);
+        let after = revision.unwrap_or(0);
+        let answer = self.client.watch(BUNDLE_KEY, after, wait).await?;
         for event in &answer.events {
             if let Some(text) = event.value.as_ref().filter(|_| event.key == BUNDLE_KEY) {
                 self.intake.offer(text, BundleSource::Store);
             }
         }
-        *revision = answer.revision.max(1);
+        *revision = Some(answer.revision);
         self.links.monitor().record_store_read(sent_at);
         Ok(())
     }
--- /dev/null
+++ b/tests/testsuite/first_bundle.rs
@@ -0,0 +1,121 @@
+//! The built daemon with an empty store: an operator's first steps must end with a ready instance.
+
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::UdpSocket;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::time::Duration;
+use std::time::Instant;
+
+use standins::store::config::StoreConfig;
+
+use crate::bundle_faults::SAMPLE;
+use crate::program_run::ProgramRun;
+
+/// Longer than any start on a busy machine; only a daemon that never gets there reaches it.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+/// A daemon that ends with the test.
+struct DaemonProcess {
+    child: Child,
+}
+
+impl Drop for DaemonProcess {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn start_daemon(run: &ProgramRun) -> DaemonProcess {
+    let log = std::fs::File::create(run.path("log")).expect("the file can be made");
+    let child = Command::new(env!("CARGO_BIN_EXE_tamaracklbd"))
+        .args(["--settings", "settings.yaml"])
+        .current_dir(run.folder())
+        .stderr(Stdio::from(log))
+        .spawn()
+        .expect("the daemon can be run");
+    DaemonProcess { child }
+}
+
+fn free_tcp() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
+    listener.local_addr().expect("it is bound")
+}
+
+fn free_udp() -> SocketAddr {
+    let socket = UdpSocket::bind("127.0.0.1:0").expect("a port is free");
+    socket.local_addr().expect("it is bound")
+}
+
+fn settings(signer: &str, store: SocketAddr, http: SocketAddr) -> String {
+    let entry: String = signer
+        .lines()
+        .skip(1)
+        .map(|line| format!("  {line}\n"))
+        .collect();
+    format!(
+        "instance_id: i1\navailability_zone: z1\ncaller_address: {}\npeer_address: {}\n\
+         http_address: {http}\npeer_tls_certificate_file: pem\npeer_tls_key_file: key\n\
+         peer_tls_authority_file: pem\nstore_addresses: [{store}]\nendpoint_user: u\n\
+         endpoint_password: opensesame\nlog_format: json\nlog_level: debug\nsigners:\n{entry}",
+        free_tcp(),
+        free_udp()
+    )
+}
+
+fn wait_for_code(run: &ProgramRun, line: &str, code: i32) -> String {
+    let start = Instant::now();
+    loop {
+        let answer = run.run(line);
+        if answer.code == code {
+            return answer.stdout;
+        }
+        let log = run.read("log");
+        assert!(start.elapsed() < PATIENCE, "{line}: {answer:?}\n{log}");
+        std::thread::sleep(Duration::from_millis(100));
+    }
+}
+
+/// A bundle that is the first write of the store must come into force without a restart.
+#[test]
+fn empty_store() {
+    let store = standins::store::handle::start(&StoreConfig::default()).expect("it starts");
+    let names = vec!["peer.tamaracklb.internal".to_owned()];
+    let certificate = rcgen::generate_simple_self_signed(names).expect("it can be made");
+    let run = ProgramRun::new()
+        .file("pem", &certificate.cert.pem())
+        .file("key", &certificate.signing_key.serialize_pem())
+        .file("bundle.yaml", SAMPLE);
+    let signer = run.succeed("key signer --id ops --out ops.pem");
+    let http = free_tcp();
+    let run = run.file("settings.yaml", &settings(&signer, store.address(), http));
+    run.succeed("check --settings settings.yaml");
+    let mut daemon = start_daemon(&run);
+    let status = format!("status --instance {http}");
+    assert!(wait_for_code(&run, &status, 1).contains("no bundle"));
+
+    run.succeed("bundle sign --key ops.pem --signer ops --out signed.json bundle.yaml");
+    run.succeed("bundle submit --settings settings.yaml signed.json");
+    assert!(wait_for_code(&run, &status, 0).contains("bundle v1"));
+    let journal = run.succeed(&format!("explain --instance {http}"));
+    assert!(
+        journal.contains("bundle v1 is in force, signed by ops"),
+        "{journal}"
+    );
+
+    run.succeed(&format!("drain --instance {http}"));
+    let ended = daemon.child.wait().expect("it is our child");
+    assert!(ended.success(), "{ended:?}");
+    let log = run.read("log");
+    assert!(!log.contains("opensesame"), "{log}");
+    for line in log.lines() {
+        let entry: serde_json::Value = serde_json::from_str(line).expect("each line is JSON");
+        assert!(
+            entry["level"].is_string() && entry["message"].is_string(),
+            "{line}"
+        );
+    }
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -20,6 +20,7 @@
 mod failover_gap;
 mod failover_history;
 mod failover_sim;
+mod first_bundle;
 mod group_model;
 mod http_port;
 mod isolation_evidence;
