--- a/examples/limits_bench/main.rs
+++ b/examples/limits_bench/main.rs
@@ -2,6 +2,7 @@
 //!
 //! `limits_bench` prints tables, `limits_bench --json` one JSON document.
 
+mod baselines;
 #[allow(dead_code)]
 mod rate_sim;
 mod report;
--- a/examples/limits_bench/rate_sim.rs
+++ b/examples/limits_bench/rate_sim.rs
@@ -5,7 +5,6 @@
 use std::collections::BTreeSet;
 use std::collections::BinaryHeap;
 use std::collections::VecDeque;
-use std::time::Duration;
 
 use rand::Rng;
 use rand::SeedableRng;
@@ -144,11 +143,21 @@
 pub struct RefusalCount {
     pub offered: u64,
     pub admitted: u64,
+    /// Requests that the ideal bucket admits.
+    pub ideal: u64,
     pub wrongful: u64,
     pub wait_p99_ms: f64,
 }
 
 impl RefusalCount {
+    /// Returns by how many fewer requests were admitted than by the ideal bucket.
+    ///
+    /// Above the rate, two equal buckets admit different requests as soon as their tokens differ by
+    /// a part of one, so that single requests say little there.
+    pub fn shortfall_percent(&self) -> f64 {
+        100.0 * self.ideal.saturating_sub(self.admitted) as f64 / self.offered.max(1) as f64
+    }
+
     pub fn percent(&self) -> f64 {
         100.0 * self.wrongful as f64 / self.offered.max(1) as f64
     }
@@ -177,6 +186,8 @@
     queue: BinaryHeap<Reverse<(u64, u64)>>,
     events: BTreeMap<u64, Event>,
     sequence: u64,
+    seen: BTreeMap<usize, (usize, ShareMember)>,
+    steady: u32,
 }
 
 impl RateSim {
@@ -234,6 +245,8 @@
             queue: BinaryHeap::new(),
             events: BTreeMap::new(),
             sequence: 0,
+            seen: BTreeMap::new(),
+            steady: 0,
         };
         for node in 0..count {
             sim.start(node);
@@ -260,6 +273,7 @@
 
     /// Starts a process on a node that has none.
     pub fn start(&mut self, node: usize) {
+        self.steady = 0;
         let seed = self.rng.random();
         let name = format!("instance-{node}").parse().expect("valid id");
         let shard = ShareShard::new("shard-0".to_owned(), name, self.settings.clone(), seed);
@@ -290,9 +304,11 @@
         self.schedule(delay, Event::Restart(node));
     }
 
-    /// Freezes a process; it handles nothing until the end and then everything that came.
+    /// Freezes a process; it handles nothing until the end and then everything that came,
+    /// callers' requests first.
     pub fn freeze(&mut self, node: usize, duration: u64) {
         self.nodes[node].frozen_until = self.now + duration;
+        self.schedule(duration, Event::Retry(node));
     }
 
     pub fn drain(&mut self, node: usize) {
@@ -354,6 +370,7 @@
             count.offered += 1;
             let admitted = request.admitted == Some(true);
             count.admitted += u64::from(admitted);
+            count.ideal += u64::from(request.ideal);
             count.wrongful += u64::from(request.ideal && !admitted);
             if admitted {
                 waits.push(request.waited);
@@ -489,6 +506,16 @@
                 seen.insert(index, (node.group, member));
             }
         }
+        self.steady = if seen == self.seen {
+            self.steady + 1
+        } else {
+            0
+        };
+        self.seen = seen.clone();
+        if self.steady > 6 {
+            // Nothing changed for longer than a silent node stays in a list.
+            return self.schedule(HEARTBEAT, Event::Heartbeats);
+        }
         let now = self.now;
         for node in &mut self.nodes {
             for (&index, (group, member)) in &seen {
@@ -770,8 +797,3 @@
         }
     }
 }
-
-/// Returns a duration in simulated nanoseconds.
-pub fn nanos(duration: Duration) -> u64 {
-    u64::try_from(duration.as_nanos()).expect("short duration")
-}
--- a/examples/limits_bench/scenarios.rs
+++ b/examples/limits_bench/scenarios.rs
@@ -1,8 +1,15 @@
 //! The measured scenarios and the baselines they are compared with.
 
+use tamaracklb::process::shares::settings::ShareSettings;
 use tamaracklb::process::slots::queue::QueueOrder;
 use tamaracklb::process::slots::queue::QueueSettings;
 
+use crate::baselines::rate_over_n;
+use crate::baselines::store_counter;
+use crate::rate_sim::RateSim;
+use crate::rate_sim::RefusalCount;
+use crate::rate_sim::SECOND;
+use crate::rate_sim::TeamLoad;
 use crate::report::BenchReport;
 use crate::report::ReportRow;
 use crate::slot_sim::SlotLoad;
@@ -13,10 +20,143 @@
 
 pub fn run_all() -> BenchReport {
     let mut report = BenchReport::default();
+    measure_rates(&mut report);
+    measure_fleets(&mut report);
     measure_slots(&mut report);
     report
 }
 
+/// One team with a rate of 100/s and a burst of 100, its whole load on one of 15 instances.
+fn measure_rates(report: &mut BenchReport) {
+    for load in [50.0, 90.0, 100.0, 150.0] {
+        let runs = std::thread::scope(|scope| {
+            let runs = (0..3).map(|seed| scope.spawn(move || rate_windows(load, seed)));
+            let runs = runs.collect::<Vec<_>>();
+            let windows = runs.into_iter().map(|run| run.join().expect("no panic"));
+            windows.collect::<Vec<_>>()
+        });
+        let names = ["steady", "load moves", "instance dies", "store goes down"];
+        for (index, name) in names.into_iter().enumerate() {
+            let mut sum = RefusalCount::default();
+            let mut worst = 0.0_f64;
+            for run in &runs {
+                let count = run[index];
+                sum.offered += count.offered;
+                sum.admitted += count.admitted;
+                sum.ideal += count.ideal;
+                sum.wrongful += count.wrongful;
+                sum.wait_p99_ms = sum.wait_p99_ms.max(count.wait_p99_ms);
+                worst = worst.max(count.percent());
+            }
+            report.rates.push(ReportRow {
+                scenario: format!("15 instances, load {load} of 100/s, {name}"),
+                variant: "shares".to_owned(),
+                figures: figures(&[
+                    ("wrongful_percent", sum.percent()),
+                    ("wrongful_percent_worst", worst),
+                    ("shortfall_percent", sum.shortfall_percent()),
+                    ("defer_p99_ms", sum.wait_p99_ms),
+                ]),
+            });
+        }
+        let split = rate_over_n(15.0, 100.0, 100.0, load, 1);
+        let counter = store_counter(8, 100.0, 100.0, load, false, 1);
+        let outage = store_counter(8, 100.0, 100.0, load, true, 1);
+        for (name, variant, count) in [
+            ("steady", "rate/N", split),
+            ("steady, 8 teams", "counter", counter),
+            ("store goes down, 8 teams", "counter", outage),
+        ] {
+            report.rates.push(ReportRow {
+                scenario: format!("15 instances, load {load} of 100/s, {name}"),
+                variant: variant.to_owned(),
+                figures: figures(&[
+                    (
+                        "wrongful_percent",
+                        100.0 * count.wrongful as f64 / count.offered as f64,
+                    ),
+                    (
+                        "store_calls_per_instance_second",
+                        count.store_calls as f64 / 60.0 / 15.0,
+                    ),
+                ]),
+            });
+        }
+    }
+}
+
+fn rate_windows(load: f64, seed: u64) -> [RefusalCount; 4] {
+    let mut sim = RateSim::new(15, &[(100.0, 100.0)], ShareSettings::default(), seed);
+    let on = |node| TeamLoad {
+        rate: load,
+        node: Some(node),
+    };
+    let minute = 60 * SECOND;
+    sim.run_until(8 * SECOND);
+    sim.set_load(0, on(3));
+    sim.run_until(320 * SECOND);
+    sim.set_load(0, on(7));
+    sim.run_until(400 * SECOND);
+    sim.kill(7);
+    sim.set_load(0, on(9));
+    sim.run_until(480 * SECOND);
+    sim.start(7);
+    sim.run_until(500 * SECOND);
+    sim.store_down = true;
+    sim.run_until(562 * SECOND);
+    assert_eq!(sim.violations, 0);
+    [
+        sim.count(0, 20 * SECOND, 320 * SECOND),
+        sim.count(0, 320 * SECOND, 320 * SECOND + minute),
+        sim.count(0, 400 * SECOND, 400 * SECOND + minute),
+        sim.count(0, 500 * SECOND, 500 * SECOND + minute),
+    ]
+}
+
+/// Eight teams with their load spread over the fleet: what it costs and what it refuses.
+fn measure_fleets(report: &mut BenchReport) {
+    for nodes in [15, 60, 530] {
+        let mut sim = RateSim::new(nodes, &[(200.0, 200.0); 8], ShareSettings::default(), 5);
+        sim.run_until(8 * SECOND);
+        for team in 0..8 {
+            sim.set_load(
+                team,
+                TeamLoad {
+                    rate: 160.0,
+                    node: None,
+                },
+            );
+        }
+        sim.run_until(12 * SECOND);
+        let (messages, bytes, calls) = (sim.messages, sim.message_bytes, sim.store_calls);
+        sim.run_until(32 * SECOND);
+        let per = |count: u64| count as f64 / 20.0 / nodes as f64;
+        let mut sum = RefusalCount::default();
+        for team in 0..8 {
+            let count = sim.count(team, 12 * SECOND, 31 * SECOND);
+            sum.offered += count.offered;
+            sum.wrongful += count.wrongful;
+        }
+        report.rates.push(ReportRow {
+            scenario: format!("{nodes} instances, 8 teams, load spread, 0.8 of rate"),
+            variant: "shares".to_owned(),
+            figures: figures(&[
+                ("wrongful_percent", sum.percent()),
+                (
+                    "store_calls_per_instance_second",
+                    per(sim.store_calls - calls),
+                ),
+                (
+                    "store_calls_second",
+                    per(sim.store_calls - calls) * nodes as f64,
+                ),
+                ("messages_per_instance_second", per(sim.messages - messages)),
+                ("bytes_per_instance_second", per(sim.message_bytes - bytes)),
+            ]),
+        });
+    }
+}
+
 fn figures(figures: &[(&str, f64)]) -> Vec<(String, f64)> {
     figures
         .iter()
--- a/src/process/shares/bucket.rs
+++ b/src/process/shares/bucket.rs
@@ -7,6 +7,9 @@
 use crate::process::shares::table::TeamLimit;
 use crate::process::timers::MonotonicTime;
 
+/// How many owners a search asks first where little is needed.
+pub const MIN_ASK_WIDTH: usize = 2;
+
 /// What the table gives to this instance, for one team.
 #[derive(Debug, Clone, Copy)]
 pub struct OwnShare {
@@ -67,6 +70,8 @@
     pub next_ask: MonotonicTime,
     /// The pause after the next search.
     pub ask_pause: Duration,
+    /// How many owners the next search asks at least.
+    pub ask_width: usize,
     /// Until when an owner expects more to become free.
     pub pending_until: MonotonicTime,
     /// When the last request came.
@@ -85,6 +90,7 @@
             waiting: 0,
             next_ask: now,
             ask_pause: Duration::ZERO,
+            ask_width: MIN_ASK_WIDTH,
             pending_until: MonotonicTime::default(),
             last_arrival: now,
             updated: now,
--- a/src/process/shares/holder.rs
+++ b/src/process/shares/holder.rs
@@ -7,6 +7,7 @@
 
 use crate::process::shares::bucket::BorrowedShare;
 use crate::process::shares::bucket::LentShare;
+use crate::process::shares::bucket::MIN_ASK_WIDTH;
 use crate::process::shares::bucket::OwnShare;
 use crate::process::shares::bucket::TeamBucket;
 use crate::process::shares::incarnation::InstanceIncarnation;
@@ -226,9 +227,7 @@
             .teams
             .entry(team.clone())
             .or_insert_with(|| TeamBucket::new(now));
-        if !settings.ablation.no_lease_check {
-            bucket.advance(&own, 1.0 - settings.clock_drift, now);
-        }
+        bucket.advance(&own, 1.0 - settings.clock_drift, now);
         let first = attempt == Attempt::First;
         if first {
             bucket.note_arrival(settings.demand_window, now);
@@ -506,7 +505,11 @@
             if grant.term_ms == 0 || ends <= now {
                 continue;
             }
-            borrowed.ends = borrowed.ends.max(ends);
+            borrowed.ends = if settings.ablation.no_lease_check {
+                MonotonicTime::from_nanos(u64::MAX)
+            } else {
+                borrowed.ends.max(ends)
+            };
             borrowed.limit = if settings.ablation.no_immediate_lowering {
                 grant.limit
             } else {
@@ -517,6 +520,7 @@
             let over = borrowed.fraction > grant.keep * 1.01;
             if grant.fraction > 0.0 {
                 bucket.ask_pause = settings.ask_pause;
+                bucket.ask_width = MIN_ASK_WIDTH;
                 bucket.next_ask = bucket.next_ask.min(now + settings.ask_pause);
             }
             if grant.pending_ms > 0 {
@@ -667,10 +671,21 @@
                 }
             }
         }
-        for owner in table.owners.keys() {
-            if *owner == self.me || table.revoked.contains(owner) || !self.live.contains(owner) {
-                continue;
-            }
+        // Asks as many owners as the demand needs, and twice as many each time that was not enough.
+        let owners = table
+            .owners
+            .keys()
+            .filter(|o| **o != self.me && !table.revoked.contains(*o) && self.live.contains(*o))
+            .collect::<Vec<_>>();
+        if owners.is_empty() {
+            return;
+        }
+        let part = (1.5 * demand / own.limit.rate.0.max(0.001)).min(1.0);
+        let needed = (part * owners.len() as f64).ceil() as usize;
+        let width = needed.max(bucket.ask_width).min(owners.len());
+        bucket.ask_width = width * 2;
+        let first = usize::try_from(self.me.number % owners.len() as u64).unwrap_or(0);
+        for owner in owners.iter().cycle().skip(first).take(width).copied() {
             let borrowed = bucket
                 .borrowed
                 .entry(owner.clone())
@@ -809,6 +824,11 @@
             burst: Default::default(),
         },
     };
+    let lease_end = if settings.ablation.no_lease_check {
+        MonotonicTime::from_nanos(u64::MAX)
+    } else {
+        lease_end
+    };
     OwnShare {
         fraction: f64::from(units) / f64::from(TOTAL_UNITS),
         lease_end,
--- a/src/process/slots/client.rs
+++ b/src/process/slots/client.rs
@@ -18,8 +18,8 @@
 const REPEAT_TIME: Duration = Duration::from_millis(100);
 /// How long a silent coordinator is not asked again.
 const RETRY_TIME: Duration = Duration::from_millis(250);
-/// How often the held permits are listed.
-const LIST_TIME: Duration = Duration::from_secs(1);
+/// How often the held permits are listed; a slot whose release was lost is free again after that.
+const LIST_TIME: Duration = Duration::from_millis(200);
 
 /// What the instance has to do.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/src/process/slots/coordinator.rs
+++ b/src/process/slots/coordinator.rs
@@ -25,7 +25,7 @@
 pub const TAKEOVER_TIME: Duration = Duration::from_millis(50);
 
 /// How long a permit may be missing from its holder's list before it counts as ended.
-const GRANT_IN_FLIGHT: Duration = Duration::from_millis(500);
+const GRANT_IN_FLIGHT: Duration = Duration::from_millis(100);
 
 /// Returns the instances that connect to a service's endpoints, the coordinator first.
 pub fn serving_instances(service: &ServiceId, live: &[RendezvousMember]) -> Vec<InstanceId> {
