--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -1,11 +1,49 @@
 //! Feature tests, one file a feature.
 
+mod bundle_diffs;
+mod bundle_faults;
+mod bundle_signatures;
+mod bundle_submissions;
+mod bundle_versions;
+mod burn_report;
+mod caller_copy;
+mod caller_ending;
+mod caller_faults;
+mod caller_fixture;
+mod caller_path;
+mod caller_standins;
+mod caller_startup;
+mod caller_state;
+mod daemon_settings;
+mod decision_journal;
+mod endpoint_adapter;
+mod failover_gap;
+mod failover_history;
+mod failover_sim;
+mod group_model;
+mod http_port;
+mod isolation_evidence;
+mod key_verifiers;
 mod log_points;
+mod membership_view;
+mod operations_page;
+mod operator_commands;
+mod peer_links;
+mod program_run;
 mod rate_shares;
 #[allow(dead_code)]
 #[path = "../../examples/limits_bench/rate_sim.rs"]
 mod rate_sim;
+mod raw_caller;
+mod read_share;
+mod scripted_endpoint;
 mod slot_queue;
 #[allow(dead_code)]
 #[path = "../../examples/limits_bench/slot_sim.rs"]
 mod slot_sim;
+mod standin_endpoint;
+mod standin_faults;
+mod standin_fixture;
+mod store_adapter;
+mod store_commands;
+mod support;
--- /dev/null
+++ b/tests/testsuite/standin_endpoint.rs
@@ -0,0 +1,116 @@
+//! The stand-in endpoint must behave as the design page says endpoints do; otherwise the tests
+//! that run against it show nothing.
+
+use standins::endpoint::EndpointConfig;
+use tokio_postgres::Client;
+use tokio_postgres::SimpleQueryMessage;
+
+use crate::support::group::connect;
+use crate::support::group::read;
+use crate::support::group::sqlstate;
+use crate::support::group::start_group;
+use crate::support::group::wait_for_copies;
+use crate::support::group::write;
+
+/// Guards against a dialect that a real driver's extended protocol cannot use.
+#[tokio::test]
+async fn driver_reads_its_writes() {
+    let group = start_group(1, EndpointConfig::default());
+    let client = connect(&group[0]).await;
+    let statement = client
+        .prepare("INSERT INTO kv (key, value) VALUES ($1, $2)")
+        .await
+        .unwrap();
+    for (key, value) in [("a", "1"), ("b", "it's")] {
+        assert_eq!(
+            client.execute(&statement, &[&key, &value]).await.unwrap(),
+            1
+        );
+    }
+    assert_eq!(read(&client, "b").await.as_deref(), Some("it's"));
+    let rows = client
+        .query("SELECT key, value FROM kv", &[])
+        .await
+        .unwrap();
+    assert_eq!(rows.len(), 2);
+    let number: i32 = client.query_one("SELECT 7", &[]).await.unwrap().get(0);
+    assert_eq!(number, 7);
+    let error = write_twice(&client).await;
+    assert_eq!(sqlstate(&error), "23505");
+}
+
+async fn write_twice(client: &Client) -> tokio_postgres::Error {
+    client
+        .batch_execute("INSERT INTO kv VALUES ('a', '2')")
+        .await
+        .unwrap_err()
+}
+
+/// Guards against statements of an open transaction that others see, or that outlive a rollback.
+#[tokio::test]
+async fn transactions_are_atomic() {
+    let group = start_group(1, EndpointConfig::default());
+    let mut writer = connect(&group[0]).await;
+    let reader = connect(&group[0]).await;
+    let transaction = writer.transaction().await.unwrap();
+    transaction
+        .execute("INSERT INTO kv VALUES ('a', '1')", &[])
+        .await
+        .unwrap();
+    assert_eq!(read(&reader, "a").await, None);
+    transaction.rollback().await.unwrap();
+    assert_eq!(read(&reader, "a").await, None);
+    let transaction = writer.transaction().await.unwrap();
+    transaction
+        .execute("INSERT INTO kv VALUES ('a', '2')", &[])
+        .await
+        .unwrap();
+    transaction.commit().await.unwrap();
+    assert_eq!(read(&reader, "a").await.as_deref(), Some("2"));
+
+    writer.batch_execute("BEGIN").await.unwrap();
+    assert!(writer.batch_execute("nonsense").await.is_err());
+    let error = writer.batch_execute("SELECT 1").await.unwrap_err();
+    assert_eq!(sqlstate(&error), "25P02");
+    writer.batch_execute("ROLLBACK").await.unwrap();
+    assert_eq!(group[0].executed().len(), 1);
+}
+
+/// Guards against replicas that apply entries out of order or take writes.
+#[tokio::test]
+async fn replicas_follow_in_order() {
+    let group = start_group(3, EndpointConfig::default());
+    let client = connect(&group[0]).await;
+    for index in 0..200 {
+        write(&client, &format!("key-{}", index % 7), &index.to_string())
+            .await
+            .unwrap();
+    }
+    wait_for_copies(&group, 201).await;
+    for replica in &group[1..] {
+        assert_eq!(replica.log(), group[0].log());
+        let reader = connect(replica).await;
+        assert_eq!(read(&reader, "key-3").await.as_deref(), Some("199"));
+        let error = write(&reader, "a", "1").await.unwrap_err();
+        assert_eq!(sqlstate(&error), "25006");
+    }
+}
+
+/// Guards against answers that are lost between large results and their flow control.
+#[tokio::test]
+async fn large_answers_arrive_whole() {
+    let group = start_group(1, EndpointConfig::default());
+    let client = connect(&group[0]).await;
+    let rows = client
+        .query("SELECT repeat_rows(3000, 1000)", &[])
+        .await
+        .unwrap();
+    assert_eq!(rows.len(), 3000);
+    assert!(rows.iter().all(|row| row.get::<_, &str>(0).len() == 1000));
+    let messages = client
+        .simple_query("SHOW server_version; SELECT 1")
+        .await
+        .unwrap();
+    let count = |m: &&SimpleQueryMessage| matches!(m, SimpleQueryMessage::Row(_));
+    assert_eq!(messages.iter().filter(count).count(), 2);
+}
