--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -34,9 +34,17 @@
 mod operator_commands;
 mod peer_links;
 mod program_run;
+mod rate_shares;
+#[allow(dead_code)]
+#[path = "../../examples/limits_bench/rate_sim.rs"]
+mod rate_sim;
 mod raw_caller;
 mod read_share;
 mod scripted_endpoint;
+mod slot_queue;
+#[allow(dead_code)]
+#[path = "../../examples/limits_bench/slot_sim.rs"]
+mod slot_sim;
 mod standin_endpoint;
 mod standin_faults;
 mod standin_fixture;
