Wait for sessions before the caller listener ends

The listener asked its server for a graceful stop, which ended the workers while their sessions ran. Ruled out: the drain rule of the session (the in-process test with one long transaction passes); a second signal (the daemon still ran after the cut); the rate, which gives an error and keeps the session. The listener now counts sessions, tells new callers 57P01 while it drains, and ends the server after the last session or the drain deadline.

--- a/src/connection/listener.rs
+++ b/src/connection/listener.rs
@@ -5,6 +5,8 @@
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -21,6 +23,9 @@
 use crate::request::ports::RequestPorts;
 use crate::version::bundle::BundleConfig;
 
+/// Time beyond the drain deadline in which sessions tell their callers of the end.
+const STOP_MARGIN: Duration = Duration::from_secs(1);
+
 const VIEW_PERIOD: Duration = Duration::from_millis(100);
 const SERVICE_NAME: &str = "callers";
 
@@ -35,6 +40,8 @@
 
 /// What all connections of the listener share.
 pub struct ListenerState {
+    /// Connections that are being served.
+    pub sessions: AtomicUsize,
     /// What the listener was started with.
     pub config: Arc<ListenerConfig>,
     /// The boundary to the rest of the process.
@@ -88,6 +95,11 @@
         self.address
     }
 
+    /// Returns how many callers are connected.
+    pub fn sessions(&self) -> usize {
+        self.state.sessions.load(Ordering::Relaxed)
+    }
+
     /// Returns how many connections to endpoints are open.
     pub fn endpoint_connections(&self) -> usize {
         self.state.pool.open_count()
@@ -139,6 +151,7 @@
         drain_start: None,
     };
     let state = Arc::new(ListenerState {
+        sessions: AtomicUsize::new(0),
         pool: EndpointPool::new(config.clone()),
         config,
         ports,
@@ -175,7 +188,8 @@
                 ntex::service::fn_service(move |io: Io| {
                     let state = state.clone();
                     async move {
-                        startup::serve_connection(state, io).await;
+                        let _count = SessionCount::new(&state);
+                        startup::serve_connection(state.clone(), io).await;
                         Ok::<_, io::Error>(())
                     }
                 })
@@ -193,16 +207,43 @@
             }
         };
         watch_process(&state, stopped).await;
-        server.stop(true).await;
+        // A graceful stop of the server ends workers while their sessions still run, so the
+        // sessions were waited for above.
+        server.stop(false).await;
     });
 }
 
-/// Tells connections of a new bundle or a drain, until the listener is stopped.
+/// A connection that is being served.
+struct SessionCount {
+    state: Arc<ListenerState>,
+}
+
+impl SessionCount {
+    fn new(state: &Arc<ListenerState>) -> Self {
+        state.sessions.fetch_add(1, Ordering::Relaxed);
+        Self {
+            state: state.clone(),
+        }
+    }
+}
+
+impl Drop for SessionCount {
+    fn drop(&mut self) {
+        self.state.sessions.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Tells connections of a new bundle or a drain, until the listener is stopped and they ended.
+///
+/// New callers are told of the drain while open transactions go on.
 async fn watch_process(state: &ListenerState, mut stopped: oneshot::Receiver<()>) {
     let mut interval = tokio::time::interval(VIEW_PERIOD);
+    let mut stop_end = None;
     loop {
         tokio::select! {
-            _ = &mut stopped => return,
+            _ = &mut stopped, if stop_end.is_none() => {
+                stop_end = Some(Instant::now() + state.config.limits.drain_time + STOP_MARGIN);
+            }
             _ = interval.tick() => {}
         }
         let bundle = (state.ports.bundle)();
@@ -213,6 +254,10 @@
             newer | (draining && start_drain(view))
         });
         state.pool.close_unused();
+        let ended = state.sessions.load(Ordering::Relaxed) == 0;
+        if stop_end.is_some_and(|end| ended || Instant::now() >= end) {
+            return;
+        }
     }
 }
 
--- a/tests/testsuite/support/mod.rs
+++ b/tests/testsuite/support/mod.rs
@@ -1,6 +1,7 @@
 //! What several feature tests use.
 
 pub mod admin_client;
+pub mod bundle_text;
 pub mod child_process;
 pub mod free_ports;
 pub mod group;
--- a/tests/testsuite/support/running_system.rs
+++ b/tests/testsuite/support/running_system.rs
@@ -1,5 +1,6 @@
 //! A running system of separate processes.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -11,17 +12,25 @@
 use standins::endpoint::status::EndpointReport;
 use standins::store::CallCounts;
 use standins::store::StoreFaults;
+use store_wire::CasRequest;
+use tamaracklb::process::bundle_feed::BUNDLE_KEY;
+use tamaracklb::process::instance_status::InstanceStatus;
+use tamaracklb::process::store_client::StoreClient;
+use tamaracklb::process::store_client::SwapOutcome;
+use tamaracklb::process::store_error::StoreError;
 use tempfile::TempDir;
 use tokio::net::TcpStream;
 use tokio_postgres::Client;
 use tokio_postgres::NoTls;
 
 use crate::support::admin_client;
+use crate::support::bundle_text::BundleText;
+use crate::support::bundle_text::SERVICE;
+use crate::support::bundle_text::SystemTeam;
 use crate::support::child_process::ChildProcess;
-use crate::support::system_builder::SERVICE;
-use crate::support::system_builder::SystemTeam;
 
 const START_ATTEMPTS: usize = 1000;
+const STORE_TIMEOUT: Duration = Duration::from_secs(10);
 const START_PAUSE: Duration = Duration::from_millis(20);
 
 /// A stand-in endpoint in a process of its own.
@@ -103,10 +112,30 @@
 pub struct DaemonProcess {
     /// Where callers connect.
     pub address: SocketAddr,
+    /// Where operators ask.
+    pub http: SocketAddr,
     /// The process.
     pub process: ChildProcess,
 }
 
+impl DaemonProcess {
+    /// Returns its status.
+    pub async fn status(&self) -> InstanceStatus {
+        admin_client::get(self.http, "/status").await
+    }
+
+    /// Waits until a bundle version is in force.
+    pub async fn wait_for_bundle(&self, version: u64) {
+        for _ in 0..START_ATTEMPTS {
+            if self.status().await.bundle.0 >= version {
+                return;
+            }
+            tokio::time::sleep(START_PAUSE).await;
+        }
+        panic!("bundle {version} is not in force");
+    }
+}
+
 /// A running system; its processes end when this is dropped.
 #[derive(Debug)]
 pub struct RunningSystem {
@@ -118,11 +147,29 @@
     pub store: StoreProcess,
     /// The teams of the bundle.
     pub teams: Vec<SystemTeam>,
+    /// The first bundle.
+    pub bundle: BundleText,
     /// The folder of settings and logs.
     pub folder: TempDir,
 }
 
 impl RunningSystem {
+    /// Writes a bundle to the store in place of its predecessor.
+    pub async fn submit(&self, bundle: &BundleText) -> Result<SwapOutcome, StoreError> {
+        let client = StoreClient::start(self.store.address, STORE_TIMEOUT).unwrap();
+        let expected_revision = client
+            .get(BUNDLE_KEY)
+            .await?
+            .map_or(0, |entry| entry.revision);
+        let request = CasRequest {
+            key: BUNDLE_KEY.to_owned(),
+            expected_revision,
+            value: bundle.envelope(),
+            lease: None,
+        };
+        client.compare_and_swap(&request).await
+    }
+
     /// Connects a caller of the first team to a daemon.
     pub async fn try_connect(&self, daemon: usize) -> Result<Client, tokio_postgres::Error> {
         let address = self.daemons[daemon].address;
@@ -139,6 +186,40 @@
         Ok(client)
     }
 
+    /// Connects a caller of a team of the first bundle.
+    pub async fn connect_as(
+        &self,
+        daemon: usize,
+        team: &SystemTeam,
+    ) -> Result<Client, tokio_postgres::Error> {
+        let address = self.daemons[daemon].address;
+        let mut config = tokio_postgres::Config::new();
+        config
+            .host(address.ip().to_string())
+            .port(address.port())
+            .user(&team.id)
+            .password(&team.key)
+            .dbname(SERVICE);
+        let (client, connection) = config.connect(NoTls).await?;
+        tokio::spawn(connection);
+        Ok(client)
+    }
+
+    /// Returns how often each key was written, over all endpoints and terms.
+    pub async fn executed_keys(&self) -> BTreeMap<String, usize> {
+        let mut counts = BTreeMap::new();
+        for endpoint in &self.endpoints {
+            for write in endpoint.executed().await {
+                for statement in write.statements {
+                    if let Some(Some(key)) = statement.parameters.first() {
+                        *counts.entry(key.clone()).or_default() += 1;
+                    }
+                }
+            }
+        }
+        counts
+    }
+
     /// Connects a caller of the first team, and fails the test where that is not possible.
     pub async fn connect(&self, daemon: usize) -> Client {
         let result = self.try_connect(daemon).await;
@@ -182,7 +263,8 @@
         }
     }
 
-    async fn wait_until(&self, what: &str, condition: impl AsyncFn() -> bool) {
+    /// Waits for a state that is reached in the background; fails the test if it is not.
+    pub async fn wait_until(&self, what: &str, condition: impl AsyncFn() -> bool) {
         for _ in 0..START_ATTEMPTS {
             if condition().await {
                 return;
--- a/tests/testsuite/support/system_builder.rs
+++ b/tests/testsuite/support/system_builder.rs
@@ -2,24 +2,20 @@
 
 use std::net::SocketAddr;
 use std::path::Path;
-use std::time::Duration;
 
-use base64::Engine;
-use base64::engine::general_purpose::STANDARD;
 use standins::endpoint::EndpointConfig;
 use standins::store::StoreConfig;
-use store_wire::CasRequest;
 use store_wire::InstanceEntry;
 use store_wire::InstanceState;
-use tamaracklb::process::bundle_feed::BUNDLE_KEY;
 use tamaracklb::process::peers::peer_identity::PeerAuthority;
-use tamaracklb::process::store_client::StoreClient;
-use tamaracklb::version::bundle_envelope::BundleEnvelope;
-use tamaracklb::version::key_verifier::KeyVerifier;
-use tamaracklb::version::secret_text::SecretText;
-use tamaracklb::version::signer_key::SignerSecret;
 use tempfile::TempDir;
 
+use crate::support::bundle_text::BundleText;
+use crate::support::bundle_text::EndpointText;
+use crate::support::bundle_text::SERVICE;
+use crate::support::bundle_text::SIGNER;
+use crate::support::bundle_text::SystemTeam;
+use crate::support::bundle_text::signer;
 use crate::support::child_process::ChildProcess;
 use crate::support::free_ports::free_tcp;
 use crate::support::free_ports::free_udp;
@@ -28,28 +24,7 @@
 use crate::support::running_system::RunningSystem;
 use crate::support::running_system::StoreProcess;
 
-/// The service of the system.
-pub const SERVICE: &str = "studio-db";
-
 const ZONES: [&str; 3] = ["lagos-a", "lagos-b", "lagos-c"];
-const SALT: &[u8] = b"test system salt";
-const ITERATIONS: u32 = 4096;
-const SIGNER: &str = "test-signer";
-const SIGNER_SEED: [u8; 32] = [7; 32];
-const STORE_TIMEOUT: Duration = Duration::from_secs(10);
-
-/// A team of the system's bundle.
-#[derive(Debug, Clone)]
-pub struct SystemTeam {
-    /// Its id.
-    pub id: String,
-    /// Its only key.
-    pub key: String,
-    /// Its rate, in requests per second.
-    pub rate: f64,
-    /// Its burst, in requests.
-    pub burst: f64,
-}
 
 /// Says what a system consists of.
 #[derive(Debug, Clone)]
@@ -59,6 +34,7 @@
     endpoint: EndpointConfig,
     store: StoreConfig,
     teams: Vec<SystemTeam>,
+    blind: Vec<usize>,
 }
 
 impl SystemBuilder {
@@ -76,6 +52,7 @@
             endpoint: EndpointConfig::default(),
             store: StoreConfig::default(),
             teams: vec![team],
+            blind: Vec::new(),
         }
     }
 
@@ -103,28 +80,57 @@
         self
     }
 
+    /// Gives a daemon a store address at which nobody answers.
+    pub fn blind_daemon(mut self, daemon: usize) -> Self {
+        self.blind.push(daemon);
+        self
+    }
+
     /// Starts the processes and waits until each daemon serves the first team.
     pub async fn start(self) -> RunningSystem {
         let folder = tempfile::tempdir().expect("a folder can be made");
         let peers = free_udp(self.daemons);
         let store = self.start_store(&folder, &peers);
         let endpoints = self.start_endpoints(&folder);
+        let endpoint_addresses = endpoints
+            .iter()
+            .map(|endpoint| endpoint.address)
+            .collect::<Vec<_>>();
         let system = RunningSystem {
             daemons: Vec::new(),
             endpoints,
             store,
             teams: self.teams.clone(),
+            bundle: self.bundle(&endpoint_addresses),
             folder,
         };
         system.wait_for_ports().await;
-        let bundle = self.bundle_text(&system.endpoints);
-        submit(system.store.address, &bundle).await;
+        system
+            .submit(&system.bundle)
+            .await
+            .expect("the first bundle is stored");
         let daemons = self.start_daemons(&system, &peers);
         let system = RunningSystem { daemons, ..system };
         system.wait_for_daemons().await;
         system
     }
 
+    fn bundle(&self, endpoints: &[SocketAddr]) -> BundleText {
+        let endpoint = |(index, address): (usize, &SocketAddr)| EndpointText {
+            id: endpoint_name(index),
+            address: *address,
+            zone: ZONES[index % ZONES.len()].to_owned(),
+            slots: self.endpoint.slots,
+            connections: self.endpoint.connections,
+            leaving: false,
+        };
+        BundleText {
+            version: 1,
+            teams: self.teams.clone(),
+            endpoints: endpoints.iter().enumerate().map(endpoint).collect(),
+        }
+    }
+
     fn start_store(&self, folder: &TempDir, peers: &[SocketAddr]) -> StoreProcess {
         let address = free_tcp(1)[0];
         let entry = |(index, peer): (usize, &SocketAddr)| InstanceEntry {
@@ -173,6 +179,7 @@
         let authority = PeerAuthority::generate().expect("certificates can be made");
         let ports = free_tcp(2 * self.daemons);
         let (callers, https) = ports.split_at(self.daemons);
+        let nobody = free_tcp(1)[0];
         let start = |index: usize| {
             let name = instance_name(index);
             let file = |kind: &str| system.folder.path().join(format!("{name}.{kind}"));
@@ -190,6 +197,7 @@
                  peer_tls_key_file: {key}\n\
                  peer_tls_authority_file: {roots}\n\
                  store_addresses: [{store}]\n\
+                 peer_addresses: [{seeds}]\n\
                  signers: [{{id: {SIGNER}, public_key: {public}}}]\n\
                  endpoint_user: {user}\n\
                  endpoint_password: {password}\n",
@@ -200,7 +208,16 @@
                 chain = file("pem").display(),
                 key = file("key").display(),
                 roots = file("roots").display(),
-                store = system.store.address,
+                store = if self.blind.contains(&index) {
+                    nobody
+                } else {
+                    system.store.address
+                },
+                seeds = peers
+                    .iter()
+                    .map(SocketAddr::to_string)
+                    .collect::<Vec<_>>()
+                    .join(", "),
                 public = signer().public_key(SIGNER.parse().unwrap()).to_base64(),
                 user = self.endpoint.user,
                 password = self.endpoint.password,
@@ -211,60 +228,12 @@
             let arguments = ["--settings", &settings];
             DaemonProcess {
                 address: callers[index],
+                http: https[index],
                 process: ChildProcess::start(program, &arguments, &file("log")),
             }
         };
         (0..self.daemons).map(start).collect()
     }
-
-    fn bundle_text(&self, endpoints: &[EndpointProcess]) -> String {
-        let mut text = String::from("version: 1\nteams:\n");
-        for team in &self.teams {
-            let key = SecretText::new(team.key.clone());
-            let verifier = KeyVerifier::generate(&key, SALT, ITERATIONS).unwrap();
-            let config = verifier.to_config(format!("{}-1", team.id).parse().unwrap());
-            text += &format!(
-                "  - id: {}\n    salt: {}\n    iterations: {ITERATIONS}\n    keys:\n      \
-                 - id: {}\n        stored_key: {}\n        server_key: {}\n    \
-                 rate: {}\n    burst: {}\n",
-                team.id,
-                STANDARD.encode(SALT),
-                config.id,
-                config.stored_key,
-                config.server_key,
-                team.rate,
-                team.burst,
-            );
-        }
-        text += &format!("services:\n  - id: {SERVICE}\n    endpoints:\n");
-        for (index, endpoint) in endpoints.iter().enumerate() {
-            text += &format!(
-                "      - id: {}\n        address: {}\n        zone: {}\n        \
-                 slots: {}\n        connections: {}\n",
-                endpoint_name(index),
-                endpoint.address,
-                ZONES[index % ZONES.len()],
-                self.endpoint.slots,
-                self.endpoint.connections,
-            );
-        }
-        let teams: Vec<&str> = self.teams.iter().map(|team| team.id.as_str()).collect();
-        text += &format!("    teams: [{}]\n", teams.join(", "));
-        text + "    staleness_limit_ms: 2000\n"
-    }
-}
-
-async fn submit(store: SocketAddr, bundle: &str) {
-    let mut envelope = BundleEnvelope::new(bundle.to_owned());
-    envelope.sign(SIGNER.parse().unwrap(), &signer());
-    let client = StoreClient::start(store, STORE_TIMEOUT).unwrap();
-    let request = CasRequest {
-        key: BUNDLE_KEY.to_owned(),
-        expected_revision: 0,
-        value: envelope.to_json().unwrap(),
-        lease: None,
-    };
-    client.compare_and_swap(&request).await.unwrap();
 }
 
 fn start_json<T: serde::Serialize>(program: &str, config: &T, log: &Path) -> ChildProcess {
@@ -272,10 +241,6 @@
     ChildProcess::start(program, &["--json", &json], log)
 }
 
-fn signer() -> SignerSecret {
-    SignerSecret::from_seed(SIGNER_SEED)
-}
-
 fn endpoint_name(index: usize) -> String {
     format!("{SERVICE}-{}", index + 1)
 }
--- a/tests/testsuite/whole_system.rs
+++ b/tests/testsuite/whole_system.rs
@@ -7,10 +7,10 @@
 use standins::store::StoreFaults;
 use standins::store::StoreOutage;
 
+use crate::support::bundle_text::SystemTeam;
 use crate::support::group::read;
 use crate::support::group::write;
 use crate::support::system_builder::SystemBuilder;
-use crate::support::system_builder::SystemTeam;
 
 const ATTEMPTS: usize = 300;
 const PAUSE: Duration = Duration::from_millis(100);
