Never show a session an older bundle than the one it started with

Cause: key_withdrawal::bundle_never_reverts found sessions that were closed right after they began. Start-up read the newest bundle, and the session then compared itself with the listener's view, which was up to 100 ms older and did not know the new team. Ruled out: a reverted bundle store (all daemons report the new version before the connect). Conclusion: start-up refreshes the view and uses its bundle; the view only moves forward.

--- a/src/connection/listener.rs
+++ b/src/connection/listener.rs
@@ -213,6 +213,20 @@
     });
 }
 
+impl ListenerState {
+    /// Brings the view in line with the process.
+    ///
+    /// The bundle is read under the view's lock, so that the view never goes back to an older one.
+    pub fn refresh_view(&self) {
+        self.view.send_if_modified(|view| {
+            let bundle = (self.ports.bundle)();
+            let newer = !Arc::ptr_eq(&view.bundle, &bundle);
+            view.bundle = bundle;
+            newer | ((self.ports.draining)() && start_drain(view))
+        });
+    }
+}
+
 /// A connection that is being served.
 struct SessionCount {
     state: Arc<ListenerState>,
@@ -246,13 +260,7 @@
             }
             _ = interval.tick() => {}
         }
-        let bundle = (state.ports.bundle)();
-        let draining = (state.ports.draining)();
-        state.view.send_if_modified(|view| {
-            let newer = !Arc::ptr_eq(&view.bundle, &bundle);
-            view.bundle = bundle;
-            newer | (draining && start_drain(view))
-        });
+        state.refresh_view();
         state.pool.close_unused();
         let ended = state.sessions.load(Ordering::Relaxed) == 0;
         if stop_end.is_some_and(|end| ended || Instant::now() >= end) {
--- a/src/connection/startup.rs
+++ b/src/connection/startup.rs
@@ -177,10 +177,13 @@
     let caller = CallerStream::new(stream, state.config.limits.startup_bytes);
     match packet {
         StartupPacket::Start { minor, parameters } => {
+            // The session compares later views with this bundle, so the view must not be older.
+            state.refresh_view();
+            let bundle = state.view.borrow().bundle.clone();
             let starting = StartupExchange {
                 state: &state,
                 caller: &caller,
-                bundle: (state.ports.bundle)(),
+                bundle,
             };
             match starting.run(minor, parameters).await {
                 Ok(start) => {
