Make the cancel test independent of timing

The test sent a cancel request on an idle session and started the next statement at once. The test now waits until the instance has closed the cancel connection, and also tries a wrong secret while the statement runs.

--- a/tests/testsuite/caller_faults.rs
+++ b/tests/testsuite/caller_faults.rs
@@ -9,6 +9,7 @@
 
 use crate::caller_fixture::CallerFixture;
 use crate::caller_fixture::sqlstate;
+use crate::raw_caller::RawCaller;
 
 fn short_limits(config: &mut ListenerConfig) {
     config.limits.answer_time = Duration::from_millis(300);
@@ -205,24 +206,19 @@
 #[tokio::test]
 async fn cancel_reaches_the_running_request() {
     let fixture = CallerFixture::start().await;
-    let client = fixture.connect().await;
-    let token = client.cancel_token();
-    token
-        .cancel_query(tokio_postgres::NoTls)
-        .await
-        .expect("idle cancel");
-    let running = tokio::spawn(async move {
-        let error = client.batch_execute("SELECT 'stay silent'").await;
-        sqlstate(&error.expect_err("cancelled"))
-    });
+    let mut raw = RawCaller::start(&fixture).await;
+    let key = raw.key.clone();
+    let mut wrong = key.clone();
+    wrong[7] ^= 1;
+    RawCaller::cancel(&fixture, &key).await;
+    raw.send_query("SELECT 'stay silent'").await;
     while fixture.replica.texts().is_empty() {
         tokio::time::sleep(Duration::from_millis(5)).await;
     }
+    RawCaller::cancel(&fixture, &wrong).await;
     assert_eq!(fixture.replica.cancels.load(Ordering::SeqCst), 0);
-    token
-        .cancel_query(tokio_postgres::NoTls)
-        .await
-        .expect("cancel");
-    assert_eq!(running.await.expect("task"), "57014");
+    RawCaller::cancel(&fixture, &key).await;
+    let error = raw.recv().await.expect("error");
+    assert!(String::from_utf8_lossy(error.body()).contains("57014"));
     assert_eq!(fixture.replica.cancels.load(Ordering::SeqCst), 1);
 }
--- a/tests/testsuite/raw_caller.rs
+++ b/tests/testsuite/raw_caller.rs
@@ -16,6 +16,8 @@
 pub struct RawCaller {
     /// The connection.
     pub stream: TcpStream,
+    /// The body of BackendKeyData, once the start-up is over.
+    pub key: Vec<u8>,
     input: BytesMut,
 }
 
@@ -34,6 +36,7 @@
         let stream = TcpStream::connect(fixture.address).await.expect("connect");
         Self {
             stream,
+            key: Vec::new(),
             input: BytesMut::new(),
         }
     }
@@ -55,6 +58,7 @@
         caller
             .send(WireFrame::new(b'p', last.as_bytes()).bytes())
             .await;
+        caller.key = caller.expect_kind(b'K').await.body().to_vec();
         caller.expect_kind(b'Z').await;
         caller
     }
@@ -71,6 +75,13 @@
         self.send(WireFrame::new(b'Q', &body).bytes()).await;
     }
 
+    /// Sends a cancel request with a key on a connection of its own, and waits for its end.
+    pub async fn cancel(fixture: &CallerFixture, key: &[u8]) {
+        let mut caller = Self::open(fixture).await;
+        caller.send(&startup_packet(80_877_102, key)).await;
+        assert!(caller.recv().await.is_none());
+    }
+
     /// Returns the next message, or `None` at the end of the connection.
     pub async fn recv(&mut self) -> Option<WireFrame> {
         loop {
