Refuse requests whose key was withdrawn in the queue

A request waits up to five seconds for a slot, and the key was only checked before that wait, so a withdrawn key could start a statement after three seconds. The key is checked again once the slot is there (withdrawn_key_is_noticed_in_the_queue). Further tests guard the bound of the wait and callers that leave.

--- a/src/connection/caller_session.rs
+++ b/src/connection/caller_session.rs
@@ -427,6 +427,10 @@
                 },
             };
             attempt.charged = true;
+            // The key may have been withdrawn while the request waited for its slot.
+            if let Err(refusal) = self.identity.check(&(self.state.ports.bundle)()) {
+                return Err(self.tell_end(&refusal.into()));
+            }
             let may_retry = !lease.in_transaction()
                 && !lease.pinned
                 && !plan.pins
--- a/tests/testsuite/caller_ending.rs
+++ b/tests/testsuite/caller_ending.rs
@@ -7,6 +7,7 @@
 use crate::caller_fixture;
 use crate::caller_fixture::CallerFixture;
 use crate::caller_fixture::sqlstate;
+use crate::raw_caller::RawCaller;
 
 /// Waits until a client's connection is closed.
 async fn wait_closed(client: &tokio_postgres::Client) -> Duration {
@@ -104,3 +105,79 @@
     let handle = fixture.handle.as_ref().expect("handle");
     assert_eq!(handle.endpoint_connections(), 1);
 }
+
+/// A request that waits for a slot while its key is withdrawn must not run.
+#[tokio::test]
+async fn withdrawn_key_is_noticed_in_the_queue() {
+    let fixture = CallerFixture::start().await;
+    let client = fixture.connect().await;
+    fixture.state.queued.store(true, Ordering::SeqCst);
+    let waiting = tokio::spawn(async move {
+        let error = client.batch_execute("INSERT INTO t VALUES (1)").await;
+        sqlstate(&error.expect_err("withdrawn"))
+    });
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    fixture
+        .state
+        .change_bundle(|bundle| bundle.teams[0].keys.clear());
+    fixture.state.queued.store(false, Ordering::SeqCst);
+    assert_eq!(waiting.await.expect("task"), "28000");
+    assert_eq!(fixture.primary.texts(), Vec::<String>::new());
+}
+
+/// A request must not wait for a slot beyond its deadline, and did not run then.
+#[tokio::test]
+async fn queue_wait_is_bounded() {
+    let fixture = CallerFixture::start_with(|config| {
+        config.limits.queue_wait = Duration::from_millis(100);
+    })
+    .await;
+    let client = fixture.connect().await;
+    fixture.state.queued.store(true, Ordering::SeqCst);
+    let error = client.batch_execute("INSERT INTO t VALUES (1)").await;
+    assert_eq!(sqlstate(&error.expect_err("queued")), "53300");
+    fixture.state.queued.store(false, Ordering::SeqCst);
+    client
+        .batch_execute("INSERT INTO t VALUES (2)")
+        .await
+        .expect("next request");
+    assert_eq!(fixture.primary.texts(), ["INSERT INTO t VALUES (2)"]);
+}
+
+/// A caller that leaves within a transaction must free its slot and its endpoint connection.
+#[tokio::test]
+async fn leaving_caller_frees_its_transaction() {
+    let fixture = CallerFixture::start().await;
+    let client = fixture.connect().await;
+    client.batch_execute("BEGIN").await.expect("begin");
+    drop(client);
+    let handle = fixture.handle.as_ref().expect("handle");
+    let freed = async {
+        while fixture.state.held.load(Ordering::SeqCst) + handle.endpoint_connections() > 0 {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    tokio::time::timeout(Duration::from_secs(10), freed)
+        .await
+        .expect("freed");
+}
+
+/// A caller that leaves while its statement runs must not keep the endpoint busy.
+#[tokio::test]
+async fn leaving_caller_cancels_its_statement() {
+    let fixture = CallerFixture::start().await;
+    let mut raw = RawCaller::start(&fixture).await;
+    raw.send_query("SELECT 'stay silent'").await;
+    while fixture.replica.texts().is_empty() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    drop(raw);
+    let cancelled = async {
+        while fixture.replica.cancels.load(Ordering::SeqCst) == 0 {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    tokio::time::timeout(Duration::from_secs(10), cancelled)
+        .await
+        .expect("cancelled");
+}
--- a/tests/testsuite/caller_fixture.rs
+++ b/tests/testsuite/caller_fixture.rs
@@ -55,6 +55,8 @@
     pub records: Mutex<Vec<RequestRecord>>,
     /// The refusal of the next admissions, if any.
     pub refusal: Mutex<Option<RequestRefusal>>,
+    /// Whether admissions wait.
+    pub queued: AtomicBool,
     /// Whether confirmations fail.
     pub unconfirmed: AtomicBool,
     /// Whether the process drains.
@@ -144,7 +146,15 @@
         let (record, draining) = (self.clone(), self.clone());
         RequestPorts {
             bundle: Box::new(move || bundle.bundle.lock().expect("lock").clone()),
-            admit: Box::new(move |query| Box::pin(std::future::ready(admit.admit(query)))),
+            admit: Box::new(move |query| {
+                let state = admit.clone();
+                Box::pin(async move {
+                    while state.queued.load(Ordering::SeqCst) {
+                        tokio::time::sleep(Duration::from_millis(5)).await;
+                    }
+                    state.admit(query)
+                })
+            }),
             confirm: Box::new(move |_, _, point| {
                 confirm.confirmed.lock().expect("lock").push(point);
                 let failed = confirm.unconfirmed.load(Ordering::SeqCst);
@@ -195,6 +205,7 @@
             confirmed: Mutex::default(),
             records: Mutex::default(),
             refusal: Mutex::default(),
+            queued: AtomicBool::new(false),
             unconfirmed: AtomicBool::new(false),
             draining: AtomicBool::new(false),
             superseded: Arc::default(),
