--- a/tests/testsuite/raw_caller.rs
+++ b/tests/testsuite/raw_caller.rs
@@ -34,6 +34,7 @@
     /// Connects without sending anything.
     pub async fn open(fixture: &CallerFixture) -> Self {
         let stream = TcpStream::connect(fixture.address).await.expect("connect");
+        stream.set_nodelay(true).expect("nodelay");
         Self {
             stream,
             key: Vec::new(),
