Split the caller session by task

Identity, once-only prefixes and the watch for withdrawn keys are types of their own; admission, request, outcome and local answers are one file each. No behavior changes.

--- /dev/null
+++ b/src/connection/caller_identity.rs
@@ -0,0 +1,47 @@
+//! Who a caller is, and whether a bundle lets it in.
+
+use crate::request::refusal::RequestRefusal;
+use crate::version::bundle::BundleConfig;
+use crate::version::ids::KeyId;
+use crate::version::ids::ServiceId;
+use crate::version::ids::TeamId;
+
+/// Who a caller is and what it was let in by.
+#[derive(Clone)]
+pub struct CallerIdentity {
+    /// The team its requests count for.
+    pub team: TeamId,
+    /// The service it uses.
+    pub service: ServiceId,
+    /// The key that it proved to hold, with its StoredKey; `None` on a service open to all.
+    pub key: Option<(KeyId, String)>,
+}
+
+impl CallerIdentity {
+    /// Whether a bundle still lets the caller in; the error says why not.
+    pub fn check(&self, bundle: &BundleConfig) -> Result<(), RequestRefusal> {
+        let service = bundle
+            .services
+            .iter()
+            .find(|service| service.id == self.service)
+            .ok_or(RequestRefusal::UnknownService)?;
+        let Some((id, stored_key)) = &self.key else {
+            if service.open_as.as_ref() == Some(&self.team) {
+                return Ok(());
+            }
+            return Err(RequestRefusal::KeyWithdrawn);
+        };
+        let team = bundle.teams.iter().find(|team| team.id == self.team);
+        let keys = team.map_or(&[][..], |team| &team.keys);
+        if !keys
+            .iter()
+            .any(|key| key.id == *id && key.stored_key == *stored_key)
+        {
+            return Err(RequestRefusal::KeyWithdrawn);
+        }
+        if !service.teams.contains(&self.team) {
+            return Err(RequestRefusal::TeamNotAllowed);
+        }
+        Ok(())
+    }
+}
--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -1,5 +1,6 @@
 //! One connection of a caller or to an endpoint.
 
+pub mod caller_identity;
 pub mod caller_session;
 pub mod caller_stream;
 pub mod cancel_registry;
@@ -10,9 +11,16 @@
 pub mod listener;
 pub mod listener_config;
 pub mod local_answer;
+pub mod once_prefixes;
 pub mod prepared_statement;
 pub mod request_batch;
 pub mod scram;
 pub mod startup;
 pub mod wire_frame;
 pub mod wire_reply;
+pub mod withdrawal_watcher;
+
+mod session_admission;
+mod session_answer;
+mod session_outcome;
+mod session_request;
--- a/src/connection/startup.rs
+++ b/src/connection/startup.rs
@@ -14,7 +14,7 @@
 use pgwire::messages::startup::BackendKeyData;
 use pgwire::messages::startup::SecretKey;
 
-use crate::connection::caller_session::CallerIdentity;
+use crate::connection::caller_identity::CallerIdentity;
 use crate::connection::caller_session::CallerSession;
 use crate::connection::caller_session::SessionStart;
 use crate::connection::caller_stream::CallerFault;
