--- a/src/process/shares/holder.rs
+++ b/src/process/shares/holder.rs
@@ -2,10 +2,12 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::sync::Arc;
 use std::time::Duration;
 
 use crate::process::shares::bucket::BorrowedShare;
 use crate::process::shares::bucket::LentShare;
+use crate::process::shares::bucket::MIN_ASK_WIDTH;
 use crate::process::shares::bucket::OwnShare;
 use crate::process::shares::bucket::TeamBucket;
 use crate::process::shares::incarnation::InstanceIncarnation;
@@ -53,7 +55,7 @@
 pub struct ShareHolder {
     me: InstanceIncarnation,
     settings: ShareSettings,
-    table: Option<ShareTable>,
+    table: Option<Arc<ShareTable>>,
     limits: BTreeMap<TeamId, TeamLimit>,
     teams: BTreeMap<TeamId, TeamBucket>,
     live: BTreeSet<InstanceIncarnation>,
@@ -87,7 +89,7 @@
     }
 
     /// Returns the table it goes by.
-    pub fn table(&self) -> Option<&ShareTable> {
+    pub fn table(&self) -> Option<&Arc<ShareTable>> {
         self.table.as_ref()
     }
 
@@ -135,9 +137,23 @@
             }
         }
         self.limits = limits;
+        self.open_buckets(now);
         self.cut_all(now);
     }
 
+    /// Starts a bucket for each team, so that an owner's share accrues before the first request.
+    ///
+    /// It starts empty, as an earlier owner may have used the burst.
+    fn open_buckets(&mut self, now: MonotonicTime) {
+        if self.units() > 0 {
+            for team in self.limits.keys() {
+                self.teams
+                    .entry(team.clone())
+                    .or_insert_with(|| TeamBucket::new(now));
+            }
+        }
+    }
+
     /// Takes the incarnations that are believed to live.
     pub fn set_live(&mut self, live: BTreeSet<InstanceIncarnation>) {
         self.live = live;
@@ -172,8 +188,9 @@
         {
             self.votes.clear();
         }
-        self.table = Some(table.clone());
+        self.table = Some(Arc::new(table.clone()));
         self.next_renewal = now;
+        self.open_buckets(now);
         self.cut_all(now);
         !owned || owns || gave_all
     }
@@ -225,9 +242,7 @@
             .teams
             .entry(team.clone())
             .or_insert_with(|| TeamBucket::new(now));
-        if !settings.ablation.no_lease_check {
-            bucket.advance(&own, 1.0 - settings.clock_drift, now);
-        }
+        bucket.advance(&own, 1.0 - settings.clock_drift, now);
         let first = attempt == Attempt::First;
         if first {
             bucket.note_arrival(settings.demand_window, now);
@@ -278,7 +293,7 @@
         for (team, bucket) in &mut self.teams {
             let own = own_share(
                 &self.settings,
-                self.table.as_ref(),
+                self.table.as_deref(),
                 &self.me,
                 self.kept,
                 self.lease_end,
@@ -505,7 +520,11 @@
             if grant.term_ms == 0 || ends <= now {
                 continue;
             }
-            borrowed.ends = borrowed.ends.max(ends);
+            borrowed.ends = if settings.ablation.no_lease_check {
+                MonotonicTime::from_nanos(u64::MAX)
+            } else {
+                borrowed.ends.max(ends)
+            };
             borrowed.limit = if settings.ablation.no_immediate_lowering {
                 grant.limit
             } else {
@@ -516,6 +535,7 @@
             let over = borrowed.fraction > grant.keep * 1.01;
             if grant.fraction > 0.0 {
                 bucket.ask_pause = settings.ask_pause;
+                bucket.ask_width = MIN_ASK_WIDTH;
                 bucket.next_ask = bucket.next_ask.min(now + settings.ask_pause);
             }
             if grant.pending_ms > 0 {
@@ -666,10 +686,21 @@
                 }
             }
         }
-        for owner in table.owners.keys() {
-            if *owner == self.me || table.revoked.contains(owner) || !self.live.contains(owner) {
-                continue;
-            }
+        // Asks as many owners as the demand needs, and twice as many each time that was not enough.
+        let owners = table
+            .owners
+            .keys()
+            .filter(|o| **o != self.me && !table.revoked.contains(*o) && self.live.contains(*o))
+            .collect::<Vec<_>>();
+        if owners.is_empty() {
+            return;
+        }
+        let part = (1.5 * demand / own.limit.rate.0.max(0.001)).min(1.0);
+        let needed = (part * owners.len() as f64).ceil() as usize;
+        let width = needed.max(bucket.ask_width).min(owners.len());
+        bucket.ask_width = width * 2;
+        let first = usize::try_from(self.me.number % owners.len() as u64).unwrap_or(0);
+        for owner in owners.iter().cycle().skip(first).take(width).copied() {
             let borrowed = bucket
                 .borrowed
                 .entry(owner.clone())
@@ -753,7 +784,7 @@
     fn own_share(&self, team: &TeamId) -> OwnShare {
         own_share(
             &self.settings,
-            self.table.as_ref(),
+            self.table.as_deref(),
             &self.me,
             self.kept,
             self.lease_end,
@@ -775,7 +806,7 @@
         for (team, bucket) in &mut self.teams {
             let own = own_share(
                 &self.settings,
-                self.table.as_ref(),
+                self.table.as_deref(),
                 &self.me,
                 self.kept,
                 self.lease_end,
@@ -808,6 +839,11 @@
             burst: Default::default(),
         },
     };
+    let lease_end = if settings.ablation.no_lease_check {
+        MonotonicTime::from_nanos(u64::MAX)
+    } else {
+        lease_end
+    };
     OwnShare {
         fraction: f64::from(units) / f64::from(TOTAL_UNITS),
         lease_end,
--- a/src/process/shares/shard.rs
+++ b/src/process/shares/shard.rs
@@ -31,6 +31,11 @@
 use crate::version::ids::InstanceId;
 use crate::version::ids::TeamId;
 
+/// The pause after the table was first found absent; it doubles up to 1.6 s.
+const FIRST_ABSENT_PAUSE: Duration = Duration::from_millis(50);
+
+const MAX_ABSENT_STEPS: u32 = 5;
+
 /// A store call that is under way; there is at most one for each shard.
 #[derive(Debug, Clone)]
 struct StoreCall {
@@ -51,6 +56,8 @@
     witness: ShareWitness,
     keeper: ShareKeeper,
     members: Vec<ShareMember>,
+    /// The place of this instance in the rendezvous order of the shard.
+    rank: Option<usize>,
     bundle: BundleVersion,
     limits: BTreeMap<TeamId, TeamLimit>,
     /// The newest table version whose revision is known, and that revision.
@@ -59,6 +66,7 @@
     failures: u32,
     call: Option<StoreCall>,
     absent: bool,
+    absent_reads: u32,
     next_read: MonotonicTime,
     next_push: MonotonicTime,
     join_seen: Option<MonotonicTime>,
@@ -81,6 +89,7 @@
             settings,
             rng,
             members: Vec::new(),
+            rank: None,
             bundle: BundleVersion(0),
             limits: BTreeMap::new(),
             revision: (0, 0),
@@ -88,6 +97,7 @@
             failures: 0,
             call: None,
             absent: false,
+            absent_reads: 0,
             next_read: MonotonicTime::default(),
             next_push: MonotonicTime::default(),
             join_seen: None,
@@ -120,9 +130,14 @@
 
     /// Takes the live instances.
     pub fn set_members(&mut self, members: Vec<ShareMember>) {
+        if members == self.members {
+            return;
+        }
         let live = members.iter().map(|m| m.incarnation.clone()).collect();
         self.holder.set_live(live);
         self.members = members;
+        let order = rendezvous_order(&self.name, &zone_members(&self.members));
+        self.rank = order.iter().position(|id| *id == self.me.instance);
     }
 
     /// Decides on one request.
@@ -196,6 +211,7 @@
             (StoreAnswer::Value(None), _) => {
                 self.absent = true;
                 self.failures = 0;
+                self.next_read = now + self.absent_pause();
             }
             (StoreAnswer::Written { revision }, Some(table)) => {
                 self.note_stored(&table, revision, call.sent, now);
@@ -216,6 +232,13 @@
         self.route(out, now, actions);
     }
 
+    /// Returns how long to wait after the table was found absent; the first table is urgent.
+    fn absent_pause(&mut self) -> Duration {
+        let steps = self.absent_reads.min(MAX_ABSENT_STEPS);
+        self.absent_reads += 1;
+        FIRST_ABSENT_PAUSE * (1 << steps)
+    }
+
     fn note_stored(
         &mut self,
         table: &ShareTable,
@@ -224,6 +247,7 @@
         now: MonotonicTime,
     ) {
         self.absent = false;
+        self.absent_reads = 0;
         self.failures = 0;
         self.needs_read = false;
         self.revision = self.revision.max((table.version, revision));
@@ -256,7 +280,7 @@
             }
             ShareMessage::NeedTable { version } => {
                 if let Some(table) = self.holder.table().filter(|t| t.version > version) {
-                    let message = ShareMessage::Table(Box::new(table.clone()));
+                    let message = ShareMessage::Table(Box::new(ShareTable::clone(table)));
                     out.push(ShareAction::Send { to, message });
                 }
             }
@@ -305,7 +329,7 @@
         receivers.sort();
         receivers.dedup();
         for to in receivers {
-            let message = ShareMessage::Table(Box::new(table.clone()));
+            let message = ShareMessage::Table(Box::new(ShareTable::clone(table)));
             out.push(ShareAction::Send { to, message });
         }
     }
@@ -314,14 +338,14 @@
         if now < self.next_push {
             return;
         }
-        let rank = self.rank().unwrap_or(usize::MAX);
+        let rank = self.rank.unwrap_or(usize::MAX);
         let slow = if rank == 0 { 1 } else { 5 };
         self.next_push = now + self.settings.keeper_stagger / 5 * slow;
         if rank > 1 {
             return;
         }
         for to in self.keeper.missing_acks(table) {
-            let message = ShareMessage::Table(Box::new(table.clone()));
+            let message = ShareMessage::Table(Box::new(ShareTable::clone(table)));
             out.push(ShareAction::Send { to, message });
         }
     }
@@ -329,7 +353,7 @@
     fn change_table(&mut self, table: &ShareTable, now: MonotonicTime, out: &mut Vec<ShareAction>) {
         let view = KeeperView {
             shard: &self.name,
-            me: &self.me,
+            rank: self.rank,
             members: &self.members,
             bundle: self.bundle,
             limits: &self.limits,
@@ -393,20 +417,17 @@
         if self.call.is_some() || now < self.next_read {
             return;
         }
-        if self.absent {
-            let order = rendezvous_order(&self.name, &zone_members(&self.members));
-            if order.first() == Some(&self.me.instance) && self.bundle > BundleVersion(0) {
-                let mut witnesses = spread_order(&self.name, &zone_members(&self.members));
-                witnesses.truncate(self.settings.witnesses);
-                let table = ShareTable {
-                    bundle: self.bundle,
-                    teams: self.limits.clone(),
-                    ..ShareTable::first(self.me.clone(), witnesses)
-                };
-                self.next_read = now + self.settings.keeper_stagger;
-                self.write(table, 0, now, out);
-                return;
-            }
+        if self.absent && self.rank == Some(0) && self.bundle > BundleVersion(0) {
+            let mut witnesses = spread_order(&self.name, &zone_members(&self.members));
+            witnesses.truncate(self.settings.witnesses);
+            let table = ShareTable {
+                bundle: self.bundle,
+                teams: self.limits.clone(),
+                ..ShareTable::first(self.me.clone(), witnesses)
+            };
+            self.next_read = now + self.settings.keeper_stagger;
+            self.write(table, 0, now, out);
+            return;
         }
         let table = self.holder.table();
         let is_witness = table.is_some_and(|t| {
@@ -451,10 +472,4 @@
             table,
         });
     }
-
-    fn rank(&self) -> Option<usize> {
-        rendezvous_order(&self.name, &zone_members(&self.members))
-            .iter()
-            .position(|id| *id == self.me.instance)
-    }
 }
