Answer empty queries without an endpoint

Drivers send empty queries as a ping. Each was admitted as a write on the primary and charged; the instance now answers it itself (empty_query_needs_no_endpoint).

--- a/src/connection/request_batch.rs
+++ b/src/connection/request_batch.rs
@@ -73,7 +73,6 @@
             let (text, _) = wire_frame::split_text(self.frames[0].body())?;
             let statements = statement::parse_statements(&String::from_utf8_lossy(text));
             plan.statements = statements.into_iter().map(Arc::new).collect();
-            forwarded = plan.statements.is_empty();
         } else {
             let mut staged = StagedNames::default();
             for frame in &self.frames {
--- a/src/connection/session_answer.rs
+++ b/src/connection/session_answer.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use bytes::BytesMut;
+use pgwire::messages::response::EmptyQueryResponse;
 
 use crate::connection::caller_session::CallerSession;
 use crate::connection::caller_stream::CallerFault;
@@ -14,6 +15,7 @@
 use crate::connection::wire_frame;
 use crate::connection::wire_frame::FrameError;
 use crate::connection::wire_frame::WireFrame;
+use crate::connection::wire_reply;
 use crate::connection::wire_reply::CallerError;
 use crate::request::statement::StatementInfo;
 use crate::request::statement::StatementKind;
@@ -36,7 +38,7 @@
         }
         let mut out = BytesMut::new();
         let answered = if plan.simple {
-            self.answer_info(&plan.statements[0], true, &mut out)
+            self.answer_query(plan, &mut out)
         } else {
             self.answer_messages(batch, &mut out)
         };
@@ -48,6 +50,14 @@
         }
     }
 
+    fn answer_query(&mut self, plan: &BatchPlan, out: &mut BytesMut) -> Result<(), CallerError> {
+        let Some(info) = plan.statements.first() else {
+            wire_reply::put(&EmptyQueryResponse::new(), out);
+            return Ok(());
+        };
+        self.answer_info(info, true, out)
+    }
+
     fn answer_info(
         &mut self,
         info: &StatementInfo,
