Hold an end back when a report follows it

PostgreSQL reports changed settings between CommandComplete and ReadyForQuery. Such a message released the held CommandComplete, so a caller could see a commit before its confirmation. Before: the caller got C, S, E, Z for an unconfirmed write; now E, Z (late_reports_do_not_release_an_end fails without the change).

--- a/src/connection/exchange.rs
+++ b/src/connection/exchange.rs
@@ -138,6 +138,8 @@
     /// Names that the request changed, with what they stood for before.
     replaced: Vec<(Vec<u8>, Option<Arc<PreparedStatement>>)>,
     input: InputMode,
+    /// Whether the end of a statement is held, which may announce the end of its transaction.
+    end_held: bool,
     preamble: bool,
     failed: bool,
     read_only: bool,
@@ -171,6 +173,7 @@
             expected: VecDeque::new(),
             replaced: Vec::new(),
             input: InputMode::Closed,
+            end_held: false,
             failed: false,
             read_only: false,
             completed: 0,
@@ -436,6 +439,11 @@
             return self.receive_status(frame);
         }
         match (frame.kind(), self.expected.front()) {
+            // An endpoint may report settings and notices behind the end of a transaction.
+            (b'N' | b'S' | b'A', _) if self.end_held => {
+                self.held.extend_from_slice(frame.bytes());
+                Ok(())
+            }
             (b'N' | b'S' | b'A', _) => self.hold(frame),
             (b'E', _) => self.receive_error(frame),
             (b'Z', Some(Expect::Query | Expect::Sync)) => self.receive_ready(frame),
@@ -517,6 +525,7 @@
     pub fn release(&mut self) -> Result<(), ExchangeFault> {
         self.begun = true;
         self.preamble = false;
+        self.end_held = false;
         Ok(self.caller.write_all(&mut self.held)?)
     }
 
@@ -594,6 +603,7 @@
         if matches!(self.expected.front(), Some(Expect::Execute(_))) {
             self.expected.pop_front();
         }
+        self.end_held = true;
         self.held.extend_from_slice(frame.bytes());
         Ok(())
     }
