Do not share a connection that a cancel request may still reach

A cancel request travels on a connection of its own and can arrive after its statement ended. If the endpoint connection served another session by then, that session's statement was cancelled. The connection is now closed instead of pooled once a cancel request was sent on for it (cancelled_connection_is_not_shared fails without the change). Waiting for the cancel connection to close was ruled out: its end does not show that the signal was delivered.

--- a/src/connection/cancel_registry.rs
+++ b/src/connection/cancel_registry.rs
@@ -14,7 +14,14 @@
 const SHARD_COUNT: usize = 16;
 const CANCEL_REQUEST_CODE: u32 = 80_877_102;
 
-type TargetSlot = Arc<Mutex<Option<CancelTarget>>>;
+type TargetSlot = Arc<Mutex<CancelState>>;
+
+#[derive(Default)]
+struct CancelState {
+    target: Option<CancelTarget>,
+    /// Whether a cancel request was sent on since the flag was last read.
+    sent: bool,
+}
 
 /// The cancel keys that this instance gave out; no other instance knows them.
 #[derive(Default)]
@@ -56,7 +63,9 @@
     /// Returns the endpoint connection that runs a caller's request at present.
     pub fn find(&self, process: i32, secret: i32) -> Option<CancelTarget> {
         let slot = lock(self.shard(process)).get(&(process, secret)).cloned()?;
-        lock(&slot).clone()
+        let mut state = lock(&slot);
+        state.sent |= state.target.is_some();
+        state.target.clone()
     }
 
     fn shard(&self, process: i32) -> &Mutex<HashMap<(i32, i32), TargetSlot>> {
@@ -67,7 +76,14 @@
 impl CancelEntry {
     /// Notes the endpoint connection that the caller's request runs on.
     pub fn point_to(&self, target: Option<CancelTarget>) {
-        *lock(&self.slot) = target;
+        lock(&self.slot).target = target;
+    }
+
+    /// Whether a cancel request was sent on since the last call.
+    ///
+    /// It may still be on its way, so the endpoint connection must not serve another session.
+    pub fn take_sent(&self) -> bool {
+        std::mem::take(&mut lock(&self.slot).sent)
     }
 }
 
--- a/src/connection/session_outcome.rs
+++ b/src/connection/session_outcome.rs
@@ -45,7 +45,7 @@
         } else if pinned {
             lease.in_progress = false;
             self.lease = Some(lease);
-        } else {
+        } else if !self.cancel.take_sent() {
             lease.link.give_back();
         }
         let mut confirmed = !unproven;
--- a/src/connection/session_request.rs
+++ b/src/connection/session_request.rs
@@ -178,7 +178,9 @@
             }
             Ok(ExchangeEnd::ReadOnly) if may_retry => {
                 let endpoint = lease.endpoint.clone();
-                lease.link.give_back();
+                if !self.cancel.take_sent() {
+                    lease.link.give_back();
+                }
                 Ok(AttemptEnd::ReadOnly(endpoint))
             }
             Ok(ExchangeEnd::ReadOnly) => self.finish(lease, held, None, true).await,
--- a/tests/testsuite/caller_faults.rs
+++ b/tests/testsuite/caller_faults.rs
@@ -222,3 +222,48 @@
     assert!(String::from_utf8_lossy(error.body()).contains("57014"));
     assert_eq!(fixture.replica.cancels.load(Ordering::SeqCst), 1);
 }
+
+/// A late cancel must not hit another session, so a cancelled connection is not used again.
+#[tokio::test]
+async fn cancelled_connection_is_not_shared() {
+    let fixture = CallerFixture::start().await;
+    let mut raw = RawCaller::start(&fixture).await;
+    raw.send_query("SELECT 'stay silent'").await;
+    while fixture.replica.texts().is_empty() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    RawCaller::cancel(&fixture, &raw.key).await;
+    while raw.recv().await.expect("open").kind() != b'Z' {}
+    let connections = fixture.replica.connections();
+    let client = fixture.connect().await;
+    client.batch_execute("SELECT 1").await.expect("read");
+    // The cancel request itself was one connection.
+    assert_eq!(fixture.replica.connections(), connections + 1);
+}
+
+/// Nothing may announce a commit before its confirmation, also where a report follows it.
+#[tokio::test]
+async fn late_reports_do_not_release_an_end() {
+    let fixture = CallerFixture::start().await;
+    fixture.state.unconfirmed.store(true, Ordering::SeqCst);
+    let mut raw = RawCaller::start(&fixture).await;
+    raw.send_query("INSERT late report").await;
+    let mut kinds = Vec::new();
+    while kinds.last() != Some(&b'Z') {
+        kinds.push(raw.recv().await.expect("open").kind());
+    }
+    assert_eq!(kinds, b"EZ");
+}
+
+/// An empty query is used as a ping; it must cost no slot and reach no endpoint.
+#[tokio::test]
+async fn empty_query_needs_no_endpoint() {
+    let fixture = CallerFixture::start().await;
+    let client = fixture.connect().await;
+    client.batch_execute("").await.expect("empty");
+    client
+        .batch_execute("-- nothing\n ; ;")
+        .await
+        .expect("comment");
+    assert!(fixture.state.admitted.lock().expect("lock").is_empty());
+}
--- a/tests/testsuite/scripted_endpoint.rs
+++ b/tests/testsuite/scripted_endpoint.rs
@@ -341,6 +341,9 @@
             word => word,
         };
         wire_reply::put_complete(tag, &mut self.out);
+        if query.contains("late report") {
+            wire_reply::put_parameter("TimeZone", "UTC", &mut self.out);
+        }
         Ok(true)
     }
 
