Never say "not run" after a read was tried

A read whose connection broke is repeated elsewhere; if no endpoint was left, the caller got 57P03 or 53300 with "not run", although the read may have run.

A repeated read also waits for a slot anew, because the time spent on a silent endpoint had used up its wait.

--- a/src/connection/session_admission.rs
+++ b/src/connection/session_admission.rs
@@ -24,6 +24,10 @@
     pub(super) excluded: Vec<EndpointId>,
     pub(super) charged: bool,
     pub(super) arrived: Instant,
+    /// When it last began to wait for a slot.
+    pub(super) queued: Instant,
+    /// Whether an earlier attempt may have run, so that a refusal must not say "not run".
+    pub(super) started: bool,
 }
 
 /// What came of the attempt to obtain an endpoint connection.
@@ -61,7 +65,7 @@
         let service = &self.identity.service;
         let limit = (self.state.ports.connection_limit)(service, &endpoint).0;
         let wait = self.state.config.limits.queue_wait;
-        let wait = wait.saturating_sub(attempt.arrived.elapsed());
+        let wait = wait.saturating_sub(attempt.queued.elapsed());
         let key = (service.clone(), endpoint.clone(), permit.address);
         let limit = usize::try_from(limit).unwrap_or(usize::MAX);
         let taken = self.state.pool.take(key, &self.settings, limit, wait).await;
@@ -100,11 +104,11 @@
 
     async fn admit(&mut self, attempt: &RequestAttempt) -> Result<SlotPermit, RequestRefusal> {
         let limit = self.state.config.limits.queue_wait;
-        let wait = limit.saturating_sub(attempt.arrived.elapsed());
+        let wait = limit.saturating_sub(attempt.queued.elapsed());
         if attempt.class == RequestClass::Read {
             self.load_floor(wait).await?;
         }
-        let wait = limit.saturating_sub(attempt.arrived.elapsed());
+        let wait = limit.saturating_sub(attempt.queued.elapsed());
         let admitting = (self.state.ports.admit)(AdmitQuery {
             team: self.identity.team.clone(),
             service: self.identity.service.clone(),
--- a/src/connection/session_outcome.rs
+++ b/src/connection/session_outcome.rs
@@ -160,6 +160,11 @@
         attempt: &RequestAttempt,
         complete: bool,
     ) -> Result<(), CallerFault> {
+        let refusal = if attempt.started {
+            RequestRefusal::OutcomeUnknown
+        } else {
+            refusal
+        };
         (self.state.ports.record)(RequestRecord {
             team: self.identity.team.clone(),
             service: self.identity.service.clone(),
--- a/src/connection/session_request.rs
+++ b/src/connection/session_request.rs
@@ -85,6 +85,8 @@
             // Preparing runs nothing, so only what is executed counts against the rate.
             charged: !plan.executes,
             arrived,
+            queued: arrived,
+            started: false,
         };
         for count in 1..=ATTEMPT_LIMIT {
             let lease = match self.lease.take() {
@@ -123,7 +125,11 @@
                     }
                     attempt.class = RequestClass::Write;
                 }
-                AttemptEnd::Broken(endpoint) => attempt.excluded.push(endpoint),
+                AttemptEnd::Broken(endpoint) => {
+                    attempt.excluded.push(endpoint);
+                    attempt.queued = Instant::now();
+                    attempt.started = true;
+                }
             }
         }
         let refusal = RequestRefusal::NoEndpoint;
