Do not count the start of an instance as time without a primary

An instance that starts has asked no endpoint yet, and the daemon notes its services every second. Each restart thus looked like an outage of up to a second: 3 times the allowed rate over 5 minutes at a target of 0.999.

Until the first primary is seen, time counts only once it exceeds 10 s, and then from its beginning, so that an outage at a start is not hidden.

--- a/src/process/burn_report.rs
+++ b/src/process/burn_report.rs
@@ -33,6 +33,9 @@
 
 const SHARDS: usize = 16;
 
+/// An instance that starts has not asked the endpoints yet, which is no time without a primary.
+const START_GRACE: Duration = Duration::from_secs(10);
+
 /// How a request counts against the objective.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RequestVerdict {
@@ -71,6 +74,7 @@
 struct ServiceState {
     window: BurnWindow,
     absent_since: Option<MonotonicTime>,
+    settled: bool,
 }
 
 type TeamShard = Mutex<HashMap<(TeamId, ServiceId), BurnWindow>>;
@@ -109,16 +113,25 @@
     }
 
     /// Notes whether a service has a primary; call it at each change and at least once a minute.
+    ///
+    /// Before the first primary is seen, time counts only once it exceeds the time that an
+    /// instance needs to find one.
     pub fn note_primary(&self, service: &ServiceId, present: bool, now: MonotonicTime) {
         let mut services = lock(&self.services);
         let state = services.entry(service.clone()).or_default();
-        if let Some(since) = state.absent_since.take() {
-            let counts = BurnCounts {
-                absent_ms: whole_ms(now.saturating_since(since)),
-                ..BurnCounts::default()
-            };
-            state.window.add(counts, now);
+        let since = *state.absent_since.get_or_insert(now);
+        let absent = now.saturating_since(since);
+        if !state.settled && absent < START_GRACE {
+            state.settled = present;
+            state.absent_since = (!present).then_some(since);
+            return;
         }
+        state.settled = true;
+        let counts = BurnCounts {
+            absent_ms: whole_ms(absent),
+            ..BurnCounts::default()
+        };
+        state.window.add(counts, now);
         state.absent_since = (!present).then_some(now);
     }
 
@@ -181,7 +194,9 @@
             let mut counts =
                 state.map_or(BurnCounts::default(), |state| state.window.sum(span, now));
             // Time without a primary that still goes on is not in the window yet.
-            let since = state.and_then(|state| state.absent_since);
+            let since = state
+                .filter(|state| state.settled)
+                .and_then(|state| state.absent_since);
             let open = since.map_or(Duration::ZERO, |since| now.saturating_since(since));
             counts.absent_ms += whole_ms(open);
             counts.absent_ms = counts.absent_ms.min(whole_ms(span));
--- a/tests/testsuite/burn_report.rs
+++ b/tests/testsuite/burn_report.rs
@@ -110,6 +110,26 @@
     assert_near(rate(&page, None, 300), 30.0 / 202.0 / 0.01);
 }
 
+/// A start of an instance must not look like an outage, and an outage at a start must not hide.
+#[test]
+fn start_without_primary() {
+    let service = "db".parse().expect("the id is valid");
+    let quick = new_report("i1");
+    quick.note_primary(&service, false, at(0));
+    quick.note_primary(&service, false, at(2));
+    quick.note_primary(&service, true, at(3));
+    assert_near(rate(&quick.page(&bundle(), at(100)), None, 300), 0.0);
+    quick.note_primary(&service, false, at(103));
+    quick.note_primary(&service, true, at(105));
+    assert_near(rate(&quick.page(&bundle(), at(200)), None, 300), 1.0);
+
+    let never = new_report("i1");
+    for seconds in 0..30 {
+        never.note_primary(&service, false, at(seconds));
+    }
+    assert_near(rate(&never.page(&bundle(), at(30)), None, 300), 100.0);
+}
+
 /// Each window must forget what is older than itself, and no window more.
 #[test]
 fn windows_slide() {
