--- a/src/process/daemon_http.rs
+++ b/src/process/daemon_http.rs
@@ -48,8 +48,8 @@
 fn render_metrics(parts: &DaemonParts) -> Result<String, MetricsError> {
     let metrics = &parts.metrics;
     let status = instance_status(parts);
-    let version = i64::try_from(status.bundle.0).unwrap_or(i64::MAX);
-    metrics.bundle_version.set(version);
+    metrics.note_bundles(&parts.bundles);
+    metrics.note_journal(&parts.journal);
     metrics.live_peers.set(i64::from(status.live_peers));
     metrics.isolated.set(i64::from(status.isolated));
     metrics.draining.set(i64::from(status.draining));
@@ -62,6 +62,15 @@
             .primary_present
             .with_label_values(&[service.service.as_str()])
             .set(present);
+        let terms = service
+            .endpoints
+            .iter()
+            .filter_map(|endpoint| endpoint.point);
+        let term = terms.map(|point| point.term.0).max().unwrap_or(0);
+        metrics
+            .group_term
+            .with_label_values(&[service.service.as_str()])
+            .set(i64::try_from(term).unwrap_or(i64::MAX));
     }
     metrics.set_burn(&parts.burn.page(&parts.bundle(), timers::now()));
     metrics.render()
--- a/src/process/decision_journal.rs
+++ b/src/process/decision_journal.rs
@@ -84,6 +84,7 @@
     entries: VecDeque<JournalEntry>,
     next_sequence: u64,
     refusals: HashMap<RefusalKey, u64>,
+    counts: BTreeMap<(&'static str, Option<ServiceId>), u64>,
 }
 
 /// The journal of one instance.
@@ -159,6 +160,11 @@
         }
     }
 
+    /// Returns how many decisions of each kind were added, for each service that they are about.
+    pub fn counts(&self) -> BTreeMap<(&'static str, Option<ServiceId>), u64> {
+        self.lock().counts.clone()
+    }
+
     // A panic while the lock is held leaves whole entries, so the journal stays usable.
     fn lock(&self) -> MutexGuard<'_, JournalState> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
@@ -175,6 +181,8 @@
     if state.entries.len() == capacity {
         state.entries.pop_front();
     }
+    let kind = (decision.kind(), decision.service().cloned());
+    *state.counts.entry(kind).or_default() += 1;
     let sequence = state.next_sequence;
     state.next_sequence += 1;
     state.entries.push_back(JournalEntry {
--- a/src/process/metrics.rs
+++ b/src/process/metrics.rs
@@ -18,11 +18,14 @@
 use prometheus::core::Collector;
 
 use crate::process::burn_page::BurnPage;
+use crate::process::decision_journal::DecisionJournal;
 use crate::process::store_calls::StoreCallKind;
 use crate::process::store_calls::StoreCalls;
 use crate::request::ports::RequestClass;
 use crate::request::ports::RequestRecord;
 use crate::request::refusal::RequestRefusal;
+use crate::version::bundle_store::BundleStore;
+use crate::version::ids::ServiceId;
 use crate::version::ids::TeamId;
 
 /// From 100 us to 30 s: waits inside one zone up to the longest timeouts of callers.
@@ -63,6 +66,8 @@
     registry: Registry,
     requests: IntCounterVec,
     store_calls: IntCounterVec,
+    decisions: IntCounterVec,
+    bundle_refusals: IntCounter,
     reads: IntCounterVec,
     waits: HistogramVec,
     durations: HistogramVec,
@@ -76,12 +81,8 @@
     pub primary_present: IntGaugeVec,
     /// The term of a group, by service.
     pub group_term: IntGaugeVec,
-    /// Promotions by this instance, by service.
-    pub promotions: IntCounterVec,
     /// The version in force.
     pub bundle_version: IntGauge,
-    /// Bundles that were refused.
-    pub bundle_refusals: IntCounter,
     /// Time since the store was last heard.
     pub store_silence: Gauge,
     /// Peers that answer.
@@ -90,8 +91,6 @@
     pub isolated: IntGauge,
     /// Whether the instance is stopping.
     pub draining: IntGauge,
-    /// Decisions in the journal, by kind.
-    pub decisions: IntCounterVec,
 }
 
 impl ProcessMetrics {
@@ -163,12 +162,6 @@
                 "The highest term seen in the group.",
                 &["service"],
             )?,
-            promotions: counters(
-                &registry,
-                "tamaracklb_promotions_total",
-                "Promotions by this instance.",
-                &["service"],
-            )?,
             bundle_version: int_gauge(
                 &registry,
                 "tamaracklb_bundle_version",
@@ -204,8 +197,8 @@
             decisions: counters(
                 &registry,
                 "tamaracklb_decisions_total",
-                "Decisions in the journal.",
-                &["kind"],
+                "Decisions in the journal; the service is empty for those about none.",
+                &["kind", "service"],
             )?,
             registry,
         })
@@ -231,6 +224,25 @@
         }
     }
 
+    /// Raises the counters of decisions to those of the journal.
+    pub fn note_journal(&self, journal: &DecisionJournal) {
+        for ((kind, service), count) in journal.counts() {
+            let service = service.as_ref().map_or("", ServiceId::as_str);
+            let counter = self.decisions.with_label_values(&[kind, service]);
+            counter.inc_by(count.saturating_sub(counter.get()));
+        }
+    }
+
+    /// Sets the version in force and raises the counter of refused bundles.
+    pub fn note_bundles(&self, bundles: &BundleStore) {
+        let version = i64::try_from(bundles.version().0).unwrap_or(i64::MAX);
+        self.bundle_version.set(version);
+        let refusals = bundles.refusals();
+        let counted = self.bundle_refusals.get();
+        self.bundle_refusals
+            .inc_by(refusals.saturating_sub(counted));
+    }
+
     /// Raises the counters of store calls to those of the client; only one client may be given.
     pub fn note_store_calls(&self, calls: &StoreCalls) {
         for kind in StoreCallKind::ALL {
--- a/src/version/bundle_store.rs
+++ b/src/version/bundle_store.rs
@@ -2,6 +2,8 @@
 
 use std::fmt;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 
 use tokio::sync::watch;
 
@@ -82,6 +84,7 @@
     signers: Vec<SignerKey>,
     required: usize,
     current: watch::Sender<Option<Arc<AcceptedBundle>>>,
+    refusals: AtomicU64,
 }
 
 impl BundleStore {
@@ -91,6 +94,7 @@
             signers,
             required,
             current: watch::Sender::new(None),
+            refusals: AtomicU64::new(0),
         }
     }
 
@@ -118,8 +122,21 @@
         self.current.subscribe()
     }
 
+    /// Returns how many offers were refused, without those of older versions, which are common.
+    pub fn refusals(&self) -> u64 {
+        self.refusals.load(Ordering::Relaxed)
+    }
+
     /// Checks a bundle and puts it in force where its version is higher.
     pub fn offer(&self, envelope: BundleEnvelope) -> Result<BundleOffer, BundleRefusal> {
+        let outcome = self.take_offer(envelope);
+        if !matches!(outcome, Ok(_) | Err(BundleRefusal::Superseded { .. })) {
+            self.refusals.fetch_add(1, Ordering::Relaxed);
+        }
+        outcome
+    }
+
+    fn take_offer(&self, envelope: BundleEnvelope) -> Result<BundleOffer, BundleRefusal> {
         let config = check_envelope(&envelope, &self.signers, self.required)?;
         let version = config.version;
         let bundle = Arc::new(AcceptedBundle {
--- a/tests/testsuite/bundle_versions.rs
+++ b/tests/testsuite/bundle_versions.rs
@@ -51,6 +51,11 @@
     let unsigned = store.offer(sign(sample_text(7), 2));
     assert!(matches!(unsigned, Err(BundleRefusal::Envelope(_))));
 
+    assert_eq!(
+        store.refusals(),
+        3,
+        "a conflict, a fault and a missing signature"
+    );
     assert_eq!(store.version(), version);
     assert!(!receiver.has_changed().expect("the store lives"));
 }
--- a/tests/testsuite/first_bundle.rs
+++ b/tests/testsuite/first_bundle.rs
@@ -12,6 +12,7 @@
 use standins::store::config::StoreConfig;
 
 use crate::bundle_faults::SAMPLE;
+use crate::http_port;
 use crate::program_run::ProgramRun;
 
 /// Longer than any start on a busy machine; only a daemon that never gets there reaches it.
@@ -106,6 +107,16 @@
         "{journal}"
     );
 
+    let metrics = http_port::get(http, "GET", "/metrics").1;
+    let accepted = "tamaracklb_decisions_total{kind=\"bundle_accepted\",service=\"\"} 1\n";
+    for line in [
+        accepted,
+        "tamaracklb_bundle_version 1\n",
+        "tamaracklb_bundle_refusals_total 0\n",
+    ] {
+        assert!(metrics.contains(line), "{line} is not in {metrics}");
+    }
+
     run.succeed(&format!("drain --instance {http}"));
     let ended = daemon.child.wait().expect("it is our child");
     assert!(ended.success(), "{ended:?}");
--- a/tests/testsuite/http_port.rs
+++ b/tests/testsuite/http_port.rs
@@ -97,7 +97,7 @@
 }
 
 /// Sends one plain request and returns the status and the body.
-fn get(address: SocketAddr, method: &str, path: &str) -> (u16, String) {
+pub fn get(address: SocketAddr, method: &str, path: &str) -> (u16, String) {
     use std::io::Read;
     use std::io::Write;
     let mut stream = std::net::TcpStream::connect(address).expect("the server listens");
