--- a/tests/testsuite/first_bundle.rs
+++ b/tests/testsuite/daemon_program.rs
@@ -1,4 +1,4 @@
-//! The built daemon with an empty store: an operator's first steps must end with a ready instance.
+//! The built daemon as an operator meets it: the first steps must end with a ready instance.
 
 use std::net::SocketAddr;
 use std::net::TcpListener;
@@ -80,10 +80,26 @@
     }
 }
 
-/// A bundle that is the first write of the store must come into force without a restart.
-#[test]
-fn empty_store() {
-    let store = standins::store::handle::start(&StoreConfig::default()).expect("it starts");
+fn wait_for_log(run: &ProgramRun, text: &str) {
+    let start = Instant::now();
+    while !run.read("log").contains(text) {
+        assert!(
+            start.elapsed() < PATIENCE,
+            "no {text:?} in\n{}",
+            run.read("log")
+        );
+        std::thread::sleep(Duration::from_millis(50));
+    }
+}
+
+fn send_signal(daemon: &DaemonProcess, name: &str) {
+    let line = format!("kill -{name} {}", daemon.child.id());
+    let status = Command::new("sh").args(["-c", &line]).status();
+    assert!(status.expect("sh can be run").success(), "{line}");
+}
+
+/// Prepares a folder with settings for a daemon and a store.
+fn prepare(store: SocketAddr, http: SocketAddr) -> ProgramRun {
     let names = vec!["peer.tamaracklb.internal".to_owned()];
     let certificate = rcgen::generate_simple_self_signed(names).expect("it can be made");
     let run = ProgramRun::new()
@@ -91,8 +107,15 @@
         .file("key", &certificate.signing_key.serialize_pem())
         .file("bundle.yaml", SAMPLE);
     let signer = run.succeed("key signer --id ops --out ops.pem");
+    run.file("settings.yaml", &settings(&signer, store, http))
+}
+
+/// A bundle that is the first write of the store must come into force without a restart.
+#[test]
+fn empty_store() {
+    let store = standins::store::handle::start(&StoreConfig::default()).expect("it starts");
     let http = free_tcp();
-    let run = run.file("settings.yaml", &settings(&signer, store.address(), http));
+    let run = prepare(store.address(), http);
     run.succeed("check --settings settings.yaml");
     let mut daemon = start_daemon(&run);
     let status = format!("status --instance {http}");
@@ -130,3 +153,28 @@
         );
     }
 }
+
+/// Debugging a running instance must not need a restart, and other signals must keep their sense.
+#[test]
+fn signals() {
+    let http = free_tcp();
+    // Nothing listens at the address of the store, which the daemon reports at level debug.
+    let run = prepare(free_tcp(), http);
+    let quiet = run
+        .read("settings.yaml")
+        .replace("log_level: debug", "log_level: info");
+    let loud = quiet.replace("log_level: info", "log_level: debug");
+    let run = run.file("settings.yaml", &quiet);
+    let mut daemon = start_daemon(&run);
+    wait_for_code(&run, &format!("status --instance {http}"), 1);
+    assert!(!run.read("log").contains("DEBUG"), "{}", run.read("log"));
+    let run = run.file("settings.yaml", "log_level: loud\n");
+    send_signal(&daemon, "HUP");
+    wait_for_log(&run, "daemon: kept its settings");
+    let run = run.file("settings.yaml", &loud);
+    send_signal(&daemon, "HUP");
+    wait_for_log(&run, "DEBUG");
+    send_signal(&daemon, "TERM");
+    let ended = daemon.child.wait().expect("it is our child");
+    assert!(ended.success(), "{ended:?}");
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -14,6 +14,7 @@
 mod caller_standins;
 mod caller_startup;
 mod caller_state;
+mod daemon_program;
 mod daemon_settings;
 mod decision_journal;
 mod endpoint_adapter;
@@ -21,7 +22,7 @@
 mod failover_history;
 mod failover_rules;
 mod failover_sim;
-mod first_bundle;
+
 mod group_model;
 mod group_watchers;
 mod http_port;
