--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -23,11 +23,14 @@
 mod failover_rules;
 mod failover_sim;
 
+mod first_bundle;
+mod graceful_stop;
 mod group_model;
 mod group_watchers;
 mod http_port;
 mod isolation_evidence;
 mod key_verifiers;
+mod key_withdrawal;
 mod linear_history;
 mod log_points;
 mod membership_view;
