--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -23,7 +23,6 @@
 mod failover_rules;
 mod failover_sim;
 
-mod first_bundle;
 mod graceful_stop;
 mod group_model;
 mod group_watchers;
