--- a/tests/testsuite/failover_gap.rs
+++ b/tests/testsuite/failover_gap.rs
@@ -9,7 +9,7 @@
 const THREADS: usize = 4;
 const FAULT_AT: u64 = 3000;
 
-/// One of seven ways to lose a primary, every other seed with the store down.
+/// One of nine ways to lose a primary, every other seed with the store down.
 fn failing_primary(seed: u64) -> SimConfig {
     let mut config = SimConfig::new(seed);
     config.writers = 5;
@@ -21,7 +21,7 @@
     }
     let at = FAULT_AT + seed * 13 % 250;
     let millis = 60_000;
-    match seed % 7 {
+    match seed % 9 {
         0 => config.fault(at, Fault::CrashPrimary { millis }),
         1 => config.fault(at, Fault::IsolatePrimary { millis }),
         2 => config.fault(at, Fault::FreezePrimary { millis }),
@@ -35,6 +35,21 @@
         4 => config
             .fault(at, Fault::CrashPrimary { millis })
             .fault(at, Fault::KillProposer),
+        5 => {
+            // The new primary ends while its predecessor's failure is still being dealt with.
+            config.endpoints = 5;
+            config
+                .fault(at, Fault::CrashPrimary { millis })
+                .fault(at + 1150 + seed, Fault::CrashPrimary { millis })
+        }
+        6 => {
+            let inbound = true;
+            config.fault(at, Fault::OneWayPrimary { inbound, millis })
+        }
+        7 => {
+            let sides = [vec![0], vec![3, 4, 5]];
+            config.fault(at, Fault::CutNodes { sides, millis })
+        }
         _ => config.fault(at, Fault::CrashPrimary { millis }).fault(
             at + 800,
             Fault::LoseAnswers {
--- a/tests/testsuite/failover_history.rs
+++ b/tests/testsuite/failover_history.rs
@@ -410,6 +410,30 @@
     }
 }
 
+// Guards against a group that stays fenced because its proposer ended, be it the whole group or a
+// single replica.
+#[test]
+fn dead_proposer_is_made_up_for() {
+    for seed in 0..5 {
+        let fenced = SimConfig::new(seed)
+            .fault(2000, Fault::KillProposer)
+            .fault(2000, Fault::ProposeAt { proxy: 0 });
+        let sides = [vec![3], vec![0, 1, 4, 5]];
+        let millis = 60_000;
+        let mut stranded = SimConfig::new(seed)
+            .fault(2000, Fault::CutNodes { sides, millis })
+            .fault(2001, Fault::ProposeAt { proxy: 0 })
+            .fault(2010, Fault::FreezeProxy { proxy: 0, millis });
+        stranded.roaming_percent = 0;
+        for config in [fenced, stranded] {
+            let history = run(config);
+            assert_eq!(check_all(&history), Ok(()));
+            assert_eq!(history.promotions.len(), 1, "{:?}", history.events);
+            assert!(history.acks.iter().any(|ack| ack.point.term.0 > 1));
+        }
+    }
+}
+
 fn ack(at: u64, value: u64, term: u64, position: u64, endpoint: usize) -> AckRecord {
     let point = LogPoint::new(term, position);
     AckRecord {
