--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -21,20 +21,30 @@
 mod failover_history;
 mod failover_rules;
 mod failover_sim;
+mod first_bundle;
 mod group_model;
 mod group_watchers;
 mod http_port;
 mod isolation_evidence;
 mod key_verifiers;
+mod linear_history;
 mod log_points;
 mod membership_view;
 mod operations_page;
 mod operator_commands;
 mod peer_links;
 mod program_run;
+mod rate_shares;
+#[allow(dead_code)]
+#[path = "../../examples/limits_bench/rate_sim.rs"]
+mod rate_sim;
 mod raw_caller;
 mod read_share;
 mod scripted_endpoint;
+mod slot_queue;
+#[allow(dead_code)]
+#[path = "../../examples/limits_bench/slot_sim.rs"]
+mod slot_sim;
 mod standin_endpoint;
 mod standin_faults;
 mod standin_fixture;
