Subscribe to bundles before the first can arrive

A daemon sometimes never served: its log had the bundle in force but no group was watched. The task that applies bundles subscribed when it first ran; a bundle accepted before that counted as seen.

--- a/src/process/daemon.rs
+++ b/src/process/daemon.rs
@@ -230,11 +230,12 @@
     ));
     let lister = feed.clone();
     let applier = parts.clone();
+    // A subscription that starts after the first bundle arrived would not see it.
+    let mut changes = parts.bundles.subscribe();
     vec![
         tokio::spawn(async move { feed.follow_bundle().await }),
         tokio::spawn(async move { lister.follow_instances().await }),
         tokio::spawn(async move {
-            let mut changes = applier.bundles.subscribe();
             while changes.changed().await.is_ok() {
                 applier.apply_bundle();
             }
