Serve stale reads only where the service has a limit

A session that asked for stale reads on a service without a staleness limit sent them as such, and they all went to the primary. They are now ordinary reads (stale_reads_need_a_limit).

--- a/src/connection/caller_session.rs
+++ b/src/connection/caller_session.rs
@@ -16,9 +16,9 @@
 use crate::connection::endpoint_link::LinkError;
 use crate::connection::listener::ListenerState;
 use crate::connection::listener::ListenerView;
-use crate::connection::once_prefixes::OncePrefixes;
 use crate::connection::request_batch::PreparedMap;
 use crate::connection::request_batch::RequestBatch;
+use crate::connection::service_rules::ServiceRules;
 use crate::connection::wire_frame::FrameError;
 use crate::connection::wire_frame::WireFrame;
 use crate::connection::wire_reply;
@@ -39,7 +39,7 @@
     pub(super) prepared: PreparedMap,
     pub(super) cancel: CancelEntry,
     pub(super) view: watch::Receiver<ListenerView>,
-    pub(super) once: OncePrefixes,
+    pub(super) rules: ServiceRules,
     pub(super) lease: Option<Box<EndpointLease>>,
 }
 
@@ -69,7 +69,7 @@
             settings: start.settings,
             prepared: PreparedMap::new(),
             cancel: start.cancel,
-            once: OncePrefixes::default(),
+            rules: ServiceRules::default(),
             lease: None,
         }
     }
--- a/src/connection/once_prefixes.rs
+++ b/src/connection/service_rules.rs
@@ -1,4 +1,4 @@
-//! Statements that run at most once.
+//! What a bundle says of the statements of one service.
 
 use std::sync::Arc;
 
@@ -6,15 +6,18 @@
 use crate::version::bundle::BundleConfig;
 use crate::version::ids::ServiceId;
 
-/// The prefixes of statements that run at most once, as one bundle states them.
+/// The rules of one service for statements, as one bundle states them.
 #[derive(Default)]
-pub struct OncePrefixes {
-    pub(super) bundle: Option<Arc<BundleConfig>>,
-    pub(super) prefixes: Vec<String>,
+pub struct ServiceRules {
+    bundle: Option<Arc<BundleConfig>>,
+    /// The prefixes of statements that run at most once, in plain words.
+    pub once_only: Vec<String>,
+    /// Whether reads may be stale at all.
+    pub allows_stale: bool,
 }
 
-impl OncePrefixes {
-    /// Reads the prefixes again where the bundle is another one.
+impl ServiceRules {
+    /// Reads the rules again where the bundle is another one.
     pub fn update(&mut self, bundle: &Arc<BundleConfig>, id: &ServiceId) {
         let known = self.bundle.as_ref();
         if known.is_some_and(|known| Arc::ptr_eq(known, bundle)) {
@@ -23,7 +26,8 @@
         let service = bundle.services.iter().find(|service| service.id == *id);
         let prefixes = service.map_or(&[][..], |service| &service.once_only);
         let words = prefixes.iter().map(|prefix| sql_token::plain_words(prefix));
-        self.prefixes = words.collect();
+        self.once_only = words.collect();
+        self.allows_stale = service.is_some_and(|service| service.staleness_limit_ms.is_some());
         self.bundle = Some(bundle.clone());
     }
 }
--- a/src/connection/session_request.rs
+++ b/src/connection/session_request.rs
@@ -40,8 +40,8 @@
         if newer && let Err(refusal) = self.identity.check(&bundle) {
             return Err(self.tell_end(&refusal.into()));
         }
-        self.once.update(&bundle, &self.identity.service);
-        let plan = batch.plan(&self.prepared, &self.once.prefixes)?;
+        self.rules.update(&bundle, &self.identity.service);
+        let plan = batch.plan(&self.prepared, &self.rules.once_only)?;
         if let Some(what) = plan.unsupported {
             let error = CallerError::not_supported(what);
             return self.answer_error(&error, batch.complete).await;
@@ -66,7 +66,7 @@
         let pinned = self.lease.as_ref().is_some_and(|lease| lease.pinned);
         if !plan.read || pinned {
             RequestClass::Write
-        } else if self.stale && !self.wrote {
+        } else if self.stale && self.rules.allows_stale && !self.wrote {
             RequestClass::StaleRead
         } else {
             RequestClass::Read
--- a/tests/testsuite/caller_state.rs
+++ b/tests/testsuite/caller_state.rs
@@ -4,6 +4,7 @@
 
 use tamaracklb::connection::wire_frame::WireFrame;
 use tamaracklb::request::ports::RequestClass;
+use tamaracklb::version::units::StalenessLimit;
 
 use crate::caller_fixture::CallerFixture;
 use crate::caller_fixture::sqlstate;
@@ -105,6 +106,9 @@
 #[tokio::test]
 async fn stale_reads_end_with_a_write() {
     let fixture = CallerFixture::start().await;
+    fixture.state.change_bundle(|bundle| {
+        bundle.services[0].staleness_limit_ms = Some(StalenessLimit(500));
+    });
     let client = fixture.connect().await;
     client
         .batch_execute("SET tamaracklb.staleness = 'on'")
@@ -123,6 +127,17 @@
     );
 }
 
+/// A service without a staleness limit must not serve stale reads, whatever a session asks for.
+#[tokio::test]
+async fn stale_reads_need_a_limit() {
+    let fixture = CallerFixture::start().await;
+    let client = fixture.connect().await;
+    for statement in ["SET tamaracklb.staleness = 'on'", "SELECT 1"] {
+        client.batch_execute(statement).await.expect("statement");
+    }
+    assert_eq!(fixture.state.classes(), [RequestClass::Read]);
+}
+
 /// A name must not be prepared twice, and a dropped one must be free again.
 #[tokio::test]
 async fn prepared_names_are_checked() {
