Show why a new team is not served

Cause: one run in 19 did not serve a new team within 20 s, and the test told nothing of the reason. Conclusion: no change of the check.

--- a/tests/testsuite/key_withdrawal.rs
+++ b/tests/testsuite/key_withdrawal.rs
@@ -1,6 +1,8 @@
 //! A withdrawn key must stop working everywhere, on open sessions, on daemons that cannot see the
 //! store, and on daemons that were frozen while it was withdrawn.
 
+use std::cell::RefCell;
+
 use tokio_postgres::error::SqlState;
 
 use crate::support::bundle_text::BundleText;
@@ -162,10 +164,16 @@
             .await
             .expect("the new team is known");
         // The rate of a new team holds once all holders of the old share table have the new one.
-        system
-            .wait_until("the new team is served", async || {
-                client.simple_query("SELECT 1").await.is_ok()
+        let refusal = RefCell::new(None);
+        let served = system
+            .reached(async || match client.simple_query("SELECT 1").await {
+                Ok(_) => true,
+                Err(error) => {
+                    refusal.replace(Some(error));
+                    false
+                }
             })
             .await;
+        assert!(served, "daemon {daemon}: {refusal:?}\n{}", system.logs());
     }
 }
--- a/tests/testsuite/support/running_system.rs
+++ b/tests/testsuite/support/running_system.rs
@@ -265,12 +265,21 @@
 
     /// Waits for a state that is reached in the background; fails the test if it is not.
     pub async fn wait_until(&self, what: &str, condition: impl AsyncFn() -> bool) {
+        assert!(
+            self.reached(condition).await,
+            "{what} did not happen\n{}",
+            self.logs()
+        );
+    }
+
+    /// Returns whether a state is reached in the background.
+    pub async fn reached(&self, condition: impl AsyncFn() -> bool) -> bool {
         for _ in 0..START_ATTEMPTS {
             if condition().await {
-                return;
+                return true;
             }
             tokio::time::sleep(START_PAUSE).await;
         }
-        panic!("{what} did not happen\n{}", self.logs());
+        false
     }
 }
