Let the caller listener require TLS and limit callers

The settings have caller_tls_required and max_caller_connections, and nothing applied them: a caller without TLS was let in. The listener now refuses with 28000 and 53300 before it asks for a key. The daemon still has to pass the two settings to CallerLimits, whose defaults keep the present behavior.

The test for TLS is stricter than before: it also requires TLS and expects that a plain caller is refused.

--- a/src/connection/listener_config.rs
+++ b/src/connection/listener_config.rs
@@ -27,9 +27,13 @@
     }
 }
 
-/// The bounds of a caller's connection in size and time.
+/// What a caller's connection may be, in kind, size and time.
 #[derive(Debug, Clone)]
 pub struct CallerLimits {
+    /// How many callers may be connected at once.
+    pub callers: usize,
+    /// Whether callers without TLS are refused.
+    pub tls_required: bool,
     /// The longest startup or authentication message, in bytes.
     pub startup_bytes: usize,
     /// How long start-up and authentication may take together.
@@ -63,6 +67,8 @@
 impl Default for CallerLimits {
     fn default() -> Self {
         Self {
+            callers: 10_000,
+            tls_required: false,
             startup_bytes: 10_000,
             startup_time: Duration::from_secs(10),
             message_bytes: 64 * 1024 * 1024,
--- a/src/connection/startup.rs
+++ b/src/connection/startup.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 
 use bytes::BytesMut;
 use ntex::codec::Decoder;
@@ -167,7 +168,7 @@
 }
 
 async fn start_session(state: Arc<ListenerState>, io: Io) -> Option<CallerSession> {
-    let (stream, packet) = match negotiate(&state, io).await {
+    let (stream, packet, encrypted) = match negotiate(&state, io).await {
         Ok(found) => found?,
         Err(fault) => {
             tracing::debug!("caller: start-up failed: {fault}");
@@ -177,6 +178,10 @@
     let caller = CallerStream::new(stream, state.config.limits.startup_bytes);
     match packet {
         StartupPacket::Start { minor, parameters } => {
+            if let Err(error) = check_connection(&state, encrypted) {
+                tell_refusal(&caller, &error).await;
+                return None;
+            }
             // The session compares later views with this bundle, so the view must not be older.
             state.refresh_view();
             let bundle = state.view.borrow().bundle.clone();
@@ -212,6 +217,18 @@
     None
 }
 
+/// Checks what must hold before a caller is asked for its key.
+fn check_connection(state: &ListenerState, encrypted: bool) -> Result<(), CallerError> {
+    let limits = &state.config.limits;
+    if limits.tls_required && !encrypted {
+        return Err(CallerError::new("28000", "TLS is required"));
+    }
+    if state.sessions.load(Ordering::Relaxed) > limits.callers {
+        return Err(CallerError::new("53300", "too many callers are connected"));
+    }
+    Ok(())
+}
+
 async fn tell_refusal(caller: &CallerStream, error: &CallerError) {
     let mut out = BytesMut::new();
     error.encode(ErrorReach::Connection, &mut out);
@@ -219,11 +236,12 @@
     caller.close().await;
 }
 
-/// Answers requests for encryption and returns the connection with the packet behind them.
+/// Answers requests for encryption and returns the connection, the packet behind them, and whether
+/// it came encrypted.
 async fn negotiate(
     state: &ListenerState,
     io: Io,
-) -> Result<Option<(IoBoxed, StartupPacket)>, CallerFault> {
+) -> Result<Option<(IoBoxed, StartupPacket, bool)>, CallerFault> {
     let codec = StartupCodec {
         limit: state.config.limits.startup_bytes,
     };
@@ -242,10 +260,10 @@
                 let limit = Millis(millis(state.config.limits.startup_time));
                 let io = TlsServerFilter::create(io, tls.clone(), limit).await?;
                 let packet = recv_packet(&io, &codec).await?;
-                return Ok(packet.map(|packet| (io.boxed(), packet)));
+                return Ok(packet.map(|packet| (io.boxed(), packet, true)));
             }
             (StartupPacket::Tls | StartupPacket::Gss, _) => io.encode_slice(b"N")?,
-            (packet, _) => return Ok(Some((io.boxed(), packet))),
+            (packet, _) => return Ok(Some((io.boxed(), packet, false))),
         }
     }
     Err(CallerFault::Frame(FrameError::BadBody))
--- a/tests/testsuite/caller_startup.rs
+++ b/tests/testsuite/caller_startup.rs
@@ -313,7 +313,14 @@
         .with_no_client_auth()
         .with_single_cert(chain.clone(), key)
         .expect("certificate");
-    let fixture = CallerFixture::start_with(|config| config.tls = Some(Arc::new(server))).await;
+    let fixture = CallerFixture::start_with(|config| {
+        config.tls = Some(Arc::new(server));
+        config.limits.tls_required = true;
+    })
+    .await;
+    let plain = caller_fixture::connect(&fixture.driver()).await;
+    let refused = plain.expect_err("a caller without TLS is refused");
+    assert_eq!(sqlstate(&refused), "28000");
     let mut caller = RawCaller::open(&fixture).await;
     caller
         .send(&raw_caller::startup_packet(80_877_103, b""))
@@ -343,6 +350,21 @@
     client.batch_execute("SELECT 1").await.expect("read");
 }
 
+/// Callers beyond the limit must not use up the memory of the instance.
+#[tokio::test]
+async fn callers_beyond_the_limit_are_refused() {
+    let fixture = CallerFixture::start_with(|config| config.limits.callers = 1).await;
+    let first = fixture.connect().await;
+    let second = caller_fixture::connect(&fixture.driver()).await;
+    let refused = second.expect_err("a second caller is refused");
+    assert_eq!(sqlstate(&refused), "53300");
+    first.batch_execute("SELECT 1").await.expect("read");
+    drop(first);
+    while caller_fixture::connect(&fixture.driver()).await.is_err() {
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
 /// Bytes sent before a TLS handshake must not count as protected by it.
 #[tokio::test]
 async fn plain_bytes_before_tls_are_refused() {
