Test the guards of failure detection one by one

Cause: the simulated runs do not reach the single long silence of a replica that wakes up, nor reports from before a pause, since their calls time out first. The test feeds them to the detector.

--- a/tests/testsuite/failover_rules.rs
+++ b/tests/testsuite/failover_rules.rs
@@ -261,3 +261,35 @@
     let mut detector = FailureDetector::new(FailoverLimits::default());
     assert!(judge(&mut detector, &ids[..1]).is_some());
 }
+
+// Guards against promotions on the one long silence that a frozen replica reports when it wakes
+// up, on reports from before a pause of this process, and right after a promotion.
+#[test]
+fn silence_must_be_reported_twice_and_lately() {
+    let ids: Vec<InstanceId> = vec!["a".parse().unwrap()];
+    let mut view = group_view();
+    let point = LogPoint::new(1, 5);
+    let primary = status(EndpointRole::Primary, point, 0);
+    view.observe(&endpoint_id(0), primary.clone(), millis(0), millis(0));
+    let mut detector = FailureDetector::new(FailoverLimits::default());
+    let mut judge = |view: &GroupView, now| detector.judge(view, &ids[0], &ids, &[], millis(now));
+    let silent_at = |view: &mut GroupView, now| {
+        for index in 1..3 {
+            let mut replica = status(EndpointRole::Replica, point, 0);
+            replica.upstream_silence = Some(Duration::from_millis(1200));
+            view.observe(&endpoint_id(index), replica, millis(now), millis(now));
+        }
+    };
+    silent_at(&mut view, 1000);
+    silent_at(&mut view, 1100);
+    assert_eq!(judge(&view, 1100), None, "replicas may still attach");
+    silent_at(&mut view, 3000);
+    assert_eq!(judge(&view, 3000), None, "one report after a gap");
+    silent_at(&mut view, 3100);
+    assert!(judge(&view, 3100).is_some());
+    assert_eq!(judge(&view, 9000), None, "reports from before a pause");
+    let next = status(EndpointRole::Primary, LogPoint::new(2, 6), 2);
+    view.observe(&endpoint_id(1), next, millis(9000), millis(9000));
+    silent_at(&mut view, 9100);
+    assert_eq!(judge(&view, 9100), None, "a new primary was just seen");
+}
