Measure the control cost of an idle fleet

Cause: docs/CAPACITY.md needs slopes, and nothing measured a whole daemon. Coordinators and watchers were recomputed for every service four times a second: 2 N hashes a service, 827,000 hashes each time at 530 instances and 780 services. They now follow changes of the live set only. Ruled out: caching in the rendezvous functions, which are pure.

--- a/src/cmd/dev.rs
+++ b/src/cmd/dev.rs
@@ -8,6 +8,7 @@
 use crate::cmd::cmd_error::CmdError;
 use crate::cmd::dev_exercise::run_exercise;
 use crate::cmd::dev_system::DevSystem;
+use crate::cmd::dev_system::INSTANCES;
 use crate::cmd::dev_system::SERVICE;
 use crate::cmd::dev_system::TEAMS;
 use crate::process::log_setup::init_logging;
@@ -30,7 +31,7 @@
             .enable_all()
             .build()?;
         runtime.block_on(async {
-            let system = DevSystem::start().await.map_err(CmdError::Dev)?;
+            let system = DevSystem::start(INSTANCES).await.map_err(CmdError::Dev)?;
             let status = if self.exercise {
                 run_exercise(&system, output).await?
             } else {
--- a/src/cmd/dev_system.rs
+++ b/src/cmd/dev_system.rs
@@ -45,7 +45,8 @@
 
 const ZONES: [&str; 3] = ["lagos-a", "lagos-b", "lagos-c"];
 const ENDPOINTS: usize = 3;
-const INSTANCES: usize = 2;
+/// How many instances `dev` starts.
+pub const INSTANCES: usize = 2;
 const ITERATIONS: u32 = 4096;
 const SALT: &[u8] = b"tamaracklb dev salt";
 const SIGNER: &str = "dev-signer";
@@ -104,16 +105,16 @@
 }
 
 impl DevSystem {
-    /// Starts the system.
-    pub async fn start() -> Result<DevSystem, DevError> {
+    /// Starts the system with a number of instances.
+    pub async fn start(instances: usize) -> Result<DevSystem, DevError> {
         let files = tempfile::tempdir()?;
         let store = standins::store::start(&StoreConfig::default())?;
         let endpoints = start_endpoints()?;
         let signer = SignerSecret::from_seed(rand::random());
         store_bundle(store.address(), &sample_bundle(&endpoints)?, &signer).await?;
         let authority = PeerAuthority::generate().map_err(DevError::Certificates)?;
-        let peers = free_udp_addresses(INSTANCES)?;
-        let tcp = free_tcp_addresses(2 * INSTANCES)?;
+        let peers = free_udp_addresses(instances)?;
+        let tcp = free_tcp_addresses(2 * instances)?;
         store.set_instances(instance_list(&peers));
         let mut daemons = Vec::new();
         for (index, &peer) in peers.iter().enumerate() {
--- a/src/process/daemon_parts.rs
+++ b/src/process/daemon_parts.rs
@@ -1,7 +1,9 @@
 //! The parts of a daemon and the calls between them.
 
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::sync::OnceLock;
+use std::sync::PoisonError;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
@@ -96,6 +98,8 @@
     pub open_transactions: Arc<AtomicU64>,
     /// Becomes true when an operator asks for a graceful stop.
     pub drain_request: watch::Sender<bool>,
+    /// The live instances that the services were last told of.
+    live: Mutex<Vec<MemberRecord>>,
     /// The QUIC endpoint, once it is open.
     pub mesh: Arc<OnceLock<Arc<PeerMesh>>>,
 }
@@ -152,6 +156,7 @@
             started,
             open_transactions: Arc::new(AtomicU64::new(0)),
             drain_request: watch::Sender::new(false),
+            live: Mutex::default(),
             mesh,
         })
     }
@@ -180,7 +185,11 @@
         };
         self.digests.keep_only(&known);
         self.digests.record(&self.links.digest(), now);
-        self.services.set_live(&live);
+        // Coordinators and watchers depend on the live set alone, and hashing all members for all
+        // services is the largest part of the control work.
+        if self.note_live(&live) {
+            self.services.set_live(&live);
+        }
         for shard in 0..SHARE_SHARDS {
             self.shares
                 .set_members(shard, self.digests.share_members(shard, &live));
@@ -192,6 +201,16 @@
         }
     }
 
+    /// Returns whether the live instances differ from those at the last call.
+    fn note_live(&self, live: &[MemberRecord]) -> bool {
+        let mut last = self.live.lock().unwrap_or_else(PoisonError::into_inner);
+        let changed = last.as_slice() != live;
+        if changed {
+            *last = live.to_vec();
+        }
+        changed
+    }
+
     /// Admits a request: evidence about the bundle, rate, endpoint and slot, in this order.
     pub async fn admit(&self, query: AdmitQuery) -> Result<SlotPermit, RequestRefusal> {
         if self.links.evidence() == StoreEvidence::Isolated {
--- a/src/process/peers/peer_mesh.rs
+++ b/src/process/peers/peer_mesh.rs
@@ -5,6 +5,8 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use futures_util::future::BoxFuture;
@@ -31,6 +33,7 @@
 pub struct PeerMesh {
     endpoint: quinn::Endpoint,
     links: [LinkShard; LINK_SHARDS],
+    sent_bytes: AtomicU64,
     accept_task: JoinHandle<()>,
 }
 
@@ -48,6 +51,7 @@
         Ok(Self {
             endpoint,
             links: Default::default(),
+            sent_bytes: AtomicU64::new(0),
             accept_task,
         })
     }
@@ -57,6 +61,11 @@
         self.endpoint.local_addr().ok()
     }
 
+    /// Returns the bytes of all requests that were sent, without the overhead of the transport.
+    pub fn sent_bytes(&self) -> u64 {
+        self.sent_bytes.load(Ordering::Relaxed)
+    }
+
     /// Sends a request and waits for its reply, for `limit` at most.
     pub async fn ask(
         &self,
@@ -65,6 +74,8 @@
         limit: Duration,
     ) -> Result<PeerReply, PeerError> {
         let bytes = encode_message(request)?;
+        self.sent_bytes
+            .fetch_add(bytes.len() as u64, Ordering::Relaxed);
         match tokio::time::timeout(limit, self.exchange(address, &bytes)).await {
             Ok(Ok(reply)) => Ok(reply),
             Ok(Err(error)) => {
