--- a/src/connection/endpoint_link.rs
+++ b/src/connection/endpoint_link.rs
@@ -262,7 +262,7 @@
             .body()
             .split_first_chunk::<4>()
             .ok_or(LinkError::Protocol)?;
-        let password = config.endpoint_password.reveal();
+        let password = config.endpoint_password.expose();
         match (i32::from_be_bytes(*code), scram) {
             (0, _) => {}
             (3, _) => {
--- a/src/connection/listener_config.rs
+++ b/src/connection/listener_config.rs
@@ -1,31 +1,10 @@
 //! What the caller listener is started with.
 
-use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
-/// A text that is never printed.
-#[derive(Clone, Default)]
-pub struct SecretText(String);
-
-impl SecretText {
-    /// Wraps a secret.
-    pub fn new(secret: impl Into<String>) -> Self {
-        Self(secret.into())
-    }
-
-    /// Returns the secret.
-    pub fn reveal(&self) -> &str {
-        &self.0
-    }
-}
-
-impl fmt::Debug for SecretText {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("(secret)")
-    }
-}
+use crate::version::secret_text::SecretText;
 
 /// What a caller's connection may be, in kind, size and time.
 #[derive(Debug, Clone)]
--- a/src/connection/startup.rs
+++ b/src/connection/startup.rs
@@ -381,7 +381,7 @@
                 key: None,
             });
         }
-        let secret = self.state.config.salt_secret.reveal().as_bytes();
+        let secret = self.state.config.salt_secret.expose().as_bytes();
         let verifiers = ScramVerifiers::for_team(&self.bundle, user, secret);
         let key = self.check_key(verifiers, out).await?;
         let team: TeamId = user.parse().map_err(|_| wrong_key())?;
--- a/src/process/daemon.rs
+++ b/src/process/daemon.rs
@@ -15,7 +15,6 @@
 use crate::connection::listener::ListenerHandle;
 use crate::connection::listener_config::CallerLimits;
 use crate::connection::listener_config::ListenerConfig;
-use crate::connection::listener_config::SecretText;
 use crate::process::bundle_feed::BundleFeed;
 use crate::process::bundle_intake::BundleSource;
 use crate::process::caller_tls::load_caller_tls;
@@ -37,6 +36,7 @@
 use crate::process::wall_time::WallTime;
 use crate::request::ports::RequestPorts;
 use crate::request::refusal::RequestRefusal;
+use crate::version::secret_text::SecretText;
 
 const MEMBERS_PERIOD: Duration = Duration::from_millis(250);
 const REFUSALS_PERIOD: Duration = Duration::from_secs(10);
@@ -260,9 +260,11 @@
             .map(load_caller_tls)
             .transpose()?,
         endpoint_user: settings.endpoint_user.clone(),
-        endpoint_password: SecretText::new(password),
+        endpoint_password: settings.endpoint_password.clone(),
         salt_secret: SecretText::new(salt_secret(password)),
         limits: CallerLimits {
+            callers: settings.max_caller_connections,
+            tls_required: settings.caller_tls_required,
             startup_time: settings.startup_timeout,
             message_bytes: settings.max_message_bytes,
             queue_wait: settings.queue_timeout,
--- a/src/version/secret_text.rs
+++ b/src/version/secret_text.rs
@@ -3,13 +3,13 @@
 use std::fmt;
 
 /// A secret text; `Debug` and `Display` hide it.
-#[derive(Clone)]
+#[derive(Clone, Default)]
 pub struct SecretText(String);
 
 impl SecretText {
     /// Wraps a text.
-    pub fn new(text: String) -> Self {
-        Self(text)
+    pub fn new(text: impl Into<String>) -> Self {
+        Self(text.into())
     }
 
     /// Returns the text itself, for the place that needs it.
--- a/tests/testsuite/standin_fixture.rs
+++ b/tests/testsuite/standin_fixture.rs
@@ -14,13 +14,13 @@
 use tamaracklb::connection::listener::ListenerHandle;
 use tamaracklb::connection::listener_config::CallerLimits;
 use tamaracklb::connection::listener_config::ListenerConfig;
-use tamaracklb::connection::listener_config::SecretText;
 use tamaracklb::request::log_point::LogPoint;
 use tamaracklb::request::ports::AdmitQuery;
 use tamaracklb::request::ports::RequestClass;
 use tamaracklb::request::ports::RequestPorts;
 use tamaracklb::request::ports::SlotPermit;
 use tamaracklb::request::refusal::RequestRefusal;
+use tamaracklb::version::secret_text::SecretText;
 use tamaracklb::version::units::ConnectionCount;
 use tokio_postgres::Client;
 
