--- a/src/process/shares/shard.rs
+++ b/src/process/shares/shard.rs
@@ -31,8 +31,6 @@
 use crate::version::ids::InstanceId;
 use crate::version::ids::TeamId;
 
-/// How many instances of a shard may change its table on behalf of others.
-const ACTING_RANKS: usize = 5;
 /// The pause after the table was first found absent; it doubles up to 1.6 s.
 const FIRST_ABSENT_PAUSE: Duration = Duration::from_millis(50);
 
