--- a/tests/testsuite/caller_startup.rs
+++ b/tests/testsuite/caller_startup.rs
@@ -160,7 +160,7 @@
     assert!(!printed.contains(&bundle.teams[0].keys[0].stored_key));
     let frame = WireFrame::new(b'p', b"folio-key");
     assert!(!format!("{frame:?}").contains("folio-key"));
-    let secret = tamaracklb::connection::listener_config::SecretText::new("folio-key");
+    let secret = tamaracklb::version::secret_text::SecretText::new("folio-key");
     assert!(!format!("{secret:?}").contains("folio-key"));
 }
 
