Read the share table after a lost race for the first one

An instance that lost the race for the first table still took it for absent and wrote it again on every tick. Since it never read the revision, it could not write any later change either, such as the rates of a new bundle or the share of a dead owner. Ruled out: the bundle watch (1 call a second) and the give-away to joined instances (the table's version stood still). Conclusion: a conflict means that a table exists.

--- a/src/process/shares/shard.rs
+++ b/src/process/shares/shard.rs
@@ -221,6 +221,8 @@
                 self.announce(&table, &mut out);
             }
             (StoreAnswer::Conflict, _) => {
+                // Somebody wrote a table, so the next call must read it.
+                self.absent = false;
                 self.needs_read = true;
                 self.next_read = now;
             }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -45,6 +45,7 @@
 mod raw_caller;
 mod read_share;
 mod scripted_endpoint;
+mod share_start;
 mod slot_queue;
 #[allow(dead_code)]
 #[path = "../../examples/limits_bench/slot_sim.rs"]
