Defer requests while no owner has answered

Cause: process tests on a loaded machine got 53400 inside the rate. A request was deferred only for the 40 ms ask timeout; a later answer found it refused. Without a table or a lease it was refused at once. Ruled out: the bound itself, which is checked by rate_shares and holds.

--- a/src/process/shares/holder.rs
+++ b/src/process/shares/holder.rs
@@ -748,11 +748,17 @@
 
     /// Whether more share may arrive soon.
     fn expects(&self, team: &TeamId, now: MonotonicTime) -> bool {
+        // Without a table or a lease nobody knows yet whether the team is above its rate.
+        if self.table.is_none() || (self.units() > 0 && now >= self.lease_end) {
+            return true;
+        }
         self.teams.get(team).is_some_and(|bucket| {
+            // An answer may be late where processes compete for the processor; a request that is
+            // repeated after the ask timeout keeps its turn until the longest deferral.
             let asked = |borrowed: &BorrowedShare| {
                 borrowed
                     .outstanding
-                    .is_some_and(|(_, sent)| now.saturating_since(sent) < self.settings.ask_timeout)
+                    .is_some_and(|(_, sent)| now.saturating_since(sent) < self.settings.max_defer)
             };
             now < bucket.pending_until || bucket.borrowed.values().any(asked)
         })
