Let requests wait for the first tokens of a new share

Cause: an instance that has just taken over a share holds it with an empty bucket and a lease that is not renewed yet. Requests in that moment, after a drain or a start, got 53400 although the team was inside its rate. A deferred request was woken by grants only, so tokens that accrued did not help it. Ruled out: starting the bucket with tokens, as the former owner may have used them.

--- a/src/process/share_driver.rs
+++ b/src/process/share_driver.rs
@@ -36,6 +36,9 @@
 /// How many shards the teams are divided into; all instances must use the same number.
 pub const SHARE_SHARDS: usize = 4;
 
+/// The longest pause between two attempts of a deferred request.
+const DEFER_RETRY: Duration = Duration::from_millis(10);
+
 /// How often each shard does what is due.
 pub const TICK_PERIOD: Duration = Duration::from_millis(20);
 
@@ -164,9 +167,11 @@
                 }
             }
             let left = deadline.saturating_since(timers::now());
-            if tokio::time::timeout(left, notified).await.is_err() {
+            if left.is_zero() {
                 return Err(RequestRefusal::AboveRate);
             }
+            // Tokens that accrue wake nobody, so the attempt is repeated after a while as well.
+            let _ = tokio::time::timeout(left.min(DEFER_RETRY), notified).await;
         }
     }
 
--- a/src/process/shares/holder.rs
+++ b/src/process/shares/holder.rs
@@ -145,11 +145,17 @@
     ///
     /// It starts empty, as an earlier owner may have used the burst.
     fn open_buckets(&mut self, now: MonotonicTime) {
-        if self.units() > 0 {
-            for team in self.limits.keys() {
-                self.teams
-                    .entry(team.clone())
-                    .or_insert_with(|| TeamBucket::new(now));
+        if self.units() == 0 {
+            return;
+        }
+        for team in self.limits.keys() {
+            let bucket = self
+                .teams
+                .entry(team.clone())
+                .or_insert_with(|| TeamBucket::new(now));
+            if bucket.tokens < 1.0 {
+                // The first tokens of a new share are on their way, so requests wait for them.
+                bucket.pending_until = bucket.pending_until.max(now + self.settings.max_defer);
             }
         }
     }
