Wait for an owner's answer up to the request's own limit

Cause: after the death of an owner its share is locked until its lease ends, 2 s to 4 s. Requests were refused with 53400 after 0.5 s, although nobody knew whether the team was above its rate (graceful_stop::crash_leaves_nothing_behind). Ruled out: reclaiming earlier, as the dead process may only be paused. Conclusion: until an owner answers, a request waits as long as it would for a slot; once one has answered, 0.5 s.

--- a/src/process/daemon_parts.rs
+++ b/src/process/daemon_parts.rs
@@ -217,7 +217,7 @@
             return Err(RequestRefusal::Isolated);
         }
         if !query.charged {
-            self.shares.admit(&query.team).await?;
+            self.shares.admit(&query.team, query.wait).await?;
         }
         let mut permit = self.services.take_permit(&query).await?;
         let open = self.open_transactions.clone();
--- a/src/process/share_driver.rs
+++ b/src/process/share_driver.rs
@@ -28,6 +28,7 @@
 use crate::process::shares::table::ShareTable;
 use crate::process::shares::table::TeamLimit;
 use crate::process::timers;
+use crate::process::timers::MonotonicTime;
 use crate::request::refusal::RequestRefusal;
 use crate::version::bundle::BundleConfig;
 use crate::version::ids::InstanceId;
@@ -135,9 +136,15 @@
     }
 
     /// Charges one request to a team, and waits where share is on its way.
-    pub async fn admit(self: &Arc<Self>, team: &TeamId) -> Result<(), RequestRefusal> {
+    ///
+    /// It waits for `wait` at most, or for the longest deferral once an owner has answered.
+    pub async fn admit(
+        self: &Arc<Self>,
+        team: &TeamId,
+        wait: Duration,
+    ) -> Result<(), RequestRefusal> {
         let number = shard_of(team);
-        let deadline = timers::now() + self.settings.max_defer;
+        let arrived = timers::now();
         let mut deferral = None;
         loop {
             let notify = self.waker(number, team);
@@ -166,7 +173,9 @@
                     };
                 }
             }
-            let left = deadline.saturating_since(timers::now());
+            let left = self
+                .deferral_end(number, team, arrived, wait)
+                .saturating_since(timers::now());
             if left.is_zero() {
                 return Err(RequestRefusal::AboveRate);
             }
@@ -175,6 +184,25 @@
         }
     }
 
+    fn deferral_end(
+        &self,
+        number: usize,
+        team: &TeamId,
+        arrived: MonotonicTime,
+        wait: Duration,
+    ) -> MonotonicTime {
+        let state = self.lock(number);
+        if state
+            .shard
+            .holder()
+            .is_answered(team, arrived, timers::now())
+        {
+            arrived + self.settings.max_defer.min(wait)
+        } else {
+            arrived + wait
+        }
+    }
+
     fn try_admit(self: &Arc<Self>, number: usize, team: &TeamId, attempt: Attempt) -> Admission {
         let mut actions = Vec::new();
         let admission = self
--- a/src/process/shares/bucket.rs
+++ b/src/process/shares/bucket.rs
@@ -74,6 +74,8 @@
     pub ask_pause: Duration,
     /// How many owners the next search asks at least.
     pub ask_width: usize,
+    /// When an owner last answered a request for share.
+    pub answered_at: MonotonicTime,
     /// Until when an owner expects more to become free.
     pub pending_until: MonotonicTime,
     /// When the last request came.
@@ -94,6 +96,7 @@
             next_early_ask: now,
             ask_pause: Duration::ZERO,
             ask_width: MIN_ASK_WIDTH,
+            answered_at: MonotonicTime::default(),
             pending_until: MonotonicTime::default(),
             last_arrival: now,
             updated: now,
--- a/src/process/shares/holder.rs
+++ b/src/process/shares/holder.rs
@@ -526,6 +526,7 @@
             if grant.term_ms == 0 || ends <= now {
                 continue;
             }
+            bucket.answered_at = now;
             borrowed.ends = if settings.ablation.no_lease_check {
                 MonotonicTime::from_nanos(u64::MAX)
             } else {
@@ -752,10 +753,33 @@
         }
     }
 
+    /// Whether this instance owns share under a lease, or knows a live instance that owns some.
+    fn has_share_source(&self, now: MonotonicTime) -> bool {
+        let Some(table) = &self.table else {
+            return false;
+        };
+        if self.units() > 0 {
+            return now < self.lease_end;
+        }
+        let lends = |owner: &&InstanceIncarnation| {
+            !table.revoked.contains(*owner) && self.live.contains(*owner)
+        };
+        table.owners.keys().any(|owner| lends(&owner))
+    }
+
+    /// Returns whether anybody has decided on a team's share since a request arrived.
+    pub fn is_answered(&self, team: &TeamId, arrived: MonotonicTime, now: MonotonicTime) -> bool {
+        let owns = self.units() > 0 && now < self.lease_end;
+        owns || self
+            .teams
+            .get(team)
+            .is_some_and(|bucket| bucket.answered_at >= arrived)
+    }
+
     /// Whether more share may arrive soon.
     fn expects(&self, team: &TeamId, now: MonotonicTime) -> bool {
-        // Without a table or a lease nobody knows yet whether the team is above its rate.
-        if self.table.is_none() || (self.units() > 0 && now >= self.lease_end) {
+        // Without a table, a lease or an owner nobody knows yet whether the team is above its rate.
+        if !self.has_share_source(now) {
             return true;
         }
         self.teams.get(team).is_some_and(|bucket| {
