Call endpoints of a group by one function

Cause: status, await and promotion calls stood three times in the same shape in the group watcher. Ruled out: async closures with a Send bound, which stable Rust cannot state; the calls are boxed futures. Conclusion: no change of behaviour.

--- a/src/process/group_watcher.rs
+++ b/src/process/group_watcher.rs
@@ -8,6 +8,7 @@
 use std::sync::PoisonError;
 use std::time::Duration;
 
+use futures_util::future::BoxFuture;
 use tokio::sync::oneshot;
 use tracing::debug;
 
@@ -40,6 +41,8 @@
 const REPORT_AGE: Duration = Duration::from_secs(1);
 const AWAIT_MARGIN: Duration = Duration::from_millis(500);
 
+type ControlAnswer = Result<EndpointStatus, ControlError>;
+
 /// Takes the decisions that are worth a journal entry.
 pub type EventFn = Box<dyn Fn(GroupEvent) + Send + Sync>;
 
@@ -245,69 +248,62 @@
     }
 
     fn ask_status(self: &Arc<Self>, endpoint: EndpointId) {
-        let watcher = self.clone();
-        let control = self.control_of(&endpoint);
-        tokio::spawn(async move {
-            let asked_at = timers::now();
-            let answer = match control {
-                Some(control) => control.status(CALL_TIMEOUT).await,
-                None => return,
-            };
-            let answer = watcher.read_answer(&endpoint, answer);
-            let now = timers::now();
-            let actions = watcher
-                .lock()
-                .controller
-                .on_status(&endpoint, asked_at, answer, now);
-            watcher.perform(actions);
-        });
+        self.spawn_call(
+            endpoint,
+            |control| Box::pin(async move { control.status(CALL_TIMEOUT).await }),
+            |controller, endpoint, asked_at, answer| {
+                controller.on_status(endpoint, asked_at, answer, timers::now())
+            },
+        );
     }
 
     fn ask_await(self: &Arc<Self>, endpoint: EndpointId, point: LogPoint, wait: Duration) {
-        let watcher = self.clone();
-        let control = self.control_of(&endpoint);
-        tokio::spawn(async move {
-            let asked_at = timers::now();
-            let answer = match control {
-                Some(control) => control.await_point(point, wait, AWAIT_MARGIN).await,
-                None => return,
-            };
-            let answer = watcher.read_answer(&endpoint, answer);
-            let now = timers::now();
-            let actions = watcher
-                .lock()
-                .controller
-                .on_await(&endpoint, point, asked_at, answer, now);
-            watcher.perform(actions);
-        });
+        self.spawn_call(
+            endpoint,
+            move |control| {
+                Box::pin(async move { control.await_point(point, wait, AWAIT_MARGIN).await })
+            },
+            move |controller, endpoint, asked_at, answer| {
+                controller.on_await(endpoint, point, asked_at, answer, timers::now())
+            },
+        );
     }
 
     fn ask_promotion(self: &Arc<Self>, action: PromotionAction) {
-        let watcher = self.clone();
-        let endpoint = match &action {
-            PromotionAction::Fence { endpoint, .. } | PromotionAction::Promote { endpoint, .. } => {
-                endpoint.clone()
-            }
-        };
+        let (PromotionAction::Fence { endpoint, .. } | PromotionAction::Promote { endpoint, .. }) =
+            &action;
+        self.spawn_call(
+            endpoint.clone(),
+            move |control| Box::pin(async move { carry_out(&control, &action).await }),
+            |controller, endpoint, asked_at, answer| {
+                controller.on_answer(endpoint, asked_at, answer, timers::now())
+            },
+        );
+    }
+
+    /// Calls an endpoint in a task of its own and hands the answer to the controller.
+    fn spawn_call(
+        self: &Arc<Self>,
+        endpoint: EndpointId,
+        call: impl FnOnce(Arc<EndpointControl>) -> BoxFuture<'static, ControlAnswer> + Send + 'static,
+        finish: impl FnOnce(
+            &mut GroupController,
+            &EndpointId,
+            MonotonicTime,
+            Result<EndpointStatus, CallFailure>,
+        ) -> Vec<GroupAction>
+        + Send
+        + 'static,
+    ) {
         let Some(control) = self.control_of(&endpoint) else {
             return;
         };
+        let watcher = self.clone();
         tokio::spawn(async move {
             let asked_at = timers::now();
-            let answer = match &action {
-                PromotionAction::Fence { term, proposer, .. } => {
-                    control.fence(*term, proposer, CALL_TIMEOUT).await
-                }
-                PromotionAction::Promote { term, proposer, .. } => {
-                    control.promote(*term, proposer, CALL_TIMEOUT).await
-                }
-            };
+            let answer = call(control).await;
             let answer = watcher.read_answer(&endpoint, answer);
-            let now = timers::now();
-            let actions = watcher
-                .lock()
-                .controller
-                .on_answer(&endpoint, asked_at, answer, now);
+            let actions = finish(&mut watcher.lock().controller, &endpoint, asked_at, answer);
             watcher.perform(actions);
         });
     }
@@ -315,7 +311,7 @@
     fn read_answer(
         &self,
         endpoint: &EndpointId,
-        answer: Result<EndpointStatus, ControlError>,
+        answer: ControlAnswer,
     ) -> Result<EndpointStatus, CallFailure> {
         answer.map_err(|error| {
             debug!("group: call to {endpoint} failed: {error}");
@@ -332,6 +328,17 @@
     }
 }
 
+async fn carry_out(control: &EndpointControl, action: &PromotionAction) -> ControlAnswer {
+    match action {
+        PromotionAction::Fence { term, proposer, .. } => {
+            control.fence(*term, proposer, CALL_TIMEOUT).await
+        }
+        PromotionAction::Promote { term, proposer, .. } => {
+            control.promote(*term, proposer, CALL_TIMEOUT).await
+        }
+    }
+}
+
 enum WaitId {
     Confirm(ConfirmId),
     Floor(FloorId),
