--- a/src/process/daemon_parts.rs
+++ b/src/process/daemon_parts.rs
@@ -92,6 +92,8 @@
     pub burn: Arc<BurnReport>,
     /// The metrics.
     pub metrics: Arc<ProcessMetrics>,
+    /// The client of the store.
+    pub store: StoreClient,
     /// When the process started.
     pub started: MonotonicTime,
     /// Transactions that hold a permit.
@@ -153,6 +155,7 @@
             draining,
             burn: Arc::new(BurnReport::new(instance, started)),
             metrics: Arc::new(ProcessMetrics::new(env!("CARGO_PKG_VERSION"))?),
+            store: store.clone(),
             started,
             open_transactions: Arc::new(AtomicU64::new(0)),
             drain_request: watch::Sender::new(false),
