--- a/tests/testsuite/whole_system.rs
+++ b/tests/testsuite/whole_system.rs
@@ -44,6 +44,22 @@
     }
 }
 
+/// Guards against refusals of a team with a low rate in the first moments of a fleet.
+#[tokio::test]
+async fn low_rate_is_served_from_the_start() {
+    let team = SystemTeam {
+        id: "ikoyi-studio".to_owned(),
+        key: "ikoyi-key".to_owned(),
+        rate: 100.0,
+        burst: 100.0,
+    };
+    let system = SystemBuilder::new().teams(vec![team]).start().await;
+    let first = system.connect(0).await;
+    write(&first, "a", "1").await.unwrap();
+    let second = system.connect(1).await;
+    assert_eq!(read(&second, "a").await.as_deref(), Some("1"));
+}
+
 /// Guards against acknowledged writes that are lost when the primary's process dies, and against a
 /// group that takes no writes afterwards.
 #[tokio::test]
