Defer requests while units move to another owner

Cause: whole_system::low_rate_is_served_from_the_start got 53400 at its first write. An owner that gives half of its units to an instance that joined stops using them before it writes the table. Until the other has the table they belong to nobody, and both answered that there was no more. All rate_shares, share_start and slot_queue tests pass.

--- a/src/process/shares/holder.rs
+++ b/src/process/shares/holder.rs
@@ -476,11 +476,15 @@
             bucket.tokens -= tokens;
         }
         let short = target - held - added > 0.01 * own.fraction;
-        let pending = if short {
+        let mut pending = if short {
             recall(bucket, Some(from), own.fraction, total, team, now, actions)
         } else {
             Duration::ZERO
         };
+        if self.kept.is_some() {
+            // Units that are on their way to another owner belong to nobody until it has the table.
+            pending = pending.max(settings.max_defer);
+        }
         Some(LoanGrant {
             fraction: added,
             tokens,
@@ -779,7 +783,7 @@
     /// Whether more share may arrive soon.
     fn expects(&self, team: &TeamId, now: MonotonicTime) -> bool {
         // Without a table, a lease or an owner nobody knows yet whether the team is above its rate.
-        if !self.has_share_source(now) {
+        if !self.has_share_source(now) || self.kept.is_some() {
             return true;
         }
         self.teams.get(team).is_some_and(|bucket| {
