State the bundle key and the rendezvous conversion once

Cause: bundle/current stood as a constant in the feed and in the submission, so that a change of one would have split operators from daemons. The conversion of members for rendezvous hashing stood in the service table and beside the choice of peers. Ruled out: joining the two HTTP server starts and the two settings templates, which belong to the stand-ins and to the tests and may differ from the product. Conclusion: no change of behaviour.

--- a/src/cmd/dev_system.rs
+++ b/src/cmd/dev_system.rs
@@ -17,7 +17,7 @@
 use store_wire::InstanceEntry;
 use store_wire::InstanceState;
 
-use crate::process::bundle_feed::BUNDLE_KEY;
+use crate::process::bundle_submission::BUNDLE_KEY;
 use crate::process::daemon::Daemon;
 use crate::process::daemon_error::DaemonError;
 use crate::process::peers::peer_identity::PeerAuthority;
--- a/src/process/bundle_feed.rs
+++ b/src/process/bundle_feed.rs
@@ -13,6 +13,7 @@
 
 use crate::process::bundle_intake::BundleIntake;
 use crate::process::bundle_intake::BundleSource;
+use crate::process::bundle_submission::BUNDLE_KEY;
 use crate::process::peers::fleet_links::FleetLinks;
 use crate::process::peers::membership_view::MemberRecord;
 use crate::process::slots::rendezvous::member_weight;
@@ -20,9 +21,6 @@
 use crate::process::store_error::StoreError;
 use crate::process::timers;
 
-/// The key of the bundle in the store.
-pub const BUNDLE_KEY: &str = "bundle/current";
-
 /// How many instances of each zone hold a watch on the store.
 pub const WATCHERS_PER_ZONE: usize = 2;
 
--- a/src/process/daemon_parts.rs
+++ b/src/process/daemon_parts.rs
@@ -44,7 +44,6 @@
 use crate::process::slot_driver::SlotEnvelope;
 use crate::process::slot_driver::SlotSendFn;
 use crate::process::slots::messages::SlotMessage;
-use crate::process::slots::rendezvous::RendezvousMember;
 use crate::process::slots::rendezvous::spread_order;
 use crate::process::store_client::StoreClient;
 use crate::process::store_client::SwapOutcome;
@@ -515,13 +514,7 @@
 
 /// Chooses the peers that an instance asks, spread over the zones.
 pub fn choose_peers(own: &MemberRecord, known: &[MemberRecord]) -> Vec<MemberRecord> {
-    let members: Vec<RendezvousMember> = known
-        .iter()
-        .map(|member| RendezvousMember {
-            instance: member.instance.clone(),
-            zone: member.zone.clone(),
-        })
-        .collect();
+    let members = MemberRecord::rendezvous_members(known);
     let chosen = spread_order(own.instance.as_str(), &members);
     let chosen = &chosen[..chosen.len().min(PEER_LINKS)];
     known
--- a/src/process/peers/membership_view.rs
+++ b/src/process/peers/membership_view.rs
@@ -10,6 +10,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::process::slots::rendezvous::RendezvousMember;
 use crate::process::timers::MonotonicTime;
 use crate::version::ids::InstanceId;
 use crate::version::ids::ZoneId;
@@ -32,6 +33,17 @@
     pub address: SocketAddr,
 }
 
+impl MemberRecord {
+    /// Returns the members as rendezvous hashing takes them.
+    pub fn rendezvous_members(records: &[MemberRecord]) -> Vec<RendezvousMember> {
+        let member_of = |record: &MemberRecord| RendezvousMember {
+            instance: record.instance.clone(),
+            zone: record.zone.clone(),
+        };
+        records.iter().map(member_of).collect()
+    }
+}
+
 #[derive(Debug, Clone)]
 struct MemberState {
     record: MemberRecord,
--- a/src/process/service_table.rs
+++ b/src/process/service_table.rs
@@ -18,7 +18,6 @@
 use crate::process::slots::messages::PermitQuery;
 use crate::process::slots::messages::SlotClass;
 use crate::process::slots::messages::SlotMessage;
-use crate::process::slots::rendezvous::RendezvousMember;
 use crate::process::slots::rendezvous::spread_order;
 use crate::process::timers;
 use crate::process::timers::MonotonicTime;
@@ -91,7 +90,9 @@
                         Box::new(move |event| on_event(&id, event)),
                         self.send.clone(),
                     );
-                    runtime.slots.set_live(&rendezvous_members(live));
+                    runtime
+                        .slots
+                        .set_live(&MemberRecord::rendezvous_members(live));
                     services.insert(service.id.clone(), Arc::new(runtime));
                 }
             }
@@ -102,12 +103,14 @@
     pub fn set_live(&self, live: &[MemberRecord]) {
         for (id, runtime) in self.all() {
             runtime.watcher.set_watchers(self.watch_settings(&id, live));
-            runtime.slots.set_live(&rendezvous_members(live));
+            runtime
+                .slots
+                .set_live(&MemberRecord::rendezvous_members(live));
         }
     }
 
     fn watch_settings(&self, service: &ServiceId, live: &[MemberRecord]) -> WatchSettings {
-        let members = rendezvous_members(live);
+        let members = MemberRecord::rendezvous_members(live);
         let mut watchers = spread_order(service.as_str(), &members);
         watchers.truncate(GROUP_WATCHERS);
         WatchSettings {
@@ -264,14 +267,6 @@
     }
 }
 
-fn rendezvous_members(live: &[MemberRecord]) -> Vec<RendezvousMember> {
-    let member_of = |member: &MemberRecord| RendezvousMember {
-        instance: member.instance.clone(),
-        zone: member.zone.clone(),
-    };
-    live.iter().map(member_of).collect()
-}
-
 fn new_permit(
     runtime: &Arc<ServiceRuntime>,
     candidate: RouteCandidate,
--- a/tests/testsuite/support/running_system.rs
+++ b/tests/testsuite/support/running_system.rs
@@ -13,7 +13,7 @@
 use standins::store::CallCounts;
 use standins::store::StoreFaults;
 use store_wire::CasRequest;
-use tamaracklb::process::bundle_feed::BUNDLE_KEY;
+use tamaracklb::process::bundle_submission::BUNDLE_KEY;
 use tamaracklb::process::instance_status::InstanceStatus;
 use tamaracklb::process::store_client::StoreClient;
 use tamaracklb::process::store_client::SwapOutcome;
