--- a/crates/front/src/endpoint_pool.rs
+++ b/crates/front/src/endpoint_pool.rs
@@ -21,6 +21,15 @@
 use crate::endpoint_connection::EndpointAnswer;
 use crate::endpoint_connection::EndpointConnection;
 
+/// How many connections an instance may hold to one endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ConnectionLimit {
+    /// With idle ones, which is the instance's even part.
+    pub kept: usize,
+    /// In use at once, which may be more than the even part since load is uneven.
+    pub used: usize,
+}
+
 #[derive(Default)]
 struct EndpointSlot {
     idle: Vec<EndpointConnection>,
@@ -49,7 +58,7 @@
     pool: Rc<EndpointPool>,
     connection: Option<EndpointConnection>,
     endpoint: EndpointId,
-    limit: usize,
+    limit: ConnectionLimit,
 }
 
 impl Deref for PooledConnection {
@@ -157,7 +166,7 @@
         entry: &EndpointEntry,
         team: Option<&TeamId>,
         session: &SessionValues,
-        limit: usize,
+        limit: ConnectionLimit,
         wait: Duration,
     ) -> Result<PooledConnection, PoolError> {
         let reserved = tokio::time::timeout(wait, self.reserve(&entry.id, limit)).await;
@@ -178,12 +187,12 @@
         Ok(pooled)
     }
 
-    async fn reserve(&self, endpoint: &EndpointId, limit: usize) {
+    async fn reserve(&self, endpoint: &EndpointId, limit: ConnectionLimit) {
         loop {
             let released = {
                 let mut slots = self.slots.borrow_mut();
                 let slot = slots.entry(endpoint.clone()).or_default();
-                if slot.in_use < limit {
+                if slot.in_use < limit.used {
                     slot.in_use += 1;
                     return;
                 }
@@ -218,16 +227,16 @@
     }
 
     /// Closes idle connections so that one more fits.
-    fn evict(&self, endpoint: &EndpointId, limit: usize) {
+    fn evict(&self, endpoint: &EndpointId, limit: ConnectionLimit) {
         let mut slots = self.slots.borrow_mut();
         if let Some(slot) = slots.get_mut(endpoint) {
-            while !slot.idle.is_empty() && slot.in_use + slot.idle.len() > limit {
+            while !slot.idle.is_empty() && slot.in_use + slot.idle.len() > limit.kept {
                 slot.idle.remove(0);
             }
         }
     }
 
-    fn release(&self, endpoint: &EndpointId, connection: Option<EndpointConnection>, limit: usize) {
+    fn release(&self, endpoint: &EndpointId, connection: Option<EndpointConnection>, limit: ConnectionLimit) {
         let mut slots = self.slots.borrow_mut();
         let Some(slot) = slots.get_mut(endpoint) else {
             return;
@@ -236,7 +245,7 @@
         if let Some(connection) = connection
             && !connection.is_broken()
             && connection.state == SessionState::Idle
-            && slot.in_use + slot.idle.len() < limit
+            && slot.in_use + slot.idle.len() < limit.kept
         {
             slot.idle.push(connection);
         }
--- a/crates/front/src/group_leader.rs
+++ b/crates/front/src/group_leader.rs
@@ -264,7 +264,7 @@
     let values = SessionValues::default();
     let obtained = instance
         .pool
-        .obtain(entry, None, &values, limit + 1, PROBE_WAIT)
+        .obtain(entry, None, &values, limit, PROBE_WAIT)
         .await;
     let mut connection = match obtained {
         Ok(connection) => connection,
--- a/crates/front/src/instance.rs
+++ b/crates/front/src/instance.rs
@@ -30,6 +30,7 @@
 use crate::caller_listener;
 use crate::endpoint_connection::ConnectError;
 use crate::endpoint_connection::EndpointAnswer;
+use crate::endpoint_pool::ConnectionLimit;
 use crate::endpoint_pool::EndpointPool;
 use crate::fleet_view::FleetView;
 use crate::group_leader;
@@ -39,6 +40,7 @@
 use crate::instance_limits::LEASE_TIME;
 use crate::instance_limits::STORE_TIME;
 use crate::instance_limits::TICK_TIME;
+use crate::instance_limits::UNEVEN_FACTOR;
 use crate::log_output::LogOutput;
 use crate::metrics::FrontMetrics;
 use crate::peer_link;
@@ -152,7 +154,7 @@
     }
 
     /// Returns how many connections this instance may hold to each endpoint of a service.
-    pub fn connection_limit(&self, service: &ServiceId) -> usize {
+    pub fn connection_limit(&self, service: &ServiceId) -> ConnectionLimit {
         let view = self.view.borrow();
         let members = view.members.len().max(1) as f64;
         let accepted = view
@@ -160,7 +162,11 @@
             .as_ref()
             .and_then(|rules| rules.services.get(service))
             .map_or(0.0, |limit| f64::from(limit.connections.0));
-        ((accepted * CONNECTION_PART / members) as usize).max(1)
+        let part = accepted * CONNECTION_PART / members;
+        ConnectionLimit {
+            kept: (part as usize).max(1),
+            used: ((part * UNEVEN_FACTOR) as usize).max(2),
+        }
     }
 
     /// Changes what was seen of an endpoint.
--- a/crates/front/src/instance_limits.rs
+++ b/crates/front/src/instance_limits.rs
@@ -40,6 +40,10 @@
 /// and for connections that an endpoint has not dropped yet.
 pub const CONNECTION_PART: f64 = 0.85;
 
+/// How many times its even part of the connections a busy instance may use at once. Clients are
+/// spread by a hash, so that one instance gets up to about three times the mean.
+pub const UNEVEN_FACTOR: f64 = 1.0;
+
 /// The longest part of the target latency that a request waits without being offered.
 pub const QUEUE_PART: f64 = 0.25;
 
--- a/crates/front/src/statement_run.rs
+++ b/crates/front/src/statement_run.rs
@@ -319,6 +319,17 @@
             admitted = rates.take(team, &limit, instances);
         }
         rates.wait_ends(team);
+        if !admitted {
+            tracing::info!(
+                event = "rate_exhausted",
+                database = self.database,
+                team = %team,
+                rate_per_s = limit.rate.0,
+                burst = limit.burst.0,
+                instances,
+                leads = self.instance.leads(),
+            );
+        }
         admitted
     }
 
--- a/crates/session-core/src/rate_keeper.rs
+++ b/crates/session-core/src/rate_keeper.rs
@@ -8,11 +8,11 @@
 use crate::serving_rules::TeamLimit;
 
 /// The part of each rate that the keeper lends; the rest is spread evenly as base shares.
-pub const LENT_PART: f64 = 0.85;
+pub const LENT_PART: f64 = 0.92;
 
 /// The part of each burst that the keeper may lend at once, so that tokens lent before a window
 /// and used inside it stay within the limit.
-const LENT_BURST_PART: f64 = 0.5;
+const LENT_BURST_PART: f64 = 0.6;
 
 /// How long lent tokens may be used, from when they were asked for.
 pub const LOAN_TIME: Duration = Duration::from_millis(1_000);
--- a/crates/session-core/src/rate_share.rs
+++ b/crates/session-core/src/rate_share.rs
@@ -8,11 +8,9 @@
 use crate::rate_keeper::LOAN_TIME;
 use crate::serving_rules::TeamLimit;
 
-/// The time for which an instance keeps tokens in advance of its own demand.
-const AHEAD_TIME: Duration = Duration::from_millis(600);
-
-/// Tokens kept in advance by an instance that was asked for the team lately.
-const AHEAD_LEAST: f64 = 2.0;
+/// The time for which an instance keeps tokens in advance of its own demand; below one token it
+/// fetches each one when it is needed, since tokens that nobody uses are lost to the team.
+const AHEAD_TIME: Duration = Duration::from_millis(300);
 
 /// Over how long the demand is averaged.
 const DEMAND_TIME: Duration = Duration::from_millis(1_500);
@@ -89,11 +87,7 @@
         self.decay(now);
         let held: f64 = self.loans.iter().map(|loan| loan.tokens).sum();
         let rate = self.demand / DEMAND_TIME.as_secs_f64();
-        let ahead = if self.demand > 0.05 {
-            (rate * AHEAD_TIME.as_secs_f64()).max(AHEAD_LEAST)
-        } else {
-            0.0
-        };
+        let ahead = (rate * AHEAD_TIME.as_secs_f64()).floor();
         (ahead + waiting as f64 - held).max(0.0).ceil()
     }
 
