--- a/crates/front/src/endpoint_pool.rs
+++ b/crates/front/src/endpoint_pool.rs
@@ -15,6 +15,7 @@
 use session_core::ids::TeamId;
 use session_core::monotonic_time::now;
 use session_core::session_values::SessionValues;
+use session_core::statement_gate::StatementGate;
 use tokio::sync::Notify;
 
 use crate::endpoint_connection::ConnectError;
@@ -36,6 +37,8 @@
     in_use: usize,
     load: EndpointLoad,
     released: Rc<Notify>,
+    gate: StatementGate,
+    gate_changes: Rc<Notify>,
 }
 
 /// The pool.
@@ -95,7 +98,85 @@
     }
 }
 
+/// The right to run one statement on an endpoint, until it is dropped.
+pub struct GatePass {
+    pool: Rc<EndpointPool>,
+    endpoint: EndpointId,
+}
+
+impl Drop for GatePass {
+    fn drop(&mut self) {
+        self.pool.with_gate(&self.endpoint, StatementGate::leave);
+    }
+}
+
 impl EndpointPool {
+    /// Waits until a first statement may go to an endpoint; returns `None` where that takes longer
+    /// than `wait`.
+    pub async fn pass_gate(
+        self: &Rc<Self>,
+        endpoint: &EndpointId,
+        priority: u8,
+        wait: Duration,
+    ) -> Option<GatePass> {
+        let ticket = self.with_gate(endpoint, |gate| gate.join(priority));
+        let end = now() + wait;
+        loop {
+            if self.with_gate(endpoint, |gate| gate.try_enter(ticket)) {
+                return Some(self.pass_of(endpoint));
+            }
+            let changes = self.gate_changes(endpoint);
+            let remaining = end.saturating_since(now());
+            let changed = tokio::time::timeout(remaining, changes.notified()).await;
+            if changed.is_err() {
+                self.with_gate(endpoint, |gate| gate.forget(ticket));
+                return None;
+            }
+        }
+    }
+
+    /// Lets a statement inside a transaction run at once.
+    pub fn enter_gate(self: &Rc<Self>, endpoint: &EndpointId) -> GatePass {
+        self.with_gate(endpoint, StatementGate::enter);
+        self.pass_of(endpoint)
+    }
+
+    /// Takes the latency of a statement, for the bound of the gate.
+    pub fn adapt_gate(&self, endpoint: &EndpointId, latency: Duration, target: Duration) {
+        self.with_gate(endpoint, |gate| gate.adapt(latency, target));
+    }
+
+    /// Takes the answer that the endpoint's queue is full.
+    pub fn narrow_gate(&self, endpoint: &EndpointId) {
+        self.with_gate(endpoint, StatementGate::narrow);
+    }
+
+    fn pass_of(self: &Rc<Self>, endpoint: &EndpointId) -> GatePass {
+        GatePass {
+            pool: Rc::clone(self),
+            endpoint: endpoint.clone(),
+        }
+    }
+
+    fn gate_changes(&self, endpoint: &EndpointId) -> Rc<Notify> {
+        let mut slots = self.slots.borrow_mut();
+        Rc::clone(&slots.entry(endpoint.clone()).or_default().gate_changes)
+    }
+
+    fn with_gate<T>(
+        &self,
+        endpoint: &EndpointId,
+        action: impl FnOnce(&mut StatementGate) -> T,
+    ) -> T {
+        let mut slots = self.slots.borrow_mut();
+        let slot = slots.entry(endpoint.clone()).or_default();
+        let result = action(&mut slot.gate);
+        if slot.gate.has_room() {
+            slot.gate_changes.notify_waiters();
+        }
+        result
+    }
+
     /// Reads or changes what was seen of an endpoint.
     pub fn with_load<T>(
         &self,
@@ -187,6 +268,24 @@
         Ok(pooled)
     }
 
+    /// Takes any idle connection, to ask the endpoint for its log position.
+    pub fn obtain_idle(
+        self: &Rc<Self>,
+        endpoint: &EndpointId,
+        limit: ConnectionLimit,
+    ) -> Option<PooledConnection> {
+        let mut slots = self.slots.borrow_mut();
+        let slot = slots.get_mut(endpoint)?;
+        let connection = slot.idle.pop()?;
+        slot.in_use += 1;
+        Some(PooledConnection {
+            pool: Rc::clone(self),
+            connection: Some(connection),
+            endpoint: endpoint.clone(),
+            limit,
+        })
+    }
+
     async fn reserve(&self, endpoint: &EndpointId, limit: ConnectionLimit) {
         loop {
             let released = {
--- a/crates/front/src/instance.rs
+++ b/crates/front/src/instance.rs
@@ -247,6 +247,19 @@
         self.pool.note_answer(endpoint, answer, history);
     }
 
+    /// Takes an answer that tells the position of a replica, but nothing of its load.
+    pub fn note_position(&self, endpoint: &EndpointId, answer: &EndpointAnswer) {
+        let view = self.view.borrow();
+        let Some(entry) = view.endpoints.get(endpoint) else {
+            return;
+        };
+        let floors = self.floors.borrow();
+        if let (Some(history), Some(point)) = (floors.get(&entry.service), answer.point()) {
+            self.pool
+                .with_load(endpoint, |load| load.reported(point, history, now()));
+        }
+    }
+
     /// Takes a statement without an answer into what is known of the endpoint.
     pub fn note_fault(
         &self,
--- a/crates/front/src/instance_limits.rs
+++ b/crates/front/src/instance_limits.rs
@@ -42,11 +42,15 @@
 
 /// How many times its even part of the connections a busy instance may use at once. Clients are
 /// spread by a hash, so that one instance gets up to about three times the mean.
-pub const UNEVEN_FACTOR: f64 = 1.0;
+pub const UNEVEN_FACTOR: f64 = 2.0;
 
 /// The longest part of the target latency that a request waits without being offered.
 pub const QUEUE_PART: f64 = 0.25;
 
+/// The part of a route's target latency that an answer of an endpoint may take before the instance
+/// sends it fewer statements at once.
+pub const GATE_PART: f64 = 0.3;
+
 /// Pause before a request looks for an endpoint again.
 pub const ROUTE_PAUSE: Duration = Duration::from_millis(10);
 
--- a/crates/front/src/main.rs
+++ b/crates/front/src/main.rs
@@ -11,6 +11,7 @@
 mod group_survey;
 mod instance;
 mod instance_limits;
+mod lag_probe;
 mod log_output;
 mod metrics;
 mod peer_link;
--- a/crates/front/src/request_route.rs
+++ b/crates/front/src/request_route.rs
@@ -1,5 +1,6 @@
 //! Chooses the endpoint of a request from what the instance knows.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use session_core::caller_statement::AccessMode;
@@ -16,6 +17,7 @@
 
 use crate::instance::Instance;
 use crate::instance_limits::FLOOR_MARGIN;
+use crate::lag_probe;
 
 /// What a request needs of its endpoint.
 #[derive(Debug)]
@@ -72,7 +74,7 @@
 ///
 /// Says why there is none now.
 pub fn choose_endpoint(
-    instance: &Instance,
+    instance: &Rc<Instance>,
     query: &RouteQuery<'_>,
 ) -> Result<ChosenEndpoint, RouteRefusal> {
     let at = now();
@@ -107,6 +109,9 @@
                 load.cost_ms(same_zone, connected, at),
             )
         });
+        if !is_primary && !holds && !failing {
+            lag_probe::probe_replica(instance, entry);
+        }
         if failing || (!is_primary && !holds) {
             continue;
         }
--- a/crates/front/src/statement_run.rs
+++ b/crates/front/src/statement_run.rs
@@ -28,6 +28,7 @@
 use crate::endpoint_connection::EndpointAnswer;
 use crate::endpoint_pool::PoolError;
 use crate::endpoint_pool::PooledConnection;
+use crate::instance_limits::GATE_PART;
 use crate::instance_limits::QUEUE_PART;
 use crate::instance_limits::ROUTE_PAUSE;
 use crate::instance_limits::TOKEN_TIME;
@@ -179,7 +180,9 @@
             statement: statement.passed,
         });
         let sent_at = now();
+        let pass = self.instance.pool.enter_gate(&endpoint);
         let result = connection.run_all(commands, time).await;
+        drop(pass);
         let answer = result.and_then(|mut answers| answers.pop().ok_or(StatementFault::Broken));
         match answer {
             Ok(answer) => {
@@ -369,6 +372,12 @@
         let wait = queue_end.saturating_since(now()).max(LEAST_WAIT);
         let limit = self.instance.connection_limit(&route.service);
         let pool = &self.instance.pool;
+        let Some(pass) = pool.pass_gate(&endpoint, route.priority, wait).await else {
+            *reason = "endpoint_busy";
+            progress.excluded.push(endpoint);
+            return AttemptEnd::Again(Duration::ZERO);
+        };
+        let wait = queue_end.saturating_since(now()).max(LEAST_WAIT);
         let obtained = pool
             .obtain(&chosen.entry, team, &self.values, limit, wait)
             .await;
@@ -376,6 +385,7 @@
             Ok(connection) => connection,
             Err(PoolError::Exhausted) => {
                 *reason = "connections_in_use";
+                tracing::info!(event = "connections_exhausted", request = progress.id, endpoint = %endpoint, primary = chosen.primary, limit = limit.used);
                 progress.excluded.push(endpoint);
                 return AttemptEnd::Again(Duration::ZERO);
             }
@@ -426,9 +436,12 @@
         let scope = self.first_scope(statement);
         let sent_at = now();
         let result = connection.run(command, route.statement_time).await;
-        drop(outstanding);
+        drop((outstanding, pass));
         match result {
             Ok(answer) => {
+                let latency = now().saturating_since(answer.sent_at);
+                let target = route.target_latency.mul_f64(GATE_PART);
+                self.instance.pool.adapt_gate(&endpoint, latency, target);
                 self.note_answer(&endpoint, &answer, scope);
                 match &answer.end {
                     Err((refusal, _)) if is_repeatable(*refusal) => {
@@ -527,6 +540,7 @@
                 AttemptEnd::Again(Duration::ZERO)
             }
             EndpointRefusal::Busy => {
+                pool.narrow_gate(endpoint);
                 pool.with_load(endpoint, |load| load.was_busy(now()));
                 AttemptEnd::Again(BUSY_PAUSE)
             }
--- a/crates/session-core/src/endpoint_load.rs
+++ b/crates/session-core/src/endpoint_load.rs
@@ -13,11 +13,17 @@
 /// Weight of a new answer in the smoothed latency.
 const LATENCY_WEIGHT: f64 = 0.2;
 
+/// Over which time without answers a smoothed latency fades.
+const LATENCY_FADE: Duration = Duration::from_millis(1_000);
+
+/// The age at which an observed replication delay is asked for again.
+const PROBE_AGE: Duration = Duration::from_millis(300);
+
 /// Latency added for an endpoint of another zone: a round trip, and the price of its bytes.
 const OTHER_ZONE_MS: f64 = 8.0;
 
 /// Latency added where a new connection is needed; the handshake takes about this long.
-const CONNECT_MS: f64 = 14.0;
+const CONNECT_MS: f64 = 30.0;
 
 /// Replication delay assumed of a replica that did not answer lately.
 const ASSUMED_LAG: Duration = Duration::from_millis(400);
@@ -42,7 +48,7 @@
 pub struct EndpointLoad {
     /// Requests of this instance that wait for it or run on it.
     pub outstanding: u32,
-    latency_ms: Option<f64>,
+    latency_ms: Option<(MonotonicTime, f64)>,
     last_point: Option<LogPoint>,
     lag: Option<(MonotonicTime, Duration)>,
     failed_until: Option<MonotonicTime>,
@@ -60,18 +66,23 @@
         now: MonotonicTime,
     ) {
         let sample = latency.as_secs_f64() * 1_000.0;
-        let smoothed = self.latency_ms.unwrap_or(sample);
-        self.latency_ms = Some(smoothed + LATENCY_WEIGHT * (sample - smoothed));
+        let smoothed = self.latency_ms.map_or(sample, |(_, smoothed)| smoothed);
+        self.latency_ms = Some((now, smoothed + LATENCY_WEIGHT * (sample - smoothed)));
         self.failed_until = None;
         if let Some(point) = point {
-            self.last_point = Some(point);
-            let behind = history
-                .passed_at(point)
-                .map_or(Duration::ZERO, |at| now.saturating_since(at));
-            self.lag = Some((now, behind));
+            self.reported(point, history, now);
         }
     }
 
+    /// Takes the position that the endpoint reported.
+    pub fn reported(&mut self, point: LogPoint, history: &FloorHistory, now: MonotonicTime) {
+        self.last_point = Some(point);
+        let behind = history
+            .passed_at(point)
+            .map_or(Duration::ZERO, |at| now.saturating_since(at));
+        self.lag = Some((now, behind));
+    }
+
     /// Takes a connection that could not be opened or broke.
     pub fn failed(&mut self, now: MonotonicTime) {
         self.failed_until = Some(now + FAILURE_PAUSE);
@@ -108,9 +119,25 @@
         age > lag
     }
 
+    /// Returns the smoothed latency, which fades towards the first assumption without answers, so
+    /// that an endpoint is tried again after it was slow.
+    fn expected_latency_ms(&self, now: MonotonicTime) -> f64 {
+        self.latency_ms.map_or(FIRST_LATENCY_MS, |(at, smoothed)| {
+            let age = now.saturating_since(at).as_secs_f64();
+            let faded = (-age / LATENCY_FADE.as_secs_f64()).exp();
+            FIRST_LATENCY_MS + (smoothed - FIRST_LATENCY_MS) * faded
+        })
+    }
+
+    /// Whether the replication delay should be asked for, since a request was kept away by it.
+    pub fn wants_probe(&self, now: MonotonicTime) -> bool {
+        self.lag
+            .is_some_and(|(at, _)| now.saturating_since(at) >= PROBE_AGE)
+    }
+
     /// Returns the expected time of one more request, in milliseconds.
     pub fn cost_ms(&self, same_zone: bool, connected: bool, now: MonotonicTime) -> f64 {
-        let latency = self.latency_ms.unwrap_or(FIRST_LATENCY_MS);
+        let latency = self.expected_latency_ms(now);
         let mut cost = latency * f64::from(self.outstanding + 1);
         if !same_zone {
             cost += OTHER_ZONE_MS;
--- a/crates/session-core/src/lib.rs
+++ b/crates/session-core/src/lib.rs
@@ -20,4 +20,5 @@
 pub mod secret_text;
 pub mod serving_rules;
 pub mod session_values;
+pub mod statement_gate;
 pub mod units;
