Let a watch after changes wait no longer than its evidence lasts

Cause: after each change of the configuration all instances refused reads at primaries for about 0.3 s, since the answer of a watch with changes proves only what was so when it was asked, and the next one waited 1.8 s.

--- a/crates/front/src/instance_limits.rs
+++ b/crates/front/src/instance_limits.rs
@@ -6,6 +6,9 @@
 /// for keys, and one into that for primaries.
 pub const WATCH_WAIT: Duration = Duration::from_millis(1_800);
 
+/// The shortest wait of a watch, which bounds the calls after a series of changes.
+pub const LEAST_WATCH_WAIT: Duration = Duration::from_millis(200);
+
 /// The longest time to an answer of a watch beyond its wait.
 pub const WATCH_SLACK: Duration = Duration::from_millis(600);
 
--- a/crates/front/src/store_feed.rs
+++ b/crates/front/src/store_feed.rs
@@ -1,11 +1,15 @@
 //! Follows the store by one long poll.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use platform::store_error::StoreError;
+use session_core::monotonic_time::MonotonicTime;
 use session_core::monotonic_time::now;
+use session_core::primary_permit::PERMIT_TIME;
 
 use crate::instance::Instance;
+use crate::instance_limits::LEAST_WATCH_WAIT;
 use crate::instance_limits::STORE_PAUSE;
 use crate::instance_limits::STORE_TIME;
 use crate::instance_limits::WATCH_PAUSE;
@@ -45,19 +49,17 @@
     loop {
         let after = instance.view.borrow().revision;
         let asked_at = now();
-        let time = WATCH_WAIT + WATCH_SLACK;
-        let answer = instance
-            .store
-            .watch(WATCH_PREFIX, after, WATCH_WAIT, time)
-            .await;
+        let wait = watch_wait(instance.view.borrow().heard_at, asked_at);
+        let time = wait + WATCH_SLACK;
+        let answer = instance.store.watch(WATCH_PREFIX, after, wait, time).await;
         match answer {
             Ok(view) => {
                 *lost = report_regained(*lost, instance);
                 let changed = !view.items.is_empty();
                 // A watch without changes was answered after its whole wait.
-                let waited = now().saturating_since(asked_at) >= WATCH_WAIT;
+                let waited = now().saturating_since(asked_at) >= wait;
                 let known_at = match !changed && waited {
-                    true => asked_at + WATCH_WAIT,
+                    true => asked_at + wait,
                     false => asked_at,
                 };
                 instance.view.borrow_mut().update(view, known_at);
@@ -78,6 +80,14 @@
     }
 }
 
+/// Returns how long the next watch may wait, so that its answer comes while the evidence of the
+/// former ones still permits the use of primaries.
+fn watch_wait(heard_at: Option<MonotonicTime>, at: MonotonicTime) -> Duration {
+    let age = heard_at.map_or(Duration::ZERO, |heard_at| at.saturating_since(heard_at));
+    let latest = (PERMIT_TIME - WATCH_SLACK).saturating_sub(age);
+    WATCH_WAIT.min(latest).max(LEAST_WATCH_WAIT)
+}
+
 fn report_lost(lost: bool, instance: &Instance, call: &str, error: &StoreError) -> bool {
     if !lost {
         let view = instance.view.borrow();
