--- a/crates/front/src/endpoint_pool.rs
+++ b/crates/front/src/endpoint_pool.rs
@@ -13,6 +13,7 @@
 use session_core::floor_history::FloorHistory;
 use session_core::ids::EndpointId;
 use session_core::ids::TeamId;
+use session_core::monotonic_time::MonotonicTime;
 use session_core::monotonic_time::now;
 use session_core::session_values::SessionValues;
 use session_core::statement_gate::StatementGate;
@@ -22,6 +23,9 @@
 use crate::endpoint_connection::EndpointAnswer;
 use crate::endpoint_connection::EndpointConnection;
 
+/// How long a pair of endpoint and team counts as used.
+const DEMAND_TIME: Duration = Duration::from_secs(3);
+
 /// How many connections an instance may hold to one endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ConnectionLimit {
@@ -37,6 +41,8 @@
     in_use: usize,
     load: EndpointLoad,
     released: Rc<Notify>,
+    /// When connections of a team were last asked for.
+    used_at: HashMap<Option<TeamId>, MonotonicTime>,
     gate: StatementGate,
     gate_changes: Rc<Notify>,
 }
@@ -228,6 +234,23 @@
         }
     }
 
+    fn note_use(&self, endpoint: &EndpointId, team: Option<&TeamId>) {
+        let mut slots = self.slots.borrow_mut();
+        let slot = slots.entry(endpoint.clone()).or_default();
+        slot.used_at.insert(team.cloned(), now());
+    }
+
+    /// Returns how many pairs of endpoint and team were used lately.
+    pub fn demand(&self, at: MonotonicTime) -> u32 {
+        let mut pairs = 0;
+        for slot in self.slots.borrow_mut().values_mut() {
+            slot.used_at
+                .retain(|_, used_at| at.saturating_since(*used_at) < DEMAND_TIME);
+            pairs += slot.used_at.len();
+        }
+        u32::try_from(pairs).unwrap_or(u32::MAX)
+    }
+
     /// Returns how many connections are open.
     pub fn open_connections(&self) -> usize {
         let slots = self.slots.borrow();
@@ -250,6 +273,7 @@
         limit: ConnectionLimit,
         wait: Duration,
     ) -> Result<PooledConnection, PoolError> {
+        self.note_use(&entry.id, team);
         let reserved = tokio::time::timeout(wait, self.reserve(&entry.id, limit)).await;
         reserved.map_err(|_| PoolError::Exhausted)?;
         let mut pooled = PooledConnection {
--- a/crates/front/src/instance.rs
+++ b/crates/front/src/instance.rs
@@ -15,6 +15,7 @@
 use platform::status_server;
 use platform::status_server::StatusPorts;
 use platform::store_client::StoreClient;
+use session_core::connection_part::ConnectionPart;
 use session_core::failure_watch::FailureWatch;
 use session_core::floor_history::FloorHistory;
 use session_core::ids::EndpointId;
@@ -97,6 +98,8 @@
     pub pool: Rc<EndpointPool>,
     /// Shares of the teams' rates.
     pub rates: RateExchange,
+    /// The part of the connections to endpoints.
+    pub connections: RefCell<ConnectionPart>,
     /// Points of primaries by service.
     pub floors: RefCell<HashMap<ServiceId, FloorHistory>>,
     /// What was seen of primaries.
@@ -156,13 +159,16 @@
     /// Returns how many connections this instance may hold to each endpoint of a service.
     pub fn connection_limit(&self, service: &ServiceId) -> ConnectionLimit {
         let view = self.view.borrow();
-        let members = view.members.len().max(1) as f64;
+        let share = self
+            .connections
+            .borrow()
+            .part(view.members.len(), now());
         let accepted = view
             .rules
             .as_ref()
             .and_then(|rules| rules.services.get(service))
             .map_or(0.0, |limit| f64::from(limit.connections.0));
-        let part = accepted * CONNECTION_PART / members;
+        let part = accepted * CONNECTION_PART * share;
         ConnectionLimit {
             kept: (part as usize).max(1),
             used: ((part * UNEVEN_FACTOR) as usize).max(2),
@@ -372,6 +378,7 @@
         pool: Rc::default(),
         // The clock tells the lives of a process apart.
         rates: RateExchange::new(now().as_nanos()),
+        connections: RefCell::default(),
         floors: RefCell::default(),
         watches: RefCell::default(),
         reports: RefCell::default(),
--- a/crates/front/src/instance_limits.rs
+++ b/crates/front/src/instance_limits.rs
@@ -41,7 +41,7 @@
 
 /// The part of an endpoint's connections that callers' requests use; the rest is for the leader
 /// and for connections that an endpoint has not dropped yet.
-pub const CONNECTION_PART: f64 = 0.85;
+pub const CONNECTION_PART: f64 = 0.6;
 
 /// How many times its even part of the connections a busy instance may use at once. Clients are
 /// spread by a hash, so that one instance gets up to about three times the mean.
@@ -66,6 +66,9 @@
 /// Ticks between datagrams that ask for tokens in advance.
 pub const ASK_TICKS: u64 = 2;
 
+/// Ticks between reports of the demand for connections.
+pub const REPORT_TICKS: u64 = 10;
+
 /// The age of a floor sample below which a bounded read uses it without asking again.
 pub const FLOOR_MARGIN: Duration = Duration::from_millis(40);
 
--- a/crates/front/src/peer_link.rs
+++ b/crates/front/src/peer_link.rs
@@ -3,8 +3,11 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use session_core::monotonic_time::now;
+
 use crate::instance::Instance;
 use crate::instance_limits::ASK_TICKS;
+use crate::instance_limits::REPORT_TICKS;
 use crate::instance_limits::TICK_TIME;
 use crate::peer_message::MAX_DATAGRAM_BYTES;
 use crate::peer_message::PeerMessage;
@@ -32,6 +35,7 @@
             number,
             wanted,
             failing,
+            demand,
         } => {
             for endpoint in failing {
                 instance.note_peer_failure(&endpoint, from);
@@ -42,37 +46,49 @@
             let Some(rules) = instance.view.borrow().rules.clone() else {
                 return;
             };
+            let part = instance.connections.borrow_mut().take_demand(from, demand, now());
             if let Some(lent) = instance.rates.answer(&wanted, &rules.teams) {
-                send(instance, &PeerMessage::Lend { number, lent }, from);
+                let part = part as f32;
+                send(instance, &PeerMessage::Lend { number, lent, part }, from);
             }
         }
-        PeerMessage::Lend { number, lent } => instance.rates.accept(number, &lent),
+        PeerMessage::Lend { number, lent, part } => {
+            let part = f64::from(part);
+            instance.connections.borrow_mut().accept(part, now());
+            instance.rates.accept(number, &lent);
+        }
     }
 }
 
-/// Asks the leader for tokens, where some are wanted.
-pub fn ask_leader(instance: &Instance) {
+/// Asks the leader for tokens, where some are wanted or a report is due.
+pub fn ask_leader(instance: &Instance, report_due: bool) {
     let address = match &instance.view.borrow().leader {
         Some(leader) if leader.value.instance != instance.settings.instance => leader.value.address,
         _ => return,
     };
     let (number, wanted) = instance.rates.question();
     let failing = instance.failing_primaries();
-    if wanted.is_empty() && failing.is_empty() {
+    if wanted.is_empty() && failing.is_empty() && !report_due {
         return;
     }
     let message = PeerMessage::Ask {
         number,
         wanted,
         failing,
+        demand: instance.pool.demand(now()),
     };
     send(instance, &message, address);
 }
 
-/// Asks for tokens in advance, every few ticks.
+/// Asks for tokens in advance and reports the demand, every few ticks.
 pub fn ask_in_advance(instance: &Instance, tick: u64) {
-    if tick.is_multiple_of(ASK_TICKS) {
-        ask_leader(instance);
+    if instance.leads() {
+        let demand = instance.pool.demand(now());
+        let own = instance.settings.peer_address;
+        let part = instance.connections.borrow_mut().take_demand(own, demand, now());
+        instance.connections.borrow_mut().accept(part, now());
+    } else if tick.is_multiple_of(ASK_TICKS) {
+        ask_leader(instance, tick.is_multiple_of(REPORT_TICKS));
     }
 }
 
--- a/crates/front/src/peer_message.rs
+++ b/crates/front/src/peer_message.rs
@@ -20,6 +20,8 @@
         wanted: Vec<(TeamId, u32)>,
         /// Primaries that do not answer or do not acknowledge.
         failing: Vec<EndpointId>,
+        /// How many pairs of endpoint and team the instance used lately.
+        demand: u32,
     },
     /// Lends tokens.
     Lend {
@@ -27,5 +29,7 @@
         number: u64,
         /// Tokens by team.
         lent: Vec<(TeamId, u32)>,
+        /// The instance's part of the connections to each endpoint.
+        part: f32,
     },
 }
--- a/crates/front/src/statement_run.rs
+++ b/crates/front/src/statement_run.rs
@@ -310,7 +310,7 @@
         let mut admitted = false;
         while !admitted && now() < end {
             if !rates.asked_lately() {
-                peer_link::ask_leader(&self.instance);
+                peer_link::ask_leader(&self.instance, false);
             }
             let pause = end
                 .saturating_since(now())
--- a/crates/session-core/src/lib.rs
+++ b/crates/session-core/src/lib.rs
@@ -4,6 +4,7 @@
 //! and a simulated fleet drive the same code.
 
 pub mod caller_statement;
+pub mod connection_part;
 pub mod endpoint_entry;
 pub mod endpoint_load;
 pub mod failure_watch;
