--- a/crates/front/src/instance_limits.rs
+++ b/crates/front/src/instance_limits.rs
@@ -41,11 +41,11 @@
 
 /// The part of an endpoint's connections that callers' requests use; the rest is for the leader
 /// and for connections that an endpoint has not dropped yet.
-pub const CONNECTION_PART: f64 = 0.6;
+pub const CONNECTION_PART: f64 = 0.75;
 
 /// How many times its even part of the connections a busy instance may use at once. Clients are
 /// spread by a hash, so that one instance gets up to about three times the mean.
-pub const UNEVEN_FACTOR: f64 = 2.0;
+pub const UNEVEN_FACTOR: f64 = 1.6;
 
 /// The longest part of the target latency that a request waits without being offered.
 pub const QUEUE_PART: f64 = 0.25;
