Only orders name primaries; keep a leaving primary until its successor shows

The leader ordered a promotion and was then turned away by the store before it could write the order. Without any order, instances took the primary that the registry named; one that was cut off read at the former one. Ruled out: the acknowledgement of orders (none was written); the wait for silent instances (never begun). The leader now writes a first order for each group, and the registry no longer moves a primary. A leaving primary serves until the promotion shows, and a new leader is elected at once where the former one is an earlier life of the same instance.

--- a/crates/front/src/fleet_view.rs
+++ b/crates/front/src/fleet_view.rs
@@ -252,7 +252,7 @@
         now: MonotonicTime,
     ) -> Result<EndpointId, PermitRefusal> {
         let order = self.orders.get(service).map(|order| &order.value);
-        primary_permit::usable_primary(order, self.group(service), self.evidence(), now)
+        primary_permit::usable_primary(order, self.evidence(), now)
     }
 
     /// Whether an endpoint may be used as the primary, and led already at `since`.
@@ -263,7 +263,7 @@
         since: MonotonicTime,
     ) -> bool {
         let order = self.orders.get(service);
-        order.is_none_or(|order| order.seen_at <= since)
+        order.is_some_and(|order| order.seen_at <= since)
             && self.usable_primary(service, now()).as_ref() == Ok(endpoint)
     }
 
@@ -274,7 +274,7 @@
     /// Says why none is known.
     pub fn leading_endpoint(&self, service: &ServiceId) -> Result<EndpointId, PermitRefusal> {
         let order = self.orders.get(service).map(|order| &order.value);
-        primary_permit::leading_endpoint(order, self.group(service))
+        primary_permit::leading_endpoint(order)
     }
 }
 
--- a/crates/front/src/group_change.rs
+++ b/crates/front/src/group_change.rs
@@ -14,6 +14,7 @@
 use session_core::ids::ServiceId;
 use session_core::monotonic_time::MonotonicTime;
 use session_core::monotonic_time::now;
+use session_core::primary_permit;
 use session_core::primary_permit::REVOKE_WAIT;
 use session_core::promotion_step;
 use session_core::promotion_step::PromotionStep;
@@ -46,6 +47,8 @@
     survey: GroupSurvey,
     paused: Vec<EndpointId>,
     pending: Option<PendingOrder>,
+    /// Whether the former primary serves until it is replaced.
+    serving: bool,
 }
 
 struct PendingOrder {
@@ -56,6 +59,10 @@
 
 /// Replaces the primary of a group, or gives up where it recovers first.
 pub async fn change_primary(instance: &Rc<Instance>, service: &ServiceId, reason: ChangeReason) {
+    if reason == ChangeReason::NoOrder {
+        write_first_order(instance, service).await;
+        return;
+    }
     let former = {
         let view = instance.view.borrow();
         match view.orders.get(service) {
@@ -77,6 +84,7 @@
         survey: GroupSurvey::default(),
         paused: Vec::new(),
         pending: None,
+        serving: reason == ChangeReason::Draining,
     };
     let started_at = now();
     let done = change.run().await;
@@ -88,6 +96,28 @@
     );
 }
 
+/// Orders that the endpoint leads which did so before any order was given.
+async fn write_first_order(instance: &Rc<Instance>, service: &ServiceId) {
+    let target = {
+        let view = instance.view.borrow();
+        primary_permit::first_primary(view.group(service))
+    };
+    let Some(target) = target else {
+        return;
+    };
+    let change = GroupChange {
+        instance,
+        service,
+        former: None,
+        survey: GroupSurvey::default(),
+        paused: Vec::new(),
+        pending: None,
+        serving: false,
+    };
+    let revision = change.write_order(&target, OrderPhase::Open).await;
+    tracing::info!(event = "first_order", service = %service, target = %target, revision);
+}
+
 impl GroupChange<'_> {
     async fn run(&mut self) -> bool {
         while self.instance.leads() {
@@ -213,8 +243,11 @@
     }
 
     /// Announces and orders a promotion, and waits until it shows.
+    ///
+    /// A former primary that still serves is used until the promotion shows: every commit that it
+    /// acknowledges meanwhile is in the log of the target, and none is acknowledged afterwards.
     async fn promote(&mut self, target: &EndpointId) -> bool {
-        if !self.announce(target).await {
+        if !self.serving && !self.announce(target).await {
             return false;
         }
         let Some(token) = self.instance.token().filter(|_| self.instance.leads()) else {
@@ -236,7 +269,7 @@
         if ordered.is_err() {
             return false;
         }
-        self.await_effect(target).await
+        self.await_effect(target).await && self.announce(target).await
     }
 
     async fn await_effect(&mut self, target: &EndpointId) -> bool {
--- a/crates/front/src/group_leader.rs
+++ b/crates/front/src/group_leader.rs
@@ -19,6 +19,7 @@
 use session_core::ids::ServiceId;
 use session_core::monotonic_time::MonotonicTime;
 use session_core::monotonic_time::now;
+use session_core::primary_permit;
 use session_core::session_values::ReplayStep;
 use session_core::session_values::SessionValues;
 
@@ -64,8 +65,8 @@
     Failed(&'static str),
     /// It fails, as several other instances report.
     Reported,
-    /// No endpoint claims to lead, and no order was given yet.
-    NoPrimary,
+    /// No order was given yet.
+    NoOrder,
 }
 
 #[derive(Default)]
@@ -79,8 +80,12 @@
     let state = Rc::new(LeaderState::default());
     let mut missing_since: Option<MonotonicTime> = None;
     let mut led_since: Option<MonotonicTime> = None;
+    let mut changes = instance.changes.subscribe();
     loop {
-        tokio::time::sleep(TICK_TIME).await;
+        // A tick or a change of the view, whichever comes first.
+        if let Ok(Err(_)) = tokio::time::timeout(TICK_TIME, changes.changed()).await {
+            return;
+        }
         if instance.stopping.borrow().is_some() {
             return;
         }
@@ -116,7 +121,11 @@
             .is_none_or(|leader| own(&leader.value) && instance.token() != Some(leader.revision))
 }
 
+/// Returns how long to let others try first; an earlier life of this instance cannot act any more.
 fn stagger(instance: &Instance) -> Duration {
+    if instance.view.borrow().leader.is_some() {
+        return Duration::ZERO;
+    }
     let mut hasher = DefaultHasher::new();
     instance.settings.instance.hash(&mut hasher);
     let steps = u32::try_from(hasher.finish() % STAGGER_STEPS).unwrap_or(0);
@@ -255,7 +264,11 @@
     if view.group(service).next().is_none() {
         return None;
     }
-    if let Some(order) = view.orders.get(service) {
+    let order = view.orders.get(service);
+    if order.is_none() {
+        return primary_permit::first_primary(view.group(service)).map(|_| ChangeReason::NoOrder);
+    }
+    if let Some(order) = order {
         if order.value.phase == OrderPhase::Pending {
             return Some(ChangeReason::Pending);
         }
@@ -264,9 +277,7 @@
         }
     }
     let settled = at.saturating_since(led_since) >= SETTLE_TIME;
-    let Ok(primary) = view.leading_endpoint(service) else {
-        return settled.then_some(ChangeReason::NoPrimary);
-    };
+    let primary = view.leading_endpoint(service).ok()?;
     let Some(entry) = view.endpoints.get(&primary) else {
         return settled.then_some(ChangeReason::Gone);
     };
--- a/crates/front/src/rate_exchange.rs
+++ b/crates/front/src/rate_exchange.rs
@@ -52,7 +52,7 @@
         match part {
             Some(part) => keeper
                 .get_or_insert_with(|| RateKeeper::new(now()))
-                .set_part(part, now()),
+                .set_part(part),
             None => *keeper = None,
         }
     }
--- a/crates/front/src/statement_run.rs
+++ b/crates/front/src/statement_run.rs
@@ -303,7 +303,12 @@
         if rates.take(team, &limit, instances) {
             return true;
         }
-        let wait = TOKEN_TIME.min(route.target_latency.mul_f64(QUEUE_PART));
+        // Without a leader, one may be elected in the time that a request may wait.
+        let queue_time = route.target_latency.mul_f64(QUEUE_PART);
+        let wait = match self.instance.view.borrow().leader {
+            Some(_) => TOKEN_TIME.min(queue_time),
+            None => queue_time,
+        };
         let end = arrived + wait;
         let mut lent = rates.subscribe();
         rates.wait_begins(team);
--- a/crates/session-core/src/primary_permit.rs
+++ b/crates/session-core/src/primary_permit.rs
@@ -45,12 +45,14 @@
 
 /// Returns the endpoint that leads the group, as far as this instance may use it.
 ///
+/// What an endpoint says of its own role does not count: a machine that is cut off may still use
+/// the former primary after another endpoint began to lead.
+///
 /// # Errors
 ///
 /// Says why no primary may be used now.
-pub fn usable_primary<'a>(
+pub fn usable_primary(
     order: Option<&GroupOrder>,
-    entries: impl Iterator<Item = &'a EndpointEntry>,
     evidence: Option<MonotonicTime>,
     now: MonotonicTime,
 ) -> Result<EndpointId, PermitRefusal> {
@@ -58,28 +60,28 @@
     if !fresh {
         return Err(PermitRefusal::StaleEvidence);
     }
-    leading_endpoint(order, entries)
+    leading_endpoint(order)
 }
 
-/// Returns the endpoint that leads the group according to the order or, before the first one, to
-/// the registry.
+/// Returns the endpoint that leads the group according to the order.
 ///
 /// # Errors
 ///
 /// Says why none is known.
-pub fn leading_endpoint<'a>(
-    order: Option<&GroupOrder>,
-    mut entries: impl Iterator<Item = &'a EndpointEntry>,
-) -> Result<EndpointId, PermitRefusal> {
+pub fn leading_endpoint(order: Option<&GroupOrder>) -> Result<EndpointId, PermitRefusal> {
     match order {
-        Some(order) if order.phase == OrderPhase::Pending => Err(PermitRefusal::OrderPending),
-        Some(order) => Ok(order.target.clone()),
-        None => {
-            let mut claims = entries.by_ref().filter(|e| e.role == GroupRole::Primary);
-            match (claims.next(), claims.next()) {
-                (Some(entry), None) => Ok(entry.id.clone()),
-                _ => Err(PermitRefusal::NoPrimary),
-            }
-        }
+        Some(order) if order.phase == OrderPhase::Open => Ok(order.target.clone()),
+        Some(_) => Err(PermitRefusal::OrderPending),
+        None => Err(PermitRefusal::NoPrimary),
+    }
+}
+
+/// Returns the target of a group's first order: the one endpoint that claims to lead before any
+/// order was given.
+pub fn first_primary<'a>(entries: impl Iterator<Item = &'a EndpointEntry>) -> Option<EndpointId> {
+    let mut claims = entries.filter(|entry| entry.role == GroupRole::Primary);
+    match (claims.next(), claims.next()) {
+        (Some(entry), None) => Some(entry.id.clone()),
+        _ => None,
     }
 }
--- a/crates/session-core/src/rate_keeper.rs
+++ b/crates/session-core/src/rate_keeper.rs
@@ -14,6 +14,9 @@
 /// and used inside it stay within the limit.
 const LENT_BURST_PART: f64 = 0.6;
 
+/// The part of each burst that a new keeper has: the former one may have lent its own just before.
+const FIRST_BURST_PART: f64 = 0.25;
+
 /// How long lent tokens may be used, from when they were asked for.
 pub const LOAN_TIME: Duration = Duration::from_millis(1_000);
 
@@ -23,7 +26,7 @@
     filled_at: MonotonicTime,
 }
 
-/// Lends tokens; it starts with empty buckets, since an earlier keeper may have lent theirs.
+/// Lends tokens.
 #[derive(Debug, Clone)]
 pub struct RateKeeper {
     started_at: MonotonicTime,
@@ -42,10 +45,11 @@
     }
 
     /// Sets which part of the rates accrues; a lower one empties the buckets.
-    pub fn set_part(&mut self, part: f64, now: MonotonicTime) {
+    pub fn set_part(&mut self, part: f64) {
         if part < self.part {
-            self.buckets.clear();
-            self.started_at = now;
+            for bucket in self.buckets.values_mut() {
+                bucket.tokens = 0.0;
+            }
         }
         self.part = part;
     }
@@ -63,7 +67,7 @@
             .buckets
             .entry(team.clone())
             .or_insert_with(|| TokenBucket {
-                tokens: 0.0,
+                tokens: limit.burst.0 * FIRST_BURST_PART,
                 filled_at: started_at,
             });
         let elapsed = now.saturating_since(bucket.filled_at).as_secs_f64();
