--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -23,6 +23,7 @@
 mod failover_history;
 mod failover_rules;
 mod failover_sim;
+mod floor_samples;
 
 mod graceful_stop;
 mod group_model;
@@ -37,14 +38,20 @@
 mod operations_page;
 mod operator_commands;
 mod peer_links;
+mod platform_codecs;
+mod primary_permits;
 mod program_run;
+mod promotion_steps;
+mod rate_loans;
 mod rate_shares;
 #[allow(dead_code)]
 #[path = "../../examples/limits_bench/rate_sim.rs"]
 mod rate_sim;
 mod raw_caller;
 mod read_share;
+mod request_outcomes;
 mod scripted_endpoint;
+mod session_replay;
 mod share_start;
 mod slot_queue;
 #[allow(dead_code)]
@@ -53,6 +60,7 @@
 mod standin_endpoint;
 mod standin_faults;
 mod standin_fixture;
+mod statement_gates;
 mod store_adapter;
 mod store_commands;
 mod support;
--- /dev/null
+++ b/tests/testsuite/request_outcomes.rs
@@ -0,0 +1,111 @@
+//! Guards against promises to callers that are not known to hold.
+
+use session_core::caller_statement::AccessMode;
+use session_core::request_outcome::CallerVerdict;
+use session_core::request_outcome::EndpointRefusal;
+use session_core::request_outcome::OutcomeScope;
+use session_core::request_outcome::StatementFault;
+use session_core::request_outcome::may_repeat;
+use session_core::request_outcome::verdict;
+
+const REFUSALS: [EndpointRefusal; 10] = [
+    EndpointRefusal::Busy,
+    EndpointRefusal::UnknownName,
+    EndpointRefusal::Lagging,
+    EndpointRefusal::ReadOnly,
+    EndpointRefusal::WrongEndpoint,
+    EndpointRefusal::ConnectionLimit,
+    EndpointRefusal::Failed,
+    EndpointRefusal::TimedOut,
+    EndpointRefusal::Malformed,
+    EndpointRefusal::Other,
+];
+
+const SCOPES: [OutcomeScope; 5] = [
+    OutcomeScope::Single(AccessMode::Read),
+    OutcomeScope::Single(AccessMode::Write),
+    OutcomeScope::Inside,
+    OutcomeScope::Commit(AccessMode::Read),
+    OutcomeScope::Commit(AccessMode::Write),
+];
+
+fn faults() -> Vec<StatementFault> {
+    let mut faults = vec![
+        StatementFault::NotSent,
+        StatementFault::Broken,
+        StatementFault::Overdue,
+    ];
+    faults.extend(REFUSALS.map(StatementFault::Refused));
+    faults
+}
+
+/// Whether the caller concludes that nothing of its attempt is kept.
+fn promises_nothing_kept(verdict: CallerVerdict) -> bool {
+    matches!(
+        verdict,
+        CallerVerdict::Busy
+            | CallerVerdict::Aborted
+            | CallerVerdict::ReadOnly
+            | CallerVerdict::Lagging
+    )
+}
+
+/// Whether an effect of the statement may be kept although it was not acknowledged.
+fn may_be_kept(scope: OutcomeScope, fault: StatementFault) -> bool {
+    let writes = matches!(
+        scope,
+        OutcomeScope::Single(AccessMode::Write) | OutcomeScope::Commit(AccessMode::Write)
+    );
+    let sure = matches!(
+        fault,
+        StatementFault::NotSent
+            | StatementFault::Refused(
+                EndpointRefusal::Busy
+                    | EndpointRefusal::UnknownName
+                    | EndpointRefusal::Lagging
+                    | EndpointRefusal::ReadOnly
+                    | EndpointRefusal::WrongEndpoint
+                    | EndpointRefusal::ConnectionLimit
+            )
+    );
+    writes && !sure
+}
+
+/// No combination may promise "nothing kept" where an effect may be kept.
+#[test]
+fn promises_are_true() {
+    for scope in SCOPES {
+        for fault in faults() {
+            let verdict = verdict(scope, fault);
+            assert!(
+                !(may_be_kept(scope, fault) && promises_nothing_kept(verdict)),
+                "{scope:?} with {fault:?} promises {verdict:?}"
+            );
+        }
+    }
+}
+
+/// No write that may have run may run again, and nothing inside a transaction.
+#[test]
+fn repeats_are_safe() {
+    for scope in SCOPES {
+        for fault in faults() {
+            if !may_repeat(scope, fault) {
+                continue;
+            }
+            assert!(matches!(scope, OutcomeScope::Single(_)), "{scope:?}");
+            assert!(!may_be_kept(scope, fault), "{scope:?} with {fault:?}");
+        }
+    }
+}
+
+/// A broken read outside a transaction may be repeated, or half of the system's retries are gone.
+#[test]
+fn broken_read_is_repeated() {
+    let read = OutcomeScope::Single(AccessMode::Read);
+    assert!(may_repeat(read, StatementFault::Broken));
+    assert!(!may_repeat(
+        OutcomeScope::Single(AccessMode::Write),
+        StatementFault::Broken
+    ));
+}
--- /dev/null
+++ b/tests/testsuite/session_replay.rs
@@ -0,0 +1,74 @@
+//! Guards against statements that run with the values or names of another session.
+
+use std::collections::BTreeMap;
+
+use proptest::prop_assert_eq;
+use proptest::proptest;
+use session_core::caller_statement::AccessMode;
+use session_core::caller_statement::StatementShape;
+use session_core::session_values::ConnectionValues;
+use session_core::session_values::ReplayStep;
+use session_core::session_values::SessionValues;
+
+/// What an endpoint holds after it ran the steps.
+fn run(
+    steps: Vec<ReplayStep>,
+    values: &mut BTreeMap<String, String>,
+    names: &mut BTreeMap<String, StatementShape>,
+) {
+    for step in steps {
+        match step {
+            ReplayStep::Reset => {
+                values.clear();
+                names.clear();
+            }
+            ReplayStep::Set { name, value } => {
+                values.insert(name, value);
+            }
+            ReplayStep::Prepare { name, shape } => {
+                names.insert(name, shape);
+            }
+        }
+    }
+}
+
+fn shape(mode: AccessMode, text: &str) -> StatementShape {
+    StatementShape {
+        mode,
+        text: text.to_owned(),
+    }
+}
+
+/// The same text for reading and for writing must not share a name.
+#[test]
+fn shapes_have_names_of_their_own() {
+    let read = session_core::session_values::shared_name(&shape(AccessMode::Read, "q1"));
+    let write = session_core::session_values::shared_name(&shape(AccessMode::Write, "q1"));
+    assert_ne!(read, write);
+}
+
+proptest! {
+    /// After any series of sessions, the endpoint holds exactly the values of the last one, and
+    /// the shape that it is about to run.
+    #[test]
+    fn values_follow_the_session(
+        sessions in proptest::collection::vec(
+            (proptest::collection::btree_map("[a-c]", "[x-z]", 0..3), proptest::option::of("[p-r]")),
+            1..12,
+        ),
+    ) {
+        let mut connection = ConnectionValues::default();
+        let mut values = BTreeMap::new();
+        let mut names = BTreeMap::new();
+        for (wanted, text) in sessions {
+            let session = SessionValues { values: wanted, prepared: BTreeMap::new() };
+            let shape = text.map(|text| shape(AccessMode::Read, &text));
+            run(connection.replay(&session, shape.as_ref()), &mut values, &mut names);
+            prop_assert_eq!(&values, &session.values);
+            if let Some(shape) = shape {
+                let name = session_core::session_values::shared_name(&shape);
+                prop_assert_eq!(names.get(&name), Some(&shape));
+            }
+        }
+    }
+}
