--- a/crates/front/src/fleet_view.rs
+++ b/crates/front/src/fleet_view.rs
@@ -129,6 +129,15 @@
         self.heard_at = self.heard_at.max(Some(known_at));
     }
 
+    /// Takes an item that this instance has just written.
+    pub fn learn(&mut self, key: &str, value: Vec<u8>, revision: u64) {
+        self.apply(StoreItem {
+            key: key.to_owned(),
+            value: Some(value),
+            revision,
+        });
+    }
+
     fn apply(&mut self, item: StoreItem) {
         let known = self.items.get(&item.key);
         if known.is_some_and(|known| known.revision >= item.revision) {
--- a/crates/front/src/group_change.rs
+++ b/crates/front/src/group_change.rs
@@ -214,11 +214,15 @@
                 (LEADER_KEY.to_owned(), token),
                 (key.clone(), former_revision),
             ],
-            puts: vec![(key, value, None)],
+            puts: vec![(key.clone(), value.clone(), None)],
             removals: Vec::new(),
         };
         match self.instance.store.change(change, STORE_TIME).await {
-            Ok(revision) => Some(revision),
+            Ok(revision) => {
+                self.instance.view.borrow_mut().learn(&key, value, revision);
+                self.instance.view_changed();
+                Some(revision)
+            }
             Err(error) => {
                 tracing::warn!(event = "order_not_written", service = %self.service, target = %target, ?phase, %error);
                 None
--- a/crates/front/src/group_leader.rs
+++ b/crates/front/src/group_leader.rs
@@ -156,7 +156,7 @@
     };
     let change = StoreChange {
         conditions: vec![(LEADER_KEY.to_owned(), former.unwrap_or(0))],
-        puts: vec![(LEADER_KEY.to_owned(), value, Some(lease))],
+        puts: vec![(LEADER_KEY.to_owned(), value.clone(), Some(lease))],
         removals: Vec::new(),
     };
     match instance.store.change(change, STORE_TIME).await {
@@ -167,6 +167,8 @@
                 renewed_at: asked_at,
             }));
             instance.leader_lease.set(Some(lease));
+            instance.view.borrow_mut().learn(LEADER_KEY, value, token);
+            instance.view_changed();
             tokio::task::spawn_local(renew_lead(Rc::clone(instance), lease, token));
             let instance = Rc::clone(instance);
             tokio::task::spawn_local(async move { resume_replicas(&instance).await });
--- a/crates/front/src/instance_limits.rs
+++ b/crates/front/src/instance_limits.rs
@@ -16,8 +16,8 @@
 /// of its watches with their slack.
 pub const RELAY_TIME: Duration = Duration::from_millis(1_500);
 
-/// How long an instance follows the store itself after another one was of no use.
-pub const RELAY_PAUSE: Duration = Duration::from_millis(2_000);
+/// Time between messages to followers where the store says nothing.
+pub const RELAY_PERIOD: Duration = Duration::from_millis(700);
 
 /// The longest time to an answer of any other call to the store.
 pub const STORE_TIME: Duration = Duration::from_millis(900);
--- a/crates/front/src/store_feed.rs
+++ b/crates/front/src/store_feed.rs
@@ -3,17 +3,16 @@
 use std::rc::Rc;
 
 use platform::store_error::StoreError;
-use session_core::monotonic_time::MonotonicTime;
 use session_core::monotonic_time::now;
 
 use crate::instance::Instance;
-use crate::instance_limits::RELAY_PAUSE;
 use crate::instance_limits::STORE_PAUSE;
 use crate::instance_limits::STORE_TIME;
 use crate::instance_limits::WATCH_PAUSE;
 use crate::instance_limits::WATCH_SLACK;
 use crate::instance_limits::WATCH_WAIT;
 use crate::view_follower;
+use crate::view_follower::PassedOver;
 
 /// Everything that an instance needs lies under this prefix: endpoints, configuration, own keys.
 const WATCH_PREFIX: &str = "";
@@ -22,15 +21,14 @@
 /// that duty, else by itself.
 pub async fn follow_store(instance: Rc<Instance>) {
     let mut lost = false;
-    let mut direct_until = now();
+    let mut passed_over = PassedOver::default();
     loop {
-        let relay = view_follower::relay_address(&instance);
-        if let Some(relay) = relay.filter(|_| now() >= direct_until) {
+        if let Some(relay) = view_follower::relay_address(&instance, &passed_over) {
             instance.set_follows_store(false);
-            let ended = view_follower::follow_instance(&instance, relay).await;
+            let ended = view_follower::follow_instance(&instance, relay, &passed_over).await;
             if let Err(error) = ended {
                 tracing::info!(event = "relay_lost", %relay, %error);
-                direct_until = now() + RELAY_PAUSE;
+                passed_over.add(relay, &error);
             }
             continue;
         }
@@ -45,7 +43,7 @@
         match read {
             Ok(()) => {
                 lost = report_regained(lost, &instance);
-                if follow_changes(&instance, &mut lost, direct_until).await
+                if follow_changes(&instance, &mut lost, &passed_over).await
                     && let Err(error) = read_all(&instance).await
                 {
                     lost = report_lost(lost, &instance, "range", &error);
@@ -69,9 +67,9 @@
 
 /// Follows changes until the history is dropped, or another instance has the duty; returns whether
 /// everything must be read again.
-async fn follow_changes(instance: &Instance, lost: &mut bool, direct_until: MonotonicTime) -> bool {
+async fn follow_changes(instance: &Instance, lost: &mut bool, passed_over: &PassedOver) -> bool {
     loop {
-        if now() >= direct_until && view_follower::relay_address(instance).is_some() {
+        if view_follower::relay_address(instance, passed_over).is_some() {
             return false;
         }
         let after = instance.view.borrow().revision;
--- a/crates/front/src/view_follower.rs
+++ b/crates/front/src/view_follower.rs
@@ -1,11 +1,15 @@
 //! Learns what the store said from another instance of the same zone.
 
+use std::collections::HashMap;
+use std::fmt;
 use std::io;
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use bytes::Bytes;
 use futures_util::SinkExt;
 use futures_util::StreamExt;
+use session_core::monotonic_time::MonotonicTime;
 use session_core::monotonic_time::now;
 use session_core::zone_watcher::zone_watcher;
 use tokio::net::TcpStream;
@@ -18,13 +22,71 @@
 use crate::relay_message::RelayNews;
 use crate::relay_message::relay_codec;
 
+/// The longest time to a connection and to the first message.
+const CONNECT_TIME: Duration = Duration::from_millis(300);
+
+/// The age of another instance's evidence above which the store itself is asked: two watches.
+const STALE_AGE: Duration = Duration::from_millis(1_800);
+
+/// How long an instance that does not answer is passed over; its lease ends by then.
+const SILENT_PAUSE: Duration = Duration::from_millis(9_000);
+
+/// How long an instance that hears nothing from the store is passed over.
+const STALE_PAUSE: Duration = Duration::from_millis(3_000);
+
+/// Why another instance is of no use for following the store.
+#[derive(Debug)]
+pub enum RelayError {
+    /// It does not answer, or its messages cannot be read.
+    Silent(io::Error),
+    /// What it knows of the store is old.
+    Stale(Duration),
+}
+
+impl fmt::Display for RelayError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            RelayError::Silent(error) => write!(f, "{error}"),
+            RelayError::Stale(age) => write!(f, "its evidence is {} ms old", age.as_millis()),
+        }
+    }
+}
+
+impl std::error::Error for RelayError {}
+
+impl From<io::Error> for RelayError {
+    fn from(error: io::Error) -> Self {
+        RelayError::Silent(error)
+    }
+}
+
+/// Instances that were of no use lately, with the time until which they are passed over.
+#[derive(Debug, Default)]
+pub struct PassedOver(HashMap<SocketAddr, MonotonicTime>);
+
+impl PassedOver {
+    /// Passes an instance over for a while.
+    pub fn add(&mut self, relay: SocketAddr, error: &RelayError) {
+        let pause = match error {
+            RelayError::Silent(_) => SILENT_PAUSE,
+            RelayError::Stale(_) => STALE_PAUSE,
+        };
+        self.0.insert(relay, now() + pause);
+    }
+
+    fn contains(&self, relay: SocketAddr) -> bool {
+        self.0.get(&relay).is_some_and(|until| now() < *until)
+    }
+}
+
 /// Returns the address of the instance that follows the store for this zone, unless that is this
 /// instance itself.
-pub fn relay_address(instance: &Instance) -> Option<SocketAddr> {
+pub fn relay_address(instance: &Instance, passed_over: &PassedOver) -> Option<SocketAddr> {
     let view = instance.view.borrow();
     let members = view
         .members
         .iter()
+        .filter(|(_, member)| !passed_over.contains(member.value.address))
         .map(|(name, member)| (name, &member.value.zone));
     let watcher = zone_watcher(&instance.settings.zone, members)?;
     if *watcher == instance.settings.instance {
@@ -33,14 +95,18 @@
     view.members.get(watcher).map(|m| m.value.address)
 }
 
-/// Follows another instance until it falls silent or the duty moves.
+/// Follows another instance until it is of no use or the duty moves.
 ///
 /// # Errors
 ///
 /// Says why the other instance is of no use.
-pub async fn follow_instance(instance: &Instance, relay: SocketAddr) -> io::Result<()> {
+pub async fn follow_instance(
+    instance: &Instance,
+    relay: SocketAddr,
+    passed_over: &PassedOver,
+) -> Result<(), RelayError> {
     let overdue = || io::Error::from(io::ErrorKind::TimedOut);
-    let stream = timeout(RELAY_TIME, TcpStream::connect(relay))
+    let stream = timeout(CONNECT_TIME, TcpStream::connect(relay))
         .await
         .map_err(|_| overdue())??;
     stream.set_nodelay(true)?;
@@ -51,16 +117,19 @@
     let asked_at = now();
     let bytes = postcard::to_stdvec(&ask).map_err(io::Error::other)?;
     framed.send(Bytes::from(bytes)).await?;
-    while relay_address(instance) == Some(relay) {
-        let message = timeout(RELAY_TIME, framed.next())
+    let mut silence = CONNECT_TIME;
+    while relay_address(instance, passed_over) == Some(relay) {
+        let message = timeout(silence, framed.next())
             .await
             .map_err(|_| overdue())?;
+        silence = RELAY_TIME;
         let Some(bytes) = message else {
-            return Err(io::ErrorKind::UnexpectedEof.into());
+            return Err(io::Error::from(io::ErrorKind::UnexpectedEof).into());
         };
         let news: RelayNews = postcard::from_bytes(&bytes?).map_err(io::Error::other)?;
+        let age = news.age;
         // The sender knew at that time all that the store had accepted `age` before it.
-        let known_at = asked_at + news.since_ask - news.age;
+        let known_at = asked_at + news.since_ask - age;
         let changed = news.complete || !news.items.is_empty();
         let complete = news.complete;
         let view = news.into_view();
@@ -72,6 +141,9 @@
         if changed {
             instance.view_changed();
         }
+        if age > STALE_AGE {
+            return Err(RelayError::Stale(age));
+        }
     }
     Ok(())
 }
--- a/crates/front/src/view_relay.rs
+++ b/crates/front/src/view_relay.rs
@@ -15,6 +15,7 @@
 use tokio_util::codec::LengthDelimitedCodec;
 
 use crate::instance::Instance;
+use crate::instance_limits::RELAY_PERIOD;
 use crate::instance_limits::RELAY_TIME;
 use crate::instance_limits::TICK_TIME;
 use crate::relay_message::RelayAsk;
@@ -73,6 +74,7 @@
                     return Ok(());
                 }
             }
+            () = tokio::time::sleep(RELAY_PERIOD) => {}
             message = framed.next() => {
                 if !matches!(message, Some(Ok(_))) {
                     return Ok(());
