--- a/crates/front/src/rate_exchange.rs
+++ b/crates/front/src/rate_exchange.rs
@@ -74,6 +74,11 @@
             .is_some_and(|keeper| keeper.lend(team, limit, 1.0, at) >= 1.0)
     }
 
+    /// Gives back the token of an operation that no endpoint ran.
+    pub fn give_back(&self, team: &TeamId) {
+        self.with_share(team, |share| share.share.borrow(1.0, now()));
+    }
+
     /// Changes the number of operations that wait for a token.
     pub fn wait_begins(&self, team: &TeamId) {
         self.with_share(team, |share| share.waiting += 1);
--- a/crates/front/src/statement_run.rs
+++ b/crates/front/src/statement_run.rs
@@ -240,10 +240,13 @@
         };
         let mut reason = "no_endpoint";
         loop {
-            let Ok((route, team)) = self.access() else {
-                self.fail_transaction();
-                self.refuse_request(id, CallerVerdict::Busy, "access_changed", arrived);
-                return;
+            let route = match self.access() {
+                Ok((route, current)) if current == team => route,
+                _ => {
+                    self.fail_transaction();
+                    self.refuse_request(id, CallerVerdict::Busy, "access_changed", arrived);
+                    return;
+                }
             };
             let end = self
                 .attempt(
@@ -274,6 +277,9 @@
                     };
                     let end = arrived + route.target_latency.mul_f64(part);
                     if now() + pause >= end {
+                        if let Some(team) = &team {
+                            self.instance.rates.give_back(team);
+                        }
                         self.fail_transaction();
                         self.give_up(&progress, scope, reason);
                         return;
--- a/crates/session-core/src/rate_keeper.rs
+++ b/crates/session-core/src/rate_keeper.rs
@@ -12,10 +12,10 @@
 
 /// The part of each burst that the keeper may lend at once, so that tokens lent before a window
 /// and used inside it stay within the limit.
-const LENT_BURST_PART: f64 = 0.6;
+const LENT_BURST_PART: f64 = 0.9;
 
 /// The part of each burst that a new keeper has: the former one may have lent its own just before.
-const FIRST_BURST_PART: f64 = 0.25;
+const FIRST_BURST_PART: f64 = 0.35;
 
 /// How long lent tokens may be used, from when they were asked for.
 pub const LOAN_TIME: Duration = Duration::from_millis(1_000);
