Form a tree of relays in each zone; close idle connections where they are scarce

A candidate that waited its turn replaced the leader that had been elected meanwhile (5 leaders in 0.5 s). 136 instances kept one connection each to endpoints that accept 128.

--- a/crates/front/src/endpoint_pool.rs
+++ b/crates/front/src/endpoint_pool.rs
@@ -37,7 +37,7 @@
 
 #[derive(Default)]
 struct EndpointSlot {
-    idle: Vec<EndpointConnection>,
+    idle: Vec<(MonotonicTime, EndpointConnection)>,
     in_use: usize,
     load: EndpointLoad,
     released: Rc<Notify>,
@@ -198,7 +198,7 @@
         self.slots.borrow().get(endpoint).is_some_and(|slot| {
             slot.idle
                 .iter()
-                .any(|connection| connection.team.as_ref() == team)
+                .any(|(_, connection)| connection.team.as_ref() == team)
         })
     }
 
@@ -225,6 +225,15 @@
         });
     }
 
+    /// Closes connections that were idle for longer than a time.
+    pub fn close_idle(&self, time: Duration) {
+        let at = now();
+        for slot in self.slots.borrow_mut().values_mut() {
+            slot.idle
+                .retain(|(since, _)| at.saturating_since(*since) < time);
+        }
+    }
+
     /// Closes the idle connections of endpoints that are gone.
     pub fn retain(&self, known: impl Fn(&EndpointId) -> bool) {
         for (id, slot) in self.slots.borrow_mut().iter_mut() {
@@ -300,7 +309,7 @@
     ) -> Option<PooledConnection> {
         let mut slots = self.slots.borrow_mut();
         let slot = slots.get_mut(endpoint)?;
-        let connection = slot.idle.pop()?;
+        let (_, connection) = slot.idle.pop()?;
         slot.in_use += 1;
         Some(PooledConnection {
             pool: Rc::clone(self),
@@ -339,10 +348,10 @@
                 let same = slot
                     .idle
                     .iter()
-                    .rposition(|c| mine(c) && c.values.matches(session));
-                same.or_else(|| slot.idle.iter().rposition(mine))?
+                    .rposition(|(_, c)| mine(c) && c.values.matches(session));
+                same.or_else(|| slot.idle.iter().rposition(|(_, c)| mine(c)))?
             };
-            let connection = slot.idle.remove(index);
+            let (_, connection) = slot.idle.remove(index);
             if !connection.is_stale() {
                 return Some(connection);
             }
@@ -375,7 +384,7 @@
             && connection.state == SessionState::Idle
             && slot.in_use + slot.idle.len() < limit.kept
         {
-            slot.idle.push(connection);
+            slot.idle.push((now(), connection));
         }
         slot.released.notify_one();
     }
--- a/crates/front/src/group_leader.rs
+++ b/crates/front/src/group_leader.rs
@@ -146,6 +146,10 @@
             return;
         }
     };
+    // Another instance may have been elected meanwhile.
+    if !may_try(instance) {
+        return;
+    }
     let former = instance.view.borrow().leader.as_ref().map(|l| l.revision);
     let value = LeaderValue {
         instance: instance.settings.instance.clone(),
--- a/crates/front/src/instance.rs
+++ b/crates/front/src/instance.rs
@@ -39,10 +39,12 @@
 use crate::group_leader;
 use crate::instance_limits::CONNECTION_PART;
 use crate::instance_limits::GRACE_PART;
+use crate::instance_limits::IDLE_TICKS;
 use crate::instance_limits::KEY_MARGIN;
 use crate::instance_limits::LEADER_LEASE_TIME;
 use crate::instance_limits::LEADER_MARGIN;
 use crate::instance_limits::LENDING_GRACE;
+use crate::instance_limits::SCARCE_IDLE_TIME;
 use crate::instance_limits::STORE_TIME;
 use crate::instance_limits::TICK_TIME;
 use crate::instance_limits::UNEVEN_FACTOR;
@@ -226,6 +228,17 @@
         }
     }
 
+    /// Whether there are more instances than connections that an endpoint accepts, so that not
+    /// each of them can keep one.
+    fn connections_are_scarce(&self) -> bool {
+        let view = self.view.borrow();
+        let least = view.rules.as_ref().and_then(|rules| {
+            let accepted = rules.services.values().map(|limit| limit.connections.0);
+            accepted.min()
+        });
+        least.is_some_and(|least| f64::from(least) * CONNECTION_PART < view.members.len() as f64)
+    }
+
     /// Changes what was seen of an endpoint.
     pub fn with_watch<T>(
         &self,
@@ -518,6 +531,9 @@
         instance.rates.set_keeper(instance.lending_part());
         instance.view.borrow_mut().drop_gone(now());
         peer_link::ask_in_advance(&instance, tick);
+        if tick % IDLE_TICKS == 0 && instance.connections_are_scarce() {
+            instance.pool.close_idle(SCARCE_IDLE_TIME);
+        }
         let view = instance.view.borrow();
         instance.pool.retain(|id| view.endpoints.contains_key(id));
     }
--- a/crates/front/src/instance_limits.rs
+++ b/crates/front/src/instance_limits.rs
@@ -70,6 +70,13 @@
 /// spread by a hash, so that one instance gets up to about three times the mean.
 pub const UNEVEN_FACTOR: f64 = 1.6;
 
+/// How long a connection stays idle where endpoints accept fewer than there are instances. At the
+/// rates of the larger deployments, about half of the accepted connections are open then.
+pub const SCARCE_IDLE_TIME: Duration = Duration::from_millis(1_500);
+
+/// Ticks between looks for connections that were idle for too long.
+pub const IDLE_TICKS: u64 = 3;
+
 /// The longest part of the target latency that a request waits without being offered.
 pub const QUEUE_PART: f64 = 0.25;
 
--- a/crates/front/src/store_feed.rs
+++ b/crates/front/src/store_feed.rs
@@ -1,6 +1,7 @@
 //! Follows the store by one long poll, or through another instance of the zone.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use platform::store_error::StoreError;
 use session_core::monotonic_time::now;
@@ -17,15 +18,20 @@
 /// Everything that an instance needs lies under this prefix: endpoints, configuration, own keys.
 const WATCH_PREFIX: &str = "";
 
+/// How long an instance that cannot reach the store follows another one that cannot either.
+const PATIENT_TIME: Duration = Duration::from_millis(2_000);
+
 /// Follows the store until the process ends: through another instance of the zone where one has
 /// that duty, else by itself.
 pub async fn follow_store(instance: Rc<Instance>) {
     let mut lost = false;
     let mut passed_over = PassedOver::default();
+    let mut patient_until = now();
     loop {
         if let Some(relay) = view_follower::relay_address(&instance, &passed_over) {
             instance.set_follows_store(false);
-            let ended = view_follower::follow_instance(&instance, relay, &passed_over).await;
+            let ended =
+                view_follower::follow_instance(&instance, relay, &passed_over, patient_until).await;
             if let Err(error) = ended {
                 tracing::info!(event = "relay_lost", %relay, %error);
                 passed_over.add(relay, &error);
@@ -43,10 +49,19 @@
         match read {
             Ok(()) => {
                 lost = report_regained(lost, &instance);
-                if follow_changes(&instance, &mut lost, &passed_over).await
-                    && let Err(error) = read_all(&instance).await
-                {
-                    lost = report_lost(lost, &instance, "range", &error);
+                match follow_changes(&instance, &mut lost, &passed_over).await {
+                    FollowEnd::HistoryDropped => {
+                        if let Err(error) = read_all(&instance).await {
+                            lost = report_lost(lost, &instance, "range", &error);
+                        }
+                    }
+                    // Others may reach the store; where none does, waiting costs no calls.
+                    FollowEnd::Failed => {
+                        passed_over.forgive_stale();
+                        patient_until = now() + PATIENT_TIME;
+                        tokio::time::sleep(STORE_PAUSE).await;
+                    }
+                    FollowEnd::Followed => {}
                 }
             }
             Err(error) => {
@@ -65,12 +80,25 @@
     Ok(())
 }
 
-/// Follows changes until the history is dropped, or another instance has the duty; returns whether
-/// everything must be read again.
-async fn follow_changes(instance: &Instance, lost: &mut bool, passed_over: &PassedOver) -> bool {
+/// Why an instance no longer follows the store itself.
+enum FollowEnd {
+    /// Everything must be read again.
+    HistoryDropped,
+    /// The store does not answer.
+    Failed,
+    /// Another instance can be followed.
+    Followed,
+}
+
+/// Follows changes of the store.
+async fn follow_changes(
+    instance: &Instance,
+    lost: &mut bool,
+    passed_over: &PassedOver,
+) -> FollowEnd {
     loop {
         if view_follower::relay_address(instance, passed_over).is_some() {
-            return false;
+            return FollowEnd::Followed;
         }
         let after = instance.view.borrow().revision;
         let asked_at = now();
@@ -96,11 +124,11 @@
             }
             Err(StoreError::HistoryDropped) => {
                 tracing::info!(event = "store_history_dropped", after);
-                return true;
+                return FollowEnd::HistoryDropped;
             }
             Err(error) => {
                 *lost = report_lost(*lost, instance, "watch", &error);
-                tokio::time::sleep(STORE_PAUSE).await;
+                return FollowEnd::Failed;
             }
         }
     }
--- a/crates/front/src/view_follower.rs
+++ b/crates/front/src/view_follower.rs
@@ -11,7 +11,7 @@
 use futures_util::StreamExt;
 use session_core::monotonic_time::MonotonicTime;
 use session_core::monotonic_time::now;
-use session_core::zone_watcher::zone_watcher;
+use session_core::zone_watcher::relay_parent;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 use tokio_util::codec::Framed;
@@ -74,28 +74,34 @@
         self.0.insert(relay, now() + pause);
     }
 
+    /// Passes nobody over any longer for evidence that was old.
+    pub fn forgive_stale(&mut self) {
+        let latest = now() + STALE_PAUSE;
+        self.0.retain(|_, until| *until > latest);
+    }
+
     fn contains(&self, relay: SocketAddr) -> bool {
         self.0.get(&relay).is_some_and(|until| now() < *until)
     }
 }
 
-/// Returns the address of the instance that follows the store for this zone, unless that is this
-/// instance itself.
+/// Returns the address of the instance from which this one learns what the store says; `None`
+/// where it follows the store itself.
 pub fn relay_address(instance: &Instance, passed_over: &PassedOver) -> Option<SocketAddr> {
     let view = instance.view.borrow();
+    let zone = &instance.settings.zone;
     let members = view
         .members
         .iter()
+        .filter(|(_, member)| member.value.zone == *zone)
         .filter(|(_, member)| !passed_over.contains(member.value.address))
-        .map(|(name, member)| (name, &member.value.zone));
-    let watcher = zone_watcher(&instance.settings.zone, members)?;
-    if *watcher == instance.settings.instance {
-        return None;
-    }
-    view.members.get(watcher).map(|m| m.value.address)
+        .map(|(name, _)| name);
+    let parent = relay_parent(&instance.settings.instance, zone, members)?;
+    view.members.get(parent).map(|member| member.value.address)
 }
 
-/// Follows another instance until it is of no use or the duty moves.
+/// Follows another instance until it is of no use or another one is to be followed; old evidence is
+/// accepted until `patient_until`.
 ///
 /// # Errors
 ///
@@ -104,6 +110,7 @@
     instance: &Instance,
     relay: SocketAddr,
     passed_over: &PassedOver,
+    patient_until: MonotonicTime,
 ) -> Result<(), RelayError> {
     let overdue = || io::Error::from(io::ErrorKind::TimedOut);
     let stream = timeout(CONNECT_TIME, TcpStream::connect(relay))
@@ -138,10 +145,11 @@
         } else {
             instance.view.borrow_mut().update(view, known_at);
         }
+        instance.store_heard();
         if changed {
             instance.view_changed();
         }
-        if age > STALE_AGE {
+        if age > STALE_AGE && now() >= patient_until {
             return Err(RelayError::Stale(age));
         }
     }
--- a/crates/front/src/view_relay.rs
+++ b/crates/front/src/view_relay.rs
@@ -1,4 +1,4 @@
-//! Tells the other instances of a zone what the store said.
+//! Tells other instances of the zone what the store said.
 
 use std::io;
 use std::rc::Rc;
@@ -58,10 +58,6 @@
     let mut changes = instance.changes.subscribe();
     let mut heard = instance.heard.subscribe();
     loop {
-        if !instance.follows_store() {
-            // The follower turns to the store itself.
-            return Ok(());
-        }
         told = tell(instance, &mut framed, asked_at, told).await?;
         tokio::select! {
             changed = changes.changed() => {
