--- a/crates/front/src/endpoint_pool.rs
+++ b/crates/front/src/endpoint_pool.rs
@@ -43,7 +43,7 @@
     released: Rc<Notify>,
     /// When connections of a team were last asked for.
     used_at: HashMap<Option<TeamId>, MonotonicTime>,
-    gate: StatementGate,
+    gate: Option<StatementGate>,
     gate_changes: Rc<Notify>,
 }
 
@@ -112,7 +112,8 @@
 
 impl Drop for GatePass {
     fn drop(&mut self) {
-        self.pool.with_gate(&self.endpoint, StatementGate::leave);
+        self.pool
+            .with_gate(&self.endpoint, |gate| gate.leave(now()));
     }
 }
 
@@ -121,23 +122,32 @@
     /// than `wait`.
     pub async fn pass_gate(
         self: &Rc<Self>,
-        endpoint: &EndpointId,
+        entry: &EndpointEntry,
+        instances: usize,
         priority: u8,
         wait: Duration,
     ) -> Option<GatePass> {
-        let ticket = self.with_gate(endpoint, |gate| gate.join(priority));
+        let endpoint = &entry.id;
+        self.create_gate(entry, instances);
+        let ticket = self.with_gate(endpoint, |gate| gate.join(priority))?;
         let end = now() + wait;
         loop {
-            if self.with_gate(endpoint, |gate| gate.try_enter(ticket)) {
+            if self.with_gate(endpoint, |gate| gate.try_enter(ticket, now()))? {
                 return Some(self.pass_of(endpoint));
             }
             let changes = self.gate_changes(endpoint);
             let remaining = end.saturating_since(now());
-            let changed = tokio::time::timeout(remaining, changes.notified()).await;
-            if changed.is_err() {
+            if remaining.is_zero() {
                 self.with_gate(endpoint, |gate| gate.forget(ticket));
                 return None;
             }
+            let pause = self.with_gate(endpoint, |gate| gate.pause(now()))?;
+            let pause = match pause.is_zero() {
+                true => remaining,
+                false => pause.min(remaining),
+            };
+            // A pause that ends is as good as a change.
+            let _ = tokio::time::timeout(pause, changes.notified()).await;
         }
     }
 
@@ -149,7 +159,7 @@
 
     /// Takes the latency of a statement, for the bound of the gate.
     pub fn adapt_gate(&self, endpoint: &EndpointId, latency: Duration, target: Duration) {
-        self.with_gate(endpoint, |gate| gate.adapt(latency, target));
+        self.with_gate(endpoint, |gate| gate.adapt(latency, target, now()));
     }
 
     /// Takes the answer that the endpoint's queue is full.
@@ -157,6 +167,13 @@
         self.with_gate(endpoint, StatementGate::narrow);
     }
 
+    fn create_gate(&self, entry: &EndpointEntry, instances: usize) {
+        let mut slots = self.slots.borrow_mut();
+        let slot = slots.entry(entry.id.clone()).or_default();
+        slot.gate
+            .get_or_insert_with(|| StatementGate::new(entry.slots.0, instances));
+    }
+
     fn pass_of(self: &Rc<Self>, endpoint: &EndpointId) -> GatePass {
         GatePass {
             pool: Rc::clone(self),
@@ -169,18 +186,20 @@
         Rc::clone(&slots.entry(endpoint.clone()).or_default().gate_changes)
     }
 
+    /// Reads or changes the gate of an endpoint, where a statement was sent there before.
     fn with_gate<T>(
         &self,
         endpoint: &EndpointId,
         action: impl FnOnce(&mut StatementGate) -> T,
-    ) -> T {
+    ) -> Option<T> {
         let mut slots = self.slots.borrow_mut();
-        let slot = slots.entry(endpoint.clone()).or_default();
-        let result = action(&mut slot.gate);
-        if slot.gate.has_room() {
+        let slot = slots.get_mut(endpoint)?;
+        let gate = slot.gate.as_mut()?;
+        let result = action(gate);
+        if gate.has_room(now()) {
             slot.gate_changes.notify_waiters();
         }
-        result
+        Some(result)
     }
 
     /// Reads or changes what was seen of an endpoint.
--- a/crates/front/src/statement_run.rs
+++ b/crates/front/src/statement_run.rs
@@ -382,8 +382,12 @@
         let queue_end = progress.arrived + route.target_latency.mul_f64(QUEUE_PART);
         let wait = queue_end.saturating_since(now()).max(LEAST_WAIT);
         let limit = self.instance.connection_limit(&route.service);
+        let instances = self.instance.view.borrow().members.len();
         let pool = &self.instance.pool;
-        let Some(pass) = pool.pass_gate(&endpoint, route.priority, wait).await else {
+        let Some(pass) = pool
+            .pass_gate(&chosen.entry, instances, route.priority, wait)
+            .await
+        else {
             *reason = "endpoint_busy";
             progress.excluded.push(endpoint);
             return AttemptEnd::Again(Duration::ZERO);
--- a/crates/session-core/src/statement_gate.rs
+++ b/crates/session-core/src/statement_gate.rs
@@ -7,9 +7,18 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-/// The bound at the start.
+use crate::monotonic_time::MonotonicTime;
+
+/// The highest bound at the start.
 const FIRST_BOUND: f64 = 3.0;
 
+/// Statements for each slot of an endpoint that all instances together begin with.
+const FIRST_FACTOR: f64 = 6.0;
+
+/// The lowest bound. Below one, a statement is followed by a pause in which others have the
+/// endpoint, so that the bound is the part of the time in which a statement runs.
+const LOWEST_BOUND: f64 = 0.1;
+
 /// The highest bound; no endpoint has more slots today.
 const HIGHEST_BOUND: f64 = 12.0;
 
@@ -40,21 +49,23 @@
     waiting: BTreeSet<GateTicket>,
     next_number: u64,
     latency_ms: f64,
+    rests_until: MonotonicTime,
 }
 
-impl Default for StatementGate {
-    fn default() -> Self {
+impl StatementGate {
+    /// Creates the gate of an endpoint with the given slots, which the instances share.
+    pub fn new(slots: u32, instances: usize) -> Self {
+        let even = f64::from(slots) * FIRST_FACTOR / instances.max(1) as f64;
         Self {
-            bound: FIRST_BOUND,
+            bound: even.clamp(LOWEST_BOUND, FIRST_BOUND),
             running: 0,
             waiting: BTreeSet::new(),
             next_number: 0,
             latency_ms: 0.0,
+            rests_until: MonotonicTime::default(),
         }
     }
-}
 
-impl StatementGate {
     /// Joins the queue.
     pub fn join(&mut self, priority: u8) -> GateTicket {
         let ticket = GateTicket {
@@ -67,8 +78,8 @@
     }
 
     /// Enters where there is room and nobody goes first.
-    pub fn try_enter(&mut self, ticket: GateTicket) -> bool {
-        let may = self.has_room() && self.waiting.first() == Some(&ticket);
+    pub fn try_enter(&mut self, ticket: GateTicket, now: MonotonicTime) -> bool {
+        let may = self.has_room(now) && self.waiting.first() == Some(&ticket);
         if may {
             self.waiting.remove(&ticket);
             self.running += 1;
@@ -76,6 +87,11 @@
         may
     }
 
+    /// Returns the rest of the pause after the last statement.
+    pub fn pause(&self, now: MonotonicTime) -> Duration {
+        self.rests_until.saturating_since(now)
+    }
+
     /// Leaves the queue.
     pub fn forget(&mut self, ticket: GateTicket) {
         self.waiting.remove(&ticket);
@@ -87,13 +103,17 @@
     }
 
     /// Ends a statement.
-    pub fn leave(&mut self) {
+    pub fn leave(&mut self, now: MonotonicTime) {
         self.running = self.running.saturating_sub(1);
+        if self.bound < 1.0 {
+            let rest_ms = self.latency_ms * (1.0 / self.bound - 1.0);
+            self.rests_until = now + Duration::from_secs_f64(rest_ms / 1_000.0);
+        }
     }
 
     /// Whether one more statement may run.
-    pub fn has_room(&self) -> bool {
-        (self.running as f64) < self.bound.floor()
+    pub fn has_room(&self, now: MonotonicTime) -> bool {
+        (self.running as f64) < self.bound.floor().max(1.0) && self.pause(now).is_zero()
     }
 
     /// Returns how many requests wait.
@@ -102,18 +122,18 @@
     }
 
     /// Takes the latency of an answer.
-    pub fn adapt(&mut self, latency: Duration, target: Duration) {
+    pub fn adapt(&mut self, latency: Duration, target: Duration, now: MonotonicTime) {
         let sample = latency.as_secs_f64() * 1_000.0;
         self.latency_ms += LATENCY_WEIGHT * (sample - self.latency_ms);
         if self.latency_ms > target.as_secs_f64() * 1_000.0 {
-            self.bound = (self.bound * NARROW_FACTOR).max(1.0);
-        } else if !self.has_room() || !self.waiting.is_empty() {
+            self.bound = (self.bound * NARROW_FACTOR).max(LOWEST_BOUND);
+        } else if self.bound < 1.0 || !self.has_room(now) || !self.waiting.is_empty() {
             self.bound = (self.bound + WIDEN_STEP).min(HIGHEST_BOUND);
         }
     }
 
     /// Takes the answer that the endpoint's queue is full.
     pub fn narrow(&mut self) {
-        self.bound = (self.bound * FULL_FACTOR).max(1.0);
+        self.bound = (self.bound * FULL_FACTOR).max(LOWEST_BOUND);
     }
 }
--- a/tests/testsuite/statement_gates.rs
+++ b/tests/testsuite/statement_gates.rs
@@ -10,6 +10,7 @@
 use session_core::statement_gate::StatementGate;
 
 const TARGET: Duration = Duration::from_millis(60);
+const NOW: MonotonicTime = MonotonicTime::from_millis(1_000);
 
 fn at(millis: u64) -> MonotonicTime {
     MonotonicTime::from_millis(millis)
@@ -21,7 +22,7 @@
 
 fn fill(gate: &mut StatementGate) -> usize {
     let mut entered = 0;
-    while gate.has_room() {
+    while gate.has_room(NOW) {
         gate.enter();
         entered += 1;
     }
@@ -31,15 +32,15 @@
 /// Slow answers must lower the bound, and fast ones raise it again.
 #[test]
 fn bound_follows_latency() {
-    let mut gate = StatementGate::default();
+    let mut gate = StatementGate::new(3, 13);
     for _ in 0..200 {
-        gate.adapt(Duration::from_millis(300), TARGET);
+        gate.adapt(Duration::from_millis(300), TARGET, NOW);
     }
     let narrow = fill(&mut gate);
     assert_eq!(narrow, 1);
     let mut wide = narrow;
     for _ in 0..200 {
-        gate.adapt(Duration::from_millis(10), TARGET);
+        gate.adapt(Duration::from_millis(10), TARGET, NOW);
         wide += fill(&mut gate);
     }
     assert!(wide > 5, "{wide}");
@@ -48,22 +49,36 @@
 /// The most urgent request must go first, and those of one rank in their order.
 #[test]
 fn urgent_goes_first() {
-    let mut gate = StatementGate::default();
+    let mut gate = StatementGate::new(3, 13);
     let running = fill(&mut gate);
     let later = gate.join(2);
     let other = gate.join(2);
     let urgent = gate.join(1);
     for _ in 0..running {
-        gate.leave();
+        gate.leave(NOW);
     }
-    assert!(!gate.try_enter(later));
-    assert!(gate.try_enter(urgent));
-    assert!(!gate.try_enter(other));
-    assert!(gate.try_enter(later));
+    assert!(!gate.try_enter(later, NOW));
+    assert!(gate.try_enter(urgent, NOW));
+    assert!(!gate.try_enter(other, NOW));
+    assert!(gate.try_enter(later, NOW));
     gate.forget(other);
     assert_eq!(gate.waiting(), 0);
 }
 
+/// With more instances than slots, each must leave the endpoint to others between statements.
+#[test]
+fn bound_below_one_pauses() {
+    let mut gate = StatementGate::new(2, 144);
+    assert_eq!(fill(&mut gate), 1);
+    for _ in 0..50 {
+        gate.adapt(Duration::from_millis(100), TARGET, NOW);
+    }
+    gate.leave(NOW);
+    assert!(gate.pause(NOW) > Duration::from_millis(400));
+    assert!(!gate.has_room(NOW));
+    assert!(gate.has_room(NOW + Duration::from_secs(1)));
+}
+
 /// The parts of all instances together must not exceed the whole.
 #[test]
 fn parts_sum_to_one() {
