Add a stand-in of the users' platform and whole-path tests of the daemon

18 tests run the built daemon as separate processes against the store, the duties and a database group of the stand-in: sessions, withdrawn keys, an absent store, leaving and silent primaries, relays, restarts, stops, logs. They found that a key withdrawn while its request waited for a token was answered as overload instead of as denied; the session now ends as for any withdrawn key. cargo test -p front: 18 passed, 0 failed in 8 s.

--- a/crates/front/src/statement_run.rs
+++ b/crates/front/src/statement_run.rs
@@ -25,6 +25,7 @@
 
 use crate::caller_session::CallerSession;
 use crate::caller_session::SessionEnd;
+use crate::caller_session::SessionRefusal;
 use crate::endpoint_connection::EndpointAnswer;
 use crate::endpoint_pool::PoolError;
 use crate::endpoint_pool::PooledConnection;
@@ -92,15 +93,7 @@
         };
         let (route, team) = match self.access() {
             Ok(access) => access,
-            Err(refusal) => {
-                let ends = refusal.verdict != CallerVerdict::Busy;
-                self.transaction = None;
-                self.refuse_request(id, refusal.verdict, refusal.reason, arrived);
-                return match ends {
-                    true => self.end_after_answer(refusal.reason).await,
-                    false => Ok(()),
-                };
-            }
+            Err(refusal) => return self.refuse_access(id, &refusal, arrived).await,
         };
         let running = self
             .transaction
@@ -108,10 +101,28 @@
             .is_some_and(|transaction| transaction.connection.is_some());
         if running {
             self.run_inside(id, statement, arrived).await;
-        } else {
-            self.run_first(id, statement, arrived, route, team).await;
+            return Ok(());
+        }
+        match self.run_first(id, statement, arrived, route, team).await {
+            Some(refusal) => self.refuse_access(id, &refusal, arrived).await,
+            None => Ok(()),
+        }
+    }
+
+    /// Answers a request whose key or route is not accepted, and ends the session unless it may be
+    /// accepted again.
+    async fn refuse_access(
+        &mut self,
+        id: &str,
+        refusal: &SessionRefusal,
+        arrived: MonotonicTime,
+    ) -> Result<(), SessionEnd> {
+        self.transaction = None;
+        self.refuse_request(id, refusal.verdict, refusal.reason, arrived);
+        match refusal.verdict {
+            CallerVerdict::Busy => Ok(()),
+            _ => self.end_after_answer(refusal.reason).await,
         }
-        Ok(())
     }
 
     async fn end_after_answer(&mut self, reason: &'static str) -> Result<(), SessionEnd> {
@@ -213,7 +224,8 @@
         }
     }
 
-    /// Runs a single statement, or the first one of a transaction.
+    /// Runs a single statement, or the first one of a transaction; returns a refusal where the
+    /// session lost its access meanwhile.
     async fn run_first(
         &mut self,
         id: &str,
@@ -221,13 +233,13 @@
         arrived: MonotonicTime,
         route: DatabaseRoute,
         team: Option<TeamId>,
-    ) {
+    ) -> Option<SessionRefusal> {
         if let Some(team) = &team
             && !self.admit(team, &route, arrived).await
         {
             self.fail_transaction();
             self.refuse_request(id, CallerVerdict::Busy, "team_rate_exceeded", arrived);
-            return;
+            return None;
         }
         let scope = self.first_scope(&statement);
         let mut progress = RequestProgress {
@@ -242,11 +254,13 @@
         loop {
             let route = match self.access() {
                 Ok((route, current)) if current == team => route,
-                _ => {
-                    self.fail_transaction();
-                    self.refuse_request(id, CallerVerdict::Busy, "access_changed", arrived);
-                    return;
+                Ok(_) => {
+                    return Some(SessionRefusal {
+                        verdict: CallerVerdict::Denied,
+                        reason: "key_moved_to_another_team",
+                    });
                 }
+                Err(refusal) => return Some(refusal),
             };
             let end = self
                 .attempt(
@@ -262,13 +276,13 @@
                     self.finish_first(
                         &statement, &route, scope, answer, connection, chosen, &progress,
                     );
-                    return;
+                    return None;
                 }
                 AttemptEnd::Ended(fault) => {
                     let endpoint = progress.excluded.last().cloned();
                     self.fail_transaction();
                     self.tell_first_fault(&progress, scope, endpoint, fault);
-                    return;
+                    return None;
                 }
                 AttemptEnd::Again(pause) => {
                     let part = match progress.offered_at {
@@ -282,7 +296,7 @@
                         }
                         self.fail_transaction();
                         self.give_up(&progress, scope, reason);
-                        return;
+                        return None;
                     }
                     tokio::time::sleep(pause).await;
                 }
--- /dev/null
+++ b/crates/front/tests/testsuite/daemon_stop.rs
@@ -0,0 +1,64 @@
+//! Guards against stops that cut requests, and against logs and metrics that do not tell.
+
+use std::process::Command;
+
+use crate::fleet::Fleet;
+
+/// A stop must let an open transaction end, close idle sessions and end with success.
+#[tokio::test]
+async fn open_transaction_ends_first() {
+    let mut fleet = Fleet::start(1).await;
+    let mut idle = fleet.caller(0, "linear").await;
+    idle.ask_until_served("READ page").await;
+    let mut busy = fleet.caller(0, "linear").await;
+    assert_eq!(busy.ask("BEGIN").await.state, "T");
+    assert!(busy.ask("WRITE page 7").await.succeeded());
+    fleet.instances[0].signal("TERM");
+    assert!(idle.closed().await);
+    assert_eq!(fleet.instances[0].status("/readiness").await.0, 503);
+    assert!(busy.ask("COMMIT").await.succeeded());
+    assert!(busy.closed().await);
+    assert!(fleet.instances[0].ended().await.success());
+    let log = fleet.instances[0].log();
+    assert!(log.contains("stop_requested") && log.contains("\"event\":\"stopped\""));
+}
+
+/// The story of a request must be found by its id, and its counters on the metrics address.
+#[tokio::test]
+async fn request_is_explained() {
+    let fleet = Fleet::start(1).await;
+    let mut caller = fleet.caller(0, "linear").await;
+    caller.ask_until_served("WRITE page 1").await;
+    assert_eq!(caller.ask("EXECUTE s9 page").await.code(), "UNDEFINED");
+    tokio::time::sleep(std::time::Duration::from_millis(400)).await;
+    let log = fleet.instances[0].log();
+    for event in ["started", "registered", "leader_elected", "first_order"] {
+        assert!(log.contains(&format!("\"event\":\"{event}\"")), "{event}");
+    }
+    let refused = log.lines().find(|line| line.contains("request_refused"));
+    let refused = refused.unwrap_or_default();
+    assert!(refused.contains("unknown_prepared_name") && refused.contains("\"version\":1"));
+    let metrics = fleet.instances[0].status("/metrics").await.1;
+    assert!(metrics.contains("tamaracklb_statements_total{outcome=\"served\"}"));
+    assert!(metrics.contains("tamaracklb_statement_seconds_bucket"));
+    assert!(metrics.contains("tamaracklb_platform_calls_total{kind=\"watch\""));
+}
+
+/// Bad settings must be told with the reason and a code of their own.
+#[test]
+fn bad_settings_are_told() {
+    let folder = tempfile::tempdir().expect("a folder can be made");
+    let path = folder.path().join("bad.yaml");
+    std::fs::write(&path, "NodeName: front-1\n").expect("settings can be written");
+    let run = |arguments: &[&str]| {
+        Command::new(env!("CARGO_BIN_EXE_tamaracklb-front"))
+            .args(arguments)
+            .env("TAMARACKLB_NODE_FILE", &path)
+            .output()
+            .expect("the daemon can be started")
+    };
+    let output = run(&["--check"]);
+    assert_eq!(output.status.code(), Some(2));
+    assert!(String::from_utf8_lossy(&output.stderr).contains("settings are malformed"));
+    assert!(run(&["--version"]).status.success());
+}
--- /dev/null
+++ b/crates/front/tests/testsuite/key_withdrawal.rs
@@ -0,0 +1,59 @@
+//! Guards against keys that are accepted after their withdrawal.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use standins::platform::store_state::StoreTrouble;
+
+use crate::fleet::Fleet;
+use crate::fleet::KEY;
+
+/// The bound of the settings, in which a withdrawn key must stop working.
+const REVOCATION_TIME: Duration = Duration::from_secs(5);
+
+/// An open session must be refused once its key is withdrawn.
+#[tokio::test]
+async fn withdrawn_key_is_refused() {
+    let mut fleet = Fleet::start(2).await;
+    let mut caller = fleet.caller(1, "linear").await;
+    caller.ask_until_served("READ page").await;
+    fleet.set_keys(&["another"]);
+    let start = Instant::now();
+    loop {
+        let answer = caller.ask("READ page").await;
+        if !answer.succeeded() {
+            assert_eq!(answer.code(), "DENIED", "{answer:?}");
+            break;
+        }
+        assert!(start.elapsed() < REVOCATION_TIME, "still served");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    assert!(caller.closed().await);
+}
+
+/// Instances that cannot reach the store must stop accepting keys in time, and resume after.
+#[tokio::test]
+async fn keys_lapse_without_the_store() {
+    let mut fleet = Fleet::start(2).await;
+    let mut caller = fleet.caller(0, "linear").await;
+    caller.ask_until_served("READ page").await;
+    fleet.platform.shared.store().trouble = StoreTrouble::Busy;
+    // Watches that began before the trouble still end with what they hear.
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    let start = Instant::now();
+    fleet.set_keys(&["another"]);
+    let mut served_at = start.elapsed();
+    while start.elapsed() < REVOCATION_TIME + Duration::from_secs(1) {
+        if caller.ask("READ page").await.succeeded() {
+            served_at = start.elapsed();
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    assert!(served_at < REVOCATION_TIME, "served after {served_at:?}");
+    assert_ne!(fleet.instances[0].status("/readiness").await.0, 200);
+    fleet.set_keys(&["another", KEY]);
+    fleet.platform.shared.store().trouble = StoreTrouble::None;
+    fleet.instances[0].await_ready().await;
+    let mut caller = fleet.caller(0, "linear").await;
+    caller.ask_until_served("READ page").await;
+}
--- /dev/null
+++ b/crates/front/tests/testsuite/primary_changes.rs
@@ -0,0 +1,52 @@
+//! Guards against changes of the primary that lose commits, or that never come.
+
+use crate::fleet::Fleet;
+
+/// A primary that leaves must hand over while it still serves.
+#[tokio::test]
+async fn leaving_primary_hands_over() {
+    let fleet = Fleet::start(2).await;
+    let mut caller = fleet.caller(0, "linear").await;
+    caller.ask_until_served("WRITE page kept").await;
+    let former = fleet.primary();
+    fleet.platform.change_group(|group| {
+        if let Some(endpoint) = group.endpoints.get_mut(&former) {
+            endpoint.draining = true;
+        }
+    });
+    for _ in 0..200 {
+        if fleet.primary() != former {
+            break;
+        }
+        tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+    }
+    assert_ne!(fleet.primary(), former);
+    let read = caller.ask_until_served("READ page").await;
+    assert_eq!(read.rows, vec!["kept"]);
+    caller.ask_until_served("WRITE page later").await;
+    let group = fleet.platform.shared.group();
+    assert!(group.promotions.iter().all(|(_, _, token)| *token > 0));
+}
+
+/// A primary that falls silent must be replaced by a replica with every acknowledged commit.
+#[tokio::test]
+async fn silent_primary_is_replaced() {
+    let fleet = Fleet::start(2).await;
+    let mut caller = fleet.caller(1, "linear").await;
+    let former = fleet.primary();
+    let mut acknowledged = 0;
+    for number in 1..30 {
+        caller
+            .ask_until_served(&format!("WRITE page {number}"))
+            .await;
+        acknowledged = number;
+    }
+    fleet.platform.change_group(|group| {
+        if let Some(endpoint) = group.endpoints.get_mut(&former) {
+            endpoint.alive = false;
+        }
+    });
+    let read = caller.ask_until_served("READ page").await;
+    assert_eq!(read.rows, vec![acknowledged.to_string()]);
+    assert_ne!(fleet.primary(), former);
+}
--- /dev/null
+++ b/crates/front/tests/testsuite/relayed_changes.rs
@@ -0,0 +1,36 @@
+//! Guards against a store that every instance polls, and against relays that hide its changes.
+
+use std::time::Duration;
+
+use crate::fleet::Fleet;
+
+const INSTANCES: usize = 8;
+
+/// In a quiet time, most instances of a zone must leave the store alone.
+#[tokio::test]
+async fn few_instances_poll_the_store() {
+    let fleet = Fleet::start(INSTANCES).await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let before = fleet.platform.shared.store().calls;
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    let calls = fleet.platform.shared.store().calls - before;
+    // Eight pollers alone would make 44 calls in 4 s; renewals of nine leases are 23.
+    assert!(calls < 40, "{calls} calls");
+}
+
+/// Every instance must learn of a change, also after the one that it follows died.
+#[tokio::test]
+async fn changes_reach_every_instance() {
+    let mut fleet = Fleet::start(INSTANCES).await;
+    fleet.instances[3].kill();
+    fleet.set_keys(&["another"]);
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    for (number, instance) in fleet.instances.iter().enumerate() {
+        let knows = instance.log().contains("\"version\":4");
+        assert!(
+            knows || number == 3,
+            "instance {number}: {}",
+            instance.log()
+        );
+    }
+}
--- /dev/null
+++ b/crates/front/tests/testsuite/session_state.rs
@@ -0,0 +1,111 @@
+//! Guards against sessions whose values, names or writes do not follow them.
+
+use crate::caller::Caller;
+use crate::fleet::Fleet;
+use crate::fleet::KEY;
+
+/// A session must see its own write at once, whatever endpoint serves the read.
+#[tokio::test]
+async fn own_write_is_read() {
+    let fleet = Fleet::start(2).await;
+    fleet
+        .platform
+        .change_group(|group| group.lag = std::time::Duration::from_millis(300));
+    let mut caller = fleet.caller(0, "own").await;
+    for number in 0..20 {
+        let written = caller
+            .ask_until_served(&format!("WRITE page {number}"))
+            .await;
+        assert!(written.end.contains("db-"), "{written:?}");
+        let read = caller.ask_until_served("READ page").await;
+        assert_eq!(read.rows, vec![number.to_string()]);
+    }
+}
+
+/// A read on a linearizable route must see what another session wrote on another instance.
+#[tokio::test]
+async fn linear_read_sees_other_sessions() {
+    let fleet = Fleet::start(2).await;
+    let mut writer = fleet.caller(0, "linear").await;
+    let mut reader = fleet.caller(1, "linear").await;
+    for number in 0..20 {
+        writer
+            .ask_until_served(&format!("WRITE page {number}"))
+            .await;
+        let read = reader.ask_until_served("READ page").await;
+        assert_eq!(read.rows, vec![number.to_string()]);
+    }
+}
+
+/// Statements must run with the values of their own session, on connections that others used.
+#[tokio::test]
+async fn values_follow_their_session() {
+    let fleet = Fleet::start(1).await;
+    let mut first = fleet.caller(0, "linear").await;
+    let mut second = fleet.caller(0, "linear").await;
+    assert!(first.ask("SET locale yo").await.succeeded());
+    assert!(first.ask("PREPARE s1 READ q1").await.succeeded());
+    assert!(second.ask("PREPARE s1 WRITE q2").await.succeeded());
+    for _ in 0..5 {
+        assert!(first.ask("EXECUTE s1 page").await.succeeded());
+        assert!(second.ask("EXECUTE s1 page x").await.succeeded());
+    }
+    let group = fleet.platform.shared.group();
+    for run in group.runs.iter().rev().take(10) {
+        let expected = match run.wrote {
+            true => Vec::new(),
+            false => vec![("locale".to_owned(), "yo".to_owned())],
+        };
+        assert_eq!(run.values, expected, "{run:?}");
+        assert_eq!(run.team, "studio");
+    }
+}
+
+/// A transaction must stay on one connection and leave nothing where it is rolled back.
+#[tokio::test]
+async fn rolled_back_write_is_gone() {
+    let fleet = Fleet::start(1).await;
+    let mut caller = fleet.caller(0, "linear").await;
+    caller.ask_until_served("WRITE page before").await;
+    assert_eq!(caller.ask("BEGIN").await.state, "T");
+    assert!(caller.ask("WRITE page inside").await.succeeded());
+    assert_eq!(caller.ask("ROLLBACK").await.state, "I");
+    assert_eq!(caller.ask("READ page").await.rows, vec!["before"]);
+    assert_eq!(caller.ask("BEGIN").await.state, "T");
+    assert!(caller.ask("WRITE page after").await.succeeded());
+    let committed = caller.ask("COMMIT").await;
+    assert!(committed.succeeded() && committed.end.contains("db-"));
+    assert_eq!(caller.ask("READ page").await.rows, vec!["after"]);
+}
+
+/// Unknown names and bad statements must be told apart, and must not end the session.
+#[tokio::test]
+async fn bad_requests_are_told() {
+    let fleet = Fleet::start(1).await;
+    let address = fleet.instances[0].callers;
+    let refused = Caller::try_open(address, "nowhere", KEY).await;
+    assert!(refused.is_err_and(|line| line.starts_with("ERROR NODATABASE")));
+    let refused = Caller::try_open(address, "linear", "other").await;
+    assert!(refused.is_err_and(|line| line.starts_with("ERROR DENIED")));
+    let mut caller = fleet.caller(0, "linear").await;
+    assert_eq!(caller.ask("DANCE").await.code(), "MALFORMED");
+    assert_eq!(caller.ask("EXECUTE s9 page").await.code(), "UNDEFINED");
+    assert_eq!(caller.ask("COMMIT").await.code(), "MALFORMED");
+    assert!(caller.ask("READ page").await.succeeded());
+}
+
+/// A read whose answer is lost must be served by a repeat, not refused.
+#[tokio::test]
+async fn lost_read_answer_is_repeated() {
+    let fleet = Fleet::start(1).await;
+    let mut caller = fleet.caller(0, "bounded").await;
+    caller.ask_until_served("READ page").await;
+    fleet.platform.shared.group().lose_answers = 1;
+    let answer = caller.ask("READ page").await;
+    // The answer is lost silently, so the time of a statement passes first.
+    assert!(
+        answer.succeeded() || answer.code() == "TIMEOUT",
+        "{answer:?}"
+    );
+    assert!(caller.ask("READ page").await.succeeded());
+}
--- /dev/null
+++ b/crates/front/tests/testsuite/store_troubles.rs
@@ -0,0 +1,60 @@
+//! Guards against instances that do not come back after the store, or after all of them died.
+
+use std::time::Duration;
+
+use standins::platform::store_state::StoreTrouble;
+
+use crate::fleet::Fleet;
+
+/// After all processes were killed at once, everything needed must be in the store.
+#[tokio::test]
+async fn all_restart_at_once() {
+    let mut fleet = Fleet::start(3).await;
+    let mut caller = fleet.caller(0, "linear").await;
+    caller.ask_until_served("WRITE page kept").await;
+    for instance in &mut fleet.instances {
+        instance.kill();
+    }
+    for instance in &mut fleet.instances {
+        instance.restart();
+    }
+    fleet.await_service().await;
+    let mut caller = fleet.caller(2, "linear").await;
+    let read = caller.ask_until_served("READ page").await;
+    assert_eq!(read.rows, vec!["kept"]);
+}
+
+/// A dropped history must lead to a new read of everything, not to a missed configuration.
+#[tokio::test]
+async fn dropped_history_misses_nothing() {
+    let mut fleet = Fleet::start(2).await;
+    fleet.platform.shared.store().trouble = StoreTrouble::Busy;
+    tokio::time::sleep(Duration::from_millis(1_200)).await;
+    fleet.set_keys(&["another"]);
+    fleet.platform.shared.store().drop_history();
+    fleet.platform.shared.store().trouble = StoreTrouble::None;
+    for instance in &fleet.instances {
+        for _ in 0..100 {
+            if instance.log().contains("\"version\":4") {
+                break;
+            }
+            tokio::time::sleep(Duration::from_millis(50)).await;
+        }
+        assert!(
+            instance.log().contains("\"version\":4"),
+            "{}",
+            instance.log()
+        );
+    }
+}
+
+/// Changes whose answers are lost must not leave an instance unregistered.
+#[tokio::test]
+async fn lost_answers_are_survived() {
+    let mut fleet = Fleet::start(2).await;
+    fleet.platform.shared.store().trouble = StoreTrouble::AnswersLost;
+    fleet.instances[1].restart();
+    tokio::time::sleep(Duration::from_millis(2_500)).await;
+    fleet.platform.shared.store().trouble = StoreTrouble::None;
+    fleet.await_service().await;
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -1,7 +1,8 @@
-//! Small stand-ins for the platform's database endpoints and store, with faults that tests switch
+//! Small stand-ins for database endpoints, for a store, and for the users' platform, with faults that tests switch
 //! while they run.
 
 pub mod endpoint;
+pub mod platform;
 pub mod store;
 
 mod http;
--- /dev/null
+++ b/crates/standins/src/platform/group_state.rs
@@ -0,0 +1,158 @@
+//! The database group of the stand-in: its log, roles and what ran.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+/// One committed transaction.
+#[derive(Debug, Clone)]
+pub struct KeptCommit {
+    /// Items and their new values.
+    pub writes: Vec<(String, String)>,
+    /// When it was committed.
+    pub at: Instant,
+}
+
+/// One endpoint of the group.
+#[derive(Debug, Clone)]
+pub struct EndpointState {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Whether it calls itself the primary.
+    pub primary: bool,
+    /// Its term.
+    pub term: u64,
+    /// Its log.
+    pub log: Vec<KeptCommit>,
+    /// The term of a pause; 0 for none.
+    pub paused: u64,
+    /// Whether it answers; its connections are silent otherwise.
+    pub alive: bool,
+    /// Whether it is about to leave.
+    pub draining: bool,
+}
+
+/// A statement that ran.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct KeptRun {
+    /// The id of the request.
+    pub id: String,
+    /// The endpoint.
+    pub endpoint: String,
+    /// For whom the connection was opened.
+    pub team: String,
+    /// Whether it wrote.
+    pub wrote: bool,
+    /// The session values of the connection.
+    pub values: Vec<(String, String)>,
+}
+
+/// The group.
+#[derive(Debug)]
+pub struct GroupState {
+    /// The service.
+    pub service: String,
+    /// Endpoints by id.
+    pub endpoints: HashMap<String, EndpointState>,
+    /// How late replicas apply what they receive.
+    pub lag: Duration,
+    /// How many reads lose their answer from now on.
+    pub lose_answers: u32,
+    /// Statements that ran.
+    pub runs: Vec<KeptRun>,
+    /// Promotions with their holders and tokens.
+    pub promotions: Vec<(String, String, u64)>,
+}
+
+impl GroupState {
+    /// Commits on an endpoint; returns whether a replica has received it, so that it may be
+    /// acknowledged.
+    pub fn commit(&mut self, endpoint: &str, writes: Vec<(String, String)>) -> bool {
+        let commit = KeptCommit {
+            writes,
+            at: Instant::now(),
+        };
+        let Some(primary) = self.endpoints.get_mut(endpoint) else {
+            return false;
+        };
+        primary.log.push(commit);
+        let (term, log) = (primary.term, primary.log.clone());
+        let mut received = false;
+        for (id, replica) in &mut self.endpoints {
+            let follows = id != endpoint && !replica.primary && replica.alive;
+            if follows && replica.paused == 0 && replica.term == term {
+                replica.log.clone_from(&log);
+                received = true;
+            }
+        }
+        received
+    }
+
+    /// Makes an endpoint the primary of the next term with what it has received.
+    pub fn promote(&mut self, target: &str) -> bool {
+        let newest = self.endpoints.values().map(|e| e.term).max().unwrap_or(0);
+        let Some(endpoint) = self.endpoints.get_mut(target) else {
+            return false;
+        };
+        if !endpoint.alive {
+            return false;
+        }
+        if endpoint.primary && endpoint.term == newest {
+            return true;
+        }
+        endpoint.primary = true;
+        endpoint.term = newest + 1;
+        endpoint.paused = 0;
+        let log = endpoint.log.clone();
+        for (id, other) in &mut self.endpoints {
+            if id != target && other.alive {
+                other.primary = false;
+                other.term = newest + 1;
+                other.paused = 0;
+                other.log.clone_from(&log);
+            }
+        }
+        true
+    }
+
+    /// Returns how many commits an endpoint shows to reads.
+    pub fn applied(&self, endpoint: &EndpointState) -> usize {
+        if endpoint.primary {
+            return endpoint.log.len();
+        }
+        let visible = |commit: &KeptCommit| commit.at.elapsed() >= self.lag;
+        endpoint
+            .log
+            .iter()
+            .take_while(|commit| visible(commit))
+            .count()
+    }
+
+    /// Returns the value of an item at an endpoint.
+    pub fn read(&self, endpoint: &EndpointState, item: &str) -> String {
+        let applied = self.applied(endpoint);
+        let writes = endpoint.log[..applied].iter().flat_map(|c| &c.writes);
+        writes
+            .filter(|(key, _)| key == item)
+            .next_back()
+            .map_or_else(|| "none".to_owned(), |(_, value)| value.clone())
+    }
+
+    /// Returns the registry entry of an endpoint.
+    pub fn entry(&self, id: &str) -> Option<serde_json::Value> {
+        let endpoint = self.endpoints.get(id)?;
+        Some(serde_json::json!({
+            "Service": self.service,
+            "Address": endpoint.address.to_string(),
+            "Zone": "zone-a",
+            "Version": "v1",
+            "Slots": 4,
+            "State": if endpoint.draining { "draining" } else { "ready" },
+            "ColdRemainingMs": 0,
+            "DatabaseRole": if endpoint.primary { "primary" } else { "replica" },
+            "Sequence": 1,
+            "born": 1,
+        }))
+    }
+}
--- /dev/null
+++ b/crates/standins/src/platform/line_server.rs
@@ -0,0 +1,294 @@
+//! Serves one endpoint of the group in the line protocol.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::io::AsyncBufReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::io::BufReader;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+
+use crate::platform::group_state::KeptRun;
+use crate::platform::platform_handle::PlatformShared;
+
+/// Pause between looks at whether a commit was received by a replica.
+const COMMIT_PAUSE: Duration = Duration::from_millis(5);
+
+struct LineSession {
+    shared: Arc<PlatformShared>,
+    endpoint: String,
+    team: String,
+    values: BTreeMap<String, String>,
+    prepared: BTreeMap<String, (bool, String)>,
+    /// Whether the open transaction may write, and what it wrote.
+    transaction: Option<(bool, Vec<(String, String)>)>,
+    failed: bool,
+}
+
+/// Serves an endpoint until the process ends.
+pub async fn serve_endpoint(listener: TcpListener, shared: Arc<PlatformShared>, endpoint: String) {
+    while let Ok((stream, _)) = listener.accept().await {
+        let session = LineSession {
+            shared: Arc::clone(&shared),
+            endpoint: endpoint.clone(),
+            team: String::new(),
+            values: BTreeMap::new(),
+            prepared: BTreeMap::new(),
+            transaction: None,
+            failed: false,
+        };
+        // A caller that leaves ends its connection with an error, which is nobody's concern.
+        tokio::spawn(async move { session.run(stream).await.ok() });
+    }
+}
+
+impl LineSession {
+    async fn run(mut self, stream: TcpStream) -> io::Result<()> {
+        stream.set_nodelay(true)?;
+        let (reader, mut writer) = stream.into_split();
+        let mut lines = BufReader::new(reader).lines();
+        while let Some(line) = lines.next_line().await? {
+            let Some(answer) = self.answer(line.trim_end()).await else {
+                // A dark endpoint keeps its connections open and says nothing.
+                std::future::pending::<()>().await;
+                return Ok(());
+            };
+            if answer.is_empty() {
+                return Ok(());
+            }
+            writer.write_all(answer.as_bytes()).await?;
+        }
+        Ok(())
+    }
+
+    /// Returns the answer, nothing where the endpoint is dark, and an empty one to close.
+    async fn answer(&mut self, line: &str) -> Option<String> {
+        let alive = self.shared.group().endpoints.get(&self.endpoint)?.alive;
+        if !alive {
+            return None;
+        }
+        let mut words = line.splitn(3, ' ');
+        match (words.next(), words.next(), words.next()) {
+            (Some("STARTUP"), Some(service), rest) => {
+                let mut fields = rest.unwrap_or_default().split(' ');
+                self.team = fields.next().unwrap_or_default().to_owned();
+                let meant = fields.next().unwrap_or(&self.endpoint).to_owned();
+                if service != self.shared.group().service || meant != self.endpoint {
+                    return Some(format!("ERROR WRONGNODE {}\r\n", self.endpoint));
+                }
+                Some(self.ready())
+            }
+            (Some("QUERY"), Some(id), Some(text)) => {
+                let text = text.to_owned();
+                let body = self.run_statement(id, &text).await?;
+                Some(format!("{body}{}", self.ready()))
+            }
+            _ => Some(String::new()),
+        }
+    }
+
+    fn ready(&self) -> String {
+        let group = self.shared.group();
+        let state = match (&self.transaction, self.failed) {
+            (None, _) => 'I',
+            (Some(_), false) => 'T',
+            (Some(_), true) => 'E',
+        };
+        let position = group.endpoints.get(&self.endpoint).map_or_else(
+            || "-".to_owned(),
+            |endpoint| format!("{}.{}", endpoint.term, group.applied(endpoint)),
+        );
+        format!("READY {state} {position}\r\n")
+    }
+
+    fn refuse(&mut self, code: &str) -> String {
+        if self.transaction.is_some() {
+            self.failed = true;
+        }
+        format!("ERROR {code} {}\r\n", self.endpoint)
+    }
+
+    async fn run_statement(&mut self, id: &str, text: &str) -> Option<String> {
+        let mut text = text;
+        if let Some(rest) = text.strip_prefix("WAITFOR ") {
+            let (floor, rest) = rest.split_once(' ')?;
+            text = rest;
+            if !self.await_floor(floor).await? {
+                return Some(self.refuse("LAGGING"));
+            }
+        }
+        if self.failed && !matches!(text, "ROLLBACK" | "COMMIT") {
+            return Some(self.refuse("MALFORMED"));
+        }
+        let (word, rest) = text.split_once(' ').unwrap_or((text, ""));
+        let done = "COMPLETE -\r\n".to_owned();
+        match word {
+            "SET" => {
+                let (name, value) = rest.split_once(' ')?;
+                self.values.insert(name.to_owned(), value.to_owned());
+                Some(done)
+            }
+            "RESET" => {
+                self.values.clear();
+                self.prepared.clear();
+                Some(done)
+            }
+            "PREPARE" => {
+                let mut fields = rest.splitn(3, ' ');
+                let name = fields.next()?.to_owned();
+                let writes = fields.next()? == "WRITE";
+                self.prepared
+                    .insert(name, (writes, fields.next()?.to_owned()));
+                Some(done)
+            }
+            "BEGIN" if rest.is_empty() && !self.is_primary() => Some(self.refuse("READONLY")),
+            "BEGIN" => {
+                self.transaction = Some((rest.is_empty(), Vec::new()));
+                Some(done)
+            }
+            "ROLLBACK" => {
+                self.transaction = None;
+                self.failed = false;
+                Some(done)
+            }
+            "COMMIT" => self.commit(id).await,
+            "READ" => self.read(id, rest),
+            "WRITE" => self.write(id, rest).await,
+            "EXECUTE" => {
+                let (name, arguments) = rest.split_once(' ')?;
+                match self.prepared.get(name).map(|(writes, _)| *writes) {
+                    Some(true) => self.write(id, arguments).await,
+                    Some(false) => self.read(id, arguments),
+                    None => Some(self.refuse("UNDEFINED")),
+                }
+            }
+            _ => self.order(word, rest),
+        }
+    }
+
+    fn is_primary(&self) -> bool {
+        let group = self.shared.group();
+        group
+            .endpoints
+            .get(&self.endpoint)
+            .is_some_and(|endpoint| endpoint.primary)
+    }
+
+    /// Waits until the endpoint has applied a floor that its log has.
+    async fn await_floor(&self, floor: &str) -> Option<bool> {
+        let (term, number) = floor.split_once('.')?;
+        let (term, number): (u64, usize) = (term.parse().ok()?, number.parse().ok()?);
+        loop {
+            let applied = {
+                let group = self.shared.group();
+                let endpoint = group.endpoints.get(&self.endpoint)?;
+                if endpoint.term < term || endpoint.log.len() < number {
+                    return Some(false);
+                }
+                group.applied(endpoint)
+            };
+            if applied >= number {
+                return Some(true);
+            }
+            tokio::time::sleep(COMMIT_PAUSE).await;
+        }
+    }
+
+    fn note_run(&self, id: &str, wrote: bool) {
+        let values = self.values.clone().into_iter().collect();
+        self.shared.group().runs.push(KeptRun {
+            id: id.to_owned(),
+            endpoint: self.endpoint.clone(),
+            team: self.team.clone(),
+            wrote,
+            values,
+        });
+    }
+
+    fn receipt(&self, id: &str) -> String {
+        format!("COMPLETE {}.{id}\r\n", self.endpoint)
+    }
+
+    fn read(&mut self, id: &str, item: &str) -> Option<String> {
+        self.note_run(id, false);
+        let mut group = self.shared.group();
+        if group.lose_answers > 0 {
+            group.lose_answers -= 1;
+            return None;
+        }
+        let endpoint = group.endpoints.get(&self.endpoint)?;
+        let value = group.read(endpoint, item);
+        drop(group);
+        Some(format!("DATAROW {value}\r\n{}", self.receipt(id)))
+    }
+
+    async fn write(&mut self, id: &str, arguments: &str) -> Option<String> {
+        if !self.is_primary() {
+            return Some(self.refuse("READONLY"));
+        }
+        let (item, value) = arguments.split_once(' ').unwrap_or((arguments, ""));
+        let write = (item.to_owned(), value.to_owned());
+        match &mut self.transaction {
+            Some((true, writes)) => {
+                writes.push(write);
+                self.note_run(id, true);
+                Some(self.receipt(id))
+            }
+            Some((false, _)) => Some(self.refuse("READONLY")),
+            None => {
+                self.note_run(id, true);
+                self.acknowledge(vec![write]).await;
+                Some(self.receipt(id))
+            }
+        }
+    }
+
+    async fn commit(&mut self, id: &str) -> Option<String> {
+        let Some((plain, writes)) = self.transaction.take() else {
+            return Some(self.refuse("MALFORMED"));
+        };
+        if std::mem::take(&mut self.failed) {
+            return Some(self.refuse("ABORTED"));
+        }
+        if !writes.is_empty() {
+            if plain && !self.is_primary() {
+                return Some(self.refuse("READONLY"));
+            }
+            self.acknowledge(writes).await;
+        }
+        Some(self.receipt(id))
+    }
+
+    /// Commits, and waits until a replica has received it.
+    async fn acknowledge(&self, writes: Vec<(String, String)>) {
+        let mut received = self.shared.group().commit(&self.endpoint, writes);
+        while !received {
+            tokio::time::sleep(COMMIT_PAUSE).await;
+            received = !self.shared.group().promotions.is_empty() && self.is_primary();
+        }
+    }
+
+    fn order(&mut self, word: &str, rest: &str) -> Option<String> {
+        let mut group = self.shared.group();
+        let endpoint = group.endpoints.get_mut(&self.endpoint)?;
+        match word {
+            "STATUS" => {}
+            "PAUSE" => endpoint.paused = rest.parse().ok()?,
+            "RESUME" => endpoint.paused = 0,
+            "DEMOTE" => endpoint.primary &= endpoint.term >= rest.parse().ok()?,
+            _ => return Some(format!("ERROR MALFORMED {}\r\n", self.endpoint)),
+        }
+        let role = if endpoint.primary {
+            "primary"
+        } else {
+            "replica"
+        };
+        let (term, received, paused) = (endpoint.term, endpoint.log.len(), endpoint.paused);
+        Some(format!(
+            "DATAROW {role} {term} {term}.{received} {paused} 0 0 1\r\nCOMPLETE -\r\n"
+        ))
+    }
+}
--- /dev/null
+++ b/crates/standins/src/platform/store_server.rs
@@ -0,0 +1,237 @@
+//! Serves the store and the duties over HTTP.
+
+use std::collections::HashMap;
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use hyper::Request;
+use hyper::Response;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use percent_encoding::percent_decode_str;
+use serde_json::Value;
+use serde_json::json;
+use tokio::net::TcpListener;
+
+use crate::platform::platform_handle::PlatformShared;
+use crate::platform::store_state::StoreState;
+use crate::platform::store_state::StoreTrouble;
+
+/// Pause between looks for changes that a watch waits for.
+const WATCH_PAUSE: Duration = Duration::from_millis(5);
+
+/// Time between the order of a promotion and its effect.
+const PROMOTION_TIME: Duration = Duration::from_millis(300);
+
+type Reply = (u16, Value);
+
+/// Serves the store and the duties until the process ends.
+pub async fn serve_platform(listener: TcpListener, shared: Arc<PlatformShared>) {
+    while let Ok((stream, _)) = listener.accept().await {
+        let shared = Arc::clone(&shared);
+        tokio::spawn(async move {
+            let service = service_fn(move |request| {
+                let shared = Arc::clone(&shared);
+                async move { Ok::<_, Infallible>(respond(request, &shared).await) }
+            });
+            // A caller that leaves ends its connection with an error, which is nobody's concern.
+            let io = TokioIo::new(stream);
+            http1::Builder::new()
+                .serve_connection(io, service)
+                .await
+                .ok()
+        });
+    }
+}
+
+async fn respond(
+    request: Request<Incoming>,
+    shared: &Arc<PlatformShared>,
+) -> Response<Full<Bytes>> {
+    let path = request.uri().path().to_owned();
+    let query = parse_query(request.uri().query().unwrap_or_default());
+    let header = |name: &str| {
+        let value = request.headers().get(name);
+        let value = value.and_then(|value| value.to_str().ok());
+        value.unwrap_or_default().to_owned()
+    };
+    let holder = header("Duty-Holder");
+    let token = header("Fencing-Token").parse().unwrap_or(0);
+    let body = request.into_body().collect().await;
+    let body = body.map(|body| body.to_bytes()).unwrap_or_default();
+    let body: Value = serde_json::from_slice(&body).unwrap_or(Value::Null);
+    let trouble = {
+        let mut store = shared.store();
+        store.calls += 1;
+        store.expire();
+        store.trouble
+    };
+    let (status, answer) = if path == "/promotion" {
+        promote(shared, &body, holder, token)
+    } else {
+        match trouble {
+            StoreTrouble::Busy => (503, json!({})),
+            StoreTrouble::Silent => silence().await,
+            StoreTrouble::None => call(shared, &path, &query, &body).await,
+            StoreTrouble::AnswersLost => {
+                let reply = call(shared, &path, &query, &body).await;
+                match path == "/kv-txn" {
+                    true => silence().await,
+                    false => reply,
+                }
+            }
+        }
+    };
+    let mut response = Response::new(Full::new(Bytes::from(answer.to_string())));
+    *response.status_mut() = status.try_into().unwrap_or_default();
+    response
+}
+
+async fn silence() -> Reply {
+    std::future::pending().await
+}
+
+fn parse_query(query: &str) -> HashMap<String, String> {
+    let decode = |text: &str| percent_decode_str(text).decode_utf8_lossy().into_owned();
+    query
+        .split('&')
+        .filter_map(|pair| pair.split_once('='))
+        .map(|(name, value)| (name.to_owned(), decode(value)))
+        .collect()
+}
+
+async fn call(
+    shared: &PlatformShared,
+    path: &str,
+    query: &HashMap<String, String>,
+    body: &Value,
+) -> Reply {
+    let number = |name: &str| {
+        query
+            .get(name)
+            .and_then(|text| text.parse().ok())
+            .unwrap_or(0)
+    };
+    let prefix = query.get("Prefix").cloned().unwrap_or_default();
+    match path {
+        "/kv-range" => range(&shared.store(), &prefix),
+        "/kv-watch" => watch(shared, &prefix, number("after"), number("WaitMs")).await,
+        "/kv-txn" => change(&mut shared.store(), body),
+        "/kv-lease" => {
+            let length = Duration::from_millis(body["TtlMs"].as_u64().unwrap_or(1_000));
+            let lease = shared.store().grant(length);
+            (200, json!({"Lease": lease, "TtlMs": body["TtlMs"]}))
+        }
+        _ => match path.rsplit_once('/') {
+            Some(("/kv-keep", lease)) => {
+                let kept = shared.store().renew(lease.parse().unwrap_or(0));
+                (if kept { 200 } else { 404 }, json!({"TtlMs": 1_000}))
+            }
+            Some(("/kv-lease-end", lease)) => {
+                shared.store().end(lease.parse().unwrap_or(0));
+                (200, json!({}))
+            }
+            _ => (404, json!({})),
+        },
+    }
+}
+
+fn range(store: &StoreState, prefix: &str) -> Reply {
+    let items: Vec<Value> = store
+        .items
+        .iter()
+        .filter(|(key, _)| key.starts_with(prefix))
+        .map(|(key, item)| {
+            json!({"Key": key, "Value": STANDARD.encode(&item.value), "Revision": item.revision, "Lease": item.lease})
+        })
+        .collect();
+    (
+        200,
+        json!({"items": items, "HasMore": false, "StoreRevision": store.revision}),
+    )
+}
+
+async fn watch(shared: &PlatformShared, prefix: &str, after: u64, wait_ms: u64) -> Reply {
+    let end = Instant::now() + Duration::from_millis(wait_ms);
+    loop {
+        {
+            let mut store = shared.store();
+            store.expire();
+            if after < store.dropped {
+                return (410, json!({}));
+            }
+            let events: Vec<Value> = store
+                .events
+                .iter()
+                .filter(|event| event.revision > after && event.key.starts_with(prefix))
+                .map(|event| match &event.value {
+                    Some(value) => json!({"Key": event.key, "Value": STANDARD.encode(value), "Revision": event.revision}),
+                    None => json!({"Key": event.key, "Revision": event.revision, "Deleted": true}),
+                })
+                .collect();
+            if !events.is_empty() || Instant::now() >= end {
+                let revision = store.revision;
+                return (200, json!({"events": events, "StoreRevision": revision}));
+            }
+        }
+        tokio::time::sleep(WATCH_PAUSE).await;
+    }
+}
+
+fn change(store: &mut StoreState, body: &Value) -> Reply {
+    let rows = |name: &str| body[name].as_array().cloned().unwrap_or_default();
+    for row in rows("Precondition") {
+        let key = row["Key"].as_str().unwrap_or_default();
+        let revision = store.items.get(key).map_or(0, |item| item.revision);
+        if revision != row["Revision"].as_u64().unwrap_or(0) {
+            return (412, json!({"items": []}));
+        }
+    }
+    let puts = rows("Puts");
+    if puts
+        .iter()
+        .any(|put| !store.has_lease(put["Lease"].as_u64().unwrap_or(0)))
+    {
+        return (404, json!({}));
+    }
+    for put in puts {
+        let value = STANDARD.decode(put["Value"].as_str().unwrap_or_default());
+        let key = put["Key"].as_str().unwrap_or_default();
+        store.put(
+            key,
+            value.unwrap_or_default(),
+            put["Lease"].as_u64().unwrap_or(0),
+        );
+    }
+    for key in rows("Remove") {
+        store.remove(key.as_str().unwrap_or_default());
+    }
+    (200, json!({"Revision": store.revision}))
+}
+
+fn promote(shared: &Arc<PlatformShared>, body: &Value, holder: String, token: u64) -> Reply {
+    let target = body["Id"].as_str().unwrap_or_default().to_owned();
+    {
+        let mut group = shared.group();
+        if !group.endpoints.get(&target).is_some_and(|e| e.alive) {
+            return (409, json!({}));
+        }
+        group.promotions.push((target.clone(), holder, token));
+    }
+    let shared = Arc::clone(shared);
+    tokio::spawn(async move {
+        tokio::time::sleep(PROMOTION_TIME).await;
+        shared.group().promote(&target);
+        shared.publish();
+    });
+    (200, json!({}))
+}
--- /dev/null
+++ b/crates/standins/src/platform/store_state.rs
@@ -0,0 +1,150 @@
+//! Items, leases and history of the stand-in's store.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::time::Duration;
+use std::time::Instant;
+
+/// An item of the store.
+#[derive(Debug, Clone)]
+pub struct KeptItem {
+    /// The value.
+    pub value: Vec<u8>,
+    /// The revision of the last change.
+    pub revision: u64,
+    /// The lease; 0 for none.
+    pub lease: u64,
+}
+
+/// A change of an item.
+#[derive(Debug, Clone)]
+pub struct KeptEvent {
+    /// The revision.
+    pub revision: u64,
+    /// The key.
+    pub key: String,
+    /// The value, or `None` where the item was removed.
+    pub value: Option<Vec<u8>>,
+}
+
+/// What is wrong with the store.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum StoreTrouble {
+    /// Nothing.
+    #[default]
+    None,
+    /// Calls are answered with 503.
+    Busy,
+    /// Calls are not answered.
+    Silent,
+    /// Changes are made, and their answers are lost.
+    AnswersLost,
+}
+
+/// The store.
+#[derive(Debug, Default)]
+pub struct StoreState {
+    /// Items by key.
+    pub items: BTreeMap<String, KeptItem>,
+    /// Changes in their order.
+    pub events: Vec<KeptEvent>,
+    /// The revision.
+    pub revision: u64,
+    /// The revision up to which the history was dropped.
+    pub dropped: u64,
+    /// What is wrong.
+    pub trouble: StoreTrouble,
+    /// How many calls arrived.
+    pub calls: u64,
+    leases: HashMap<u64, (Instant, Duration)>,
+}
+
+impl StoreState {
+    /// Writes an item.
+    pub fn put(&mut self, key: &str, value: Vec<u8>, lease: u64) {
+        self.revision += 1;
+        let item = KeptItem {
+            value: value.clone(),
+            revision: self.revision,
+            lease,
+        };
+        self.items.insert(key.to_owned(), item);
+        self.events.push(KeptEvent {
+            revision: self.revision,
+            key: key.to_owned(),
+            value: Some(value),
+        });
+    }
+
+    /// Removes an item.
+    pub fn remove(&mut self, key: &str) {
+        if self.items.remove(key).is_some() {
+            self.revision += 1;
+            self.events.push(KeptEvent {
+                revision: self.revision,
+                key: key.to_owned(),
+                value: None,
+            });
+        }
+    }
+
+    /// Drops the history.
+    pub fn drop_history(&mut self) {
+        self.dropped = self.revision;
+        self.events.clear();
+    }
+
+    /// Grants a lease.
+    pub fn grant(&mut self, length: Duration) -> u64 {
+        let lease = 1_000 + self.leases.len() as u64 + self.revision;
+        let lease = (lease..)
+            .find(|id| !self.leases.contains_key(id))
+            .unwrap_or(lease);
+        self.leases.insert(lease, (Instant::now() + length, length));
+        lease
+    }
+
+    /// Renews a lease; returns whether it exists.
+    pub fn renew(&mut self, lease: u64) -> bool {
+        match self.leases.get_mut(&lease) {
+            Some((end, length)) => {
+                *end = Instant::now() + *length;
+                true
+            }
+            None => false,
+        }
+    }
+
+    /// Whether a lease exists.
+    pub fn has_lease(&self, lease: u64) -> bool {
+        lease == 0 || self.leases.contains_key(&lease)
+    }
+
+    /// Ends a lease and removes its items.
+    pub fn end(&mut self, lease: u64) {
+        self.leases.remove(&lease);
+        let keys: Vec<String> = self
+            .items
+            .iter()
+            .filter(|(_, item)| item.lease == lease)
+            .map(|(key, _)| key.clone())
+            .collect();
+        for key in keys {
+            self.remove(&key);
+        }
+    }
+
+    /// Ends the leases that have run out.
+    pub fn expire(&mut self) {
+        let now = Instant::now();
+        let ended: Vec<u64> = self
+            .leases
+            .iter()
+            .filter(|(_, (end, _))| *end <= now)
+            .map(|(lease, _)| *lease)
+            .collect();
+        for lease in ended {
+            self.end(lease);
+        }
+    }
+}
