--- a/crates/front/src/group_leader.rs
+++ b/crates/front/src/group_leader.rs
@@ -267,9 +267,7 @@
 ) -> Option<ChangeReason> {
     let at = now();
     let view = instance.view.borrow();
-    if view.group(service).next().is_none() {
-        return None;
-    }
+    view.group(service).next()?;
     let order = view.orders.get(service);
     if order.is_none() {
         return primary_permit::first_primary(view.group(service)).map(|_| ChangeReason::NoOrder);
--- /dev/null
+++ b/crates/front/src/instance_run.rs
@@ -0,0 +1,165 @@
+//! The life of an instance, from its start to its stop.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::fmt;
+use std::io;
+use std::rc::Rc;
+
+use platform::call_counts::CallCounts;
+use platform::duty_client::DutyClient;
+use platform::instance_settings::InstanceSettings;
+use platform::status_server;
+use platform::status_server::StatusPorts;
+use platform::store_client::StoreClient;
+use session_core::monotonic_time::now;
+use tokio::net::TcpListener;
+use tokio::net::UdpSocket;
+use tokio::sync::watch;
+use tokio::task::LocalSet;
+
+use crate::caller_listener;
+use crate::group_leader;
+use crate::instance::Instance;
+use crate::instance_limits::IDLE_TICKS;
+use crate::instance_limits::SCARCE_IDLE_TIME;
+use crate::instance_limits::STORE_TIME;
+use crate::instance_limits::TICK_TIME;
+use crate::log_output::LogOutput;
+use crate::metrics::FrontMetrics;
+use crate::peer_link;
+use crate::rate_exchange::RateExchange;
+use crate::stop_signal;
+use crate::store_feed;
+use crate::store_lease;
+use crate::store_lease::StoreLease;
+use crate::view_relay;
+
+/// Why an instance cannot run.
+#[derive(Debug)]
+pub enum InstanceError {
+    /// An address cannot be listened on, or a signal not be handled.
+    Io(io::Error),
+    /// The metrics cannot be registered.
+    Metrics(prometheus::Error),
+}
+
+impl fmt::Display for InstanceError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            InstanceError::Io(error) => write!(f, "{error}"),
+            InstanceError::Metrics(error) => write!(f, "{error}"),
+        }
+    }
+}
+
+impl std::error::Error for InstanceError {}
+
+impl From<io::Error> for InstanceError {
+    fn from(error: io::Error) -> Self {
+        InstanceError::Io(error)
+    }
+}
+
+/// Runs an instance until it is told to stop.
+///
+/// # Errors
+///
+/// See [`InstanceError`].
+pub fn run_instance(settings: InstanceSettings, log: LogOutput) -> Result<(), InstanceError> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    LocalSet::new().block_on(&runtime, run(settings, log))
+}
+
+async fn run(settings: InstanceSettings, log: LogOutput) -> Result<(), InstanceError> {
+    let callers = TcpListener::bind(settings.caller_address).await?;
+    let status = TcpListener::bind(settings.status_address).await?;
+    let followers = TcpListener::bind(settings.peer_address).await?;
+    let peer_socket = UdpSocket::bind(settings.peer_address).await?;
+    let calls = CallCounts::default();
+    tracing::info!(
+        event = "started",
+        instance = %settings.instance,
+        zone = %settings.zone,
+        version = env!("CARGO_PKG_VERSION"),
+        callers = %settings.caller_address,
+        store = %settings.store_address,
+    );
+    let instance = Rc::new(Instance {
+        view: RefCell::default(),
+        changes: watch::Sender::new(0),
+        heard: watch::Sender::new(0),
+        direct: Cell::new(true),
+        store: StoreClient::new(settings.store_address, calls.clone()),
+        duty: DutyClient::new(settings.duty_address, calls.clone()),
+        lease: StoreLease::default(),
+        leader_lease: Cell::new(None),
+        pool: Rc::default(),
+        // The clock tells the lives of a process apart.
+        rates: RateExchange::new(now().as_nanos()),
+        connections: RefCell::default(),
+        floors: RefCell::default(),
+        watches: RefCell::default(),
+        reports: RefCell::default(),
+        acknowledged: RefCell::default(),
+        peer_socket,
+        leading: Cell::new(None),
+        stopping: watch::Sender::new(None),
+        sessions: Cell::new(0),
+        metrics: FrontMetrics::new().map_err(InstanceError::Metrics)?,
+        calls,
+        session_ends: watch::Sender::new(0),
+        settings,
+    });
+    tokio::task::spawn_local(store_feed::follow_store(Rc::clone(&instance)));
+    tokio::task::spawn_local(store_lease::keep_lease(Rc::clone(&instance)));
+    tokio::task::spawn_local(peer_link::acknowledge_orders(Rc::clone(&instance)));
+    tokio::task::spawn_local(view_relay::serve_followers(followers, Rc::clone(&instance)));
+    tokio::task::spawn_local(peer_link::serve_peers(Rc::clone(&instance)));
+    tokio::task::spawn_local(group_leader::lead_groups(Rc::clone(&instance)));
+    tokio::task::spawn_local(caller_listener::accept_callers(
+        callers,
+        Rc::clone(&instance),
+    ));
+    let ready = Rc::clone(&instance);
+    let metrics = Rc::clone(&instance);
+    let ports = StatusPorts {
+        ready: Box::new(move || ready.is_ready()),
+        metrics: Box::new(move || metrics.metrics_text()),
+    };
+    tokio::task::spawn_local(status_server::serve_status(status, Rc::new(ports)));
+    tokio::task::spawn_local(run_ticks(Rc::clone(&instance), log));
+    stop_signal::handle_signals(Rc::clone(&instance)).await?;
+    for lease in [instance.lease.get(), instance.leader_lease.get()]
+        .into_iter()
+        .flatten()
+    {
+        if let Err(error) = instance.store.end_lease(lease, STORE_TIME / 3).await {
+            tracing::warn!(event = "lease_not_ended", %error);
+        }
+    }
+    tracing::info!(event = "stopped", sessions = instance.sessions.get());
+    Ok(())
+}
+
+/// Runs the periodic work of all parts.
+async fn run_ticks(instance: Rc<Instance>, log: LogOutput) {
+    let mut interval = tokio::time::interval(TICK_TIME);
+    interval.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut tick = 0;
+    loop {
+        interval.tick().await;
+        tick += 1;
+        log.flush();
+        instance.rates.set_keeper(instance.lending_part());
+        instance.view.borrow_mut().drop_gone(now());
+        peer_link::ask_in_advance(&instance, tick);
+        if tick % IDLE_TICKS == 0 && instance.connections_are_scarce() {
+            instance.pool.close_idle(SCARCE_IDLE_TIME);
+        }
+        let view = instance.view.borrow();
+        instance.pool.retain(|id| view.endpoints.contains_key(id));
+    }
+}
--- a/crates/front/src/main.rs
+++ b/crates/front/src/main.rs
@@ -11,6 +11,7 @@
 mod group_survey;
 mod instance;
 mod instance_limits;
+mod instance_run;
 mod lag_probe;
 mod log_output;
 mod metrics;
@@ -18,6 +19,7 @@
 mod peer_message;
 mod rate_exchange;
 mod relay_message;
+mod request_attempt;
 mod request_route;
 mod statement_run;
 mod stop_signal;
@@ -66,7 +68,7 @@
             return ExitCode::from(2);
         }
     };
-    match instance::run_instance(settings, log.clone()) {
+    match instance_run::run_instance(settings, log.clone()) {
         Ok(()) => {
             log.flush();
             ExitCode::SUCCESS
--- a/crates/front/src/statement_run.rs
+++ b/crates/front/src/statement_run.rs
@@ -9,14 +9,12 @@
 use platform::endpoint_codec::PassedStatement;
 use session_core::caller_statement::AccessMode;
 use session_core::caller_statement::CallerStatement;
-use session_core::caller_statement::StatementShape;
 use session_core::ids::EndpointId;
 use session_core::ids::TeamId;
 use session_core::monotonic_time::MonotonicTime;
 use session_core::monotonic_time::now;
 use session_core::request_outcome;
 use session_core::request_outcome::CallerVerdict;
-use session_core::request_outcome::EndpointRefusal;
 use session_core::request_outcome::OutcomeScope;
 use session_core::request_outcome::StatementFault;
 use session_core::serving_rules::DatabaseRoute;
@@ -27,53 +25,18 @@
 use crate::caller_session::SessionEnd;
 use crate::caller_session::SessionRefusal;
 use crate::endpoint_connection::EndpointAnswer;
-use crate::endpoint_pool::PoolError;
 use crate::endpoint_pool::PooledConnection;
-use crate::instance_limits::GATE_PART;
 use crate::instance_limits::QUEUE_PART;
-use crate::instance_limits::ROUTE_PAUSE;
 use crate::instance_limits::TOKEN_TIME;
 use crate::peer_link;
-use crate::request_route;
+use crate::request_attempt::AttemptEnd;
+use crate::request_attempt::EndpointStatement;
+use crate::request_attempt::RequestProgress;
 use crate::request_route::ChosenEndpoint;
-use crate::request_route::RouteQuery;
 
 /// The part of the target latency in which a refused request looks for another endpoint.
 const RETRY_PART: f64 = 0.6;
 
-/// Pause before a request goes to an endpoint whose queue was full.
-const BUSY_PAUSE: Duration = Duration::from_millis(15);
-
-/// The least time to wait for a connection.
-const LEAST_WAIT: Duration = Duration::from_millis(5);
-
-/// A statement that goes to an endpoint.
-struct EndpointStatement {
-    mode: AccessMode,
-    passed: PassedStatement,
-    shape: Option<StatementShape>,
-}
-
-/// The progress of a request through its attempts.
-struct RequestProgress<'a> {
-    id: &'a str,
-    arrived: MonotonicTime,
-    excluded: Vec<EndpointId>,
-    attempts: u32,
-    offered_at: Option<MonotonicTime>,
-    last_fault: Option<StatementFault>,
-}
-
-/// What an attempt led to.
-enum AttemptEnd {
-    /// The endpoint answered; the connection goes on in a transaction or back to the pool.
-    Answered(EndpointAnswer, PooledConnection, ChosenEndpoint),
-    /// It did not run, and may run elsewhere or later.
-    Again(Duration),
-    /// The caller must hear how far it came.
-    Ended(StatementFault),
-}
-
 impl CallerSession {
     pub(crate) async fn serve_statement(
         &mut self,
@@ -274,7 +237,7 @@
             match end {
                 AttemptEnd::Answered(answer, connection, chosen) => {
                     self.finish_first(
-                        &statement, &route, scope, answer, connection, chosen, &progress,
+                        &statement, &route, scope, answer, connection, *chosen, &progress,
                     );
                     return None;
                 }
@@ -304,7 +267,7 @@
         }
     }
 
-    fn first_scope(&self, statement: &EndpointStatement) -> OutcomeScope {
+    pub(crate) fn first_scope(&self, statement: &EndpointStatement) -> OutcomeScope {
         match (&self.transaction, &statement.passed) {
             (Some(_), PassedStatement::Commit) => OutcomeScope::Commit(AccessMode::Read),
             (Some(_), _) => OutcomeScope::Inside,
@@ -366,220 +329,6 @@
         view.rules.as_ref()?.teams.get(team).copied()
     }
 
-    async fn attempt(
-        &mut self,
-        statement: &EndpointStatement,
-        route: &DatabaseRoute,
-        team: Option<&TeamId>,
-        progress: &mut RequestProgress<'_>,
-        reason: &mut &'static str,
-    ) -> AttemptEnd {
-        let begun = self.transaction.as_ref().map(|t| (t.mode, t.arrived));
-        let query = RouteQuery {
-            route,
-            team,
-            mode: begun.map_or(statement.mode, |(mode, _)| mode),
-            floor: self.floor,
-            arrived: begun.map_or(progress.arrived, |(_, arrived)| arrived),
-            excluded: &progress.excluded,
-        };
-        let chosen = match request_route::choose_endpoint(&self.instance, &query) {
-            Ok(chosen) => chosen,
-            Err(refusal) => {
-                *reason = refusal.reason();
-                progress.excluded.clear();
-                return AttemptEnd::Again(ROUTE_PAUSE);
-            }
-        };
-        let endpoint = chosen.entry.id.clone();
-        let outstanding = self.instance.pool.count_outstanding(&endpoint);
-        let queue_end = progress.arrived + route.target_latency.mul_f64(QUEUE_PART);
-        let wait = queue_end.saturating_since(now()).max(LEAST_WAIT);
-        let limit = self.instance.connection_limit(&route.service);
-        let instances = self.instance.view.borrow().members.len();
-        let pool = &self.instance.pool;
-        let Some(pass) = pool
-            .pass_gate(&chosen.entry, instances, route.priority, wait)
-            .await
-        else {
-            *reason = "endpoint_busy";
-            progress.excluded.push(endpoint);
-            return AttemptEnd::Again(Duration::ZERO);
-        };
-        let wait = queue_end.saturating_since(now()).max(LEAST_WAIT);
-        let obtained = pool
-            .obtain(&chosen.entry, team, &self.values, limit, wait)
-            .await;
-        let mut connection = match obtained {
-            Ok(connection) => connection,
-            Err(PoolError::Exhausted) => {
-                *reason = "connections_in_use";
-                tracing::info!(event = "connections_exhausted", request = progress.id, endpoint = %endpoint, primary = chosen.primary, limit = limit.used);
-                progress.excluded.push(endpoint);
-                return AttemptEnd::Again(Duration::ZERO);
-            }
-            Err(PoolError::Connect(error)) => {
-                *reason = "endpoint_not_connected";
-                tracing::info!(event = "endpoint_not_connected", request = progress.id, endpoint = %endpoint, %error);
-                self.instance.note_connect_failure(&endpoint, &error);
-                progress.excluded.push(endpoint);
-                return AttemptEnd::Again(Duration::ZERO);
-            }
-        };
-        // The permission may have ended while the request waited for its connection.
-        if chosen.primary && !self.instance.may_use_primary(&route.service, &endpoint) {
-            *reason = "primary_changed";
-            return AttemptEnd::Again(ROUTE_PAUSE);
-        }
-        let statement_floor = match begun {
-            Some((mode, _)) => {
-                let begin = EndpointCommand::Begin {
-                    mode,
-                    floor: chosen.floor,
-                };
-                if let Err(end) = self
-                    .prepare(&mut connection, statement, Some(begin), route, progress)
-                    .await
-                {
-                    return end;
-                }
-                None
-            }
-            None => {
-                if let Err(end) = self
-                    .prepare(&mut connection, statement, None, route, progress)
-                    .await
-                {
-                    return end;
-                }
-                chosen.floor
-            }
-        };
-        progress.attempts += 1;
-        progress.offered_at.get_or_insert_with(now);
-        let command = EndpointCommand::Pass {
-            id: progress.id.to_owned(),
-            floor: statement_floor,
-            statement: statement.passed.clone(),
-        };
-        let scope = self.first_scope(statement);
-        let sent_at = now();
-        let result = connection.run(command, route.statement_time).await;
-        drop((outstanding, pass));
-        match result {
-            Ok(answer) => {
-                let latency = now().saturating_since(answer.sent_at);
-                let target = route.target_latency.mul_f64(GATE_PART);
-                self.instance.pool.adapt_gate(&endpoint, latency, target);
-                self.note_answer(&endpoint, &answer, scope);
-                match &answer.end {
-                    Err((refusal, _)) if is_repeatable(*refusal) => {
-                        progress.last_fault = Some(StatementFault::Refused(*refusal));
-                        *reason = "endpoint_refused";
-                        self.retry_refused(&mut connection, &endpoint, *refusal, progress)
-                            .await
-                    }
-                    _ => AttemptEnd::Answered(answer, connection, chosen),
-                }
-            }
-            Err(fault) => {
-                self.note_fault(&endpoint, fault, scope, sent_at);
-                progress.excluded.push(endpoint);
-                progress.last_fault = Some(fault);
-                match request_outcome::may_repeat(scope, fault) {
-                    true => AttemptEnd::Again(Duration::ZERO),
-                    false => AttemptEnd::Ended(fault),
-                }
-            }
-        }
-    }
-
-    /// Brings a connection into the state of the session and opens the transaction.
-    async fn prepare(
-        &self,
-        connection: &mut PooledConnection,
-        statement: &EndpointStatement,
-        begin: Option<EndpointCommand>,
-        route: &DatabaseRoute,
-        progress: &mut RequestProgress<'_>,
-    ) -> Result<(), AttemptEnd> {
-        let replay = connection
-            .values
-            .replay(&self.values, statement.shape.as_ref());
-        let mut commands: Vec<_> = replay.into_iter().map(EndpointCommand::Replay).collect();
-        let replayed = commands.len();
-        commands.extend(begin);
-        if commands.is_empty() {
-            return Ok(());
-        }
-        let endpoint = connection.endpoint.clone();
-        let answers = match connection.run_all(commands, route.statement_time).await {
-            Ok(answers) => answers,
-            Err(fault) => {
-                self.note_fault(&endpoint, fault, OutcomeScope::Inside, now());
-                progress.excluded.push(endpoint);
-                progress.last_fault = Some(StatementFault::NotSent);
-                return Err(AttemptEnd::Again(Duration::ZERO));
-            }
-        };
-        let refused = answers
-            .iter()
-            .enumerate()
-            .find_map(|(index, answer)| Some((index, answer.end.as_ref().err()?)));
-        let Some((index, (refusal, text))) = refused else {
-            return Ok(());
-        };
-        tracing::info!(event = "preparation_refused", request = progress.id, endpoint = %endpoint, ?refusal, text);
-        let refusal = *refusal;
-        progress.last_fault = Some(StatementFault::Refused(refusal));
-        if index < replayed {
-            connection.give_up();
-        }
-        Err(self
-            .retry_refused(connection, &endpoint, refusal, progress)
-            .await)
-    }
-
-    /// Decides where a statement that did not run goes next.
-    async fn retry_refused(
-        &self,
-        connection: &mut PooledConnection,
-        endpoint: &EndpointId,
-        refusal: EndpointRefusal,
-        progress: &mut RequestProgress<'_>,
-    ) -> AttemptEnd {
-        if connection.state != SessionState::Idle
-            && !connection.is_broken()
-            && connection
-                .run(EndpointCommand::Rollback, BUSY_PAUSE * 4)
-                .await
-                .is_err()
-        {
-            tracing::debug!(event = "rollback_by_close", request = progress.id, endpoint = %endpoint);
-        }
-        let pool = &self.instance.pool;
-        match refusal {
-            EndpointRefusal::Lagging => {
-                pool.with_load(endpoint, |load| load.lacked_floor(now()));
-                progress.excluded.push(endpoint.clone());
-                AttemptEnd::Again(Duration::ZERO)
-            }
-            EndpointRefusal::UnknownName => {
-                connection.give_up();
-                AttemptEnd::Again(Duration::ZERO)
-            }
-            EndpointRefusal::Busy => {
-                pool.narrow_gate(endpoint);
-                pool.with_load(endpoint, |load| load.was_busy(now()));
-                AttemptEnd::Again(BUSY_PAUSE)
-            }
-            _ => {
-                progress.excluded.push(endpoint.clone());
-                AttemptEnd::Again(ROUTE_PAUSE)
-            }
-        }
-    }
-
     #[allow(clippy::too_many_arguments)]
     fn finish_first(
         &mut self,
@@ -587,7 +336,7 @@
         route: &DatabaseRoute,
         scope: OutcomeScope,
         answer: EndpointAnswer,
-        connection: PooledConnection,
+        connection: Box<PooledConnection>,
         chosen: ChosenEndpoint,
         progress: &RequestProgress<'_>,
     ) {
@@ -612,9 +361,9 @@
             transaction.statement_time = route.statement_time;
             match answer.state {
                 SessionState::Idle => self.transaction = None,
-                SessionState::Open => transaction.connection = Some(connection),
+                SessionState::Open => transaction.connection = Some(*connection),
                 SessionState::Failed => {
-                    transaction.connection = Some(connection);
+                    transaction.connection = Some(*connection);
                     transaction.failed = true;
                 }
             }
@@ -715,7 +464,12 @@
             .inc();
     }
 
-    fn note_answer(&self, endpoint: &EndpointId, answer: &EndpointAnswer, scope: OutcomeScope) {
+    pub(crate) fn note_answer(
+        &self,
+        endpoint: &EndpointId,
+        answer: &EndpointAnswer,
+        scope: OutcomeScope,
+    ) {
         let acknowledged = answer.end.is_ok()
             && matches!(
                 scope,
@@ -724,7 +478,7 @@
         self.instance.note_answer(endpoint, answer, acknowledged);
     }
 
-    fn note_fault(
+    pub(crate) fn note_fault(
         &self,
         endpoint: &EndpointId,
         fault: StatementFault,
@@ -738,11 +492,3 @@
         self.instance.note_fault(endpoint, fault, write, sent_at);
     }
 }
-
-/// Whether a refusal of the first statement leaves nothing behind, so that it may run again.
-fn is_repeatable(refusal: EndpointRefusal) -> bool {
-    request_outcome::may_repeat(
-        OutcomeScope::Single(AccessMode::Write),
-        StatementFault::Refused(refusal),
-    )
-}
--- a/crates/front/src/store_feed.rs
+++ b/crates/front/src/store_feed.rs
@@ -48,7 +48,6 @@
         };
         match read {
             Ok(()) => {
-                lost = report_regained(lost, &instance);
                 match follow_changes(&instance, &mut lost, &passed_over).await {
                     FollowEnd::HistoryDropped => {
                         if let Err(error) = read_all(&instance).await {
@@ -76,6 +75,7 @@
     let asked_at = now();
     let view = instance.store.range(WATCH_PREFIX, STORE_TIME).await?;
     instance.view.borrow_mut().replace(view, asked_at);
+    instance.store_heard();
     instance.view_changed();
     Ok(())
 }
--- a/crates/standins/src/platform/group_state.rs
+++ b/crates/standins/src/platform/group_state.rs
@@ -132,10 +132,9 @@
     /// Returns the value of an item at an endpoint.
     pub fn read(&self, endpoint: &EndpointState, item: &str) -> String {
         let applied = self.applied(endpoint);
-        let writes = endpoint.log[..applied].iter().flat_map(|c| &c.writes);
+        let mut writes = endpoint.log[..applied].iter().flat_map(|c| &c.writes);
         writes
-            .filter(|(key, _)| key == item)
-            .next_back()
+            .rfind(|(key, _)| key == item)
             .map_or_else(|| "none".to_owned(), |(_, value)| value.clone())
     }
 
--- a/tests/testsuite/rate_loans.rs
+++ b/tests/testsuite/rate_loans.rs
@@ -31,7 +31,7 @@
     let start = MonotonicTime::from_millis(1_000);
     let mut keeper = RateKeeper::new(start);
     let mut shares = vec![RateShare::new(start); INSTANCES];
-    let mut due = vec![0.0; INSTANCES];
+    let mut due = [0.0; INSTANCES];
     let mut admitted = Vec::new();
     let mut asked = 0_u64;
     for step in 0..2_000_u64 {
