--- a/crates/front/src/endpoint_pool.rs
+++ b/crates/front/src/endpoint_pool.rs
@@ -1,5 +1,6 @@
 //! Connections of this instance to endpoints, kept within the endpoints' bounds.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::ops::Deref;
@@ -51,6 +52,7 @@
 #[derive(Default)]
 pub struct EndpointPool {
     slots: RefCell<HashMap<EndpointId, EndpointSlot>>,
+    opened: Cell<u64>,
 }
 
 /// Why no connection was obtained.
@@ -279,6 +281,11 @@
         u32::try_from(pairs).unwrap_or(u32::MAX)
     }
 
+    /// Returns how many connections were opened so far.
+    pub fn opened_connections(&self) -> u64 {
+        self.opened.get()
+    }
+
     /// Returns how many connections are open.
     pub fn open_connections(&self) -> usize {
         let slots = self.slots.borrow();
@@ -313,7 +320,10 @@
         if pooled.connection.is_none() {
             self.evict(&entry.id, limit);
             match EndpointConnection::open(entry, team.cloned()).await {
-                Ok(connection) => pooled.connection = Some(connection),
+                Ok(connection) => {
+                    self.opened.set(self.opened.get() + 1);
+                    pooled.connection = Some(connection);
+                }
                 Err(error) => return Err(PoolError::Connect(error)),
             }
         }
--- a/crates/front/src/instance.rs
+++ b/crates/front/src/instance.rs
@@ -382,6 +382,9 @@
                 kind.label()
             ));
         }
+        text.push_str("# TYPE tamaracklb_endpoint_connections_total counter\n");
+        let opened = self.pool.opened_connections();
+        text.push_str(&format!("tamaracklb_endpoint_connections_total {opened}\n"));
         text.push_str("# TYPE tamaracklb_open gauge\n");
         let sessions = self.sessions.get();
         let connections = self.pool.open_connections();
--- a/crates/front/src/metrics.rs
+++ b/crates/front/src/metrics.rs
@@ -21,8 +21,6 @@
     pub latency: Histogram,
     /// Time that a statement waited before it was sent to an endpoint.
     pub wait: Histogram,
-    /// Connections opened to endpoints.
-    pub connections_opened: IntCounter,
     /// Status checks sent to endpoints.
     pub status_checks: IntCounter,
     /// Sessions accepted.
@@ -47,10 +45,6 @@
             )?,
             latency: histogram("tamaracklb_statement_seconds", "Arrival to answer")?,
             wait: histogram("tamaracklb_wait_seconds", "Arrival to first offer")?,
-            connections_opened: IntCounter::new(
-                "tamaracklb_endpoint_connections_total",
-                "Connections opened to endpoints",
-            )?,
             status_checks: IntCounter::new(
                 "tamaracklb_status_checks_total",
                 "Status checks sent to endpoints",
@@ -65,9 +59,6 @@
             .registry
             .register(Box::new(metrics.latency.clone()))?;
         metrics.registry.register(Box::new(metrics.wait.clone()))?;
-        metrics
-            .registry
-            .register(Box::new(metrics.connections_opened.clone()))?;
         metrics
             .registry
             .register(Box::new(metrics.status_checks.clone()))?;
--- a/crates/front/src/stop_signal.rs
+++ b/crates/front/src/stop_signal.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::rc::Rc;
 
+use platform::instance_settings::load_settings;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 
@@ -18,7 +19,7 @@
     let mut hangup = signal(SignalKind::hangup())?;
     loop {
         tokio::select! {
-            _ = hangup.recv() => tracing::info!(event = "reload", changed = "nothing_to_reload"),
+            _ = hangup.recv() => report_reload(&instance),
             _ = terminate.recv() => break,
         }
     }
@@ -38,3 +39,15 @@
     }
     Ok(())
 }
+
+/// Checks changed settings. Addresses, name and zone are those of the process's whole life, so the
+/// platform starts it again for others; faulty settings change nothing.
+fn report_reload(instance: &Instance) {
+    match load_settings() {
+        Ok(settings) if settings == instance.settings => {
+            tracing::info!(event = "reload", outcome = "unchanged");
+        }
+        Ok(_) => tracing::warn!(event = "reload", outcome = "in_force_after_the_next_start"),
+        Err(error) => tracing::error!(event = "reload", outcome = "refused", %error),
+    }
+}
--- a/crates/front/tests/testsuite/daemon_stop.rs
+++ b/crates/front/tests/testsuite/daemon_stop.rs
@@ -42,6 +42,26 @@
     assert!(metrics.contains("tamaracklb_statements_total{outcome=\"served\"}"));
     assert!(metrics.contains("tamaracklb_statement_seconds_bucket"));
     assert!(metrics.contains("tamaracklb_platform_calls_total{kind=\"watch\""));
+    let opened = metrics
+        .lines()
+        .find_map(|line| line.strip_prefix("tamaracklb_endpoint_connections_total "));
+    let opened = opened.and_then(|count| count.parse::<u64>().ok());
+    assert!(opened.is_some_and(|count| count > 0), "{opened:?}");
+}
+
+/// Faulty settings must be refused at a reload, and must change nothing.
+#[tokio::test]
+async fn faulty_reload_changes_nothing() {
+    let fleet = Fleet::start(1).await;
+    let mut caller = fleet.caller(0, "linear").await;
+    fleet.instances[0].signal("HUP");
+    fleet.instances[0].change_settings("NodeName: 7");
+    tokio::time::sleep(std::time::Duration::from_millis(400)).await;
+    fleet.instances[0].signal("HUP");
+    tokio::time::sleep(std::time::Duration::from_millis(400)).await;
+    let log = fleet.instances[0].log();
+    assert!(log.contains("\"outcome\":\"refused\""), "{log}");
+    assert!(caller.ask_until_served("READ page").await.succeeded());
 }
 
 /// Bad settings must be told with the reason and a code of their own.
--- a/crates/front/tests/testsuite/fleet.rs
+++ b/crates/front/tests/testsuite/fleet.rs
@@ -166,6 +166,11 @@
         std::fs::read_to_string(&self.log).unwrap_or_default()
     }
 
+    /// Writes other settings.
+    pub fn change_settings(&self, text: &str) {
+        std::fs::write(&self.settings, text).expect("settings can be written");
+    }
+
     /// Kills the process and starts another one in its place.
     pub fn restart(&mut self) {
         self.kill();
