Relay positions of primaries, and let gates start lower

The instance that follows the store now asks quiet primaries every 0.3 s without a slot, and relays their positions; ages add up from the time of the question. Gates begin with four statements a slot for the whole fleet and widen by a factor below one.

--- a/crates/front/src/group_leader.rs
+++ b/crates/front/src/group_leader.rs
@@ -20,10 +20,7 @@
 use session_core::monotonic_time::MonotonicTime;
 use session_core::monotonic_time::now;
 use session_core::primary_permit;
-use session_core::session_values::ReplayStep;
-use session_core::session_values::SessionValues;
 
-use crate::endpoint_pool::PoolError;
 use crate::fleet_keys::LEADER_KEY;
 use crate::fleet_keys::LeaderValue;
 use crate::group_change;
@@ -34,11 +31,11 @@
 use crate::instance_limits::LEADER_LEASE_TIME;
 use crate::instance_limits::LEADER_RENEWAL_TIME;
 use crate::instance_limits::PROBE_TIME;
-use crate::instance_limits::PROBE_WAIT;
 use crate::instance_limits::SETTLE_TIME;
 use crate::instance_limits::STORE_PAUSE;
 use crate::instance_limits::STORE_TIME;
 use crate::instance_limits::TICK_TIME;
+use crate::position_probe;
 use crate::store_lease;
 
 /// Steps by which instances differ in when they try to become the leader.
@@ -319,34 +316,7 @@
     let instance = Rc::clone(instance);
     let state = Rc::clone(state);
     tokio::task::spawn_local(async move {
-        probe(&instance, &entry).await;
+        position_probe::ask_position(&instance, &entry).await;
         state.probing.borrow_mut().remove(&entry.id);
     });
 }
-
-async fn probe(instance: &Rc<Instance>, entry: &EndpointEntry) {
-    let tried_at = now();
-    let limit = instance.connection_limit(&entry.service);
-    let values = SessionValues::default();
-    let obtained = instance
-        .pool
-        .obtain(entry, None, &values, limit, PROBE_WAIT)
-        .await;
-    let mut connection = match obtained {
-        Ok(connection) => connection,
-        Err(PoolError::Connect(error)) => {
-            tracing::info!(event = "probe_failed", endpoint = %entry.id, %error);
-            instance.note_connect_failure(&entry.id, &error);
-            return;
-        }
-        Err(PoolError::Exhausted) => return,
-    };
-    let reset = EndpointCommand::Replay(ReplayStep::Reset);
-    match connection.run(reset, PROBE_WAIT).await {
-        Ok(answer) => instance.note_answer(&entry.id, &answer, false),
-        Err(fault) => {
-            tracing::info!(event = "probe_failed", endpoint = %entry.id, ?fault);
-            instance.with_watch(&entry.id, |watch| watch.connect_failed(tried_at));
-        }
-    }
-}
--- a/crates/front/src/instance.rs
+++ b/crates/front/src/instance.rs
@@ -38,6 +38,7 @@
 use crate::instance_limits::UNEVEN_FACTOR;
 use crate::metrics::FrontMetrics;
 use crate::rate_exchange::RateExchange;
+use crate::relay_message::RelayFloor;
 use crate::store_lease::StoreLease;
 
 /// How long a report of another instance about a primary counts.
@@ -303,6 +304,30 @@
         self.pool.note_answer(endpoint, answer, history);
     }
 
+    /// Returns the newest positions of primaries, for instances that follow this one.
+    pub fn newest_floors(&self, at: MonotonicTime) -> Vec<RelayFloor> {
+        let floors = self.floors.borrow();
+        let newest = floors.iter().filter_map(|(service, history)| {
+            let sample = history.newest()?;
+            Some(RelayFloor {
+                service: service.clone(),
+                age: at.saturating_since(sample.asked_at),
+                point: sample.point,
+            })
+        });
+        newest.collect()
+    }
+
+    /// Takes positions of primaries that another instance asked for; `at` is a time on this
+    /// instance's clock that is not later than when the ages were taken.
+    pub fn learn_floors(&self, relayed: &[RelayFloor], at: MonotonicTime) {
+        let mut floors = self.floors.borrow_mut();
+        for floor in relayed {
+            let history = floors.entry(floor.service.clone()).or_default();
+            history.record(at - floor.age, floor.point);
+        }
+    }
+
     /// Takes an answer that tells the position of a replica, but nothing of its load.
     pub fn note_position(&self, endpoint: &EndpointId, answer: &EndpointAnswer) {
         let view = self.view.borrow();
--- a/crates/front/src/instance_limits.rs
+++ b/crates/front/src/instance_limits.rs
@@ -17,7 +17,7 @@
 pub const RELAY_TIME: Duration = Duration::from_millis(1_500);
 
 /// Time between messages to followers where the store says nothing.
-pub const RELAY_PERIOD: Duration = Duration::from_millis(700);
+pub const RELAY_PERIOD: Duration = Duration::from_millis(350);
 
 /// The longest time to an answer of any other call to the store.
 pub const STORE_TIME: Duration = Duration::from_millis(900);
@@ -106,6 +106,10 @@
 /// second for which a watch may hear nothing, and the time of a request in the instance.
 pub const KEY_MARGIN: Duration = Duration::from_millis(1_200);
 
+/// The age of a primary's position at which it is asked for again, for all instances that learn it
+/// by relay: a fifth of the shortest staleness that routes allow.
+pub const FLOOR_PERIOD: Duration = Duration::from_millis(300);
+
 /// How long an idle primary is left alone before the leader asks it anything.
 pub const PROBE_TIME: Duration = Duration::from_millis(500);
 
--- a/crates/front/src/instance_run.rs
+++ b/crates/front/src/instance_run.rs
@@ -28,6 +28,7 @@
 use crate::log_output::LogOutput;
 use crate::metrics::FrontMetrics;
 use crate::peer_link;
+use crate::position_probe;
 use crate::rate_exchange::RateExchange;
 use crate::stop_signal;
 use crate::store_feed;
@@ -118,6 +119,7 @@
     tokio::task::spawn_local(peer_link::acknowledge_orders(Rc::clone(&instance)));
     tokio::task::spawn_local(view_relay::serve_followers(followers, Rc::clone(&instance)));
     tokio::task::spawn_local(peer_link::serve_peers(Rc::clone(&instance)));
+    tokio::task::spawn_local(position_probe::ask_primaries(Rc::clone(&instance)));
     tokio::task::spawn_local(group_leader::lead_groups(Rc::clone(&instance)));
     tokio::task::spawn_local(caller_listener::accept_callers(
         callers,
--- /dev/null
+++ b/crates/front/src/position_probe.rs
@@ -0,0 +1,113 @@
+//! Asks endpoints for their log positions without running a statement on them.
+//!
+//! Every answer of an endpoint ends with its position, and a reset is answered without a slot.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use platform::endpoint_codec::EndpointCommand;
+use session_core::endpoint_entry::EndpointEntry;
+use session_core::floor_history::FloorHistory;
+use session_core::ids::ServiceId;
+use session_core::monotonic_time::now;
+use session_core::session_values::ConnectionValues;
+use session_core::session_values::ReplayStep;
+use session_core::session_values::SessionValues;
+
+use crate::endpoint_pool::PoolError;
+use crate::instance::Instance;
+use crate::instance_limits::FLOOR_PERIOD;
+use crate::instance_limits::PROBE_WAIT;
+
+/// The longest time to the answer; a reset takes no slot and is answered at once.
+const REPLICA_TIME: Duration = Duration::from_millis(300);
+
+/// Asks a replica that lagged behind, where that was not done a moment ago.
+pub fn probe_replica(instance: &Rc<Instance>, entry: &EndpointEntry) {
+    let wanted = instance
+        .pool
+        .with_load(&entry.id, |load| load.wants_probe(now()));
+    if !wanted {
+        return;
+    }
+    let limit = instance.connection_limit(&entry.service);
+    let Some(mut connection) = instance.pool.obtain_idle(&entry.id, limit) else {
+        return;
+    };
+    let instance = Rc::clone(instance);
+    tokio::task::spawn_local(async move {
+        let reset = EndpointCommand::Replay(ReplayStep::Reset);
+        match connection.run(reset, REPLICA_TIME).await {
+            Ok(answer) => {
+                connection.values = ConnectionValues::default();
+                instance.note_position(&connection.endpoint, &answer);
+            }
+            Err(fault) => {
+                tracing::debug!(event = "lag_probe_failed", endpoint = %connection.endpoint, ?fault);
+            }
+        }
+    });
+}
+
+/// Asks primaries for their positions in place of the instances that follow this one.
+pub async fn ask_primaries(instance: Rc<Instance>) {
+    loop {
+        tokio::time::sleep(FLOOR_PERIOD).await;
+        if !instance.follows_store() {
+            continue;
+        }
+        for entry in quiet_primaries(&instance) {
+            let instance = Rc::clone(&instance);
+            tokio::task::spawn_local(async move { ask_position(&instance, &entry).await });
+        }
+    }
+}
+
+/// Returns the usable primaries whose newest position is old.
+fn quiet_primaries(instance: &Instance) -> Vec<EndpointEntry> {
+    let at = now();
+    let view = instance.view.borrow();
+    let Some(rules) = &view.rules else {
+        return Vec::new();
+    };
+    let floors = instance.floors.borrow();
+    let is_quiet = |service: &ServiceId| {
+        let newest = floors.get(service).and_then(FloorHistory::newest);
+        newest.is_none_or(|sample| at.saturating_since(sample.asked_at) >= FLOOR_PERIOD)
+    };
+    rules
+        .services
+        .keys()
+        .filter(|service| is_quiet(service))
+        .filter_map(|service| view.usable_primary(service, at).ok())
+        .filter_map(|id| view.endpoints.get(&id).cloned())
+        .collect()
+}
+
+/// Asks an endpoint for its position, on a new connection where no other one is left.
+pub async fn ask_position(instance: &Rc<Instance>, entry: &EndpointEntry) {
+    let tried_at = now();
+    let limit = instance.connection_limit(&entry.service);
+    let values = SessionValues::default();
+    let obtained = instance
+        .pool
+        .obtain(entry, None, &values, limit, PROBE_WAIT)
+        .await;
+    let mut connection = match obtained {
+        Ok(connection) => connection,
+        Err(PoolError::Connect(error)) => {
+            tracing::info!(event = "probe_failed", endpoint = %entry.id, %error);
+            instance.note_connect_failure(&entry.id, &error);
+            return;
+        }
+        Err(PoolError::Exhausted) => return,
+    };
+    let reset = EndpointCommand::Replay(ReplayStep::Reset);
+    match connection.run(reset, PROBE_WAIT).await {
+        Ok(answer) => instance.note_answer(&entry.id, &answer, false),
+        Err(fault) => {
+            tracing::info!(event = "probe_failed", endpoint = %entry.id, ?fault);
+            instance.with_watch(&entry.id, |watch| watch.connect_failed(tried_at));
+        }
+    }
+}
--- a/crates/front/src/relay_message.rs
+++ b/crates/front/src/relay_message.rs
@@ -6,6 +6,8 @@
 use platform::store_client::StoreView;
 use serde::Deserialize;
 use serde::Serialize;
+use session_core::ids::ServiceId;
+use session_core::log_point::LogPoint;
 use tokio_util::codec::LengthDelimitedCodec;
 
 /// The largest message in bytes: the whole view with the largest configuration.
@@ -45,6 +47,20 @@
     pub complete: bool,
     /// The items.
     pub items: Vec<RelayItem>,
+    /// The newest position of each primary, for floors of reads.
+    pub floors: Vec<RelayFloor>,
+}
+
+/// A position of a primary.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct RelayFloor {
+    /// The service.
+    pub service: ServiceId,
+    /// The time since the question was sent that the primary answered with the position.
+    pub age: Duration,
+    /// The position.
+    pub point: LogPoint,
 }
 
 impl RelayNews {
--- a/crates/front/src/request_route.rs
+++ b/crates/front/src/request_route.rs
@@ -17,7 +17,7 @@
 
 use crate::instance::Instance;
 use crate::instance_limits::FLOOR_MARGIN;
-use crate::lag_probe;
+use crate::position_probe;
 
 /// What a request needs of its endpoint.
 #[derive(Debug)]
@@ -110,7 +110,7 @@
             )
         });
         if !is_primary && !holds && !failing {
-            lag_probe::probe_replica(instance, entry);
+            position_probe::probe_replica(instance, entry);
         }
         if failing || (!is_primary && !holds) {
             continue;
--- a/crates/front/src/view_follower.rs
+++ b/crates/front/src/view_follower.rs
@@ -137,6 +137,7 @@
         let age = news.age;
         // The sender knew at that time all that the store had accepted `age` before it.
         let known_at = asked_at + news.since_ask - age;
+        instance.learn_floors(&news.floors, asked_at + news.since_ask);
         let changed = news.complete || !news.items.is_empty();
         let complete = news.complete;
         let view = news.into_view();
--- a/crates/front/src/view_relay.rs
+++ b/crates/front/src/view_relay.rs
@@ -99,6 +99,7 @@
             revision: view.revision,
             complete,
             items,
+            floors: instance.newest_floors(at),
         }
     };
     let revision = news.revision;
--- a/crates/session-core/src/statement_gate.rs
+++ b/crates/session-core/src/statement_gate.rs
@@ -13,11 +13,11 @@
 const FIRST_BOUND: f64 = 3.0;
 
 /// Statements for each slot of an endpoint that all instances together begin with.
-const FIRST_FACTOR: f64 = 6.0;
+const FIRST_FACTOR: f64 = 4.0;
 
 /// The lowest bound. Below one, a statement is followed by a pause in which others have the
 /// endpoint, so that the bound is the part of the time in which a statement runs.
-const LOWEST_BOUND: f64 = 0.1;
+const LOWEST_BOUND: f64 = 0.02;
 
 /// The highest bound; no endpoint has more slots today.
 const HIGHEST_BOUND: f64 = 12.0;
@@ -31,6 +31,12 @@
 /// Added to the bound for an answer within the target while the bound is reached.
 const WIDEN_STEP: f64 = 0.1;
 
+/// Factor of the bound for an answer within the target while the bound is below one.
+const WIDEN_FACTOR: f64 = 1.3;
+
+/// Latency assumed before the first answer, a handshake included.
+const FIRST_LATENCY_MS: f64 = 30.0;
+
 /// Weight of a new answer in the smoothed latency.
 const LATENCY_WEIGHT: f64 = 0.2;
 
@@ -61,7 +67,7 @@
             running: 0,
             waiting: BTreeSet::new(),
             next_number: 0,
-            latency_ms: 0.0,
+            latency_ms: FIRST_LATENCY_MS,
             rests_until: MonotonicTime::default(),
         }
     }
@@ -127,7 +133,9 @@
         self.latency_ms += LATENCY_WEIGHT * (sample - self.latency_ms);
         if self.latency_ms > target.as_secs_f64() * 1_000.0 {
             self.bound = (self.bound * NARROW_FACTOR).max(LOWEST_BOUND);
-        } else if self.bound < 1.0 || !self.has_room(now) || !self.waiting.is_empty() {
+        } else if self.bound < 1.0 {
+            self.bound *= WIDEN_FACTOR;
+        } else if !self.has_room(now) || !self.waiting.is_empty() {
             self.bound = (self.bound + WIDEN_STEP).min(HIGHEST_BOUND);
         }
     }
