--- a/crates/session-core/src/statement_gate.rs
+++ b/crates/session-core/src/statement_gate.rs
@@ -22,6 +22,9 @@
 /// The highest bound; no endpoint has more slots today.
 const HIGHEST_BOUND: f64 = 12.0;
 
+/// The longest pause between statements; a caller's request is over in about a second.
+const LONGEST_PAUSE: Duration = Duration::from_millis(800);
+
 /// Factor of the bound for an answer above the target.
 const NARROW_FACTOR: f64 = 0.96;
 
@@ -113,7 +116,8 @@
         self.running = self.running.saturating_sub(1);
         if self.bound < 1.0 {
             let rest_ms = self.latency_ms * (1.0 / self.bound - 1.0);
-            self.rests_until = now + Duration::from_secs_f64(rest_ms / 1_000.0);
+            let rest = Duration::from_secs_f64(rest_ms / 1_000.0);
+            self.rests_until = now + rest.min(LONGEST_PAUSE);
         }
     }
 
