--- a/crates/front/src/statement_run.rs
+++ b/crates/front/src/statement_run.rs
@@ -423,10 +423,7 @@
     ) {
         let held = now().saturating_since(arrived);
         self.instance.metrics.latency.observe(held.as_secs_f64());
-        let commits = matches!(
-            scope,
-            OutcomeScope::Single(AccessMode::Write) | OutcomeScope::Commit(AccessMode::Write)
-        );
+        let commits = scope.commits_writes();
         match &answer.end {
             Ok(receipt) => {
                 if commits && let Some(point) = answer.point() {
@@ -470,11 +467,7 @@
         answer: &EndpointAnswer,
         scope: OutcomeScope,
     ) {
-        let acknowledged = answer.end.is_ok()
-            && matches!(
-                scope,
-                OutcomeScope::Single(AccessMode::Write) | OutcomeScope::Commit(AccessMode::Write)
-            );
+        let acknowledged = answer.end.is_ok() && scope.commits_writes();
         self.instance.note_answer(endpoint, answer, acknowledged);
     }
 
@@ -485,10 +478,7 @@
         scope: OutcomeScope,
         sent_at: MonotonicTime,
     ) {
-        let write = matches!(
-            scope,
-            OutcomeScope::Single(AccessMode::Write) | OutcomeScope::Commit(AccessMode::Write)
-        );
+        let write = scope.commits_writes();
         self.instance.note_fault(endpoint, fault, write, sent_at);
     }
 }
--- a/crates/session-core/src/request_outcome.rs
+++ b/crates/session-core/src/request_outcome.rs
@@ -51,6 +51,16 @@
     Commit(AccessMode),
 }
 
+impl OutcomeScope {
+    /// Whether the statement makes writes permanent.
+    pub fn commits_writes(self) -> bool {
+        matches!(
+            self,
+            OutcomeScope::Single(AccessMode::Write) | OutcomeScope::Commit(AccessMode::Write)
+        )
+    }
+}
+
 /// What the caller hears.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum CallerVerdict {
@@ -134,10 +144,7 @@
 }
 
 fn refused(scope: OutcomeScope, refusal: EndpointRefusal) -> CallerVerdict {
-    let writes = matches!(
-        scope,
-        OutcomeScope::Single(AccessMode::Write) | OutcomeScope::Commit(AccessMode::Write)
-    );
+    let writes = scope.commits_writes();
     match refusal {
         EndpointRefusal::Busy
         | EndpointRefusal::WrongEndpoint
