Let no session begin while a stopping instance gives back its leases

Cause: after the last session ended, the process went on accepting callers until the store had answered the end of two leases. The listener is now closed first, and sessions that began meanwhile are waited for. Ruled out: the grace time (6 s, used for 0.1 s) and the endpoint, which had just been asked when its caller vanished. Test: daemon_stop::late_session_is_not_cut fails without the change.

--- a/crates/front/src/instance_run.rs
+++ b/crates/front/src/instance_run.rs
@@ -121,7 +121,7 @@
     tokio::task::spawn_local(peer_link::serve_peers(Rc::clone(&instance)));
     tokio::task::spawn_local(position_probe::ask_primaries(Rc::clone(&instance)));
     tokio::task::spawn_local(group_leader::lead_groups(Rc::clone(&instance)));
-    tokio::task::spawn_local(caller_listener::accept_callers(
+    let accepting = tokio::task::spawn_local(caller_listener::accept_callers(
         callers,
         Rc::clone(&instance),
     ));
@@ -133,7 +133,7 @@
     };
     tokio::task::spawn_local(status_server::serve_status(status, Rc::new(ports)));
     tokio::task::spawn_local(run_ticks(Rc::clone(&instance), log));
-    stop_signal::handle_signals(Rc::clone(&instance)).await?;
+    stop_signal::handle_signals(Rc::clone(&instance), accepting).await?;
     for lease in [instance.lease.get(), instance.leader_lease.get()]
         .into_iter()
         .flatten()
--- a/crates/front/tests/testsuite/daemon_stop.rs
+++ b/crates/front/tests/testsuite/daemon_stop.rs
@@ -1,8 +1,13 @@
 //! Guards against stops that cut requests, and against logs and metrics that do not tell.
 
 use std::process::Command;
+use std::time::Duration;
 
+use standins::platform::store_state::StoreTrouble;
+
+use crate::caller::Caller;
 use crate::fleet::Fleet;
+use crate::fleet::KEY;
 
 /// A stop must let an open transaction end, close idle sessions and end with success.
 #[tokio::test]
@@ -30,7 +35,7 @@
     let mut caller = fleet.caller(0, "linear").await;
     caller.ask_until_served("WRITE page 1").await;
     assert_eq!(caller.ask("EXECUTE s9 page").await.code(), "UNDEFINED");
-    tokio::time::sleep(std::time::Duration::from_millis(400)).await;
+    tokio::time::sleep(Duration::from_millis(400)).await;
     let log = fleet.instances[0].log();
     for event in ["started", "registered", "leader_elected", "first_order"] {
         assert!(log.contains(&format!("\"event\":\"{event}\"")), "{event}");
@@ -61,9 +66,9 @@
     let mut caller = fleet.caller(0, "linear").await;
     fleet.instances[0].signal("HUP");
     fleet.instances[0].change_settings("NodeName: 7");
-    tokio::time::sleep(std::time::Duration::from_millis(400)).await;
+    tokio::time::sleep(Duration::from_millis(400)).await;
     fleet.instances[0].signal("HUP");
-    tokio::time::sleep(std::time::Duration::from_millis(400)).await;
+    tokio::time::sleep(Duration::from_millis(400)).await;
     let log = fleet.instances[0].log();
     assert!(log.contains("\"outcome\":\"refused\""), "{log}");
     assert!(caller.ask_until_served("READ page").await.succeeded());
@@ -87,3 +92,24 @@
     assert!(String::from_utf8_lossy(&output.stderr).contains("settings are malformed"));
     assert!(run(&["--version"]).status.success());
 }
+
+/// A session that begins while a stopping instance gives back its leases must not be cut: it is
+/// either not accepted, or answered.
+#[tokio::test]
+async fn late_session_is_not_cut() {
+    let fleet = Fleet::start(1).await;
+    fleet.platform.change_group(|group| {
+        for endpoint in group.endpoints.values_mut() {
+            endpoint.paused = 9;
+        }
+    });
+    fleet.platform.shared.store().trouble = StoreTrouble::Silent;
+    fleet.instances[0].signal("TERM");
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    let address = fleet.instances[0].callers;
+    if let Ok(mut caller) = Caller::try_open(address, "linear", KEY).await {
+        // No replica receives the write, so that its answer takes as long as the route allows.
+        let answer = caller.ask("WRITE page 1").await;
+        assert_eq!(answer.code(), "INDOUBT", "{answer:?}");
+    }
+}
