Let the largest instances lead and relay

Cause: any instance could lead the fleet or follow the store for its zone. Instances now tell their processor; relays and candidates are ranked by it, and a leader hands over to an instance with twice its processor after 3 s. Ruled out: the lease, which was renewed all the while. Tests: instance_ranks, instance_sizes.

--- a/crates/front/src/fleet_keys.rs
+++ b/crates/front/src/fleet_keys.rs
@@ -7,6 +7,8 @@
 use session_core::ids::InstanceId;
 use session_core::ids::ServiceId;
 use session_core::ids::ZoneId;
+use session_core::instance_rank::RankedInstance;
+use session_core::units::ProcessorShare;
 
 /// The key of the instance that holds the duties and lends the rates.
 pub const LEADER_KEY: &str = "tamaracklb/leader";
@@ -22,6 +24,19 @@
     pub address: SocketAddr,
     /// Its availability zone.
     pub zone: ZoneId,
+    /// Its processor.
+    #[serde(default)]
+    pub processor: ProcessorShare,
+}
+
+impl MemberValue {
+    /// Returns what decides the rank of the instance with this name.
+    pub fn ranked<'a>(&self, name: &'a InstanceId) -> RankedInstance<'a> {
+        RankedInstance {
+            processor: self.processor,
+            name,
+        }
+    }
 }
 
 /// The instance that holds the duties; its key ends with its lease.
--- a/crates/front/src/group_leader.rs
+++ b/crates/front/src/group_leader.rs
@@ -1,10 +1,8 @@
 //! Holds the duties on one instance at a time, and watches the primaries of all groups.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::HashSet;
-use std::hash::DefaultHasher;
-use std::hash::Hash;
-use std::hash::Hasher;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -23,6 +21,8 @@
 
 use crate::fleet_keys::LEADER_KEY;
 use crate::fleet_keys::LeaderValue;
+use crate::fleet_keys::MemberValue;
+use crate::fleet_view::Revised;
 use crate::group_change;
 use crate::group_survey::GroupSurvey;
 use crate::instance::Instance;
@@ -38,12 +38,22 @@
 use crate::position_probe;
 use crate::store_lease;
 
-/// Steps by which instances differ in when they try to become the leader.
-const STAGGER_STEPS: u64 = 12;
+/// The most steps by which instances differ in when they try to become the leader.
+const STAGGER_STEPS: usize = 12;
 
 /// Time between two such steps, several times that of a call to the store.
 const STAGGER_TIME: Duration = Duration::from_millis(25);
 
+/// How many times the leader's processor another instance must have to take the lead over.
+const LARGER_FACTOR: u32 = 2;
+
+/// How long a leader and its larger successor must have been there before the lead changes, so
+/// that instances which come and go do not move it.
+const HANDOVER_TIME: Duration = Duration::from_millis(3_000);
+
+/// How long a leader that handed over lets others try first.
+const HANDOVER_REST: Duration = Duration::from_millis(1_000);
+
 /// Instances that must report a primary before it is replaced although the leader reaches it.
 const REPORT_QUORUM: usize = 2;
 
@@ -70,6 +80,7 @@
 struct LeaderState {
     changing: RefCell<HashSet<ServiceId>>,
     probing: RefCell<HashSet<EndpointId>>,
+    rests_until: Cell<MonotonicTime>,
 }
 
 /// Leads or waits to lead until the process ends.
@@ -90,10 +101,13 @@
             missing_since = None;
             let since = *led_since.get_or_insert_with(now);
             watch_groups(&instance, &state, since);
+            if should_hand_over(&instance, &state, since) {
+                hand_over(&instance, &state).await;
+            }
             continue;
         }
         led_since = None;
-        if !may_try(&instance) {
+        if now() < state.rests_until.get() || !may_try(&instance) {
             missing_since = None;
             continue;
         }
@@ -123,10 +137,48 @@
     if instance.view.borrow().leader.is_some() {
         return Duration::ZERO;
     }
-    let mut hasher = DefaultHasher::new();
-    instance.settings.instance.hash(&mut hasher);
-    let steps = u32::try_from(hasher.finish() % STAGGER_STEPS).unwrap_or(0);
-    STAGGER_TIME * steps
+    let steps = higher_ranked(instance).min(STAGGER_STEPS);
+    STAGGER_TIME * u32::try_from(steps).unwrap_or(0)
+}
+
+/// Returns how many other instances come before this one as the leader.
+fn higher_ranked(instance: &Instance) -> usize {
+    let view = instance.view.borrow();
+    let members = view.members.iter();
+    let others = members.map(|(name, member)| member.value.ranked(name));
+    instance.ranked().outranked_by(&LEADER_KEY, others).len()
+}
+
+/// Whether a much larger instance should lead in place of this one, which leads since `since`.
+fn should_hand_over(instance: &Instance, state: &LeaderState, since: MonotonicTime) -> bool {
+    let at = now();
+    let lasted = |from: MonotonicTime| at.saturating_since(from) >= HANDOVER_TIME;
+    let least = instance.settings.processor.0.saturating_mul(LARGER_FACTOR);
+    let view = instance.view.borrow();
+    let is_successor = |member: &Revised<MemberValue>| {
+        member.value.processor.0 >= least.max(1) && lasted(member.seen_at)
+    };
+    lasted(since)
+        && state.changing.borrow().is_empty()
+        && instance.pending_orders().is_empty()
+        && view.members.values().any(is_successor)
+}
+
+/// Ends the own lead, so that another instance takes it.
+async fn hand_over(instance: &Instance, state: &LeaderState) {
+    let Some(lease) = instance.leader_lease.take() else {
+        return;
+    };
+    let token = instance.token();
+    instance.leading.set(None);
+    state.rests_until.set(now() + HANDOVER_REST);
+    // Without an answer, the lease ends by itself.
+    let ended = instance.store.end_lease(lease, STORE_TIME).await;
+    tracing::info!(
+        event = "lead_handed_over",
+        token,
+        outcome = ended.map_or_else(|error| error.to_string(), |()| "ended".to_owned()),
+    );
 }
 
 async fn try_lead(instance: &Rc<Instance>) {
--- a/crates/front/src/instance.rs
+++ b/crates/front/src/instance.rs
@@ -18,6 +18,7 @@
 use session_core::group_order::OrderPhase;
 use session_core::ids::EndpointId;
 use session_core::ids::ServiceId;
+use session_core::instance_rank::RankedInstance;
 use session_core::monotonic_time::MonotonicTime;
 use session_core::monotonic_time::now;
 use session_core::request_outcome::StatementFault;
@@ -104,6 +105,14 @@
 }
 
 impl Instance {
+    /// Returns what decides the rank of this instance.
+    pub fn ranked(&self) -> RankedInstance<'_> {
+        RankedInstance {
+            processor: self.settings.processor,
+            name: &self.settings.instance,
+        }
+    }
+
     /// Whether this instance follows the store itself.
     pub fn follows_store(&self) -> bool {
         self.direct.get()
--- a/crates/front/src/store_lease.rs
+++ b/crates/front/src/store_lease.rs
@@ -53,6 +53,7 @@
     let value = MemberValue {
         address: instance.settings.peer_address,
         zone: instance.settings.zone.clone(),
+        processor: instance.settings.processor,
     };
     let key = fleet_keys::member_key(&instance.settings.instance);
     let change = StoreChange {
--- a/crates/front/src/view_follower.rs
+++ b/crates/front/src/view_follower.rs
@@ -95,8 +95,8 @@
         .iter()
         .filter(|(_, member)| member.value.zone == *zone)
         .filter(|(_, member)| !passed_over.contains(member.value.address))
-        .map(|(name, _)| name);
-    let parent = relay_parent(&instance.settings.instance, zone, members)?;
+        .map(|(name, member)| member.value.ranked(name));
+    let parent = relay_parent(instance.ranked(), zone, members)?;
     view.members.get(parent).map(|member| member.value.address)
 }
 
--- a/crates/front/tests/testsuite/fleet.rs
+++ b/crates/front/tests/testsuite/fleet.rs
@@ -64,17 +64,22 @@
 impl Fleet {
     /// Starts instances and waits until all of them are ready and the group has its first order.
     pub async fn start(count: usize) -> Self {
+        Self::start_sized(&vec![0.17; count]).await
+    }
+
+    /// Starts an instance for each of the given parts of a core.
+    pub async fn start_sized(processors: &[f64]) -> Self {
         let platform = PlatformHandle::start("orders")
             .await
             .expect("the stand-in can listen");
         platform.configure(&configuration(1, &[KEY]));
         let folder = tempfile::tempdir().expect("a folder can be made");
         let mut instances = Vec::new();
-        for number in 0..count {
+        for (number, processor) in processors.iter().enumerate() {
             let ports = free_tcp(3);
             let settings = folder.path().join(format!("{number}.yaml"));
             let text = format!(
-                "NodeName: front-{number}\nIp: 127.0.0.1\nZone: zone-a\nListen:\n  Front: {}\n  Ready: {}\nInternalPorts:\n  - {}\n  - {}\nBounds:\n  RevokeMs: 5000\n  GraceS: 4\nplatform:\n  Address: {store}\nCloud:\n  Address: {store}\nLimits:\n  FileDescriptors: 3000\nNewField: 1\n",
+                "NodeName: front-{number}\nIp: 127.0.0.1\nZone: zone-a\nListen:\n  Front: {}\n  Ready: {}\nInternalPorts:\n  - {}\n  - {}\nBounds:\n  RevokeMs: 5000\n  GraceS: 4\nplatform:\n  Address: {store}\nCloud:\n  Address: {store}\nLimits:\n  FileDescriptors: 3000\n  CpuShare: {processor}\nNewField: 1\n",
                 ports[0],
                 ports[1],
                 ports[2].port(),
--- /dev/null
+++ b/crates/front/tests/testsuite/instance_sizes.rs
@@ -0,0 +1,51 @@
+//! Guards against duties for the whole fleet that lie on its smallest instances.
+
+use std::time::Duration;
+
+use serde_json::Value;
+
+use crate::fleet::Fleet;
+
+/// Returns the name of the instance that leads.
+fn leader(fleet: &Fleet) -> Option<String> {
+    let store = fleet.platform.shared.store();
+    let item = store.items.get("tamaracklb/leader")?;
+    let value: Value = serde_json::from_slice(&item.value).ok()?;
+    value["instance"].as_str().map(str::to_owned)
+}
+
+async fn await_leader(fleet: &Fleet, name: &str) {
+    for _ in 0..150 {
+        if leader(fleet).as_deref() == Some(name) {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    panic!("{:?} leads in place of {name}", leader(fleet));
+}
+
+/// The largest instance must lead, whoever was first, and follow the store for its zone.
+#[tokio::test]
+async fn largest_instance_leads() {
+    let fleet = Fleet::start_sized(&[0.08, 0.08, 0.08, 0.5, 0.08]).await;
+    await_leader(&fleet, "front-3").await;
+    let mut caller = fleet.caller(0, "linear").await;
+    caller.ask_until_served("WRITE page 1").await;
+    let followed = |number: usize| fleet.instances[number].log().contains("\"direct\":false");
+    assert!(!followed(3), "{}", fleet.instances[3].log());
+    assert!([0, 1, 2, 4].into_iter().all(followed));
+}
+
+/// A small instance that leads because the large ones were away must give the lead back.
+#[tokio::test]
+async fn lead_returns_to_the_largest() {
+    let mut fleet = Fleet::start_sized(&[0.08, 0.5]).await;
+    await_leader(&fleet, "front-1").await;
+    fleet.instances[1].kill();
+    await_leader(&fleet, "front-0").await;
+    fleet.instances[1].restart();
+    await_leader(&fleet, "front-1").await;
+    assert!(fleet.instances[0].log().contains("lead_handed_over"));
+    let mut caller = fleet.caller(0, "linear").await;
+    caller.ask_until_served("WRITE page 1").await;
+}
--- a/crates/front/tests/testsuite/main.rs
+++ b/crates/front/tests/testsuite/main.rs
@@ -7,6 +7,7 @@
 mod free_ports;
 
 mod daemon_stop;
+mod instance_sizes;
 mod key_withdrawal;
 mod primary_changes;
 mod relayed_changes;
--- a/crates/session-core/src/lib.rs
+++ b/crates/session-core/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod floor_history;
 pub mod group_order;
 pub mod ids;
+pub mod instance_rank;
 pub mod log_point;
 pub mod monotonic_time;
 pub mod primary_permit;
--- a/crates/session-core/src/units.rs
+++ b/crates/session-core/src/units.rs
@@ -43,6 +43,11 @@
     /// How many statements an endpoint runs at once, for all instances together.
     SlotCount, u32, ParseIntError
 );
+define_unit!(
+    /// The processor of an instance, in thousandths of a core.
+    #[derive(Eq, Ord, Hash)]
+    ProcessorShare, u32, ParseIntError
+);
 define_unit!(
     /// How many connections an endpoint accepts, for all instances together.
     ConnectionCount, u32, ParseIntError
--- /dev/null
+++ b/tests/testsuite/instance_ranks.rs
@@ -0,0 +1,50 @@
+//! Guards against duties that fall on small instances, and against relays that follow each other.
+
+use proptest::prop_assert;
+use proptest::proptest;
+use session_core::ids::InstanceId;
+use session_core::ids::ZoneId;
+use session_core::instance_rank::RankedInstance;
+use session_core::units::ProcessorShare;
+use session_core::zone_watcher::relay_parent;
+
+fn names(count: usize) -> Vec<InstanceId> {
+    let name = |number| {
+        format!("front-{number}")
+            .parse()
+            .expect("the name is valid")
+    };
+    (0..count).map(name).collect()
+}
+
+fn zone() -> ZoneId {
+    "zone-a".parse().expect("the name is valid")
+}
+
+proptest! {
+    /// An instance must follow one that is at least as large, and chains of relays must end at the
+    /// one instance that follows the store.
+    #[test]
+    fn relays_lead_to_the_largest(processors in proptest::collection::vec(0_u32..4, 1..60)) {
+        let names = names(processors.len());
+        let members: Vec<_> = names
+            .iter()
+            .zip(&processors)
+            .map(|(name, processor)| RankedInstance { processor: ProcessorShare(*processor), name })
+            .collect();
+        let largest = processors.iter().max().copied().unwrap_or(0);
+        for member in &members {
+            let mut current = *member;
+            let mut steps = 0;
+            while let Some(parent) = relay_parent(current, &zone(), members.iter().copied()) {
+                let next = members.iter().find(|m| m.name == parent).copied();
+                let next = next.expect("a parent is a member");
+                prop_assert!(next.processor >= current.processor);
+                current = next;
+                steps += 1;
+                prop_assert!(steps < members.len());
+            }
+            prop_assert!(current.processor.0 == largest);
+        }
+    }
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -29,6 +29,7 @@
 mod group_model;
 mod group_watchers;
 mod http_port;
+mod instance_ranks;
 mod isolation_evidence;
 mod key_verifiers;
 mod key_withdrawal;
