Wait for the log line in the test of a lead that is handed over

Cause: log lines are written every 100 ms, so that the line was missing in 4 of 7 runs right after the new leader showed in the store.

--- a/crates/front/tests/testsuite/fleet.rs
+++ b/crates/front/tests/testsuite/fleet.rs
@@ -171,6 +171,17 @@
         std::fs::read_to_string(&self.log).unwrap_or_default()
     }
 
+    /// Waits until the instance has logged a text; lines are written every 100 ms.
+    pub async fn await_log(&self, text: &str) {
+        for _ in 0..START_ATTEMPTS {
+            if self.log().contains(text) {
+                return;
+            }
+            tokio::time::sleep(START_PAUSE).await;
+        }
+        panic!("{text:?} was not logged: {}", self.log());
+    }
+
     /// Writes other settings.
     pub fn change_settings(&self, text: &str) {
         std::fs::write(&self.settings, text).expect("settings can be written");
--- a/crates/front/tests/testsuite/instance_sizes.rs
+++ b/crates/front/tests/testsuite/instance_sizes.rs
@@ -45,7 +45,7 @@
     await_leader(&fleet, "front-0").await;
     fleet.instances[1].restart();
     await_leader(&fleet, "front-1").await;
-    assert!(fleet.instances[0].log().contains("lead_handed_over"));
+    fleet.instances[0].await_log("lead_handed_over").await;
     let mut caller = fleet.caller(0, "linear").await;
     caller.ask_until_served("WRITE page 1").await;
 }
