Pace the questions for tokens

Cause: each request without a token asked the leader every 15 ms, whether or not it answered or had any. With 136 instances and 800 refusals in half a second that is thousands of datagrams a second for a leader that is late already, so that it stays late. Unanswered questions now double the pause up to 120 ms, and a team without tokens rests for 50 ms. Tests: rate_questions.

--- a/crates/front/src/instance_limits.rs
+++ b/crates/front/src/instance_limits.rs
@@ -90,9 +90,6 @@
 /// The longest wait for tokens of the keeper: a round trip between zones and its queues.
 pub const TOKEN_TIME: Duration = Duration::from_millis(40);
 
-/// The least time between two datagrams that ask for tokens.
-pub const ASK_PAUSE: Duration = Duration::from_millis(15);
-
 /// Ticks between datagrams that ask for tokens in advance.
 pub const ASK_TICKS: u64 = 2;
 
--- a/crates/front/src/rate_exchange.rs
+++ b/crates/front/src/rate_exchange.rs
@@ -5,6 +5,7 @@
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 
+use session_core::ask_pace::AskPace;
 use session_core::ids::TeamId;
 use session_core::monotonic_time::MonotonicTime;
 use session_core::monotonic_time::now;
@@ -14,8 +15,6 @@
 use session_core::serving_rules::TeamLimit;
 use tokio::sync::watch;
 
-use crate::instance_limits::ASK_PAUSE;
-
 #[derive(Debug)]
 struct TeamShare {
     share: RateShare,
@@ -28,7 +27,7 @@
     teams: RefCell<HashMap<TeamId, TeamShare>>,
     questions: RefCell<BTreeMap<u64, MonotonicTime>>,
     next_number: Cell<u64>,
-    asked_at: Cell<Option<MonotonicTime>>,
+    pace: Cell<AskPace>,
     keeper: RefCell<Option<RateKeeper>>,
     lent: watch::Sender<u64>,
 }
@@ -40,7 +39,7 @@
             teams: RefCell::default(),
             questions: RefCell::default(),
             next_number: Cell::new(first_number),
-            asked_at: Cell::new(None),
+            pace: Cell::default(),
             keeper: RefCell::default(),
             lent: watch::Sender::new(0),
         }
@@ -96,12 +95,9 @@
         self.lent.subscribe()
     }
 
-    /// Whether the last question is so recent that another one would ask for the same.
-    pub fn asked_lately(&self) -> bool {
-        let at = now();
-        self.asked_at
-            .get()
-            .is_some_and(|asked_at| at.saturating_since(asked_at) < ASK_PAUSE)
+    /// Whether tokens may be asked for again.
+    pub fn may_ask(&self) -> bool {
+        self.pace.get().may_ask(now())
     }
 
     /// Returns a question for the tokens that are wanted now.
@@ -117,7 +113,7 @@
         let number = self.next_number.get();
         if !wanted.is_empty() {
             self.next_number.set(number + 1);
-            self.asked_at.set(Some(at));
+            self.change_pace(|pace| pace.asked(at));
             let mut questions = self.questions.borrow_mut();
             questions.retain(|_, asked_at| at.saturating_since(*asked_at) < LOAN_TIME);
             questions.insert(number, at);
@@ -147,14 +143,23 @@
         let Some(asked_at) = self.questions.borrow_mut().remove(&number) else {
             return;
         };
+        self.change_pace(AskPace::answered);
+        let at = now();
         for (team, tokens) in lent {
-            self.with_share(team, |share| {
-                share.share.borrow(f64::from(*tokens), asked_at);
+            self.with_share(team, |share| match tokens {
+                0 => share.share.found_empty(at),
+                _ => share.share.borrow(f64::from(*tokens), asked_at),
             });
         }
         self.lent.send_modify(|count| *count += 1);
     }
 
+    fn change_pace(&self, change: impl FnOnce(&mut AskPace)) {
+        let mut pace = self.pace.get();
+        change(&mut pace);
+        self.pace.set(pace);
+    }
+
     fn with_share<T>(&self, team: &TeamId, action: impl FnOnce(&mut TeamShare) -> T) -> T {
         let mut teams = self.teams.borrow_mut();
         let share = teams.entry(team.clone()).or_insert_with(|| TeamShare {
--- a/crates/front/src/statement_run.rs
+++ b/crates/front/src/statement_run.rs
@@ -7,6 +7,7 @@
 use platform::caller_codec::SessionState;
 use platform::endpoint_codec::EndpointCommand;
 use platform::endpoint_codec::PassedStatement;
+use session_core::ask_pace::ASK_PAUSE;
 use session_core::caller_statement::AccessMode;
 use session_core::caller_statement::CallerStatement;
 use session_core::ids::EndpointId;
@@ -297,12 +298,10 @@
         rates.wait_begins(team);
         let mut admitted = false;
         while !admitted && now() < end {
-            if !rates.asked_lately() {
+            if rates.may_ask() {
                 peer_link::ask_leader(&self.instance, false);
             }
-            let pause = end
-                .saturating_since(now())
-                .min(crate::instance_limits::ASK_PAUSE);
+            let pause = end.saturating_since(now()).min(ASK_PAUSE);
             let changed = tokio::time::timeout(pause, lent.changed()).await;
             if matches!(changed, Ok(Err(_))) {
                 break;
--- /dev/null
+++ b/crates/session-core/src/ask_pace.rs
@@ -0,0 +1,45 @@
+//! Paces the questions of an instance to the one that lends tokens.
+
+use std::time::Duration;
+
+use crate::monotonic_time::MonotonicTime;
+
+/// The least time between two questions: a round trip between zones and its queues.
+pub const ASK_PAUSE: Duration = Duration::from_millis(15);
+
+/// How often that time doubles while questions stay unanswered: the last pause is 120 ms, so that
+/// 300 instances ask an overloaded keeper 2,500 times a second at most.
+const MOST_DOUBLINGS: u32 = 3;
+
+/// The questions of one instance.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct AskPace {
+    asked_at: Option<MonotonicTime>,
+    unanswered: u32,
+}
+
+impl AskPace {
+    /// Whether a question may be sent now.
+    pub fn may_ask(&self, now: MonotonicTime) -> bool {
+        let doublings = self.unanswered.saturating_sub(1).min(MOST_DOUBLINGS);
+        let pause = ASK_PAUSE * 2_u32.pow(doublings);
+        self.asked_at
+            .is_none_or(|asked_at| now.saturating_since(asked_at) >= pause)
+    }
+
+    /// Takes a question that is sent.
+    pub fn asked(&mut self, now: MonotonicTime) {
+        self.asked_at = Some(now);
+        self.unanswered = self.unanswered.saturating_add(1);
+    }
+
+    /// Takes an answer.
+    pub fn answered(&mut self) {
+        self.unanswered = 0;
+    }
+
+    /// Returns how many questions were sent since the last answer.
+    pub fn unanswered(&self) -> u32 {
+        self.unanswered
+    }
+}
--- a/crates/session-core/src/lib.rs
+++ b/crates/session-core/src/lib.rs
@@ -3,6 +3,7 @@
 //! Every function takes its inputs and the time as arguments, so that a daemon, a property test
 //! and a simulated fleet drive the same code.
 
+pub mod ask_pace;
 pub mod caller_statement;
 pub mod connection_part;
 pub mod endpoint_entry;
--- a/crates/session-core/src/rate_share.rs
+++ b/crates/session-core/src/rate_share.rs
@@ -15,6 +15,10 @@
 /// Over how long the demand is averaged.
 const DEMAND_TIME: Duration = Duration::from_millis(1_500);
 
+/// How long no tokens are asked for after the keeper had none: the time in which a team of 20
+/// operations a second earns one.
+const EMPTY_PAUSE: Duration = Duration::from_millis(50);
+
 #[derive(Debug, Clone, Copy)]
 struct TokenLoan {
     tokens: f64,
@@ -29,6 +33,7 @@
     loans: VecDeque<TokenLoan>,
     demand: f64,
     demand_at: MonotonicTime,
+    empty_until: MonotonicTime,
 }
 
 impl RateShare {
@@ -40,6 +45,7 @@
             loans: VecDeque::new(),
             demand: 0.0,
             demand_at: now,
+            empty_until: MonotonicTime::default(),
         }
     }
 
@@ -53,6 +59,11 @@
         }
     }
 
+    /// Takes the answer that the keeper has no tokens now.
+    pub fn found_empty(&mut self, now: MonotonicTime) {
+        self.empty_until = now + EMPTY_PAUSE;
+    }
+
     /// Counts an operation that asks to be admitted.
     pub fn ask(&mut self, now: MonotonicTime) {
         self.decay(now);
@@ -85,6 +96,9 @@
     pub fn wanted(&mut self, waiting: usize, now: MonotonicTime) -> f64 {
         self.drop_expired(now);
         self.decay(now);
+        if now < self.empty_until {
+            return 0.0;
+        }
         let held: f64 = self.loans.iter().map(|loan| loan.tokens).sum();
         let rate = self.demand / DEMAND_TIME.as_secs_f64();
         let ahead = (rate * AHEAD_TIME.as_secs_f64()).floor();
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -44,6 +44,7 @@
 mod program_run;
 mod promotion_steps;
 mod rate_loans;
+mod rate_questions;
 mod rate_shares;
 #[allow(dead_code)]
 #[path = "../../examples/limits_bench/rate_sim.rs"]
