Let a deputy lend tokens while the leader is silent

The leader now names a deputy and sends it a message every 100 ms. Without its answers for 0.45 s the leader lends half; without messages for 0.5 s the deputy lends the other half, for 2.5 s from a time that the leader has confirmed on the deputy's own clock. Buckets of an instance that stops lending are kept for 10 s. Weighed: a part of the slack of the limit as a reserve on every instance (covers a third of the demand of 1.5 s), standing shares of each instance (the leader must keep 136 times 85 of them), a shorter lease (flaps where the store takes 0.3 s for an answer). Tests: rate_deputies (random losses, delays and freezes; a mandate that counts from the arrival of a message fails), silent_leader.

--- a/crates/front/src/instance.rs
+++ b/crates/front/src/instance.rs
@@ -21,6 +21,9 @@
 use session_core::instance_rank::RankedInstance;
 use session_core::monotonic_time::MonotonicTime;
 use session_core::monotonic_time::now;
+use session_core::rate_deputy::DeputyMandate;
+use session_core::rate_deputy::DeputyWatch;
+use session_core::rate_keeper::LendingMode;
 use session_core::request_outcome::StatementFault;
 use tokio::net::UdpSocket;
 use tokio::sync::watch;
@@ -31,7 +34,6 @@
 use crate::endpoint_pool::EndpointPool;
 use crate::fleet_view::FleetView;
 use crate::instance_limits::CONNECTION_PART;
-use crate::instance_limits::GRACE_PART;
 use crate::instance_limits::KEY_MARGIN;
 use crate::instance_limits::LEADER_LEASE_TIME;
 use crate::instance_limits::LEADER_MARGIN;
@@ -76,6 +78,10 @@
     pub pool: Rc<EndpointPool>,
     /// Shares of the teams' rates.
     pub rates: RateExchange,
+    /// The deputy of this instance, while it leads.
+    pub deputy_watch: RefCell<DeputyWatch>,
+    /// What the leader told this instance as its deputy.
+    pub mandate: RefCell<DeputyMandate>,
     /// The part of the connections to endpoints.
     pub connections: RefCell<ConnectionPart>,
     /// Points of primaries by service.
@@ -155,14 +161,28 @@
         self.leads_within(LEADER_LEASE_TIME - LEADER_MARGIN)
     }
 
-    /// How much of the rates this instance lends: half of them for a while after it cannot renew
-    /// its lease, since the next leader may lend as well by then.
-    pub fn lending_part(&self) -> Option<f64> {
-        if self.leads() {
-            return Some(1.0);
+    /// Whether no leader after this instance is known here.
+    pub fn is_last_leader(&self) -> bool {
+        self.leads_within(Duration::MAX)
+    }
+
+    /// Lets this instance lend as much as it may now.
+    pub fn update_lending(&self) {
+        self.rates.set_lending(self.lending_mode());
+    }
+
+    fn lending_mode(&self) -> Option<LendingMode> {
+        let at = now();
+        if self.leads_within(LEADER_LEASE_TIME + LENDING_GRACE) {
+            return Some(match self.deputy_watch.borrow().lends_alone(at) {
+                false => LendingMode::Shared,
+                true if self.leads() => LendingMode::Alone,
+                true => LendingMode::Lapsed,
+            });
         }
-        self.leads_within(LEADER_LEASE_TIME + LENDING_GRACE)
-            .then_some(GRACE_PART)
+        let leader = self.view.borrow().leader.as_ref().map(|l| l.revision);
+        let lends = self.mandate.borrow().lends(leader, at);
+        lends.then_some(LendingMode::Shared)
     }
 
     fn leads_within(&self, time: Duration) -> bool {
--- a/crates/front/src/instance_limits.rs
+++ b/crates/front/src/instance_limits.rs
@@ -50,9 +50,6 @@
 /// How long after the end of its lease a leader lends tokens to instances that know no other one.
 pub const LENDING_GRACE: Duration = Duration::from_millis(1_800);
 
-/// The part of the rates that is lent in that time.
-pub const GRACE_PART: f64 = 0.7;
-
 /// The time of the periodic work of an instance.
 pub const TICK_TIME: Duration = Duration::from_millis(100);
 
--- a/crates/front/src/instance_run.rs
+++ b/crates/front/src/instance_run.rs
@@ -100,6 +100,8 @@
         pool: Rc::default(),
         // The clock tells the lives of a process apart.
         rates: RateExchange::new(now().as_nanos()),
+        deputy_watch: RefCell::default(),
+        mandate: RefCell::default(),
         connections: RefCell::default(),
         floors: RefCell::default(),
         watches: RefCell::default(),
@@ -155,7 +157,7 @@
         interval.tick().await;
         tick += 1;
         log.flush();
-        instance.rates.set_keeper(instance.lending_part());
+        instance.update_lending();
         instance.view.borrow_mut().drop_gone(now());
         peer_link::ask_in_advance(&instance, tick);
         if tick % IDLE_TICKS == 0 && instance.connections_are_scarce() {
--- a/crates/front/src/peer_link.rs
+++ b/crates/front/src/peer_link.rs
@@ -3,8 +3,10 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use session_core::instance_rank::ranked_order;
 use session_core::monotonic_time::now;
 
+use crate::fleet_keys::LEADER_KEY;
 use crate::instance::Instance;
 use crate::instance_limits::ASK_TICKS;
 use crate::instance_limits::REPORT_TICKS;
@@ -47,29 +49,67 @@
             let Some(rules) = instance.view.borrow().rules.clone() else {
                 return;
             };
-            let part = instance
-                .connections
-                .borrow_mut()
-                .take_demand(from, demand, now());
-            if let Some(lent) = instance.rates.answer(&wanted, &rules.teams) {
-                let part = part as f32;
-                send(instance, &PeerMessage::Lend { number, lent, part }, from);
-            }
+            instance.update_lending();
+            let Some(lent) = instance.rates.answer(&wanted, &rules.teams) else {
+                return;
+            };
+            let is_leader = instance.is_last_leader();
+            let part = is_leader.then(|| {
+                let mut connections = instance.connections.borrow_mut();
+                connections.take_demand(from, demand, now()) as f32
+            });
+            let deputy = instance.deputy_watch.borrow().deputy();
+            let message = PeerMessage::Lend {
+                number,
+                lent,
+                part,
+                deputy: deputy.filter(|_| is_leader),
+            };
+            send(instance, &message, from);
         }
-        PeerMessage::Lend { number, lent, part } => {
-            let part = f64::from(part);
-            instance.connections.borrow_mut().accept(part, now());
+        PeerMessage::Lend {
+            number,
+            lent,
+            part,
+            deputy,
+        } => {
+            if let Some(part) = part {
+                let part = f64::from(part);
+                instance.connections.borrow_mut().accept(part, now());
+                let own = instance.settings.peer_address;
+                instance.rates.set_deputy(deputy.filter(|a| *a != own));
+            }
             instance.rates.accept(number, &lent);
         }
+        PeerMessage::Watch {
+            token,
+            sent,
+            confirmed,
+        } => {
+            let stamp = now();
+            let mut mandate = instance.mandate.borrow_mut();
+            if mandate.take(token, confirmed, stamp) {
+                send(instance, &PeerMessage::Watched { sent, stamp }, from);
+            }
+        }
+        PeerMessage::Watched { sent, stamp } => {
+            let mut watch = instance.deputy_watch.borrow_mut();
+            watch.answered(from, sent, stamp, now());
+        }
     }
 }
 
 /// Asks the leader for tokens, where some are wanted or a report is due.
 pub fn ask_leader(instance: &Instance, report_due: bool) {
-    let address = match &instance.view.borrow().leader {
-        Some(leader) if leader.value.instance != instance.settings.instance => leader.value.address,
-        _ => return,
+    let leader = match &instance.view.borrow().leader {
+        Some(leader) if leader.value.instance == instance.settings.instance => return,
+        Some(leader) => Some(leader.value.address),
+        None => None,
     };
+    let deputy = instance.rates.deputy_to_ask(leader.is_some());
+    if leader.is_none() && deputy.is_none() {
+        return;
+    }
     let (number, wanted) = instance.rates.question();
     let failing = instance.failing_primaries();
     let seen = instance.pending_orders();
@@ -83,7 +123,50 @@
         demand: instance.pool.demand(now()),
         seen,
     };
-    send(instance, &message, address);
+    for address in leader.into_iter().chain(deputy) {
+        send(instance, &message, address);
+    }
+}
+
+/// Tells the deputy that this instance lends, and chooses one where there is none.
+fn watch_deputy(instance: &Instance) {
+    let Some(token) = instance.token() else {
+        return;
+    };
+    let at = now();
+    let mut watch = instance.deputy_watch.borrow_mut();
+    let former = watch.deputy();
+    let candidates = std::iter::once_with(|| deputy_candidates(instance)).flatten();
+    let chosen = watch.choose(candidates, at);
+    if chosen != former {
+        tracing::info!(event = "deputy_chosen", ?former, ?chosen, token);
+    }
+    if let Some(address) = chosen {
+        let message = PeerMessage::Watch {
+            token,
+            sent: at,
+            confirmed: watch.confirmed(),
+        };
+        send(instance, &message, address);
+    }
+}
+
+/// Returns the other instances by rank, those of other availability zones first.
+fn deputy_candidates(instance: &Instance) -> Vec<SocketAddr> {
+    let view = instance.view.borrow();
+    let members = view.members.iter();
+    let ranked = ranked_order(
+        &LEADER_KEY,
+        members.map(|(name, member)| member.value.ranked(name)),
+    );
+    let others = ranked
+        .iter()
+        .filter(|other| *other.name != instance.settings.instance);
+    let values = others.filter_map(|other| view.members.get(other.name));
+    let (near, far): (Vec<_>, Vec<_>) =
+        values.partition(|member| member.value.zone == instance.settings.zone);
+    let ordered = far.into_iter().chain(near);
+    ordered.map(|member| member.value.address).collect()
 }
 
 /// Acknowledges orders to the leader as soon as they are known.
@@ -102,7 +185,8 @@
 
 /// Asks for tokens in advance and reports the demand, every few ticks.
 pub fn ask_in_advance(instance: &Instance, tick: u64) {
-    if instance.leads() {
+    if instance.is_last_leader() {
+        watch_deputy(instance);
         let demand = instance.pool.demand(now());
         let own = instance.settings.peer_address;
         let part = instance
--- a/crates/front/src/rate_exchange.rs
+++ b/crates/front/src/rate_exchange.rs
@@ -4,12 +4,14 @@
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::collections::HashMap;
+use std::net::SocketAddr;
 
 use session_core::ask_pace::AskPace;
 use session_core::ids::TeamId;
 use session_core::monotonic_time::MonotonicTime;
 use session_core::monotonic_time::now;
 use session_core::rate_keeper::LOAN_TIME;
+use session_core::rate_keeper::LendingMode;
 use session_core::rate_keeper::RateKeeper;
 use session_core::rate_share::RateShare;
 use session_core::serving_rules::TeamLimit;
@@ -28,6 +30,8 @@
     questions: RefCell<BTreeMap<u64, MonotonicTime>>,
     next_number: Cell<u64>,
     pace: Cell<AskPace>,
+    /// Whom to ask while the leader is silent.
+    deputy: Cell<Option<SocketAddr>>,
     keeper: RefCell<Option<RateKeeper>>,
     lent: watch::Sender<u64>,
 }
@@ -40,20 +44,39 @@
             questions: RefCell::default(),
             next_number: Cell::new(first_number),
             pace: Cell::default(),
+            deputy: Cell::default(),
             keeper: RefCell::default(),
             lent: watch::Sender::new(0),
         }
     }
 
-    /// Starts to lend a part of the rates, or stops.
-    pub fn set_keeper(&self, part: Option<f64>) {
+    /// Starts to lend, changes how much is lent, or stops.
+    pub fn set_lending(&self, mode: Option<LendingMode>) {
         let mut keeper = self.keeper.borrow_mut();
-        match part {
-            Some(part) => keeper
-                .get_or_insert_with(|| RateKeeper::new(now()))
-                .set_part(part),
-            None => *keeper = None,
+        let at = now();
+        let former = keeper.as_ref().and_then(RateKeeper::mode);
+        match (&mut *keeper, mode) {
+            (Some(keeper), mode) => keeper.set_mode(mode, at),
+            (None, Some(mode)) => *keeper = Some(RateKeeper::new(mode, at)),
+            (None, None) => {}
+        }
+        if keeper.as_ref().is_some_and(|k| k.is_forgotten(at)) {
+            *keeper = None;
         }
+        if former != mode {
+            tracing::info!(event = "lending_changed", ?former, ?mode);
+        }
+    }
+
+    /// Returns whom to ask while the leader is silent, where that seems to be the case.
+    pub fn deputy_to_ask(&self, leader_known: bool) -> Option<SocketAddr> {
+        let doubts = self.pace.get().doubts(now());
+        self.deputy.get().filter(|_| doubts || !leader_known)
+    }
+
+    /// Takes the address of the deputy.
+    pub fn set_deputy(&self, deputy: Option<SocketAddr>) {
+        self.deputy.set(deputy);
     }
 
     /// Notes that an operation of the team asks to be admitted.
@@ -128,7 +151,7 @@
         limits: &HashMap<TeamId, TeamLimit>,
     ) -> Option<Vec<(TeamId, u32)>> {
         let mut keeper = self.keeper.borrow_mut();
-        let keeper = keeper.as_mut()?;
+        let keeper = keeper.as_mut().filter(|keeper| keeper.lends())?;
         let at = now();
         let lend = |(team, tokens): &(TeamId, u32)| {
             let limit = limits.get(team)?;
--- a/crates/front/src/statement_run.rs
+++ b/crates/front/src/statement_run.rs
@@ -282,6 +282,7 @@
             return true;
         };
         let rates = &self.instance.rates;
+        self.instance.update_lending();
         rates.ask(team);
         let instances = self.instance.view.borrow().members.len();
         if rates.take(team, &limit, instances) {
--- a/crates/front/tests/testsuite/fleet.rs
+++ b/crates/front/tests/testsuite/fleet.rs
@@ -43,10 +43,14 @@
     /// The instances.
     pub instances: Vec<Instance>,
     version: u64,
+    rate: u32,
     _folder: TempDir,
 }
 
-fn configuration(version: u64, keys: &[&str]) -> Value {
+/// Operations a second of the team where a test sets no other rate.
+const RATE: u32 = 500;
+
+fn configuration(version: u64, keys: &[&str], rate: u32) -> Value {
     let route = |host: &str, kind: &str| json!({"Name": host, "Host": host, "Prefix": "/", "Kind": kind, "TimeoutMs": 1_000, "TargetLatencyMs": 400, "Priority": 1, "Service": "orders", "MaxStalenessMs": 2_000, "Public": false});
     json!({
         "Version": version,
@@ -57,7 +61,7 @@
         ],
         "Services": [{"Name": "orders", "MaxConnections": 40, "SyncReplicas": 1}],
         "Limits": {"TransactionIdleMs": 3_000},
-        "Tenants": [{"Name": "studio", "ApiKeys": keys, "RatePerS": 500, "Burst": 500}],
+        "Tenants": [{"Name": "studio", "ApiKeys": keys, "RatePerS": rate, "Burst": rate}],
     })
 }
 
@@ -72,7 +76,7 @@
         let platform = PlatformHandle::start("orders")
             .await
             .expect("the stand-in can listen");
-        platform.configure(&configuration(1, &[KEY]));
+        platform.configure(&configuration(1, &[KEY], RATE));
         let folder = tempfile::tempdir().expect("a folder can be made");
         let mut instances = Vec::new();
         for (number, processor) in processors.iter().enumerate() {
@@ -101,6 +105,7 @@
             platform,
             instances,
             version: 1,
+            rate: RATE,
             _folder: folder,
         };
         fleet.await_service().await;
@@ -124,7 +129,26 @@
     /// Accepts a new configuration with these keys.
     pub fn set_keys(&mut self, keys: &[&str]) {
         self.version += 3;
-        self.platform.configure(&configuration(self.version, keys));
+        let accepted = configuration(self.version, keys, self.rate);
+        self.platform.configure(&accepted);
+    }
+
+    /// Accepts a new configuration with this rate and burst of the team.
+    pub fn set_rate(&mut self, rate: u32) {
+        self.rate = rate;
+        self.set_keys(&[KEY]);
+    }
+
+    /// Returns the index of the instance that leads.
+    pub fn leader(&self) -> Option<usize> {
+        let store = self.platform.shared.store();
+        let item = store.items.get("tamaracklb/leader")?;
+        let value: Value = serde_json::from_slice(&item.value).ok()?;
+        value["instance"]
+            .as_str()?
+            .strip_prefix("front-")?
+            .parse()
+            .ok()
     }
 
     /// Returns the id of the endpoint that leads.
--- a/crates/front/tests/testsuite/instance_sizes.rs
+++ b/crates/front/tests/testsuite/instance_sizes.rs
@@ -2,33 +2,23 @@
 
 use std::time::Duration;
 
-use serde_json::Value;
-
 use crate::fleet::Fleet;
 
-/// Returns the name of the instance that leads.
-fn leader(fleet: &Fleet) -> Option<String> {
-    let store = fleet.platform.shared.store();
-    let item = store.items.get("tamaracklb/leader")?;
-    let value: Value = serde_json::from_slice(&item.value).ok()?;
-    value["instance"].as_str().map(str::to_owned)
-}
-
-async fn await_leader(fleet: &Fleet, name: &str) {
+async fn await_leader(fleet: &Fleet, number: usize) {
     for _ in 0..150 {
-        if leader(fleet).as_deref() == Some(name) {
+        if fleet.leader() == Some(number) {
             return;
         }
         tokio::time::sleep(Duration::from_millis(100)).await;
     }
-    panic!("{:?} leads in place of {name}", leader(fleet));
+    panic!("{:?} leads in place of {number}", fleet.leader());
 }
 
 /// The largest instance must lead, whoever was first, and follow the store for its zone.
 #[tokio::test]
 async fn largest_instance_leads() {
     let fleet = Fleet::start_sized(&[0.08, 0.08, 0.08, 0.5, 0.08]).await;
-    await_leader(&fleet, "front-3").await;
+    await_leader(&fleet, 3).await;
     let mut caller = fleet.caller(0, "linear").await;
     caller.ask_until_served("WRITE page 1").await;
     let followed = |number: usize| fleet.instances[number].log().contains("\"direct\":false");
@@ -40,11 +30,11 @@
 #[tokio::test]
 async fn lead_returns_to_the_largest() {
     let mut fleet = Fleet::start_sized(&[0.08, 0.5]).await;
-    await_leader(&fleet, "front-1").await;
+    await_leader(&fleet, 1).await;
     fleet.instances[1].kill();
-    await_leader(&fleet, "front-0").await;
+    await_leader(&fleet, 0).await;
     fleet.instances[1].restart();
-    await_leader(&fleet, "front-1").await;
+    await_leader(&fleet, 1).await;
     fleet.instances[0].await_log("lead_handed_over").await;
     let mut caller = fleet.caller(0, "linear").await;
     caller.ask_until_served("WRITE page 1").await;
--- a/crates/front/tests/testsuite/main.rs
+++ b/crates/front/tests/testsuite/main.rs
@@ -12,4 +12,5 @@
 mod primary_changes;
 mod relayed_changes;
 mod session_state;
+mod silent_leader;
 mod store_troubles;
--- a/crates/session-core/src/ask_pace.rs
+++ b/crates/session-core/src/ask_pace.rs
@@ -11,11 +11,18 @@
 /// 300 instances ask an overloaded keeper 2,500 times a second at most.
 const MOST_DOUBLINGS: u32 = 3;
 
+/// How many questions without an answer make an instance ask the deputy as well.
+const DOUBT_COUNT: u32 = 2;
+
+/// How long it goes on to ask both.
+const DOUBT_TIME: Duration = Duration::from_millis(500);
+
 /// The questions of one instance.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct AskPace {
     asked_at: Option<MonotonicTime>,
     unanswered: u32,
+    doubted_at: Option<MonotonicTime>,
 }
 
 impl AskPace {
@@ -31,6 +38,9 @@
     pub fn asked(&mut self, now: MonotonicTime) {
         self.asked_at = Some(now);
         self.unanswered = self.unanswered.saturating_add(1);
+        if self.unanswered >= DOUBT_COUNT {
+            self.doubted_at = Some(now);
+        }
     }
 
     /// Takes an answer.
@@ -38,8 +48,9 @@
         self.unanswered = 0;
     }
 
-    /// Returns how many questions were sent since the last answer.
-    pub fn unanswered(&self) -> u32 {
-        self.unanswered
+    /// Whether the deputy is to be asked as well.
+    pub fn doubts(&self, now: MonotonicTime) -> bool {
+        self.doubted_at
+            .is_some_and(|at| now.saturating_since(at) < DOUBT_TIME)
     }
 }
--- a/crates/session-core/src/instance_rank.rs
+++ b/crates/session-core/src/instance_rank.rs
@@ -29,15 +29,22 @@
         others: impl Iterator<Item = RankedInstance<'a>>,
     ) -> Vec<RankedInstance<'a>> {
         let own = rank(duty, self);
-        let mut before: Vec<_> = others
-            .map(|other| (rank(duty, other), other))
-            .filter(|(other, _)| *other < own)
-            .collect();
-        before.sort_unstable_by(|(one, _), (other, _)| one.cmp(other));
-        before.into_iter().map(|(_, other)| other).collect()
+        ranked_order(duty, others.filter(|other| rank(duty, *other) < own))
     }
 }
 
+/// Returns instances by their rank for a duty, highest first.
+pub fn ranked_order<'a>(
+    duty: &impl Hash,
+    instances: impl Iterator<Item = RankedInstance<'a>>,
+) -> Vec<RankedInstance<'a>> {
+    let mut ranked: Vec<_> = instances
+        .map(|instance| (rank(duty, instance), instance))
+        .collect();
+    ranked.sort_unstable_by(|(one, _), (other, _)| one.cmp(other));
+    ranked.into_iter().map(|(_, instance)| instance).collect()
+}
+
 fn rank<'a>(
     duty: &impl Hash,
     instance: RankedInstance<'a>,
--- a/crates/session-core/src/lib.rs
+++ b/crates/session-core/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod monotonic_time;
 pub mod primary_permit;
 pub mod promotion_step;
+pub mod rate_deputy;
 pub mod rate_keeper;
 pub mod rate_share;
 pub mod request_outcome;
--- a/crates/session-core/src/rate_keeper.rs
+++ b/crates/session-core/src/rate_keeper.rs
@@ -17,41 +17,108 @@
 /// The part of each burst that a new keeper has: the former one may have lent its own just before.
 const FIRST_BURST_PART: f64 = 0.35;
 
+/// The part of what is lent that the keeper lends while its deputy may lend as well.
+const SHARED_PART: f64 = 0.5;
+
+/// The part that is lent after the lease of a leader: the next one may lend as well by then.
+const LAPSED_PART: f64 = 0.7;
+
+/// How long the buckets of an instance that lends no more are kept, so that lending by turns gives
+/// no first burst each time: the longest window over which limits are set, twice.
+const STOPPED_LIFE: Duration = Duration::from_millis(10_000);
+
 /// How long lent tokens may be used, from when they were asked for.
 pub const LOAN_TIME: Duration = Duration::from_millis(1_000);
 
+/// How much an instance lends.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LendingMode {
+    /// Everything, as the only one.
+    Alone,
+    /// As the keeper whose deputy may lend, or as that deputy.
+    Shared,
+    /// As a leader that cannot renew its lease.
+    Lapsed,
+}
+
+impl LendingMode {
+    fn part(self) -> f64 {
+        match self {
+            LendingMode::Alone => 1.0,
+            LendingMode::Shared => SHARED_PART,
+            LendingMode::Lapsed => LAPSED_PART,
+        }
+    }
+}
+
 #[derive(Debug, Clone, Copy)]
 struct TokenBucket {
     tokens: f64,
     filled_at: MonotonicTime,
+    limit: TeamLimit,
+}
+
+impl TokenBucket {
+    fn fill(&mut self, part: f64, now: MonotonicTime) {
+        let elapsed = now.saturating_since(self.filled_at).as_secs_f64();
+        let cap = (self.limit.burst.0 * LENT_BURST_PART).max(1.0);
+        let earned = elapsed * self.limit.rate.0 * LENT_PART * part;
+        self.tokens = (self.tokens + earned).min(cap);
+        self.filled_at = now;
+    }
 }
 
 /// Lends tokens.
 #[derive(Debug, Clone)]
 pub struct RateKeeper {
-    started_at: MonotonicTime,
-    part: f64,
+    mode: Option<LendingMode>,
+    changed_at: MonotonicTime,
     buckets: HashMap<TeamId, TokenBucket>,
 }
 
 impl RateKeeper {
     /// Creates a keeper that lends what accrues from now on.
-    pub fn new(now: MonotonicTime) -> Self {
+    pub fn new(mode: LendingMode, now: MonotonicTime) -> Self {
         Self {
-            started_at: now,
-            part: 1.0,
+            mode: Some(mode),
+            changed_at: now,
             buckets: HashMap::new(),
         }
     }
 
-    /// Sets which part of the rates accrues; a lower one empties the buckets.
-    pub fn set_part(&mut self, part: f64) {
-        if part < self.part {
-            for bucket in self.buckets.values_mut() {
+    /// Sets how much accrues; a lapsed lease empties the buckets.
+    pub fn set_mode(&mut self, mode: Option<LendingMode>, now: MonotonicTime) {
+        if mode == self.mode {
+            return;
+        }
+        let part = self.part();
+        for bucket in self.buckets.values_mut() {
+            bucket.fill(part, now);
+            if mode == Some(LendingMode::Lapsed) {
                 bucket.tokens = 0.0;
             }
         }
-        self.part = part;
+        self.mode = mode;
+        self.changed_at = now;
+    }
+
+    /// Returns how much the keeper lends.
+    pub fn mode(&self) -> Option<LendingMode> {
+        self.mode
+    }
+
+    /// Whether the keeper lends.
+    pub fn lends(&self) -> bool {
+        self.mode.is_some()
+    }
+
+    /// Whether the keeper stopped so long ago that a new one may take its place.
+    pub fn is_forgotten(&self, now: MonotonicTime) -> bool {
+        self.mode.is_none() && now.saturating_since(self.changed_at) >= STOPPED_LIFE
+    }
+
+    fn part(&self) -> f64 {
+        self.mode.map_or(0.0, LendingMode::part)
     }
 
     /// Lends up to `wanted` tokens of a team.
@@ -62,18 +129,21 @@
         wanted: f64,
         now: MonotonicTime,
     ) -> f64 {
-        let started_at = self.started_at;
+        if !self.lends() {
+            return 0.0;
+        }
+        let changed_at = self.changed_at;
+        let part = self.part();
         let bucket = self
             .buckets
             .entry(team.clone())
             .or_insert_with(|| TokenBucket {
                 tokens: limit.burst.0 * FIRST_BURST_PART,
-                filled_at: started_at,
+                filled_at: changed_at,
+                limit: *limit,
             });
-        let elapsed = now.saturating_since(bucket.filled_at).as_secs_f64();
-        let cap = (limit.burst.0 * LENT_BURST_PART).max(1.0);
-        bucket.tokens = (bucket.tokens + elapsed * limit.rate.0 * LENT_PART * self.part).min(cap);
-        bucket.filled_at = now;
+        bucket.limit = *limit;
+        bucket.fill(part, now);
         let lent = wanted.max(0.0).min(bucket.tokens).floor();
         bucket.tokens -= lent;
         lent
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -43,6 +43,7 @@
 mod primary_permits;
 mod program_run;
 mod promotion_steps;
+mod rate_deputies;
 mod rate_loans;
 mod rate_questions;
 mod rate_shares;
--- a/tests/testsuite/rate_loans.rs
+++ b/tests/testsuite/rate_loans.rs
@@ -6,6 +6,7 @@
 use proptest::proptest;
 use session_core::ids::TeamId;
 use session_core::monotonic_time::MonotonicTime;
+use session_core::rate_keeper::LendingMode;
 use session_core::rate_keeper::RateKeeper;
 use session_core::rate_share::RateShare;
 use session_core::serving_rules::TeamLimit;
@@ -29,7 +30,7 @@
 /// Runs a load for 20 s and returns the times of the admitted operations.
 fn run(load: &[f64], limit: &TeamLimit, new_keeper_at: Option<u64>, lost: u64) -> Vec<u64> {
     let start = MonotonicTime::from_millis(1_000);
-    let mut keeper = RateKeeper::new(start);
+    let mut keeper = RateKeeper::new(LendingMode::Alone, start);
     let mut shares = vec![RateShare::new(start); INSTANCES];
     let mut due = [0.0; INSTANCES];
     let mut admitted = Vec::new();
@@ -37,7 +38,7 @@
     for step in 0..2_000_u64 {
         let now = start + Duration::from_millis(step * 10);
         if new_keeper_at == Some(step) {
-            keeper = RateKeeper::new(now);
+            keeper = RateKeeper::new(LendingMode::Alone, now);
         }
         for (index, rate) in load.iter().enumerate() {
             due[index] += rate / 100.0;
