Let gates below one statement widen with time, and close at once

A narrow start alone was the former fault: an instance that gets an answer of an endpoint every 3 s needed half a minute to widen. Gates now begin with eight statements a slot for the fleet, double each half second below one, and rest at once after a refusal.

--- a/crates/front/src/endpoint_pool.rs
+++ b/crates/front/src/endpoint_pool.rs
@@ -166,7 +166,7 @@
 
     /// Takes the answer that the endpoint's queue is full.
     pub fn narrow_gate(&self, endpoint: &EndpointId) {
-        self.with_gate(endpoint, StatementGate::narrow);
+        self.with_gate(endpoint, |gate| gate.narrow(now()));
     }
 
     fn create_gate(&self, entry: &EndpointEntry, instances: usize) {
--- a/crates/front/src/request_attempt.rs
+++ b/crates/front/src/request_attempt.rs
@@ -119,6 +119,7 @@
                 *reason = "endpoint_not_connected";
                 tracing::info!(event = "endpoint_not_connected", request = progress.id, endpoint = %endpoint, %error);
                 self.instance.note_connect_failure(&endpoint, &error);
+                self.instance.pool.narrow_gate(&endpoint);
                 progress.excluded.push(endpoint);
                 return AttemptEnd::Again(Duration::ZERO);
             }
--- a/crates/session-core/src/statement_gate.rs
+++ b/crates/session-core/src/statement_gate.rs
@@ -12,12 +12,8 @@
 /// The highest bound at the start.
 const FIRST_BOUND: f64 = 3.0;
 
-/// The lowest bound at the start: no pauses before an answer was slow. Where instances are many,
-/// each of them sends an endpoint less than a statement a second.
-const LEAST_FIRST_BOUND: f64 = 1.0;
-
 /// Statements for each slot of an endpoint that all instances together begin with.
-const FIRST_FACTOR: f64 = 4.0;
+const FIRST_FACTOR: f64 = 8.0;
 
 /// The lowest bound. Below one, a statement is followed by a pause in which others have the
 /// endpoint, so that the bound is the part of the time in which a statement runs.
@@ -35,12 +31,19 @@
 /// Factor of the bound for a full queue at the endpoint.
 const FULL_FACTOR: f64 = 0.7;
 
+/// That factor while the bound is below one, where answers are too rare for small steps.
+const SCARCE_FULL_FACTOR: f64 = 0.4;
+
 /// Added to the bound for an answer within the target while the bound is reached.
 const WIDEN_STEP: f64 = 0.1;
 
 /// Factor of the bound for an answer within the target while the bound is below one.
 const WIDEN_FACTOR: f64 = 1.3;
 
+/// In which time a bound below one doubles by itself: instances that share an endpoint with a
+/// hundred others get an answer every few seconds, and cannot wait for ten of them.
+const DOUBLING_TIME: Duration = Duration::from_millis(500);
+
 /// Latency assumed before the first answer, a handshake included.
 const FIRST_LATENCY_MS: f64 = 30.0;
 
@@ -63,6 +66,8 @@
     next_number: u64,
     latency_ms: f64,
     rests_until: MonotonicTime,
+    /// Up to when the bound has widened by itself.
+    widened_at: Option<MonotonicTime>,
 }
 
 impl StatementGate {
@@ -70,12 +75,13 @@
     pub fn new(slots: u32, instances: usize) -> Self {
         let even = f64::from(slots) * FIRST_FACTOR / instances.max(1) as f64;
         Self {
-            bound: even.clamp(LEAST_FIRST_BOUND, FIRST_BOUND),
+            bound: even.clamp(LOWEST_BOUND, FIRST_BOUND),
             running: 0,
             waiting: BTreeSet::new(),
             next_number: 0,
             latency_ms: FIRST_LATENCY_MS,
             rests_until: MonotonicTime::default(),
+            widened_at: None,
         }
     }
 
@@ -118,6 +124,12 @@
     /// Ends a statement.
     pub fn leave(&mut self, now: MonotonicTime) {
         self.running = self.running.saturating_sub(1);
+        self.rest(now);
+    }
+
+    /// Pauses as long as the bound asks for.
+    fn rest(&mut self, now: MonotonicTime) {
+        self.widen_by_time(now);
         if self.bound < 1.0 {
             let rest_ms = self.latency_ms * (1.0 / self.bound - 1.0);
             let rest = Duration::from_secs_f64(rest_ms / 1_000.0);
@@ -125,6 +137,15 @@
         }
     }
 
+    fn widen_by_time(&mut self, now: MonotonicTime) {
+        let since = self.widened_at.replace(now).unwrap_or(now);
+        let elapsed = now.saturating_since(since).as_secs_f64();
+        if self.bound < 1.0 {
+            let factor = (elapsed / DOUBLING_TIME.as_secs_f64()).exp2();
+            self.bound = (self.bound * factor).min(1.0);
+        }
+    }
+
     /// Whether one more statement may run.
     pub fn has_room(&self, now: MonotonicTime) -> bool {
         (self.running as f64) < self.bound.floor().max(1.0) && self.pause(now).is_zero()
@@ -137,6 +158,7 @@
 
     /// Takes the latency of an answer.
     pub fn adapt(&mut self, latency: Duration, target: Duration, now: MonotonicTime) {
+        self.widen_by_time(now);
         let sample = latency.as_secs_f64() * 1_000.0;
         self.latency_ms += LATENCY_WEIGHT * (sample - self.latency_ms);
         if self.latency_ms > target.as_secs_f64() * 1_000.0 {
@@ -149,7 +171,13 @@
     }
 
     /// Takes the answer that the endpoint's queue is full.
-    pub fn narrow(&mut self) {
-        self.bound = (self.bound * FULL_FACTOR).max(LOWEST_BOUND);
+    pub fn narrow(&mut self, now: MonotonicTime) {
+        self.widen_by_time(now);
+        let factor = match self.bound > 1.0 {
+            true => FULL_FACTOR,
+            false => SCARCE_FULL_FACTOR,
+        };
+        self.bound = (self.bound * factor).max(LOWEST_BOUND);
+        self.rest(now);
     }
 }
