Call the store less while it does not answer

Each instance without a lease tried to register every 0.25 s of an outage at the full price of a call, and renewed a lease of 9 s every 2.5 s. Registrations now back off to 1 s and wait where all evidence is over 3 s old until somebody hears the store; leases are renewed every 4 s, which leaves as much time as primaries may be used without the store.

--- a/crates/front/src/instance.rs
+++ b/crates/front/src/instance.rs
@@ -38,6 +38,7 @@
 use crate::instance_limits::LEADER_LEASE_TIME;
 use crate::instance_limits::LEADER_MARGIN;
 use crate::instance_limits::LENDING_GRACE;
+use crate::instance_limits::SILENT_STORE_TIME;
 use crate::instance_limits::UNEVEN_FACTOR;
 use crate::metrics::FrontMetrics;
 use crate::rate_exchange::RateExchange;
@@ -136,6 +137,21 @@
         self.heard.send_modify(|count| *count += 1);
     }
 
+    /// Waits until somebody hears the store, where all evidence is too old for that: a call that
+    /// fails costs as much as any other one.
+    pub async fn await_store(&self) {
+        let mut heard = self.heard.subscribe();
+        let is_silent = || {
+            let heard_at = self.view.borrow().heard_at;
+            heard_at.is_some_and(|at| now().saturating_since(at) >= SILENT_STORE_TIME)
+        };
+        while is_silent() {
+            if heard.changed().await.is_err() {
+                return;
+            }
+        }
+    }
+
     /// Tells all parts that the view changed.
     pub fn view_changed(&self) {
         self.changes.send_modify(|count| *count += 1);
--- a/crates/front/src/instance_limits.rs
+++ b/crates/front/src/instance_limits.rs
@@ -32,8 +32,15 @@
 /// How long before the end of its lease an instance stops to use primaries.
 pub const LEASE_MARGIN: Duration = Duration::from_millis(1_000);
 
-/// Time between renewals of the lease.
-pub const RENEWAL_TIME: Duration = Duration::from_millis(2_500);
+/// Time between renewals of the lease: one that fails leaves half of the lease for others.
+pub const RENEWAL_TIME: Duration = Duration::from_millis(4_000);
+
+/// The age of the evidence at which the store counts as silent for everybody: two messages of a
+/// relay.
+pub const SILENT_STORE_TIME: Duration = Duration::from_millis(3_000);
+
+/// The longest pause before a failed registration is repeated; the first ones are shorter.
+pub const REGISTRATION_PAUSE: Duration = Duration::from_millis(1_000);
 
 /// Time before a renewal that failed is tried again.
 pub const RENEWAL_PAUSE: Duration = Duration::from_millis(600);
--- a/crates/front/src/store_lease.rs
+++ b/crates/front/src/store_lease.rs
@@ -12,6 +12,7 @@
 use crate::fleet_keys::MemberValue;
 use crate::instance::Instance;
 use crate::instance_limits::LEASE_TIME;
+use crate::instance_limits::REGISTRATION_PAUSE;
 use crate::instance_limits::RENEWAL_PAUSE;
 use crate::instance_limits::RENEWAL_TIME;
 use crate::instance_limits::STORE_PAUSE;
@@ -32,16 +33,20 @@
 
 /// Keeps the lease until the process ends.
 pub async fn keep_lease(instance: Rc<Instance>) {
+    let mut pause = STORE_PAUSE;
     loop {
         match register(&instance).await {
             Ok(lease) => {
+                pause = STORE_PAUSE;
                 instance.lease.lease.set(Some(lease));
                 renew_until_lost(&instance, lease).await;
                 instance.lease.lease.set(None);
             }
             Err(error) => {
                 tracing::warn!(event = "registration_failed", %error);
-                tokio::time::sleep(STORE_PAUSE).await;
+                tokio::time::sleep(pause).await;
+                pause = (pause * 2).min(REGISTRATION_PAUSE);
+                instance.await_store().await;
             }
         }
     }
--- a/crates/front/tests/testsuite/store_troubles.rs
+++ b/crates/front/tests/testsuite/store_troubles.rs
@@ -58,3 +58,22 @@
     fleet.platform.shared.store().trouble = StoreTrouble::None;
     fleet.await_service().await;
 }
+
+/// An instance that cannot register must not ask ever again at once: failed calls are paid for.
+#[tokio::test]
+async fn failed_registrations_are_rare() {
+    const KIND: &str = "tamaracklb_platform_calls_total{kind=\"lease_grant\",succeeded=\"false\"} ";
+    let mut fleet = Fleet::start(2).await;
+    fleet.platform.shared.store().trouble = StoreTrouble::Busy;
+    fleet.instances[1].restart();
+    tokio::time::sleep(Duration::from_secs(6)).await;
+    let metrics = fleet.instances[1].status("/metrics").await.1;
+    let calls = metrics.lines().find_map(|line| line.strip_prefix(KIND));
+    let calls: Option<u64> = calls.and_then(|count| count.trim().parse().ok());
+    assert!(
+        calls.is_some_and(|calls| (2..=9).contains(&calls)),
+        "{calls:?}: {metrics}"
+    );
+    fleet.platform.shared.store().trouble = StoreTrouble::None;
+    fleet.await_service().await;
+}
