Move the test caller and the daemon's process to the stand-ins, and let former primaries go on

Cause: a fault soak needs the caller and the process of the whole-path tests, and a group whose former primary goes on for a second after a promotion: the stand-in demoted it in the same instant, so that no test could read there. A commit that no replica receives is no longer acknowledged after any promotion.

--- a/crates/front/tests/testsuite/daemon_stop.rs
+++ b/crates/front/tests/testsuite/daemon_stop.rs
@@ -3,9 +3,9 @@
 use std::process::Command;
 use std::time::Duration;
 
+use standins::platform::line_caller::LineCaller;
 use standins::platform::store_state::StoreTrouble;
 
-use crate::caller::Caller;
 use crate::fleet::Fleet;
 use crate::fleet::KEY;
 
@@ -106,8 +106,8 @@
     fleet.platform.shared.store().trouble = StoreTrouble::Silent;
     fleet.instances[0].signal("TERM");
     tokio::time::sleep(Duration::from_millis(100)).await;
-    let address = fleet.instances[0].callers;
-    if let Ok(mut caller) = Caller::try_open(address, "linear", KEY).await {
+    let address = fleet.instances[0].process.callers;
+    if let Ok(mut caller) = LineCaller::try_open(address, "linear", KEY).await {
         // No replica receives the write, so that its answer takes as long as the route allows.
         let answer = caller.ask("WRITE page 1").await;
         assert_eq!(answer.code(), "INDOUBT", "{answer:?}");
--- a/crates/front/tests/testsuite/main.rs
+++ b/crates/front/tests/testsuite/main.rs
@@ -1,6 +1,5 @@
 //! Whole-path tests: the built daemon against a stand-in of the users' platform.
 
-mod caller;
 mod fleet;
 #[path = "../../../../tests/testsuite/support/free_ports.rs"]
 #[allow(dead_code)]
--- a/crates/front/tests/testsuite/session_state.rs
+++ b/crates/front/tests/testsuite/session_state.rs
@@ -1,6 +1,7 @@
 //! Guards against sessions whose values, names or writes do not follow them.
 
-use crate::caller::Caller;
+use standins::platform::line_caller::LineCaller;
+
 use crate::fleet::Fleet;
 use crate::fleet::KEY;
 
@@ -82,11 +83,11 @@
 #[tokio::test]
 async fn bad_requests_are_told() {
     let fleet = Fleet::start(1).await;
-    let address = fleet.instances[0].callers;
-    let refused = Caller::try_open(address, "nowhere", KEY).await;
-    assert!(refused.is_err_and(|line| line.starts_with("ERROR NODATABASE")));
-    let refused = Caller::try_open(address, "linear", "other").await;
-    assert!(refused.is_err_and(|line| line.starts_with("ERROR DENIED")));
+    let address = fleet.instances[0].process.callers;
+    let refused = LineCaller::try_open(address, "nowhere", KEY).await;
+    assert!(refused.is_err_and(|error| error.to_string().starts_with("refused: ERROR NODATABASE")));
+    let refused = LineCaller::try_open(address, "linear", "other").await;
+    assert!(refused.is_err_and(|error| error.to_string().starts_with("refused: ERROR DENIED")));
     let mut caller = fleet.caller(0, "linear").await;
     assert_eq!(caller.ask("DANCE").await.code(), "MALFORMED");
     assert_eq!(caller.ask("EXECUTE s9 page").await.code(), "UNDEFINED");
--- a/crates/standins/src/platform/group_state.rs
+++ b/crates/standins/src/platform/group_state.rs
@@ -46,6 +46,19 @@
     pub wrote: bool,
     /// The session values of the connection.
     pub values: Vec<(String, String)>,
+    /// When it ran.
+    pub at: Instant,
+}
+
+/// How far a commit has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CommitState {
+    /// No replica has received it.
+    Waiting,
+    /// A replica has received it, so that it may be acknowledged.
+    Received,
+    /// The endpoint no longer leads its term.
+    Lost,
 }
 
 /// The group.
@@ -66,30 +79,80 @@
 }
 
 impl GroupState {
-    /// Commits on an endpoint; returns whether a replica has received it, so that it may be
-    /// acknowledged.
-    pub fn commit(&mut self, endpoint: &str, writes: Vec<(String, String)>) -> bool {
-        let commit = KeptCommit {
+    /// Returns the id of the endpoint that leads the newest term.
+    pub fn primary(&self) -> Option<String> {
+        let leads = self.endpoints.iter().filter(|(_, e)| e.primary && e.alive);
+        leads
+            .max_by_key(|(_, endpoint)| endpoint.term)
+            .map(|(id, _)| id.clone())
+    }
+
+    /// Commits on an endpoint; returns the term and the number of the commit.
+    pub fn commit(
+        &mut self,
+        endpoint: &str,
+        writes: Vec<(String, String)>,
+    ) -> Option<(u64, usize)> {
+        let primary = self.endpoints.get_mut(endpoint)?;
+        primary.log.push(KeptCommit {
             writes,
             at: Instant::now(),
+        });
+        Some((primary.term, primary.log.len()))
+    }
+
+    /// Sends the log of an endpoint to the replicas that receive it.
+    pub fn replicate(&mut self, endpoint: &str, term: u64, number: usize) -> CommitState {
+        let Some(primary) = self.endpoints.get(endpoint) else {
+            return CommitState::Lost;
         };
-        let Some(primary) = self.endpoints.get_mut(endpoint) else {
-            return false;
-        };
-        primary.log.push(commit);
-        let (term, log) = (primary.term, primary.log.clone());
-        let mut received = false;
+        if !primary.primary || primary.term != term || primary.log.len() < number {
+            return CommitState::Lost;
+        }
+        if !primary.alive {
+            return CommitState::Waiting;
+        }
+        let log = primary.log.clone();
+        let mut state = CommitState::Waiting;
         for (id, replica) in &mut self.endpoints {
             let follows = id != endpoint && !replica.primary && replica.alive;
             if follows && replica.paused == 0 && replica.term == term {
                 replica.log.clone_from(&log);
-                received = true;
+                state = CommitState::Received;
+            }
+        }
+        state
+    }
+
+    /// Makes endpoints of older terms, which can reach the newest primary, its replicas.
+    pub fn follow_newest(&mut self) {
+        let Some(primary) = self.primary() else {
+            return;
+        };
+        let (term, log) = {
+            let primary = &self.endpoints[&primary];
+            (primary.term, primary.log.clone())
+        };
+        for endpoint in self.endpoints.values_mut() {
+            if endpoint.alive && endpoint.term < term {
+                endpoint.primary = false;
+                endpoint.term = term;
+                endpoint.paused = 0;
+                endpoint.log.clone_from(&log);
             }
         }
-        received
     }
 
-    /// Makes an endpoint the primary of the next term with what it has received.
+    /// Lets a dark endpoint answer again: as a replica where another one leads by now.
+    pub fn revive(&mut self, id: &str) {
+        if let Some(endpoint) = self.endpoints.get_mut(id) {
+            endpoint.alive = true;
+        }
+        self.follow_newest();
+    }
+
+    /// Makes an endpoint the primary of the next term with what it has received. A former primary
+    /// goes on by itself until it is demoted or follows the new one.
     pub fn promote(&mut self, target: &str) -> bool {
         let newest = self.endpoints.values().map(|e| e.term).max().unwrap_or(0);
         let Some(endpoint) = self.endpoints.get_mut(target) else {
@@ -106,8 +169,7 @@
         endpoint.paused = 0;
         let log = endpoint.log.clone();
         for (id, other) in &mut self.endpoints {
-            if id != target && other.alive {
-                other.primary = false;
+            if id != target && other.alive && !other.primary {
                 other.term = newest + 1;
                 other.paused = 0;
                 other.log.clone_from(&log);
--- /dev/null
+++ b/crates/standins/src/platform/line_caller.rs
@@ -0,0 +1,208 @@
+//! A caller that speaks the line protocol.
+
+use std::fmt;
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use tokio::io::AsyncBufReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::io::BufReader;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+/// Longer than any answer may take.
+const ANSWER_TIME: Duration = Duration::from_secs(10);
+
+/// How often a request is sent until it is served, and the pause between.
+const SERVE_ATTEMPTS: usize = 200;
+const SERVE_PAUSE: Duration = Duration::from_millis(50);
+
+/// The answer to one request.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct LineAnswer {
+    /// The rows.
+    pub rows: Vec<String>,
+    /// The last line before the session is ready, such as `COMPLETE -` or `ERROR BUSY ...`.
+    pub end: String,
+    /// The transaction state.
+    pub state: String,
+}
+
+impl LineAnswer {
+    /// Whether the request succeeded.
+    pub fn succeeded(&self) -> bool {
+        self.end.starts_with("COMPLETE")
+    }
+
+    /// Returns the code of a refusal.
+    pub fn code(&self) -> &str {
+        self.end.split(' ').nth(1).unwrap_or_default()
+    }
+
+    /// Whether the answer promises that nothing of the attempt is kept.
+    pub fn promises_nothing_kept(&self) -> bool {
+        const PROMISES: [&str; 6] = [
+            "BUSY",
+            "ABORTED",
+            "LAGGING",
+            "READONLY",
+            "WRONGNODE",
+            "CONNLIMIT",
+        ];
+        !self.succeeded() && PROMISES.contains(&self.code())
+    }
+}
+
+/// Why there is no answer.
+#[derive(Debug)]
+pub enum CallerError {
+    /// The start of the session was refused with this line.
+    Refused(String),
+    /// The connection broke.
+    Io(io::Error),
+    /// Nothing came in the longest time of an answer.
+    Silent,
+    /// A line that the protocol does not know here.
+    Unexpected(String),
+}
+
+impl fmt::Display for CallerError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            CallerError::Refused(line) => write!(f, "refused: {line}"),
+            CallerError::Io(error) => write!(f, "{error}"),
+            CallerError::Silent => write!(f, "no answer in {ANSWER_TIME:?}"),
+            CallerError::Unexpected(line) => write!(f, "unexpected line {line:?}"),
+        }
+    }
+}
+
+impl std::error::Error for CallerError {}
+
+impl From<io::Error> for CallerError {
+    fn from(error: io::Error) -> Self {
+        CallerError::Io(error)
+    }
+}
+
+/// One session.
+#[derive(Debug)]
+pub struct LineCaller {
+    stream: BufReader<TcpStream>,
+    requests: u64,
+    name: String,
+}
+
+impl LineCaller {
+    /// Opens a session, and panics where it is refused.
+    pub async fn open(address: SocketAddr, database: &str, key: &str) -> Self {
+        match Self::try_open(address, database, key).await {
+            Ok(caller) => caller,
+            Err(error) => panic!("no session: {error}"),
+        }
+    }
+
+    /// Opens a session.
+    ///
+    /// # Errors
+    ///
+    /// See [`CallerError`].
+    pub async fn try_open(
+        address: SocketAddr,
+        database: &str,
+        key: &str,
+    ) -> Result<Self, CallerError> {
+        let stream = TcpStream::connect(address).await?;
+        let mut caller = Self {
+            name: format!("{}-{database}", stream.local_addr()?.port()),
+            stream: BufReader::new(stream),
+            requests: 0,
+        };
+        caller.send(&format!("STARTUP {database} {key}")).await?;
+        let line = caller.line().await?;
+        match line.starts_with("READY") {
+            true => Ok(caller),
+            false => Err(CallerError::Refused(line)),
+        }
+    }
+
+    /// Gives the session a name of its own, which its requests' ids begin with.
+    pub fn set_name(&mut self, name: String) {
+        self.name = name;
+    }
+
+    /// Returns the id of the next request.
+    pub fn next_id(&self) -> String {
+        format!("{}-{}", self.name, self.requests + 1)
+    }
+
+    /// Sends a request and waits for its answer; panics where there is none.
+    pub async fn ask(&mut self, text: &str) -> LineAnswer {
+        match self.try_ask(text).await {
+            Ok(answer) => answer,
+            Err(error) => panic!("no answer to {text:?}: {error}"),
+        }
+    }
+
+    /// Sends a request and waits for its answer.
+    ///
+    /// # Errors
+    ///
+    /// See [`CallerError`].
+    pub async fn try_ask(&mut self, text: &str) -> Result<LineAnswer, CallerError> {
+        let line = format!("QUERY {} {text}", self.next_id());
+        self.requests += 1;
+        self.send(&line).await?;
+        let mut rows = Vec::new();
+        let mut end = String::new();
+        loop {
+            let line = self.line().await?;
+            match line.split_once(' ') {
+                Some(("DATAROW", row)) => rows.push(row.to_owned()),
+                Some(("READY", state)) => {
+                    let state = state.split(' ').next().unwrap_or_default().to_owned();
+                    return Ok(LineAnswer { rows, end, state });
+                }
+                Some(("COMPLETE" | "ERROR", _)) => end = line,
+                _ => return Err(CallerError::Unexpected(line)),
+            }
+        }
+    }
+
+    /// Sends requests until one succeeds, and returns its answer.
+    pub async fn ask_until_served(&mut self, text: &str) -> LineAnswer {
+        let mut last = self.ask(text).await;
+        for _ in 0..SERVE_ATTEMPTS {
+            if last.succeeded() {
+                return last;
+            }
+            tokio::time::sleep(SERVE_PAUSE).await;
+            last = self.ask(text).await;
+        }
+        panic!("never served: {last:?}");
+    }
+
+    /// Waits until the other side closes the connection.
+    pub async fn closed(&mut self) -> bool {
+        let mut line = String::new();
+        let read = timeout(ANSWER_TIME, self.stream.read_line(&mut line)).await;
+        matches!(read, Ok(Ok(0)))
+    }
+
+    async fn send(&mut self, line: &str) -> Result<(), CallerError> {
+        let bytes = format!("{line}\r\n");
+        self.stream.get_mut().write_all(bytes.as_bytes()).await?;
+        Ok(())
+    }
+
+    async fn line(&mut self) -> Result<String, CallerError> {
+        let mut line = String::new();
+        match timeout(ANSWER_TIME, self.stream.read_line(&mut line)).await {
+            Ok(Ok(0)) => Err(io::Error::from(io::ErrorKind::UnexpectedEof).into()),
+            Ok(Ok(_)) => Ok(line.trim_end().to_owned()),
+            Ok(Err(error)) => Err(error.into()),
+            Err(_) => Err(CallerError::Silent),
+        }
+    }
+}
--- a/crates/standins/src/platform/line_server.rs
+++ b/crates/standins/src/platform/line_server.rs
@@ -4,6 +4,7 @@
 use std::io;
 use std::sync::Arc;
 use std::time::Duration;
+use std::time::Instant;
 
 use tokio::io::AsyncBufReadExt;
 use tokio::io::AsyncWriteExt;
@@ -11,6 +12,7 @@
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 
+use crate::platform::group_state::CommitState;
 use crate::platform::group_state::KeptRun;
 use crate::platform::platform_handle::PlatformShared;
 
@@ -185,12 +187,12 @@
             let applied = {
                 let group = self.shared.group();
                 let endpoint = group.endpoints.get(&self.endpoint)?;
-                if endpoint.term < term || endpoint.log.len() < number {
+                if (endpoint.term, endpoint.log.len()) < (term, number) {
                     return Some(false);
                 }
-                group.applied(endpoint)
+                (endpoint.term, group.applied(endpoint))
             };
-            if applied >= number {
+            if applied >= (term, number) {
                 return Some(true);
             }
             tokio::time::sleep(COMMIT_PAUSE).await;
@@ -205,6 +207,7 @@
             team: self.team.clone(),
             wrote,
             values,
+            at: Instant::now(),
         });
     }
 
@@ -240,7 +243,7 @@
             Some((false, _)) => Some(self.refuse("READONLY")),
             None => {
                 self.note_run(id, true);
-                self.acknowledge(vec![write]).await;
+                self.acknowledge(vec![write]).await?;
                 Some(self.receipt(id))
             }
         }
@@ -257,17 +260,25 @@
             if plain && !self.is_primary() {
                 return Some(self.refuse("READONLY"));
             }
-            self.acknowledge(writes).await;
+            self.acknowledge(writes).await?;
         }
         Some(self.receipt(id))
     }
 
-    /// Commits, and waits until a replica has received it.
-    async fn acknowledge(&self, writes: Vec<(String, String)>) {
-        let mut received = self.shared.group().commit(&self.endpoint, writes);
-        while !received {
-            tokio::time::sleep(COMMIT_PAUSE).await;
-            received = !self.shared.group().promotions.is_empty() && self.is_primary();
+    /// Commits, and waits until a replica has received it; returns nothing where that can never
+    /// happen any more.
+    async fn acknowledge(&self, writes: Vec<(String, String)>) -> Option<()> {
+        let (term, number) = self.shared.group().commit(&self.endpoint, writes)?;
+        loop {
+            let state = {
+                let mut group = self.shared.group();
+                group.replicate(&self.endpoint, term, number)
+            };
+            match state {
+                CommitState::Received => return Some(()),
+                CommitState::Lost => return None,
+                CommitState::Waiting => tokio::time::sleep(COMMIT_PAUSE).await,
+            }
         }
     }
 
@@ -278,9 +289,13 @@
             "STATUS" => {}
             "PAUSE" => endpoint.paused = rest.parse().ok()?,
             "RESUME" => endpoint.paused = 0,
-            "DEMOTE" => endpoint.primary &= endpoint.term >= rest.parse().ok()?,
+            "DEMOTE" => {
+                endpoint.primary &= endpoint.term >= rest.parse().ok()?;
+                group.follow_newest();
+            }
             _ => return Some(format!("ERROR MALFORMED {}\r\n", self.endpoint)),
         }
+        let endpoint = group.endpoints.get(&self.endpoint)?;
         let role = if endpoint.primary {
             "primary"
         } else {
--- a/crates/standins/src/platform/mod.rs
+++ b/crates/standins/src/platform/mod.rs
@@ -1,7 +1,11 @@
-//! A stand-in of the users' platform: its store, its duties and one database group.
+//! A stand-in of the users' platform: its store, its duties and one database group, with callers
+//! and processes of the daemon for tests.
 
+pub mod daemon_process;
 pub mod group_state;
+pub mod line_caller;
 mod line_server;
 pub mod platform_handle;
+pub mod sample_configuration;
 mod store_server;
 pub mod store_state;
--- a/crates/standins/src/platform/store_server.rs
+++ b/crates/standins/src/platform/store_server.rs
@@ -32,6 +32,9 @@
 /// Time between the order of a promotion and its effect.
 const PROMOTION_TIME: Duration = Duration::from_millis(300);
 
+/// How long a former primary goes on by itself after another one was promoted.
+const FORMER_PRIMARY_TIME: Duration = Duration::from_millis(1_000);
+
 type Reply = (u16, Value);
 
 /// Serves the store and the duties until the process ends.
@@ -232,6 +235,9 @@
         tokio::time::sleep(PROMOTION_TIME).await;
         shared.group().promote(&target);
         shared.publish();
+        tokio::time::sleep(FORMER_PRIMARY_TIME).await;
+        shared.group().follow_newest();
+        shared.publish();
     });
     (200, json!({}))
 }
