Add a fault soak of the front daemon

The soak starts daemons as processes before a stand-in, puts a proxy on loopback before the store and each endpoint, and plays faults drawn from a seed: links that are late, silent, cut one way or reset; processes that are paused, killed, asked to stop or reload; a store that is silent, refuses, loses answers or forgets; dark and lagging endpoints. Each fourth seed plays planned work only. Writes, reads, runs, rates, keys and promotions are checked from what callers and endpoints saw; each check is shown to fail on a history that breaks it (soak_checks).

--- a/crates/front/tests/testsuite/fleet.rs
+++ b/crates/front/tests/testsuite/fleet.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use serde_json::Value;
+use standins::free_ports::free_tcp;
 use standins::platform::daemon_process::DaemonPlan;
 use standins::platform::daemon_process::DaemonProcess;
 use standins::platform::line_caller::LineCaller;
@@ -13,8 +14,6 @@
 use standins::platform::sample_configuration::sample_configuration;
 use tempfile::TempDir;
 
-use crate::free_ports::free_tcp;
-
 /// The team's key.
 pub const KEY: &str = "k-7f3a";
 
--- /dev/null
+++ b/crates/soak/src/lib.rs
@@ -0,0 +1,10 @@
+//! A randomized fault soak: processes of the front daemon between callers and a stand-in of the
+//! platform, with faults from outside, and checks of the promises from what both ends saw.
+
+pub mod fault_schedule;
+pub mod link_proxy;
+pub mod promise_checks;
+pub mod seen_history;
+mod soak_callers;
+mod soak_faults;
+pub mod soak_run;
--- /dev/null
+++ b/crates/soak/src/main.rs
@@ -0,0 +1,91 @@
+//! Plays seeds of the fault soak and says which promises were broken.
+
+use std::io;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use argh::FromArgs;
+use soak::fault_schedule;
+use soak::soak_run::SoakPlan;
+use soak::soak_run::run_seed;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+
+/// Plays seeds of the fault soak; ends with 0 where every promise was kept.
+#[derive(FromArgs)]
+struct SoakArgs {
+    /// the program of the daemon
+    #[argh(option, default = "PathBuf::from(\"target/release/tamaracklb-front\")")]
+    program: PathBuf,
+    /// the first seed
+    #[argh(option, default = "1")]
+    from: u64,
+    /// how many seeds
+    #[argh(option, default = "1")]
+    seeds: u64,
+    /// seconds in which faults begin
+    #[argh(option, default = "12")]
+    seconds: u64,
+    /// instances of the daemon
+    #[argh(option, default = "5")]
+    instances: usize,
+    /// callers of each kind
+    #[argh(option, default = "6")]
+    callers: usize,
+}
+
+fn play(args: &SoakArgs, seed: u64) -> io::Result<bool> {
+    let folder = tempfile::tempdir()?;
+    let plan = SoakPlan {
+        program: args.program.clone(),
+        seed,
+        instances: args.instances,
+        callers: args.callers,
+        time: Duration::from_secs(args.seconds),
+        folder: folder.path().to_owned(),
+    };
+    let runtime = tokio::runtime::Runtime::new()?;
+    let verdict = runtime.block_on(async {
+        let mut terminate = signal(SignalKind::terminate())?;
+        let mut interrupt = signal(SignalKind::interrupt())?;
+        // A run that is dropped ends the processes that it started.
+        tokio::select! {
+            verdict = run_seed(&plan) => verdict,
+            _ = terminate.recv() => Err(io::ErrorKind::Interrupted.into()),
+            _ = interrupt.recv() => Err(io::ErrorKind::Interrupted.into()),
+        }
+    })?;
+    let kind = match fault_schedule::is_planned(seed) {
+        true => "planned work",
+        false => "faults",
+    };
+    println!("seed {seed} ({kind}): {verdict}");
+    for broken in verdict.broken.iter().take(10) {
+        println!("  {broken}");
+    }
+    if !verdict.broken.is_empty() {
+        println!("  logs: {}", folder.keep().display());
+    }
+    Ok(verdict.broken.is_empty())
+}
+
+fn main() -> ExitCode {
+    let args: SoakArgs = argh::from_env();
+    let mut failed = Vec::new();
+    for seed in args.from..args.from + args.seeds {
+        match play(&args, seed) {
+            Ok(true) => {}
+            Ok(false) => failed.push(seed),
+            Err(error) => {
+                eprintln!("soak: seed {seed}: {error}");
+                return ExitCode::from(2);
+            }
+        }
+    }
+    println!("{} seeds, broken: {failed:?}", args.seeds);
+    match failed.is_empty() {
+        true => ExitCode::SUCCESS,
+        false => ExitCode::FAILURE,
+    }
+}
--- /dev/null
+++ b/crates/soak/src/promise_checks.rs
@@ -0,0 +1,175 @@
+//! Checks the promises from what callers and endpoints saw.
+
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::fmt;
+use std::time::Duration;
+use std::time::Instant;
+
+use standins::platform::group_state::GroupState;
+use standins::platform::group_state::KeptRun;
+
+use crate::seen_history::SeenHistory;
+use crate::seen_history::WriteOutcome;
+
+/// How long after its withdrawal a key may be used: the bound of the daemon's settings.
+const REVOCATION_TIME: Duration = Duration::from_millis(5_000);
+
+/// How long after it was sent a request that no endpoint ran may lose its connection during planned
+/// work: the bound of the users' platform, as a session may be closed while its request is on the
+/// way.
+const LOSS_SLACK: Duration = Duration::from_millis(200);
+
+/// The window over which rates are counted, and what may lie above rate and burst in it: the bounds
+/// of the users' platform.
+const RATE_WINDOW: Duration = Duration::from_secs(5);
+const RATE_OVERAGE: f64 = 0.1;
+const RATE_SLACK: f64 = 20.0;
+
+/// A promise that was not kept.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct BrokenPromise {
+    /// Which.
+    pub promise: &'static str,
+    /// What was seen.
+    pub seen: String,
+}
+
+impl fmt::Display for BrokenPromise {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.promise, self.seen)
+    }
+}
+
+/// Returns the promises that were not kept; `rates` has the rate of each team, which is its burst.
+pub fn check_promises(
+    history: &SeenHistory,
+    group: &GroupState,
+    rates: &HashMap<String, u32>,
+) -> Vec<BrokenPromise> {
+    let mut broken = Vec::new();
+    let mut report = |promise, seen| broken.push(BrokenPromise { promise, seen });
+    for complaint in &history.complaints {
+        report("what callers heard", complaint.clone());
+    }
+    check_writes(history, group, &mut report);
+    check_runs(history, group, &mut report);
+    check_rates(&group.runs, rates, &mut report);
+    check_promotions(group, &mut report);
+    broken
+}
+
+fn check_writes(
+    history: &SeenHistory,
+    group: &GroupState,
+    report: &mut impl FnMut(&'static str, String),
+) {
+    let leader = group.primary().and_then(|id| group.endpoints.get(&id));
+    let Some(leader) = leader else {
+        report("a primary", "no endpoint leads at the end".to_owned());
+        return;
+    };
+    let mut counts: HashMap<(&str, &str), usize> = HashMap::new();
+    for (item, value) in leader.log.iter().flat_map(|commit| &commit.writes) {
+        *counts.entry((item, value)).or_default() += 1;
+    }
+    for write in &history.writes {
+        let value = write.value.to_string();
+        let count = counts.get(&(write.item.as_str(), value.as_str())).copied();
+        let count = count.unwrap_or(0);
+        let what = || format!("{} = {value}, {count} times in the log", write.item);
+        match write.outcome {
+            WriteOutcome::Acknowledged if count == 0 => {
+                report("no acknowledged write is lost", what());
+            }
+            WriteOutcome::NothingKept if count > 0 => report("refused writes are not kept", what()),
+            _ if count > 1 => report("nothing runs twice", what()),
+            _ => {}
+        }
+    }
+}
+
+fn check_runs(
+    history: &SeenHistory,
+    group: &GroupState,
+    report: &mut impl FnMut(&'static str, String),
+) {
+    let ran: HashSet<&str> = group.runs.iter().map(|run| run.id.as_str()).collect();
+    for (id, time) in &history.unanswered {
+        if ran.contains(id.as_str()) || *time > LOSS_SLACK {
+            report("planned work cuts nothing", format!("{id} after {time:?}"));
+        }
+    }
+    for run in &group.runs {
+        let Some(request) = history.requests.get(&run.id) else {
+            report("nothing unasked runs", format!("{run:?}"));
+            continue;
+        };
+        if run.team != request.team {
+            report(
+                "nothing runs for another team",
+                format!("{run:?} was {request:?}"),
+            );
+        }
+        let expected = ("v".to_owned(), request.set_value.clone());
+        if !request.set_value.is_empty() && !run.values.contains(&expected) {
+            report(
+                "values follow their session",
+                format!("{run:?} was {request:?}"),
+            );
+        }
+        let withdrawn = history.key_gaps.iter().any(|gap| {
+            gap.team == request.team
+                && request.sent_at > gap.from + REVOCATION_TIME
+                && gap.to.is_none_or(|to| request.sent_at < to)
+        });
+        if withdrawn {
+            report("withdrawn keys are dead", format!("{run:?}"));
+        }
+    }
+}
+
+fn check_rates(
+    runs: &[KeptRun],
+    rates: &HashMap<String, u32>,
+    report: &mut impl FnMut(&'static str, String),
+) {
+    for (team, rate) in rates {
+        let rate = f64::from(*rate);
+        let bound = (rate * RATE_WINDOW.as_secs_f64() + rate) * (1.0 + RATE_OVERAGE) + RATE_SLACK;
+        let mut seen = HashSet::new();
+        let mut times: Vec<Instant> = runs
+            .iter()
+            .filter(|run| run.team == *team && seen.insert(run.id.as_str()))
+            .map(|run| run.at)
+            .collect();
+        times.sort_unstable();
+        let in_window = |first: usize| {
+            let end = times[first] + RATE_WINDOW;
+            times[first..].iter().take_while(|at| **at < end).count()
+        };
+        let most = (0..times.len()).map(in_window).max().unwrap_or(0);
+        if most as f64 > bound {
+            report(
+                "rates are kept",
+                format!("{most} of {team} in 5 s, {bound} allowed"),
+            );
+        }
+    }
+}
+
+fn check_promotions(group: &GroupState, report: &mut impl FnMut(&'static str, String)) {
+    let mut highest: Option<(u64, &str)> = None;
+    for (target, holder, token) in &group.promotions {
+        let former = highest.replace((*token, holder));
+        let Some((known, known_holder)) = former else {
+            continue;
+        };
+        if *token < known || (*token == known && holder != known_holder) {
+            let what = format!(
+                "{holder} promoted {target} with {token} after {known_holder} with {known}"
+            );
+            report("one instance leads", what);
+        }
+    }
+}
--- a/crates/standins/src/lib.rs
+++ b/crates/standins/src/lib.rs
@@ -2,6 +2,7 @@
 //! while they run.
 
 pub mod endpoint;
+pub mod free_ports;
 pub mod platform;
 pub mod store;
 
--- a/crates/standins/src/platform/group_state.rs
+++ b/crates/standins/src/platform/group_state.rs
@@ -8,6 +8,8 @@
 /// One committed transaction.
 #[derive(Debug, Clone)]
 pub struct KeptCommit {
+    /// The term of the primary that it was committed on.
+    pub term: u64,
     /// Items and their new values.
     pub writes: Vec<(String, String)>,
     /// When it was committed.
@@ -95,6 +97,7 @@
     ) -> Option<(u64, usize)> {
         let primary = self.endpoints.get_mut(endpoint)?;
         primary.log.push(KeptCommit {
+            term: primary.term,
             writes,
             at: Instant::now(),
         });
@@ -191,6 +194,20 @@
             .count()
     }
 
+    /// Returns the position of an endpoint: a replica that has not applied its whole log is still in
+    /// the term of the last commit that it shows.
+    pub fn position(&self, endpoint: &EndpointState) -> (u64, usize) {
+        let applied = self.applied(endpoint);
+        let last = applied
+            .checked_sub(1)
+            .and_then(|last| endpoint.log.get(last));
+        let term = match applied == endpoint.log.len() {
+            true => endpoint.term,
+            false => last.map_or(0, |commit| commit.term),
+        };
+        (term, applied)
+    }
+
     /// Returns the value of an item at an endpoint.
     pub fn read(&self, endpoint: &EndpointState, item: &str) -> String {
         let applied = self.applied(endpoint);
--- a/crates/standins/src/platform/line_server.rs
+++ b/crates/standins/src/platform/line_server.rs
@@ -101,7 +101,10 @@
         };
         let position = group.endpoints.get(&self.endpoint).map_or_else(
             || "-".to_owned(),
-            |endpoint| format!("{}.{}", endpoint.term, group.applied(endpoint)),
+            |endpoint| {
+                let (term, number) = group.position(endpoint);
+                format!("{term}.{number}")
+            },
         );
         format!("READY {state} {position}\r\n")
     }
@@ -190,7 +193,7 @@
                 if (endpoint.term, endpoint.log.len()) < (term, number) {
                     return Some(false);
                 }
-                (endpoint.term, group.applied(endpoint))
+                group.position(endpoint)
             };
             if applied >= (term, number) {
                 return Some(true);
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -60,6 +60,7 @@
 #[allow(dead_code)]
 #[path = "../../examples/limits_bench/slot_sim.rs"]
 mod slot_sim;
+mod soak_checks;
 mod standin_endpoint;
 mod standin_faults;
 mod standin_fixture;
--- /dev/null
+++ b/tests/testsuite/soak_checks.rs
@@ -0,0 +1,184 @@
+//! Guards against a soak whose checks cannot fail: each must notice a history that breaks its promise.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use soak::fault_schedule::draw_faults;
+use soak::fault_schedule::is_planned;
+use soak::promise_checks::check_promises;
+use soak::seen_history::KeyGap;
+use soak::seen_history::SeenHistory;
+use soak::seen_history::WriteOutcome;
+use standins::platform::group_state::EndpointState;
+use standins::platform::group_state::GroupState;
+use standins::platform::group_state::KeptCommit;
+use standins::platform::group_state::KeptRun;
+
+const RATE: u32 = 10;
+
+fn group(writes: &[(&str, u64)]) -> GroupState {
+    let commit = |(item, value): &(&str, u64)| KeptCommit {
+        term: 1,
+        writes: vec![((*item).to_owned(), value.to_string())],
+        at: Instant::now(),
+    };
+    let endpoint = EndpointState {
+        address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        primary: true,
+        term: 1,
+        log: writes.iter().map(commit).collect(),
+        paused: 0,
+        alive: true,
+        draining: false,
+    };
+    GroupState {
+        service: "orders".to_owned(),
+        endpoints: HashMap::from([("db-1".to_owned(), endpoint)]),
+        lag: Duration::ZERO,
+        lose_answers: 0,
+        runs: Vec::new(),
+        promotions: Vec::new(),
+    }
+}
+
+fn run(id: &str, team: &str, values: &[(&str, &str)]) -> KeptRun {
+    let pair = |(name, value): &(&str, &str)| ((*name).to_owned(), (*value).to_owned());
+    KeptRun {
+        id: id.to_owned(),
+        endpoint: "db-1".to_owned(),
+        team: team.to_owned(),
+        wrote: false,
+        values: values.iter().map(pair).collect(),
+        at: Instant::now(),
+    }
+}
+
+fn promises(history: &SeenHistory, group: &GroupState) -> Vec<&'static str> {
+    let rates = HashMap::from([("press".to_owned(), RATE)]);
+    let broken = check_promises(history, group, &rates);
+    broken.into_iter().map(|broken| broken.promise).collect()
+}
+
+/// A history in which everything is right must pass.
+#[test]
+fn good_history_passes() {
+    let mut history = SeenHistory::default();
+    history.sends("a-1".to_owned(), "studio", "7");
+    history.wrote("page", 1, WriteOutcome::Acknowledged);
+    history.wrote("page", 2, WriteOutcome::NothingKept);
+    history.wrote("page", 3, WriteOutcome::Unknown);
+    let mut group = group(&[("page", 1), ("page", 3)]);
+    group.runs.push(run("a-1", "studio", &[("v", "7")]));
+    assert!(promises(&history, &group).is_empty());
+    assert_eq!(history.acknowledged("page", Duration::ZERO), 1);
+}
+
+/// Lost, refused and repeated writes must be told apart.
+#[test]
+fn wrong_writes_are_noticed() {
+    let mut history = SeenHistory::default();
+    history.wrote("page", 1, WriteOutcome::Acknowledged);
+    assert_eq!(
+        promises(&history, &group(&[])),
+        ["no acknowledged write is lost"]
+    );
+    let mut history = SeenHistory::default();
+    history.wrote("page", 1, WriteOutcome::NothingKept);
+    let kept = group(&[("page", 1)]);
+    assert_eq!(promises(&history, &kept), ["refused writes are not kept"]);
+    let mut history = SeenHistory::default();
+    history.wrote("page", 1, WriteOutcome::Unknown);
+    let twice = group(&[("page", 1), ("page", 1)]);
+    assert_eq!(promises(&history, &twice), ["nothing runs twice"]);
+}
+
+/// Runs that nobody asked for, for another team or with other values must be noticed.
+#[test]
+fn wrong_runs_are_noticed() {
+    let mut history = SeenHistory::default();
+    history.sends("a-1".to_owned(), "studio", "7");
+    for (wrong, promise) in [
+        (run("a-2", "studio", &[]), "nothing unasked runs"),
+        (
+            run("a-1", "press", &[("v", "7")]),
+            "nothing runs for another team",
+        ),
+        (
+            run("a-1", "studio", &[("v", "8")]),
+            "values follow their session",
+        ),
+    ] {
+        let mut group = group(&[]);
+        group.runs.push(wrong);
+        assert_eq!(promises(&history, &group), [promise]);
+    }
+}
+
+/// A request that ran, or that was held, must not lose its connection during planned work.
+#[test]
+fn cut_request_is_noticed() {
+    let mut history = SeenHistory::default();
+    history.sends("a-1".to_owned(), "studio", "");
+    history.unanswered("a-1".to_owned());
+    let mut group = group(&[]);
+    assert!(promises(&history, &group).is_empty());
+    group.runs.push(run("a-1", "studio", &[]));
+    assert_eq!(promises(&history, &group), ["planned work cuts nothing"]);
+    group.runs.clear();
+    history.unanswered[0].1 = Duration::from_millis(300);
+    assert_eq!(promises(&history, &group), ["planned work cuts nothing"]);
+}
+
+/// A request that runs long after its key was withdrawn must be noticed.
+#[test]
+fn dead_key_is_noticed() {
+    let mut history = SeenHistory::default();
+    history.sends("a-1".to_owned(), "press", "");
+    let mut group = group(&[]);
+    group.runs.push(run("a-1", "press", &[]));
+    let long_ago = Instant::now().checked_sub(Duration::from_secs(6));
+    history.key_gaps.push(KeyGap {
+        team: "press".to_owned(),
+        from: long_ago.expect("the machine runs for longer"),
+        to: None,
+    });
+    assert_eq!(promises(&history, &group), ["withdrawn keys are dead"]);
+}
+
+/// More operations than rate, burst and slack allow must be noticed.
+#[test]
+fn high_rate_is_noticed() {
+    let mut history = SeenHistory::default();
+    let mut group = group(&[]);
+    for number in 0..90 {
+        let id = format!("a-{number}");
+        history.sends(id.clone(), "press", "");
+        group.runs.push(run(&id, "press", &[]));
+    }
+    assert_eq!(promises(&history, &group), ["rates are kept"]);
+    group.runs.truncate(80);
+    assert!(promises(&history, &group).is_empty());
+}
+
+/// Two holders with one token, and a token that goes back, must be noticed.
+#[test]
+fn second_leader_is_noticed() {
+    let order = |holder: &str, token| ("db-1".to_owned(), holder.to_owned(), token);
+    for second in [order("front-2", 5), order("front-2", 4)] {
+        let mut group = group(&[]);
+        group.promotions = vec![order("front-1", 5), second];
+        let history = SeenHistory::default();
+        assert_eq!(promises(&history, &group), ["one instance leads"]);
+    }
+}
+
+/// A seed must always draw the same faults, and planned seeds nothing else than planned work.
+#[test]
+fn seeds_are_repeatable() {
+    let end = Duration::from_secs(20);
+    assert_eq!(draw_faults(7, 5, 3, end), draw_faults(7, 5, 3, end));
+    assert_ne!(draw_faults(7, 5, 3, end), draw_faults(8, 5, 3, end));
+    assert!(is_planned(8) && !is_planned(7));
+}
--- a/tests/testsuite/support/mod.rs
+++ b/tests/testsuite/support/mod.rs
@@ -3,7 +3,6 @@
 pub mod admin_client;
 pub mod bundle_text;
 pub mod child_process;
-pub mod free_ports;
 pub mod group;
 pub mod operation_history;
 pub mod running_system;
--- a/tests/testsuite/support/system_builder.rs
+++ b/tests/testsuite/support/system_builder.rs
@@ -5,6 +5,8 @@
 use std::path::Path;
 
 use standins::endpoint::EndpointConfig;
+use standins::free_ports::free_tcp;
+use standins::free_ports::free_udp;
 use standins::store::StoreConfig;
 use store_wire::InstanceEntry;
 use store_wire::InstanceState;
@@ -18,8 +20,6 @@
 use crate::support::bundle_text::SystemTeam;
 use crate::support::bundle_text::signer;
 use crate::support::child_process::ChildProcess;
-use crate::support::free_ports::free_tcp;
-use crate::support::free_ports::free_udp;
 use crate::support::running_system::DaemonProcess;
 use crate::support::running_system::EndpointProcess;
 use crate::support::running_system::RunningSystem;
