Finish a change whose former primary was demoted

Cause: a change of a primary was given up when its reason was gone, also after the primary had been told to be a replica, which happens where a replica is silent. Such a change now goes on, and a leader that finds a group whose primary calls itself a replica while nobody leads replaces it. Ruled out: the stand-in, which promoted whom it was told to. Test: primary_changes::demoted_primary_is_replaced fails without the change.

--- a/crates/front/src/group_change.rs
+++ b/crates/front/src/group_change.rs
@@ -49,6 +49,8 @@
     pending: Option<PendingOrder>,
     /// Whether the former primary serves until it is replaced.
     serving: bool,
+    /// Whether the former primary was told to be a replica, so that another one must lead.
+    demoted: bool,
 }
 
 struct PendingOrder {
@@ -85,6 +87,7 @@
         paused: Vec::new(),
         pending: None,
         serving: reason == ChangeReason::Draining,
+        demoted: false,
     };
     let started_at = now();
     let done = change.run().await;
@@ -113,6 +116,7 @@
         paused: Vec::new(),
         pending: None,
         serving: false,
+        demoted: false,
     };
     let revision = change.write_order(&target, OrderPhase::Open).await;
     tracing::info!(event = "first_order", service = %service, target = %target, revision);
@@ -121,7 +125,7 @@
 impl GroupChange<'_> {
     async fn run(&mut self) -> bool {
         while self.instance.leads() {
-            if self.pending.is_none() && !self.is_pending_in_store() {
+            if !self.demoted && self.pending.is_none() && !self.is_pending_in_store() {
                 let reason = group_leader::change_reason(
                     self.instance,
                     self.service,
@@ -145,6 +149,7 @@
                     }
                 }
                 PromotionStep::Demote { endpoint, term } => {
+                    self.demoted = true;
                     self.order(&endpoint, EndpointCommand::Demote(term)).await;
                 }
                 PromotionStep::Promote(target) => {
--- a/crates/front/src/group_leader.rs
+++ b/crates/front/src/group_leader.rs
@@ -68,6 +68,8 @@
     Gone,
     /// It calls itself a replica and another endpoint leads, as after a lost order.
     Superseded,
+    /// It calls itself a replica and no other endpoint leads, as after a change that was given up.
+    Demoted,
     /// It fails, as this instance sees it.
     Failed(&'static str),
     /// It fails, as several other instances report.
@@ -338,8 +340,11 @@
         return Some(ChangeReason::Draining);
     }
     let other_leads = || view.group(service).any(|e| e.role == GroupRole::Primary);
-    if entry.role == GroupRole::Replica && settled && other_leads() {
-        return Some(ChangeReason::Superseded);
+    if entry.role == GroupRole::Replica && settled {
+        return Some(match other_leads() {
+            true => ChangeReason::Superseded,
+            false => ChangeReason::Demoted,
+        });
     }
     let verdict = instance.with_watch(&primary, |watch| watch.verdict(at));
     if let Some(reason) = verdict {
--- a/crates/front/tests/testsuite/primary_changes.rs
+++ b/crates/front/tests/testsuite/primary_changes.rs
@@ -50,3 +50,44 @@
     assert_eq!(read.rows, vec![acknowledged.to_string()]);
     assert_ne!(fleet.primary(), former);
 }
+
+/// A primary that was demoted for a change must not leave its group without any, also where the
+/// reason of the change is gone.
+#[tokio::test]
+async fn demoted_primary_is_replaced() {
+    let fleet = Fleet::start(2).await;
+    let mut caller = fleet.caller(0, "linear").await;
+    caller.ask_until_served("WRITE page kept").await;
+    let former = fleet.primary();
+    let replica = if former == "db-3" { "db-2" } else { "db-3" };
+    // The first order rests for 3 s before it is changed.
+    tokio::time::sleep(std::time::Duration::from_millis(3_200)).await;
+    let change = |refuse: bool, draining: bool| {
+        fleet.platform.change_group(|group| {
+            group.refuse_promotions = refuse;
+            if let Some(endpoint) = group.endpoints.get_mut(&former) {
+                endpoint.draining = draining;
+            }
+        });
+    };
+    fleet.platform.change_group(|group| {
+        if let Some(endpoint) = group.endpoints.get_mut(replica) {
+            endpoint.alive = false;
+        }
+    });
+    change(true, true);
+    for _ in 0..200 {
+        if fleet.platform.shared.group().primary().is_none() {
+            break;
+        }
+        tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+    }
+    assert_eq!(fleet.platform.shared.group().primary(), None);
+    change(true, false);
+    fleet.platform.change_group(|group| group.revive(replica));
+    tokio::time::sleep(std::time::Duration::from_millis(500)).await;
+    change(false, false);
+    let read = caller.ask_until_served("READ page").await;
+    assert_eq!(read.rows, vec!["kept"]);
+    caller.ask_until_served("WRITE page later").await;
+}
--- a/crates/standins/src/platform/group_state.rs
+++ b/crates/standins/src/platform/group_state.rs
@@ -72,6 +72,8 @@
     pub endpoints: HashMap<String, EndpointState>,
     /// How late replicas apply what they receive.
     pub lag: Duration,
+    /// Whether promotions are refused.
+    pub refuse_promotions: bool,
     /// How many reads lose their answer from now on.
     pub lose_answers: u32,
     /// Statements that ran.
--- a/crates/standins/src/platform/platform_handle.rs
+++ b/crates/standins/src/platform/platform_handle.rs
@@ -101,6 +101,7 @@
                 service: service.to_owned(),
                 endpoints,
                 lag: Duration::from_millis(20),
+                refuse_promotions: false,
                 lose_answers: 0,
                 runs: Vec::new(),
                 promotions: Vec::new(),
--- a/crates/standins/src/platform/store_server.rs
+++ b/crates/standins/src/platform/store_server.rs
@@ -225,7 +225,8 @@
     let target = body["Id"].as_str().unwrap_or_default().to_owned();
     {
         let mut group = shared.group();
-        if !group.endpoints.get(&target).is_some_and(|e| e.alive) {
+        let runs = group.endpoints.get(&target).is_some_and(|e| e.alive);
+        if group.refuse_promotions || !runs {
             return (409, json!({}));
         }
         group.promotions.push((target.clone(), holder, token));
--- a/tests/testsuite/soak_checks.rs
+++ b/tests/testsuite/soak_checks.rs
@@ -37,6 +37,7 @@
         service: "orders".to_owned(),
         endpoints: HashMap::from([("db-1".to_owned(), endpoint)]),
         lag: Duration::ZERO,
+        refuse_promotions: false,
         lose_answers: 0,
         runs: Vec::new(),
         promotions: Vec::new(),
