Test that an unread log stops nothing

Cause: the bound of the log (256 KB for a slow reader) had no test under load. Test: log_volume::unread_log_stops_nothing reads nothing for 2,500 requests, then finds at most the bound and the size of a pipe, and the count of dropped lines.

--- a/crates/front/tests/testsuite/main.rs
+++ b/crates/front/tests/testsuite/main.rs
@@ -7,6 +7,7 @@
 mod instance_sizes;
 mod key_withdrawal;
 mod large_configuration;
+mod log_volume;
 mod primary_changes;
 mod relayed_changes;
 mod session_state;
--- a/crates/standins/src/platform/daemon_process.rs
+++ b/crates/standins/src/platform/daemon_process.rs
@@ -6,6 +6,7 @@
 use std::path::Path;
 use std::path::PathBuf;
 use std::process::Child;
+use std::process::ChildStdout;
 use std::process::Command;
 use std::process::ExitStatus;
 use std::process::Stdio;
@@ -86,6 +87,22 @@
         })
     }
 
+    /// Starts another process in place of this one, whose log goes to the pipe that is returned and
+    /// that nobody reads.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the program cannot be started.
+    pub fn restart_piped(&mut self) -> io::Result<Option<ChildStdout>> {
+        self.kill();
+        self.child = Command::new(&self.program)
+            .env("TAMARACKLB_NODE_FILE", &self.settings)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .spawn()?;
+        Ok(self.child.stdout.take())
+    }
+
     /// Asks the status port; 0 where it does not answer.
     pub async fn status(&self, path: &str) -> (u16, String) {
         let answer = timeout(STATUS_TIME, self.try_status(path)).await;
