--- a/crates/session-core/src/instance_rank.rs
+++ b/crates/session-core/src/instance_rank.rs
@@ -41,7 +41,7 @@
     let mut ranked: Vec<_> = instances
         .map(|instance| (rank(duty, instance), instance))
         .collect();
-    ranked.sort_unstable_by(|(one, _), (other, _)| one.cmp(other));
+    ranked.sort_unstable_by_key(|(rank, _)| *rank);
     ranked.into_iter().map(|(_, instance)| instance).collect()
 }
 
