Await the promotion of a primary that was demoted before it

Cause: where the furthest log is that of the demoted primary itself, it is promoted again. The stand-in made it visible: its demoted primary hid commits that it had shown before, which is mended as well. A former primary is now asked itself whether it leads. Test: primary_changes::demoted_primary_is_used_after_its_promotion fails without the change.

--- a/crates/front/src/group_change.rs
+++ b/crates/front/src/group_change.rs
@@ -289,14 +289,16 @@
             let Some(entry) = entry else {
                 return false;
             };
-            if entry.role == GroupRole::Primary {
+            // Of the former primary, the registry may still say what it was before it was demoted.
+            let again = self.former.as_ref() == Some(target);
+            if entry.role == GroupRole::Primary && !again {
                 return true;
             }
             let elapsed = now().saturating_since(started_at);
             if elapsed >= EFFECT_TIME {
                 return false;
             }
-            if elapsed >= REGISTRY_TIME {
+            if again || elapsed >= REGISTRY_TIME {
                 let report = self
                     .survey
                     .order(self.instance, &entry, EndpointCommand::Status)
--- a/crates/front/tests/testsuite/primary_changes.rs
+++ b/crates/front/tests/testsuite/primary_changes.rs
@@ -91,3 +91,52 @@
     assert_eq!(read.rows, vec!["kept"]);
     caller.ask_until_served("WRITE page later").await;
 }
+
+/// Returns the revision of the group's order, and whether it is open.
+fn order_of(fleet: &Fleet) -> Option<(u64, bool)> {
+    let store = fleet.platform.shared.store();
+    let item = store.items.get("tamaracklb/order/orders")?;
+    let text = String::from_utf8_lossy(&item.value);
+    Some((item.revision, text.contains("\"open\"")))
+}
+
+/// A demoted primary that is promoted again must not be used before that took effect: until then it
+/// is a replica, whatever the registry still says of it.
+#[tokio::test]
+async fn demoted_primary_is_used_after_its_promotion() {
+    let fleet = Fleet::start(2).await;
+    let mut caller = fleet.caller(0, "linear").await;
+    caller.ask_until_served("WRITE page kept").await;
+    let former = fleet.primary();
+    let replicas: Vec<String> = {
+        let group = fleet.platform.shared.group();
+        let others = group.endpoints.keys().filter(|id| **id != former);
+        others.cloned().collect()
+    };
+    tokio::time::sleep(std::time::Duration::from_millis(3_200)).await;
+    // One replica is silent, and the other one lacks the last commit.
+    fleet.platform.change_group(|group| {
+        if let Some(endpoint) = group.endpoints.get_mut(&replicas[0]) {
+            endpoint.alive = false;
+        }
+        if let Some(endpoint) = group.endpoints.get_mut(&replicas[1]) {
+            endpoint.paused = 9;
+        }
+        group.commit(&former, vec![("page".to_owned(), "later".to_owned())]);
+        if let Some(endpoint) = group.endpoints.get_mut(&former) {
+            endpoint.draining = true;
+        }
+    });
+    let first = order_of(&fleet).map_or(0, |(revision, _)| revision);
+    for _ in 0..1_000 {
+        let led = fleet.platform.shared.group().primary().is_some();
+        let ordered = !fleet.platform.shared.group().promotions.is_empty();
+        let opened = order_of(&fleet).is_some_and(|(revision, open)| revision > first && open);
+        assert!(led || !opened, "opened before anybody led");
+        if ordered && led {
+            return;
+        }
+        tokio::time::sleep(std::time::Duration::from_millis(5)).await;
+    }
+    panic!("the former primary was not promoted");
+}
--- a/crates/standins/src/platform/group_state.rs
+++ b/crates/standins/src/platform/group_state.rs
@@ -27,6 +27,8 @@
     pub term: u64,
     /// Its log.
     pub log: Vec<KeptCommit>,
+    /// How many commits it has shown as a primary, which it goes on to show.
+    pub shown: usize,
     /// The term of a pause; 0 for none.
     pub paused: u64,
     /// Whether it answers; its connections are silent otherwise.
@@ -131,6 +133,13 @@
 
     /// Makes endpoints of older terms, which can reach the newest primary, its replicas.
     pub fn follow_newest(&mut self) {
+        for endpoint in self.endpoints.values_mut() {
+            endpoint.shown = if endpoint.primary {
+                endpoint.log.len()
+            } else {
+                endpoint.shown
+            };
+        }
         let Some(primary) = self.primary() else {
             return;
         };
@@ -189,11 +198,8 @@
             return endpoint.log.len();
         }
         let visible = |commit: &KeptCommit| commit.at.elapsed() >= self.lag;
-        endpoint
-            .log
-            .iter()
-            .take_while(|commit| visible(commit))
-            .count()
+        let visible = endpoint.log.iter().take_while(|commit| visible(commit));
+        visible.count().max(endpoint.shown.min(endpoint.log.len()))
     }
 
     /// Returns the position of an endpoint: a replica that has not applied its whole log is still in
--- a/crates/standins/src/platform/line_server.rs
+++ b/crates/standins/src/platform/line_server.rs
@@ -19,6 +19,9 @@
 /// Pause between looks at whether a commit was received by a replica.
 const COMMIT_PAUSE: Duration = Duration::from_millis(5);
 
+/// How late the registry tells of a demotion: a watch may hear nothing for a second.
+const REGISTRY_TIME: Duration = Duration::from_millis(1_500);
+
 struct LineSession {
     shared: Arc<PlatformShared>,
     endpoint: String,
@@ -293,8 +296,16 @@
             "PAUSE" => endpoint.paused = rest.parse().ok()?,
             "RESUME" => endpoint.paused = 0,
             "DEMOTE" => {
-                endpoint.primary &= endpoint.term >= rest.parse().ok()?;
+                if endpoint.primary && endpoint.term < rest.parse().ok()? {
+                    endpoint.shown = endpoint.log.len();
+                    endpoint.primary = false;
+                }
                 group.follow_newest();
+                let shared = Arc::clone(&self.shared);
+                tokio::spawn(async move {
+                    tokio::time::sleep(REGISTRY_TIME).await;
+                    shared.publish();
+                });
             }
             _ => return Some(format!("ERROR MALFORMED {}\r\n", self.endpoint)),
         }
--- a/crates/standins/src/platform/platform_handle.rs
+++ b/crates/standins/src/platform/platform_handle.rs
@@ -88,6 +88,7 @@
                 primary: index == 0,
                 term: 1,
                 log: Vec::new(),
+                shown: 0,
                 paused: 0,
                 alive: true,
                 draining: false,
--- a/tests/testsuite/soak_checks.rs
+++ b/tests/testsuite/soak_checks.rs
@@ -29,6 +29,7 @@
         primary: true,
         term: 1,
         log: writes.iter().map(commit).collect(),
+        shown: 0,
         paused: 0,
         alive: true,
         draining: false,
