--- /dev/null
+++ b/crates/soak/tests/testsuite/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the soak's command.
+
+mod soak_command;
