Send nothing to a leaving primary after its time

Cause: a primary that is about to leave was used until another one led. It is now left after 0.7 of the time, and at once by an instance that started meanwhile and cannot know since when it leaves. Test: primary_changes::leaving_primary_gets_nothing_late fails without the limit.

--- a/crates/front/src/fleet_view.rs
+++ b/crates/front/src/fleet_view.rs
@@ -69,6 +69,8 @@
     pub registered_at: u64,
     /// The revision up to which changes were applied.
     pub revision: u64,
+    /// Endpoints that are about to leave, since when; none where that began before this process.
+    draining: HashMap<EndpointId, Option<MonotonicTime>>,
     /// Endpoints whose entries are missing, since when.
     gone: HashMap<EndpointId, MonotonicTime>,
     /// All items, with those that were removed since `base`, as the store gave them.
@@ -225,6 +227,12 @@
                         revision = item.revision,
                     );
                 }
+                let since = former.is_some_and(|former| !former.draining).then(now);
+                if entry.draining {
+                    self.draining.entry(entry.id.clone()).or_insert(since);
+                } else {
+                    self.draining.remove(&entry.id);
+                }
                 self.gone.remove(&entry.id);
                 self.endpoints.insert(entry.id.clone(), entry);
             }
@@ -279,9 +287,18 @@
         for id in dropped.into_keys() {
             tracing::info!(event = "endpoint_gone", endpoint = %id);
             self.endpoints.remove(&id);
+            self.draining.remove(&id);
         }
     }
 
+    /// Whether an endpoint has been about to leave for so long that it gets no more requests, also
+    /// where nobody has taken its place.
+    pub fn must_be_left(&self, id: &EndpointId, limit: Duration, at: MonotonicTime) -> bool {
+        self.draining
+            .get(id)
+            .is_some_and(|since| since.is_none_or(|since| at.saturating_since(since) >= limit))
+    }
+
     /// Returns the endpoints of a service.
     pub fn group<'a>(
         &'a self,
--- a/crates/front/src/instance_limits.rs
+++ b/crates/front/src/instance_limits.rs
@@ -88,6 +88,10 @@
 /// sends it fewer statements at once.
 pub const GATE_PART: f64 = 0.3;
 
+/// The part of the time that an endpoint takes to leave in which requests still go there, where it
+/// is the primary; the rest is for news of the store that arrive late.
+pub const DRAIN_PART: f64 = 0.7;
+
 /// Pause before a request looks for an endpoint again.
 pub const ROUTE_PAUSE: Duration = Duration::from_millis(10);
 
--- a/crates/front/src/request_route.rs
+++ b/crates/front/src/request_route.rs
@@ -16,6 +16,7 @@
 use session_core::serving_rules::ReadPolicy;
 
 use crate::instance::Instance;
+use crate::instance_limits::DRAIN_PART;
 use crate::instance_limits::FLOOR_MARGIN;
 use crate::position_probe;
 
@@ -56,6 +57,8 @@
     Primary(PermitRefusal),
     /// The registry does not know the primary, or it was tried in vain.
     NoEndpoint,
+    /// The primary is about to leave, and nobody has taken its place in time.
+    Leaving,
 }
 
 impl RouteRefusal {
@@ -64,6 +67,7 @@
         match self {
             RouteRefusal::Primary(refusal) => refusal.reason(),
             RouteRefusal::NoEndpoint => "no_endpoint",
+            RouteRefusal::Leaving => "primary_is_leaving",
         }
     }
 }
@@ -79,7 +83,11 @@
 ) -> Result<ChosenEndpoint, RouteRefusal> {
     let at = now();
     let view = instance.view.borrow();
-    let primary = view.usable_primary(&query.route.service, at);
+    let leaving_time = instance.settings.drain_time.mul_f64(DRAIN_PART);
+    let primary = match view.usable_primary(&query.route.service, at) {
+        Ok(id) if view.must_be_left(&id, leaving_time, at) => Err(RouteRefusal::Leaving),
+        usable => usable.map_err(RouteRefusal::Primary),
+    };
     let limit = match (query.mode, query.route.policy) {
         (AccessMode::Write, _) | (_, ReadPolicy::Primary) => None,
         (AccessMode::Read, ReadPolicy::Bounded(limit) | ReadPolicy::OwnWrites(limit)) => {
@@ -87,7 +95,7 @@
         }
     };
     let Some(limit) = limit else {
-        let id = primary.map_err(RouteRefusal::Primary)?;
+        let id = primary?;
         return match view.endpoints.get(&id) {
             Some(entry) => Ok(at_primary(entry)),
             None => Err(RouteRefusal::NoEndpoint),
@@ -131,7 +139,7 @@
     }
     match (best, primary) {
         (Some((_, chosen)), _) => Ok(chosen),
-        (None, Err(refusal)) => Err(RouteRefusal::Primary(refusal)),
+        (None, Err(refusal)) => Err(refusal),
         (None, Ok(_)) => Err(RouteRefusal::NoEndpoint),
     }
 }
--- a/crates/front/tests/testsuite/primary_changes.rs
+++ b/crates/front/tests/testsuite/primary_changes.rs
@@ -140,3 +140,35 @@
     }
     panic!("the former primary was not promoted");
 }
+
+/// A primary that is about to leave must get nothing after its time, also where nobody can replace
+/// it, and neither from an instance that has just started.
+#[tokio::test]
+async fn leaving_primary_gets_nothing_late() {
+    const DRAIN_TIME: std::time::Duration = std::time::Duration::from_millis(4_000);
+    let mut fleet = Fleet::start(2).await;
+    let mut caller = fleet.caller(0, "linear").await;
+    caller.ask_until_served("WRITE page kept").await;
+    let former = fleet.primary();
+    fleet.platform.change_group(|group| {
+        group.refuse_promotions = true;
+        if let Some(endpoint) = group.endpoints.get_mut(&former) {
+            endpoint.draining = true;
+        }
+    });
+    tokio::time::sleep(DRAIN_TIME).await;
+    fleet.instances[1].restart();
+    fleet.instances[1].await_ready().await;
+    let before = fleet.platform.shared.group().runs.len();
+    for instance in 0..2 {
+        let mut caller = fleet.caller(instance, "linear").await;
+        for _ in 0..3 {
+            assert_eq!(caller.ask("READ page").await.code(), "BUSY");
+        }
+    }
+    assert_eq!(fleet.platform.shared.group().runs.len(), before);
+    fleet
+        .platform
+        .change_group(|group| group.refuse_promotions = false);
+    caller.ask_until_served("READ page").await;
+}
--- a/crates/standins/src/platform/daemon_process.rs
+++ b/crates/standins/src/platform/daemon_process.rs
@@ -47,7 +47,7 @@
             "NodeName: front-{}\nIp: 127.0.0.1\nZone: zone-a\n\
              Listen:\n  Front: {callers}\n  Ready: {status}\n\
              InternalPorts:\n  - {port}\n  - {port}\n\
-             Bounds:\n  RevokeMs: 5000\n  GraceS: 4\n\
+             Bounds:\n  RevokeMs: 5000\n  GraceS: 4\n  DrainMs: 4000\n\
              platform:\n  Address: {}\nCloud:\n  Address: {}\n\
              Limits:\n  FileDescriptors: 3000\n  CpuShare: {}\nNewField: 1\n",
             self.number, self.store, self.duties, self.processor,
