Let a write of unknown outcome come late in the soak's check of reads

Cause: a write whose answer did not come in time may be on its way still, and take effect after a later one: the proxy of the soak passes on what it held back. Test: soak_checks::stale_read_is_noticed; any other older value is still reported.

--- a/crates/soak/src/seen_history.rs
+++ b/crates/soak/src/seen_history.rs
@@ -109,6 +109,15 @@
         }
     }
 
+    /// Whether a read of an item must not give `seen` after `least` was acknowledged. A write with an
+    /// unknown outcome may take effect after later ones, as its bytes may have been held up.
+    pub fn is_stale(&self, item: &str, seen: u64, least: u64) -> bool {
+        let comes_late = |write: &SeenWrite| {
+            write.outcome == WriteOutcome::Unknown && write.value == seen && write.item == item
+        };
+        seen < least && !self.writes.iter().any(comes_late)
+    }
+
     /// Takes what a caller found wrong.
     pub fn complains(&mut self, complaint: String) {
         self.complaints.push(complaint);
--- a/crates/soak/src/soak_callers.rs
+++ b/crates/soak/src/soak_callers.rs
@@ -212,9 +212,10 @@
         }
         let row = answer.rows.first().map_or("", String::as_str);
         let seen = row.parse::<u64>().unwrap_or(0);
-        if seen < least {
+        let mut history = lock(&self.history);
+        if history.is_stale(&item, seen, least) {
             let database = session.database;
-            lock(&self.history).complains(format!(
+            history.complains(format!(
                 "a read of {item} on {database} gave {row} after {least} was acknowledged"
             ));
         }
--- a/tests/testsuite/soak_checks.rs
+++ b/tests/testsuite/soak_checks.rs
@@ -77,6 +77,20 @@
     assert_eq!(history.acknowledged("page", Duration::ZERO), 1);
 }
 
+/// An old value must be noticed, but for that of a write which may have come late.
+#[test]
+fn stale_read_is_noticed() {
+    let mut history = SeenHistory::default();
+    history.wrote("page", 1, WriteOutcome::Acknowledged);
+    history.wrote("page", 2, WriteOutcome::Unknown);
+    history.wrote("page", 3, WriteOutcome::Acknowledged);
+    assert!(history.is_stale("page", 1, 3));
+    assert!(history.is_stale("page", 0, 3));
+    assert!(!history.is_stale("page", 2, 3));
+    assert!(history.is_stale("other", 2, 3));
+    assert!(!history.is_stale("page", 3, 3));
+}
+
 /// Lost, refused and repeated writes must be told apart.
 #[test]
 fn wrong_writes_are_noticed() {
