Wait for log lines before a test reads them

Cause: an instance writes its log every 100 ms, and the test read the logs as soon as one write was served. A trace of a failing run: front-0 followed its relay at 1.101 s, the test read the log at about 1.12 s, when only the line 'started' had been written; 3 s later the log had the line with the time 1.101 s. The instance itself was right.

Change: the test waits for the line of each of the four followers, then serves a request on the largest instance and waits for its line before it checks that this instance never followed a relay. The last check read an unwritten log before, so it is stricter now.

Ruled out: a relay chosen late (it is chosen 63 ms after the start), a leader other than the largest.

--- a/crates/front/tests/testsuite/instance_sizes.rs
+++ b/crates/front/tests/testsuite/instance_sizes.rs
@@ -4,6 +4,9 @@
 
 use crate::fleet::Fleet;
 
+/// Part of the log line of an instance that follows the store through a relay.
+const FOLLOWS_RELAY: &str = "\"direct\":false";
+
 async fn await_leader(fleet: &Fleet, number: usize) {
     for _ in 0..150 {
         if fleet.leader() == Some(number) {
@@ -22,9 +25,16 @@
     await_leader(&fleet, 3).await;
     let mut caller = fleet.caller(0, "linear").await;
     caller.request_until_served("WRITE page 1").await;
-    let followed = |number: usize| fleet.instances[number].log().contains("\"direct\":false");
-    assert!(!followed(3), "{}", fleet.instances[3].log());
-    assert!([0, 1, 2, 4].into_iter().all(followed));
+    for number in [0, 1, 2, 4] {
+        fleet.instances[number].await_log(FOLLOWS_RELAY).await;
+    }
+    // Lines are written in order, so a line for this request follows any earlier one.
+    let mut caller = fleet.caller(3, "linear").await;
+    let request = caller.next_id();
+    caller.request_until_served("WRITE page 2").await;
+    fleet.instances[3].await_log(&request).await;
+    let log = fleet.instances[3].log();
+    assert!(!log.contains(FOLLOWS_RELAY), "{log}");
 }
 
 /// A small instance that became the leader while the largest was down must hand over to it again.
