Use replicas from the first position on after a restart

Cause: after all instances were killed, every read went to a primary for 0.7 s. Relays first queried the primaries after 0.3 s, their followers got the positions up to 0.35 s later, and a replica about which nothing was known was assumed to be 400 ms behind, longer than any floor was old.

Change: relays query primaries as soon as they may use them and relay the first position of a service at once; a replica that was never observed is assumed to be 60 ms behind. A replica that lacks a floor refuses without a run. An observation that is too old still counts as 400 ms.

Test: floor_samples::restart_spreads_reads, seen to fail with 400 ms.

--- a/crates/front/src/position_probe.rs
+++ b/crates/front/src/position_probe.rs
@@ -52,18 +52,37 @@
 
 /// Queries primaries for their positions, for the instances that follow this one.
 pub async fn query_primaries(instance: Rc<Instance>) {
+    let mut changes = instance.changes.subscribe();
+    let mut queried = false;
     loop {
-        tokio::time::sleep(FLOOR_PERIOD).await;
-        if !instance.follows_store() {
-            continue;
+        if instance.follows_store() {
+            for entry in stale_primaries(&instance) {
+                queried = true;
+                let instance = Rc::clone(&instance);
+                tokio::task::spawn_local(
+                    async move { query_for_followers(&instance, &entry).await },
+                );
+            }
         }
-        for entry in stale_primaries(&instance) {
-            let instance = Rc::clone(&instance);
-            tokio::task::spawn_local(async move { query_position(&instance, &entry).await });
+        if queried {
+            tokio::time::sleep(FLOOR_PERIOD).await;
+        } else if let Ok(Err(_)) = tokio::time::timeout(FLOOR_PERIOD, changes.changed()).await {
+            return;
         }
     }
 }
 
+/// Queries the position of a primary. The first one of a service is relayed at once: without it,
+/// followers send all reads of the service to its primary.
+async fn query_for_followers(instance: &Rc<Instance>, entry: &EndpointEntry) {
+    let is_known = || instance.floors.borrow().contains_key(&entry.service);
+    let was_known = is_known();
+    query_position(instance, entry).await;
+    if !was_known && is_known() {
+        instance.notify_store_answer();
+    }
+}
+
 /// Returns the usable primaries whose newest position is older than [`FLOOR_PERIOD`].
 fn stale_primaries(instance: &Instance) -> Vec<EndpointEntry> {
     let at = now();
--- a/crates/session-core/src/endpoint_load.rs
+++ b/crates/session-core/src/endpoint_load.rs
@@ -30,6 +30,11 @@
 /// Replication delay assumed of a replica without a recent observation.
 const ASSUMED_LAG: Duration = Duration::from_millis(400);
 
+/// Replication delay assumed of a replica that was never observed. It is short because all known
+/// floors are young after a restart, and reads that no replica may serve crowd the primary. A
+/// replica that lacks the floor says so without running the read.
+const INITIAL_LAG: Duration = Duration::from_millis(60);
+
 /// How long an observed replication delay is used.
 const LAG_LIFE: Duration = Duration::from_secs(2);
 
@@ -117,7 +122,8 @@
         let age = now.saturating_since(floor.requested_at);
         let lag = match self.lag {
             Some((at, lag)) if now.saturating_since(at) < LAG_LIFE => lag + LAG_MARGIN,
-            _ => ASSUMED_LAG,
+            Some(_) => ASSUMED_LAG,
+            None => INITIAL_LAG,
         };
         age > lag
     }
--- a/tests/testsuite/floor_samples.rs
+++ b/tests/testsuite/floor_samples.rs
@@ -51,6 +51,26 @@
     assert!(load.has_reached(&floor, now));
 }
 
+/// Pattern: all instances restart at once, so that every known floor is young and nothing is known
+/// of the replicas. Reads must not all go to the primary until the floors are older, except at a
+/// replica that said that it lacks the floor.
+#[test]
+fn restart_spreads_reads() {
+    let mut history = FloorHistory::default();
+    history.record(at(1_000), LogPoint::new(1, 10));
+    let floor = history.floor_since(at(0)).expect("a sample exists");
+    let mut load = EndpointLoad::default();
+    assert!(load.has_reached(&floor, at(1_100)));
+    load.record_missing_floor(at(1_100));
+    assert!(!load.has_reached(&floor, at(1_300)));
+    // An observation that is too old says that the replica was once in use, not that it keeps up.
+    let mut observed = EndpointLoad::default();
+    observed.record_position(LogPoint::new(1, 9), &FloorHistory::default(), at(1_000));
+    history.record(at(4_000), LogPoint::new(1, 20));
+    let young = history.floor_since(at(3_900)).expect("a sample exists");
+    assert!(!observed.has_reached(&young, at(4_100)));
+}
+
 /// A high latency must decay over time, so that the endpoint is tried again.
 #[test]
 fn old_latency_decays() {
