Take the first view from a relay of the zone

Cause: each instance read the whole store at its start. After all 295 were killed, 42 MB went over the store's link: half of the instances had their view after 0.27 s, the last after 0.34 s, and registrations waited behind the answers (median 0.2 s).

Change: an instance lists the members of its zone with a read that may be outdated, and follows its relay from the start. Member keys name the zone, so that the list is short; keys of earlier versions are still read.

Ruled out: an outdated read of the whole store (cheaper, as many bytes); the listed members as evidence (they may be seconds old).

Tests: relayed_changes::restarted_instances_read_from_relays (8 of 8 instances read the whole store before), silent_relay_does_not_delay_a_start, instance_ranks::restart_reads_are_spread.

--- a/crates/front/src/fleet_keys.rs
+++ b/crates/front/src/fleet_keys.rs
@@ -62,8 +62,13 @@
 }
 
 /// Returns the key of an instance.
-pub fn member_key(instance: &InstanceId) -> String {
-    format!("{MEMBER_PREFIX}{instance}")
+pub fn member_key(zone: &ZoneId, instance: &InstanceId) -> String {
+    format!("{}{instance}", zone_prefix(zone))
+}
+
+/// Returns the prefix of the keys of an availability zone's instances.
+pub fn zone_prefix(zone: &ZoneId) -> String {
+    format!("{MEMBER_PREFIX}{zone}/")
 }
 
 /// Returns the key of the order that names a group's primary.
@@ -76,7 +81,9 @@
     if key == LEADER_KEY {
         return Some(FleetKey::Leader);
     }
-    if let Some(name) = key.strip_prefix(MEMBER_PREFIX) {
+    if let Some(path) = key.strip_prefix(MEMBER_PREFIX) {
+        // Earlier versions wrote the name without its zone.
+        let name = path.rsplit('/').next()?;
         return name.parse().ok().map(FleetKey::Member);
     }
     let name = key.strip_prefix(ORDER_PREFIX)?;
--- a/crates/front/src/fleet_view.rs
+++ b/crates/front/src/fleet_view.rs
@@ -126,6 +126,14 @@
         self.synced_at = self.synced_at.max(Some(known_at));
     }
 
+    /// Applies items that may be outdated, such as the members that an instance reads at its start.
+    /// They are no evidence: the view holds no change up to any time after it.
+    pub fn add_outdated(&mut self, items: Vec<RelayItem>) {
+        for item in items {
+            self.apply(item);
+        }
+    }
+
     /// Applies an item that this instance has just written.
     pub fn apply_written(&mut self, key: &str, value: Vec<u8>, revision: u64) {
         let item = StoreItem {
@@ -252,7 +260,9 @@
                     self.members.insert(name, value);
                 }
                 None => {
-                    self.members.remove(&name);
+                    if !self.has_member_key(&name) {
+                        self.members.remove(&name);
+                    }
                 }
             },
             FleetKey::Order(service) => match decode::<GroupOrder>(item) {
@@ -274,6 +284,16 @@
         }
     }
 
+    /// Returns whether a key of a member exists. There are two keys while an instance is replaced by
+    /// a version that names its zone in the key.
+    fn has_member_key(&self, name: &InstanceId) -> bool {
+        let mut present = self.items.values().filter(|item| item.value.is_some());
+        present.any(|item| match fleet_keys::parse_key(&item.key) {
+            Some(FleetKey::Member(other)) => other == *name,
+            _ => false,
+        })
+    }
+
     /// Drops endpoints whose entries have been missing for [`MISSING_TIME`], provided that the view
     /// is recent.
     pub fn drop_missing(&mut self, at: MonotonicTime) {
--- a/crates/front/src/store_lease.rs
+++ b/crates/front/src/store_lease.rs
@@ -64,7 +64,8 @@
         zone: instance.settings.zone.clone(),
         processor: instance.settings.processor,
     };
-    let key = fleet_keys::member_key(&instance.settings.instance);
+    let settings = &instance.settings;
+    let key = fleet_keys::member_key(&settings.zone, &settings.instance);
     let change = StoreChange {
         puts: vec![(key, encode(&value)?, Some(lease))],
         ..StoreChange::default()
--- a/crates/front/tests/testsuite/relayed_changes.rs
+++ b/crates/front/tests/testsuite/relayed_changes.rs
@@ -2,11 +2,15 @@
 //! changes.
 
 use std::time::Duration;
+use std::time::Instant;
 
 use crate::fleet::Fleet;
 
 const INSTANCES: usize = 8;
 
+/// Metric of complete reads of the store.
+const COMPLETE_READS: &str = "tamaracklb_platform_calls_total{kind=\"range\",succeeded=\"true\"} ";
+
 /// Without changes, most instances of a zone must not call the store except for their leases.
 #[tokio::test]
 async fn few_instances_poll_the_store() {
@@ -55,3 +59,39 @@
         );
     }
 }
+
+/// After all instances were killed at once, they must not all read the whole store: their answers
+/// would queue up on its link. They find a relay through the members that the store still lists.
+#[tokio::test]
+async fn restarted_instances_read_from_relays() {
+    let mut fleet = Fleet::start(INSTANCES).await;
+    for instance in &mut fleet.instances {
+        instance.kill();
+    }
+    for instance in &mut fleet.instances {
+        instance.restart();
+    }
+    fleet.await_service().await;
+    let mut readers = 0;
+    for instance in &fleet.instances {
+        let metrics = instance.status("/metrics").await.1;
+        readers += usize::from(metrics.contains(COMPLETE_READS));
+    }
+    assert!(
+        (1..=INSTANCES / 2).contains(&readers),
+        "{readers} read the whole store"
+    );
+}
+
+/// A starting instance whose relay does not answer must read the store itself, and soon.
+#[tokio::test]
+async fn silent_relay_does_not_delay_a_start() {
+    let mut fleet = Fleet::start_sized(&[0.5, 0.08]).await;
+    fleet.instances[0].signal("STOP");
+    let restarted_at = Instant::now();
+    fleet.instances[1].restart();
+    fleet.instances[1].await_ready().await;
+    assert!(restarted_at.elapsed() < Duration::from_secs(3));
+    fleet.instances[1].await_log("first_view_overdue").await;
+    fleet.instances[0].signal("CONT");
+}
--- a/tests/testsuite/instance_ranks.rs
+++ b/tests/testsuite/instance_ranks.rs
@@ -5,6 +5,7 @@
 use session_core::ids::InstanceId;
 use session_core::ids::ZoneId;
 use session_core::instance_rank::RankedInstance;
+use session_core::relay_tree::MAX_FOLLOWERS;
 use session_core::relay_tree::relay_parent;
 use session_core::units::ProcessorShare;
 
@@ -48,3 +49,33 @@
         }
     }
 }
+
+/// Levels of the relay tree of the largest zone of a fleet of 533 instances in eleven zones.
+const MAX_LEVELS: usize = 4;
+
+/// Pattern: all instances of a fleet start at once, and each needs the whole view. One instance of
+/// a zone reads it from the store; each other one must get it over few relays, and no relay may
+/// send it to many.
+#[test]
+fn restart_reads_are_spread() {
+    for count in [1, 7, 49, 68, 107] {
+        let names = names(count);
+        let member = |(number, name)| RankedInstance {
+            processor: ProcessorShare(120 + number as u32 % 3),
+            name,
+        };
+        let members: Vec<_> = names.iter().enumerate().map(member).collect();
+        let parent_of = |member: RankedInstance<'_>| {
+            let parent = relay_parent(member, &zone(), members.iter().copied())?;
+            members.iter().find(|other| other.name == parent).copied()
+        };
+        let roots = members.iter().filter(|m| parent_of(**m).is_none());
+        assert_eq!(roots.count(), 1);
+        for member in &members {
+            let levels = std::iter::successors(Some(*member), |m| parent_of(*m)).count();
+            assert!(levels <= MAX_LEVELS, "{levels} levels of {count} instances");
+            let followers = members.iter().filter(|m| parent_of(**m) == Some(*member));
+            assert!(followers.count() <= MAX_FOLLOWERS);
+        }
+    }
+}
