Query positions only from the relays of zones while the store is silent

Cause: when the store answered nobody, all followers found their relays too old within 0.2 s and tried every other relay of the zone (7,823 lines relay_lost), then watched the store themselves. Each instance that watches the store queried every primary each 0.3 s for its followers: 256 instances times 20 primaries, 8,300 failed probes in 1.5 s, connections refused at endpoints, and tokens that came late.

Change: an instance queries positions only if it is the root of its zone's tree or gets answers of the store; a follower pauses 0.1 s after a relay with an old view.

Ruled out: querying only from roots (a zone whose root died would have no positions for the 9 s of its lease); going to the store after two old relays (60 watchers where only the root is cut off).

Test: instance_ranks::outage_multiplies_no_queries; it does not build on the former code, which had no such decision.

--- a/crates/front/src/position_probe.rs
+++ b/crates/front/src/position_probe.rs
@@ -10,6 +10,7 @@
 use session_core::floor_history::FloorHistory;
 use session_core::ids::ServiceId;
 use session_core::monotonic_time::now;
+use session_core::relay_tree;
 use session_core::session_values::ConnectionValues;
 use session_core::session_values::ReplayStep;
 use session_core::session_values::SessionValues;
@@ -18,6 +19,8 @@
 use crate::instance::Instance;
 use crate::instance_limits::FLOOR_PERIOD;
 use crate::instance_limits::PROBE_TIMEOUT;
+use crate::view_follower;
+use crate::view_follower::RelayExclusions;
 
 /// Timeout of a replica's answer; a reset needs no slot and is answered at once.
 const REPLICA_TIMEOUT: Duration = Duration::from_millis(300);
@@ -55,7 +58,7 @@
     let mut changes = instance.changes.subscribe();
     let mut queried = false;
     loop {
-        if instance.follows_store() {
+        if serves_followers(&instance) {
             for entry in stale_primaries(&instance) {
                 queried = true;
                 let instance = Rc::clone(&instance);
@@ -72,6 +75,13 @@
     }
 }
 
+fn serves_followers(instance: &Instance) -> bool {
+    let is_root = view_follower::relay_address(instance, &RelayExclusions::default()).is_none();
+    let synced_at = instance.view.borrow().synced_at;
+    let age = synced_at.map(|at| now().saturating_since(at));
+    relay_tree::queries_positions(instance.follows_store(), is_root, age)
+}
+
 /// Queries the position of a primary. The first one of a service is relayed at once: without it,
 /// followers send all reads of the service to its primary.
 async fn query_for_followers(instance: &Rc<Instance>, entry: &EndpointEntry) {
--- a/crates/front/src/store_feed.rs
+++ b/crates/front/src/store_feed.rs
@@ -17,6 +17,7 @@
 use crate::relay_message::ViewItems;
 use crate::view_follower;
 
+use crate::view_follower::RelayError;
 use crate::view_follower::RelayExclusions;
 
 /// Prefix of all keys that an instance needs: endpoints, configuration and the daemon's own.
@@ -25,6 +26,10 @@
 /// Time after a failed watch for which a relay with an old view is accepted.
 const STALE_GRACE: Duration = Duration::from_millis(2_000);
 
+/// Pause after a relay with an old view, in which another one may get an answer of the store. Without
+/// it, followers try all relays of the zone within milliseconds while the store answers nobody.
+const STALE_RELAY_PAUSE: Duration = Duration::from_millis(100);
+
 /// Time after which a starting instance whose relay has not sent the view reads the store itself. A
 /// relay that starts at the same time sends the view once its own relay has; the tree of a zone of
 /// 60 instances has three levels.
@@ -47,6 +52,9 @@
             if let Err(error) = ended {
                 tracing::info!(event = "relay_lost", %relay, %error);
                 exclusions.add(relay, &error);
+                if matches!(error, RelayError::Stale(_)) {
+                    tokio::time::sleep(STALE_RELAY_PAUSE).await;
+                }
             }
             continue;
         }
--- a/crates/session-core/src/relay_tree.rs
+++ b/crates/session-core/src/relay_tree.rs
@@ -4,6 +4,8 @@
 //! follows an instance of higher rank. Since this also holds for an instance that skips parents,
 //! the tree has no cycles.
 
+use std::time::Duration;
+
 use crate::ids::InstanceId;
 use crate::ids::ZoneId;
 use crate::instance_rank::RankedInstance;
@@ -23,3 +25,20 @@
     let index = before.len().checked_sub(1)? / MAX_FOLLOWERS;
     before.get(index).map(|parent| parent.name)
 }
+
+/// Age of the evidence above which an instance that watches the store is not its zone's relay: two
+/// watches.
+const MAX_RELAY_AGE: Duration = Duration::from_millis(1_800);
+
+/// Returns whether an instance queries the positions of primaries for the others of its zone.
+///
+/// `is_root` tells whether the tree of all members has no relay for it, and `evidence_age` is the
+/// age of its view. While the store answers nobody, every instance tries to watch it; if each of
+/// them also queried every primary, they would use up the connections that endpoints accept.
+pub fn queries_positions(
+    watches_store: bool,
+    is_root: bool,
+    evidence_age: Option<Duration>,
+) -> bool {
+    watches_store && (is_root || evidence_age.is_some_and(|age| age <= MAX_RELAY_AGE))
+}
--- a/tests/testsuite/instance_ranks.rs
+++ b/tests/testsuite/instance_ranks.rs
@@ -1,11 +1,14 @@
 //! Guards against small instances as relays for larger ones, and against cycles of relays.
 
+use std::time::Duration;
+
 use proptest::prop_assert;
 use proptest::proptest;
 use session_core::ids::InstanceId;
 use session_core::ids::ZoneId;
 use session_core::instance_rank::RankedInstance;
 use session_core::relay_tree::MAX_FOLLOWERS;
+use session_core::relay_tree::queries_positions;
 use session_core::relay_tree::relay_parent;
 use session_core::units::ProcessorShare;
 
@@ -79,3 +82,30 @@
         }
     }
 }
+
+/// Pattern: the store answers nobody, and every instance of the fleet tries to watch it. Only the
+/// root of each zone may go on querying primaries; an instance that took over for a dead root, and
+/// gets answers, must do so as well.
+#[test]
+fn outage_multiplies_no_queries() {
+    let old = Some(Duration::from_secs(3));
+    let young = Some(Duration::from_millis(700));
+    let names = names(60);
+    let member = |name| RankedInstance {
+        processor: ProcessorShare(120),
+        name,
+    };
+    let members: Vec<_> = names.iter().map(member).collect();
+    let is_root =
+        |own: &RankedInstance<'_>| relay_parent(*own, &zone(), members.iter().copied()).is_none();
+    let queries = |age| {
+        let queriers = members
+            .iter()
+            .filter(|own| queries_positions(true, is_root(own), age));
+        queriers.count()
+    };
+    assert_eq!(queries(old), 1);
+    assert_eq!(queries(None), 1);
+    assert_eq!(queries(young), members.len());
+    assert!(!queries_positions(false, false, young));
+}
