Find free ports without binding them

The test support bound a port for a moment to see that it is free; a process that another thread starts just then holds a copy of that socket until it executes its program, and the daemon that gets the port cannot listen.

Change: the system's table of sockets tells whether a port is bound.

Ruled out: ephemeral ports (the range lies below), two test programs (reservations), a former daemon on the port.

--- a/crates/standins/src/free_ports.rs
+++ b/crates/standins/src/free_ports.rs
@@ -4,7 +4,6 @@
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
 use std::net::TcpListener;
-use std::net::UdpSocket;
 use std::sync::Mutex;
 use std::sync::PoisonError;
 use std::sync::atomic::AtomicU32;
@@ -44,15 +43,31 @@
 
 /// Returns `count` free TCP addresses on the loopback interface.
 pub fn free_tcp(count: usize) -> Vec<SocketAddr> {
-    find_free(count, |address| TcpListener::bind(address).is_ok())
+    find_free(count, "/proc/net/tcp")
 }
 
 /// Returns `count` free UDP addresses on the loopback interface.
 pub fn free_udp(count: usize) -> Vec<SocketAddr> {
-    find_free(count, |address| UdpSocket::bind(address).is_ok())
+    find_free(count, "/proc/net/udp")
 }
 
-fn find_free(count: usize, is_free: impl Fn(SocketAddr) -> bool) -> Vec<SocketAddr> {
+/// Returns whether a port is not bound on the loopback address or on all addresses, by the system's
+/// table of sockets; a system without this table has none that are known.
+///
+/// Binding the port for a moment would tell as much, but a process that another thread starts then
+/// holds a copy of the socket until it executes its program.
+fn is_free(port: u16, table: &str) -> bool {
+    const LOOPBACK: &str = "0100007F";
+    const ANY: &str = "00000000";
+    let sockets = std::fs::read_to_string(table).unwrap_or_default();
+    let bound = [LOOPBACK, ANY].map(|address| format!("{address}:{port:04X}"));
+    let mut locals = sockets
+        .lines()
+        .filter_map(|line| line.split_whitespace().nth(1));
+    !locals.any(|local| bound.iter().any(|bound| bound == local))
+}
+
+fn find_free(count: usize, table: &str) -> Vec<SocketAddr> {
     let start = std::process::id().wrapping_mul(PROCESS_STRIDE);
     let next = || {
         let offset = start.wrapping_add(NEXT_OFFSET.fetch_add(1, Ordering::Relaxed)) % PORT_COUNT;
@@ -60,7 +75,7 @@
         SocketAddr::from((Ipv4Addr::LOCALHOST, port))
     };
     std::iter::repeat_with(next)
-        .filter(|address| reserve(address.port()) && is_free(*address))
+        .filter(|address| reserve(address.port()) && is_free(address.port(), table))
         .take(count)
         .collect()
 }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -25,6 +25,7 @@
 mod failover_sim;
 mod floor_samples;
 
+mod free_ports;
 mod graceful_stop;
 mod group_model;
 mod group_watchers;
