--- a/crates/front/src/view_follower.rs
+++ b/crates/front/src/view_follower.rs
@@ -11,6 +11,7 @@
 use futures_util::StreamExt;
 use session_core::monotonic_time::MonotonicTime;
 use session_core::monotonic_time::now;
+use session_core::relay_tree::MAX_RELAY_AGE;
 use session_core::relay_tree::relay_parent;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
@@ -26,9 +27,6 @@
 /// Timeout of the connection, and of the first frame after it.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
-/// Age of a relay's view above which the relay is no longer followed: two watches.
-const STALE_AGE: Duration = Duration::from_millis(1_800);
-
 /// Time for which a relay that does not answer is excluded; its lease ends by then.
 const SILENT_PAUSE: Duration = Duration::from_millis(9_000);
 
@@ -155,7 +153,7 @@
         if changed {
             instance.notify_view_change();
         }
-        if age > STALE_AGE && now() >= accept_stale_until {
+        if age > MAX_RELAY_AGE && now() >= accept_stale_until {
             return Err(RelayError::Stale(age));
         }
     }
--- a/crates/session-core/src/relay_tree.rs
+++ b/crates/session-core/src/relay_tree.rs
@@ -26,9 +26,8 @@
     before.get(index).map(|parent| parent.name)
 }
 
-/// Age of the evidence above which an instance that watches the store is not its zone's relay: two
-/// watches.
-const MAX_RELAY_AGE: Duration = Duration::from_millis(1_800);
+/// Age of the evidence above which an instance is no good relay: two watches.
+pub const MAX_RELAY_AGE: Duration = Duration::from_millis(1_800);
 
 /// Returns whether an instance queries the positions of primaries for the others of its zone.
 ///
