Review case 3: a deaf replica is promoted after the other one has left

The survey ignores the log of a former primary that answers, although the commits that a replica acknowledged before it left may be nowhere else.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,2 +1,2 @@
 #!/usr/bin/env bash
-exec "$(dirname "$0")/../run-case.sh" one 3
+exec "$(dirname "$0")/../run-case.sh" leave 3
--- a/review/standins/group.rs
+++ b/review/standins/group.rs
@@ -92,17 +92,10 @@
     pub values: BTreeMap<String, String>,
 }
 
-pub struct PromotionCall {
-    pub holder: String,
-    pub token: u64,
-    pub target: String,
-}
-
 #[derive(Default)]
 pub struct Group {
     pub backends: BTreeMap<String, Backend>,
     pub runs: Vec<Run>,
-    pub promotions: Vec<PromotionCall>,
 }
 
 /// Called for each command that the system sends to a backend.
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -2,8 +2,8 @@
 //! backends and the clients.
 
 mod case_join;
+mod case_leave;
 mod case_lost;
-mod case_one;
 mod case_pinned;
 mod case_stale;
 mod client;
@@ -50,8 +50,8 @@
     record!("case {case}, TROUBLE={trouble}");
     let verdict = match case.as_str() {
         "join" => case_join::run(&trouble),
+        "leave" => case_leave::run(&trouble),
         "lost" => case_lost::run(&trouble),
-        "one" => case_one::run(&trouble),
         "stale" => case_stale::run(&trouble),
         "pinned" => case_pinned::run(&trouble),
         _ => Verdict::CannotRun(format!("no case {case}")),
--- a/review/standins/platform.rs
+++ b/review/standins/platform.rs
@@ -5,7 +5,6 @@
 use std::sync::Mutex;
 use std::time::Duration;
 
-use crate::group::PromotionCall;
 use crate::group::Service;
 use crate::group::Sheet;
 use crate::http::Call;
@@ -62,15 +61,10 @@
         let service = services
             .iter()
             .find(|service| service.sheet.service == body.get("Service").text())?;
-        let mut group = service.group.lock().unwrap();
+        let group = service.group.lock().unwrap();
         let is_running = group.backends.get(&target).is_some_and(|b| b.running);
         let status = if is_running { 200 } else { 409 };
         record!("platform: promotion of {target} by {holder}, generation number {token}: {status}");
-        group.promotions.push(PromotionCall {
-            holder: holder.clone(),
-            token,
-            target: target.clone(),
-        });
         if let Some(hook) = self.hook.lock().unwrap().as_ref() {
             hook(&holder, &target);
         }
