--- a/review/standins/case_join.rs
+++ b/review/standins/case_join.rs
@@ -27,7 +27,7 @@
 /// Changes of the primary in a run.
 const ROUNDS: usize = 4;
 
-pub fn run(trouble: &str) -> Verdict {
+pub fn run(trouble: bool) -> Verdict {
     let platform = Platform::start();
     let sheet = small_sheet("db");
     let service = platform.add_services(&sheet);
@@ -57,8 +57,8 @@
             return Verdict::CannotRun("no primary".to_owned());
         };
         match trouble {
-            "0" => release(&service, &former),
-            _ => cut_and_release(&platform, &service, &former),
+            true => cut_and_release(&platform, &service, &former),
+            false => release(&service, &former),
         }
         std::thread::sleep(Duration::from_secs(9));
         service.leave(&former);
--- a/review/standins/case_leave.rs
+++ b/review/standins/case_leave.rs
@@ -21,7 +21,7 @@
 /// Time from the report of the leaving replica that it drains to its exit; `DrainMs` is 7 s.
 const DRAIN: Duration = Duration::from_millis(8_000);
 
-pub fn run(trouble: &str) -> Verdict {
+pub fn run(trouble: bool) -> Verdict {
     let platform = Platform::start();
     let sheet = small_sheet("db");
     let service = platform.add_services(&sheet);
@@ -55,13 +55,13 @@
     };
     service.drain(leaving);
     std::thread::sleep(DRAIN - DEAF_BEFORE);
-    if trouble != "0" {
+    if trouble {
         service.set_cut(staying, Some("*"));
     }
     std::thread::sleep(DEAF_BEFORE);
     service.leave(leaving);
     std::thread::sleep(DEAF - DEAF_BEFORE);
-    if trouble != "0" {
+    if trouble {
         service.set_cut(staying, None);
     }
     std::thread::sleep(Duration::from_secs(5));
--- a/review/standins/case_lost.rs
+++ b/review/standins/case_lost.rs
@@ -29,7 +29,7 @@
 /// Replacements of a primary in a run.
 const ROUNDS: usize = 5;
 
-pub fn run(trouble: &str) -> Verdict {
+pub fn run(trouble: bool) -> Verdict {
     let platform = Platform::start();
     let sheet = small_sheet("db");
     let service = platform.add_services(&sheet);
@@ -58,7 +58,7 @@
         let Some(former) = service.primary() else {
             return Verdict::CannotRun("no primary".to_owned());
         };
-        if let Err(why) = replace(&platform, &service, &mut machines, &former, trouble != "0") {
+        if let Err(why) = replace(&platform, &service, &mut machines, &former, trouble) {
             return Verdict::CannotRun(why);
         }
         replaced += usize::from(service.primary().is_some_and(|primary| primary != former));
--- a/review/standins/case_pinned.rs
+++ b/review/standins/case_pinned.rs
@@ -13,7 +13,7 @@
 use crate::writers::Writers;
 use crate::Verdict;
 
-pub fn run(trouble: &str) -> Verdict {
+pub fn run(trouble: bool) -> Verdict {
     let platform = Platform::start();
     let sheet = small_sheet("db");
     let service = platform.add_services(&sheet);
@@ -55,7 +55,7 @@
     let (mut killed, mut restarted) = (false, false);
     let mut served = 0;
     while start.elapsed() < Duration::from_secs(16) {
-        if trouble != "0" && !killed && start.elapsed() > Duration::from_secs(5) {
+        if trouble && !killed && start.elapsed() > Duration::from_secs(5) {
             record!("disruption: front-a-2, which last wrote to the store under a condition, is killed");
             first.kill();
             killed = true;
--- a/review/standins/case_stale.rs
+++ b/review/standins/case_stale.rs
@@ -22,7 +22,7 @@
 /// Length of the cut; the sheets give 5.5 s for `core_cut`.
 const CUT: Duration = Duration::from_millis(5_500);
 
-pub fn run(trouble: &str) -> Verdict {
+pub fn run(trouble: bool) -> Verdict {
     let platform = Platform::start();
     let sheet = small_sheet("db");
     let service = platform.add_services(&sheet);
@@ -41,7 +41,7 @@
         return Verdict::CannotRun("the machines are not ready".to_owned());
     }
     std::thread::sleep(Duration::from_secs(1));
-    if trouble == "1" {
+    if trouble {
         record!("disruption: the store loses the answer to one write of front-c-1 and does it late");
         let armed = AtomicBool::new(true);
         platform.store.set_late(Some(Box::new(move |machine, keys| {
@@ -78,7 +78,7 @@
             let zone = service.group.lock().unwrap().backends[&former].zone.clone();
             service.add(&zone, false);
             std::thread::sleep(Duration::from_millis(500));
-            if trouble != "0" {
+            if trouble {
                 record!("disruption: front-c-1 is cut off from the store for {CUT:?}");
                 third.link.cut();
                 let link = Arc::clone(&third.link);
--- a/review/standins/main.rs
+++ b/review/standins/main.rs
@@ -31,11 +31,10 @@
 
 fn main() {
     let arguments: Vec<String> = std::env::args().collect();
-    let [_, case, record_path] = arguments.as_slice() else {
-        eprintln!("usage: standins CASE RECORD");
+    let [_, case, trouble, record_path] = arguments.as_slice() else {
+        eprintln!("usage: standins CASE TROUBLE RECORD");
         std::process::exit(2);
     };
-    let trouble = std::env::var("TROUBLE").unwrap_or_else(|_| "1".to_owned());
     if let Err(error) = record::open(record_path) {
         eprintln!("{record_path}: {error}");
         std::process::exit(2);
@@ -49,11 +48,11 @@
     }));
     record!("case {case}, TROUBLE={trouble}");
     let verdict = match case.as_str() {
-        "join" => case_join::run(&trouble),
-        "leave" => case_leave::run(&trouble),
-        "lost" => case_lost::run(&trouble),
-        "stale" => case_stale::run(&trouble),
-        "pinned" => case_pinned::run(&trouble),
+        "join" => case_join::run(trouble != "0"),
+        "leave" => case_leave::run(trouble != "0"),
+        "lost" => case_lost::run(trouble != "0"),
+        "stale" => case_stale::run(trouble != "0"),
+        "pinned" => case_pinned::run(trouble != "0"),
         _ => Verdict::CannotRun(format!("no case {case}")),
     };
     finish(verdict);
