Let endpoints join, leave and go deaf in the stand-in

Cause: the cases of the review need endpoints that join, leave, restart without their log or receive nothing, targets of promotions that receive nothing until the effect, RESUMEs that take effect late, and store writes that are not answered and done seconds later. The stand-in of the platform had none of them, so neither the tests nor the soak could meet these faults.

Change: fields of the group and of its endpoints for these, `add_endpoint` and `remove_endpoint`, and the store's fault `ChangesLate`. A refused transaction names the present items, as the platform's store does.

--- a/crates/standins/src/platform/group_state.rs
+++ b/crates/standins/src/platform/group_state.rs
@@ -29,12 +29,16 @@
     pub log: Vec<LoggedCommit>,
     /// Number of commits that were visible while it was the primary; they stay visible afterwards.
     pub visible_commits: usize,
+    /// Whether it receives nothing from any primary.
+    pub deaf: bool,
     /// Term of the command that paused replication to it; 0 if it is not paused.
     pub paused: u64,
     /// Whether it answers; if not, its connections stay open without answers.
     pub alive: bool,
     /// Whether its registry entry has the state `draining`.
     pub draining: bool,
+    /// Start of its process in its registry entry.
+    pub born: u64,
 }
 
 /// A statement that an endpoint executed.
@@ -76,6 +80,12 @@
     pub lag: Duration,
     /// Whether promotions are refused.
     pub refuse_promotions: bool,
+    /// Whether the target of a promotion receives nothing until the promotion takes effect.
+    pub deafen_targets: bool,
+    /// Time between a promotion request and its effect.
+    pub promotion_time: Duration,
+    /// Time between a `RESUME` and its effect.
+    pub resume_delay: Duration,
     /// Number of next reads that are executed but not answered.
     pub lose_answers: u32,
     /// Statements that were executed, in order.
@@ -85,6 +95,35 @@
 }
 
 impl GroupState {
+    /// Adds a replica with an empty log, which follows the primary of the newest term.
+    pub fn join(&mut self, id: &str, address: SocketAddr) {
+        let term = self.endpoints.values().map(|e| e.term).max().unwrap_or(1);
+        let state = EndpointState {
+            address,
+            primary: false,
+            term,
+            log: Vec::new(),
+            visible_commits: 0,
+            deaf: false,
+            paused: 0,
+            alive: true,
+            draining: false,
+            born: 1,
+        };
+        self.endpoints.insert(id.to_owned(), state);
+    }
+
+    /// Restarts an endpoint as a replica with an empty log.
+    pub fn restart(&mut self, id: &str) {
+        if let Some(endpoint) = self.endpoints.get_mut(id) {
+            endpoint.primary = false;
+            endpoint.log.clear();
+            endpoint.visible_commits = 0;
+            endpoint.paused = 0;
+            endpoint.born += 1;
+        }
+    }
+
     /// Returns the id of the endpoint that answers and is the primary of the newest term.
     pub fn primary(&self) -> Option<String> {
         let primaries = self.endpoints.iter().filter(|(_, e)| e.primary && e.alive);
@@ -125,7 +164,7 @@
         let mut state = CommitState::Waiting;
         for (id, replica) in &mut self.endpoints {
             let follows = id != endpoint && !replica.primary && replica.alive;
-            if follows && replica.paused == 0 && replica.term == term {
+            if follows && !replica.deaf && replica.paused == 0 && replica.term == term {
                 replica.log.clone_from(&log);
                 state = CommitState::Received;
             }
@@ -150,7 +189,7 @@
             (primary.term, primary.log.clone())
         };
         for endpoint in self.endpoints.values_mut() {
-            if endpoint.alive && endpoint.term < term {
+            if endpoint.alive && !endpoint.deaf && endpoint.term < term {
                 endpoint.primary = false;
                 endpoint.term = term;
                 endpoint.paused = 0;
@@ -187,7 +226,7 @@
         endpoint.paused = 0;
         let log = endpoint.log.clone();
         for (id, other) in &mut self.endpoints {
-            if id != target && other.alive && !other.primary {
+            if id != target && other.alive && !other.deaf && !other.primary {
                 other.term = newest + 1;
                 other.paused = 0;
                 other.log.clone_from(&log);
@@ -244,7 +283,7 @@
             "ColdRemainingMs": 0,
             "DatabaseRole": if endpoint.primary { "primary" } else { "replica" },
             "Sequence": 1,
-            "born": 1,
+            "born": endpoint.born,
         }))
     }
 }
--- a/crates/standins/src/platform/line_server.rs
+++ b/crates/standins/src/platform/line_server.rs
@@ -174,6 +174,11 @@
                     None => Some(self.refuse("UNDEFINED")),
                 }
             }
+            "RESUME" => {
+                let delay = self.shared.group().resume_delay;
+                tokio::time::sleep(delay).await;
+                self.run_command(word, rest)
+            }
             _ => self.run_command(word, rest),
         }
     }
--- a/crates/standins/src/platform/platform_handle.rs
+++ b/crates/standins/src/platform/platform_handle.rs
@@ -18,6 +18,9 @@
 use crate::platform::store_server;
 use crate::platform::store_state::StoreState;
 
+/// Default time between a promotion request and its effect.
+const PROMOTION_TIME: Duration = Duration::from_millis(300);
+
 /// The state that the servers of the stand-in share.
 #[derive(Debug)]
 pub struct PlatformShared {
@@ -89,9 +92,11 @@
                 term: 1,
                 log: Vec::new(),
                 visible_commits: 0,
+                deaf: false,
                 paused: 0,
                 alive: true,
                 draining: false,
+                born: 1,
             };
             endpoints.insert(id.to_owned(), state);
             listeners.push((id.to_owned(), listener));
@@ -103,6 +108,9 @@
                 endpoints,
                 lag: Duration::from_millis(20),
                 refuse_promotions: false,
+                deafen_targets: false,
+                promotion_time: PROMOTION_TIME,
+                resume_delay: Duration::ZERO,
                 lose_answers: 0,
                 executed_statements: Vec::new(),
                 promotions: Vec::new(),
@@ -129,4 +137,24 @@
         change(&mut self.shared.group());
         self.shared.publish();
     }
+
+    /// Starts an endpoint with an empty log, which joins the group as a replica.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if an address cannot be bound.
+    pub async fn add_endpoint(&self, id: &str) -> io::Result<()> {
+        let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
+        let address = listener.local_addr()?;
+        self.change_group(|group| group.join(id, address));
+        let shared = Arc::clone(&self.shared);
+        tokio::spawn(line_server::serve_endpoint(listener, shared, id.to_owned()));
+        Ok(())
+    }
+
+    /// Ends an endpoint, whose log is lost, and removes its registry entry.
+    pub fn remove_endpoint(&self, id: &str) {
+        self.shared.group().endpoints.remove(id);
+        self.shared.store().remove(&format!("servers/{id}"));
+    }
 }
--- a/crates/standins/src/platform/store_server.rs
+++ b/crates/standins/src/platform/store_server.rs
@@ -25,13 +25,11 @@
 use crate::platform::platform_handle::PlatformShared;
 use crate::platform::store_state::StoreFault;
 use crate::platform::store_state::StoreState;
+use crate::platform::store_state::StoredItem;
 
 /// Pause between checks for changes during a watch.
 const WATCH_PAUSE: Duration = Duration::from_millis(5);
 
-/// Time between a promotion request and its effect.
-const PROMOTION_TIME: Duration = Duration::from_millis(300);
-
 /// Time after a promotion at which the former primary becomes a replica.
 const FORMER_PRIMARY_TIME: Duration = Duration::from_millis(1_000);
 
@@ -92,6 +90,18 @@
                     false => reply,
                 }
             }
+            StoreFault::ChangesLate(delay) if path == "/kv-txn" => {
+                shared.store().late_changes += 1;
+                let shared = Arc::clone(shared);
+                tokio::spawn(async move {
+                    tokio::time::sleep(delay).await;
+                    let mut store = shared.store();
+                    store.expire();
+                    apply_transaction(&mut store, &body);
+                });
+                never_answer().await
+            }
+            StoreFault::ChangesLate(_) => call(shared, &path, &query, &body).await,
         }
     };
     let mut response = Response::new(Full::new(Bytes::from(answer.to_string())));
@@ -148,14 +158,24 @@
     }
 }
 
+fn item_value(key: &str, item: &StoredItem) -> Value {
+    json!({"Key": key, "Value": STANDARD.encode(&item.value), "Revision": item.revision, "Lease": item.lease})
+}
+
+/// Returns the existing items that the preconditions of a transaction name.
+fn conditional_items(store: &StoreState, body: &Value) -> Vec<Value> {
+    let rows = body["Precondition"].as_array().into_iter().flatten();
+    let keys = rows.filter_map(|row| row["Key"].as_str());
+    keys.filter_map(|key| Some(item_value(key, store.items.get(key)?)))
+        .collect()
+}
+
 fn range(store: &StoreState, prefix: &str) -> Reply {
     let items: Vec<Value> = store
         .items
         .iter()
         .filter(|(key, _)| key.starts_with(prefix))
-        .map(|(key, item)| {
-            json!({"Key": key, "Value": STANDARD.encode(&item.value), "Revision": item.revision, "Lease": item.lease})
-        })
+        .map(|(key, item)| item_value(key, item))
         .collect();
     (
         200,
@@ -196,7 +216,7 @@
         let key = row["Key"].as_str().unwrap_or_default();
         let revision = store.items.get(key).map_or(0, |item| item.revision);
         if revision != row["Revision"].as_u64().unwrap_or(0) {
-            return (412, json!({"items": []}));
+            return (412, json!({"items": conditional_items(store, body)}));
         }
     }
     let puts = rows("Puts");
@@ -223,18 +243,32 @@
 
 fn promote(shared: &Arc<PlatformShared>, body: &Value, holder: String, token: u64) -> Reply {
     let target = body["Id"].as_str().unwrap_or_default().to_owned();
-    {
+    let promotion_time = {
         let mut group = shared.group();
         let is_alive = group.endpoints.get(&target).is_some_and(|e| e.alive);
         if group.refuse_promotions || !is_alive {
             return (409, json!({}));
         }
         group.promotions.push((target.clone(), holder, token));
-    }
+        if group.deafen_targets
+            && let Some(endpoint) = group.endpoints.get_mut(&target)
+        {
+            endpoint.deaf = true;
+        }
+        group.promotion_time
+    };
     let shared = Arc::clone(shared);
     tokio::spawn(async move {
-        tokio::time::sleep(PROMOTION_TIME).await;
-        shared.group().promote(&target);
+        tokio::time::sleep(promotion_time).await;
+        {
+            let mut group = shared.group();
+            if group.deafen_targets
+                && let Some(endpoint) = group.endpoints.get_mut(&target)
+            {
+                endpoint.deaf = false;
+            }
+            group.promote(&target);
+        }
         shared.publish();
         tokio::time::sleep(FORMER_PRIMARY_TIME).await;
         shared.group().follow_newest();
--- a/crates/standins/src/platform/store_state.rs
+++ b/crates/standins/src/platform/store_state.rs
@@ -39,6 +39,8 @@
     Silent,
     /// Transactions take effect but are not answered.
     AnswersLost,
+    /// Transactions are not answered, and take effect after this time if their conditions still hold.
+    ChangesLate(Duration),
 }
 
 /// State of the store.
@@ -56,6 +58,8 @@
     pub fault: StoreFault,
     /// Number of calls received.
     pub calls: u64,
+    /// Number of transactions that took effect late, or will.
+    pub late_changes: u64,
     leases: HashMap<u64, (Instant, Duration)>,
 }
 
