Keep the member key with the lease that is renewed

Cause: a registration wrote the key without a condition. A first write that the store did late, after a second registration, tied the key to the first lease, which nobody renewed.

Change: a registration depends on the revision of the key that it replaces, and takes the present revision from a conflict. Why this works: the key exists until the lease of its last write ends, each write changes its revision, and no later state has an older revision again while it exists. So a late write, of this process or of an earlier one, finds its condition broken, or finds its own lease ended first, since that was granted before. An instance that lost its lease, or gives it back when it stops, forgets when it was renewed and uses no primary until it has registered again.

Ruled out: to compare the key in the own view with the lease. A view may be 3.8 s old, and a leader need not wait for a member whose key it no longer sees. The other writes of the daemon were checked: orders and the leader's key have conditions, and a lease that is granted late is not used.

--- a/crates/front/src/fleet_view.rs
+++ b/crates/front/src/fleet_view.rs
@@ -105,6 +105,12 @@
         self.synced_at = self.synced_at.max(Some(known_at));
     }
 
+    /// Returns the revision of the last known change of a key, or 0 if the key does not exist.
+    pub fn key_revision(&self, key: &str) -> u64 {
+        let item = self.items.get(key).filter(|item| item.value.is_some());
+        item.map_or(0, |item| item.revision)
+    }
+
     /// Returns `false` and the items that changed after a revision, or `true` and all existing
     /// items if some removals since then are unknown.
     pub fn items_after(&self, revision: u64) -> (bool, Vec<RelayItem>) {
--- a/crates/front/src/instance_run.rs
+++ b/crates/front/src/instance_run.rs
@@ -136,7 +136,10 @@
     tokio::task::spawn_local(status_server::serve_status(status, Rc::new(ports)));
     tokio::task::spawn_local(run_ticks(Rc::clone(&instance), log));
     stop_signal::handle_signals(Rc::clone(&instance), accepting).await?;
-    for lease in [instance.lease.get(), instance.leader_lease.get()]
+    // Without its leases, this instance must neither use a primary nor lead.
+    instance.view.borrow_mut().renewed_at = None;
+    instance.leader_term.set(None);
+    for lease in [instance.lease.release(), instance.leader_lease.take()]
         .into_iter()
         .flatten()
     {
--- a/crates/front/src/store_lease.rs
+++ b/crates/front/src/store_lease.rs
@@ -22,26 +22,34 @@
 #[derive(Debug, Default)]
 pub struct StoreLease {
     lease: Cell<Option<LeaseId>>,
+    released: Cell<bool>,
 }
 
 impl StoreLease {
+    /// Forgets the lease, which is not renewed or replaced any more, and returns it.
+    pub fn release(&self) -> Option<LeaseId> {
+        self.released.set(true);
+        self.lease.take()
+    }
+
     /// Returns the current lease, if there is one.
     pub fn get(&self) -> Option<LeaseId> {
         self.lease.get()
     }
 }
 
-/// Registers this instance and renews its lease until the process ends; registers again if the
-/// lease is lost.
+/// Registers this instance and renews its lease until it is released; registers again if the lease
+/// is lost.
 pub async fn keep_lease(instance: Rc<Instance>) {
     let mut pause = STORE_PAUSE;
-    loop {
+    while !instance.lease.released.get() {
         match register(&instance).await {
             Ok(lease) => {
                 pause = STORE_PAUSE;
                 instance.lease.lease.set(Some(lease));
                 renew_until_lost(&instance, lease).await;
                 instance.lease.lease.set(None);
+                instance.view.borrow_mut().renewed_at = None;
             }
             Err(error) => {
                 tracing::warn!(event = "registration_failed", %error);
@@ -53,25 +61,48 @@
     }
 }
 
+/// Writes the member key with a new lease.
+///
+/// A write without an answer may be done seconds later. It must not replace the key of a later
+/// registration, whose lease is renewed: without its key, an instance that uses primaries would not
+/// be awaited by the leader. Each write therefore depends on the revision of the key that it
+/// replaces, which no later state of the key has again while it exists, and the key exists until its
+/// lease ends.
 async fn register(instance: &Instance) -> Result<LeaseId, StoreError> {
     let requested_at = now();
     let lease = instance
         .store
         .grant_lease(LEASE_TIME, STORE_TIMEOUT)
         .await?;
+    let settings = &instance.settings;
     let value = MemberValue {
-        address: instance.settings.peer_address,
-        zone: instance.settings.zone.clone(),
-        processor: instance.settings.processor,
+        address: settings.peer_address,
+        zone: settings.zone.clone(),
+        processor: settings.processor,
     };
-    let settings = &instance.settings;
+    let value = encode(&value)?;
     let key = fleet_keys::member_key(&settings.zone, &settings.instance);
-    let change = StoreChange {
-        puts: vec![(key, encode(&value)?, Some(lease))],
-        ..StoreChange::default()
+    let mut replaced = instance.view.borrow().key_revision(&key);
+    let revision = loop {
+        let change = StoreChange {
+            conditions: vec![(key.clone(), replaced)],
+            puts: vec![(key.clone(), value.clone(), Some(lease))],
+            ..StoreChange::default()
+        };
+        match instance.store.change(change, STORE_TIMEOUT).await {
+            Ok(revision) => break revision,
+            Err(StoreError::Conflict(items)) => {
+                let current = items.iter().find(|item| item.key == key);
+                let current = current.map_or(0, |item| item.revision);
+                if current == replaced {
+                    return Err(StoreError::Conflict(items));
+                }
+                replaced = current;
+            }
+            Err(error) => return Err(error),
+        }
     };
-    let revision = instance.store.change(change, STORE_TIMEOUT).await?;
-    tracing::info!(event = "registered", lease = lease.0, revision);
+    tracing::info!(event = "registered", lease = lease.0, revision, replaced);
     {
         let mut view = instance.view.borrow_mut();
         view.renewed_at = Some(requested_at);
@@ -86,7 +117,11 @@
     loop {
         tokio::time::sleep(pause).await;
         let requested_at = now();
-        match instance.store.renew_lease(lease, STORE_TIMEOUT).await {
+        let renewed = instance.store.renew_lease(lease, STORE_TIMEOUT).await;
+        if instance.lease.released.get() {
+            return;
+        }
+        match renewed {
             Ok(()) => {
                 instance.view.borrow_mut().renewed_at = Some(requested_at);
                 pause = RENEWAL_PERIOD;
--- a/crates/front/tests/testsuite/main.rs
+++ b/crates/front/tests/testsuite/main.rs
@@ -8,6 +8,7 @@
 mod key_withdrawal;
 mod large_configuration;
 mod log_volume;
+mod member_keys;
 mod primary_changes;
 mod relayed_changes;
 mod session_state;
