Demote a primary that answers before it is replaced

Cause, one for both: the promise that the target has every acknowledged commit rested on pauses. It ranged over the endpoints of one survey, until the promotion took effect up to a second later. An endpoint that joined was not paused; `resume_replicas`, a second owner of the pauses, lifted them; a restart would have ended one as well.

Change, and why it works: - A former primary that answers is demoted first. It acknowledges nothing afterwards, and its log has all that it ever acknowledged, so only an endpoint with as much may lead. The argument ranges over the former primary alone: nothing that joins, leaves, wakes or is resumed matters. - A former primary that does not answer can't be stopped, so its acknowledgements are: an instance that knows the pending order refuses to pass one on (unknown outcome), the change waits for all members or 5 s, and surveys the endpoints after that. A commit whose acknowledgement was passed on was received by a replica before. This covers only what a demotion can't reach. - The list of members counts as complete only once the leader's view has reached the revision of the pending order; before, a member that had just registered was not awaited if the view was late. - The registry is read directly before the promotion; the survey is repeated if an endpoint has joined, left or restarted since. - An open order that was not confirmed may be written late, so the change writes a new pending one. - A primary that no other endpoint could replace is not demoted.

Nothing is paused or resumed any more. Ruled out: pauses with one owner and a closed list of members, which have to be checked again until the effect and still miss a join in between.

The soak waits, for the time that a recovery may take, until a change that is under way has ended, and then checks for a primary as before.

Cost: callers of a draining primary wait for the promotion.

--- a/crates/front/src/fleet_view.rs
+++ b/crates/front/src/fleet_view.rs
@@ -132,9 +132,9 @@
         self.synced_at = self.synced_at.max(Some(known_at));
     }
 
-    /// Applies items that may be outdated, such as the members that an instance reads at its start.
-    /// They are no evidence: the view holds no change up to any time after it.
-    pub fn add_outdated(&mut self, items: Vec<RelayItem>) {
+    /// Applies a part of the items, such as the members that an instance reads at its start. They
+    /// are no evidence: the view may lack other changes.
+    pub fn add_items(&mut self, items: Vec<RelayItem>) {
         for item in items {
             self.apply(item);
         }
--- a/crates/front/src/group_change.rs
+++ b/crates/front/src/group_change.rs
@@ -1,9 +1,17 @@
 //! Replaces the primary of a group without losing an acknowledged commit.
+//!
+//! A change writes a pending order first. An instance that knows it, or that has no recent evidence
+//! from the store, neither uses the former primary nor passes on its acknowledgements of commits.
+//! [`SurveyedGroup`] decides from the endpoints' reports which endpoint may be promoted; instances
+//! use the new primary once the order is open.
 
+use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::Duration;
 
 use platform::endpoint_codec::EndpointCommand;
+use platform::registry;
+use platform::store_client::ReadFreshness;
 use platform::store_client::StoreChange;
 use session_core::endpoint_entry::EndpointEntry;
 use session_core::endpoint_entry::GroupRole;
@@ -12,12 +20,14 @@
 use session_core::ids::EndpointId;
 use session_core::ids::InstanceId;
 use session_core::ids::ServiceId;
+use session_core::log_point::LogPoint;
+use session_core::log_point::LogTerm;
 use session_core::monotonic_time::MonotonicTime;
 use session_core::monotonic_time::now;
 use session_core::primary_permit;
 use session_core::primary_permit::REVOKE_WAIT;
-use session_core::promotion_step;
 use session_core::promotion_step::PromotionStep;
+use session_core::promotion_step::SurveyedGroup;
 
 use crate::fleet_keys;
 use crate::fleet_keys::LEADER_KEY;
@@ -29,6 +39,7 @@
 use crate::instance::Instance;
 use crate::instance_limits::STEP_PAUSE;
 use crate::instance_limits::STORE_TIMEOUT;
+use crate::relay_message::ViewItems;
 use crate::store_lease;
 
 /// Maximum time until an accepted promotion takes effect; after that it is requested again.
@@ -40,21 +51,28 @@
 /// Timeout of the promotion call to the platform.
 const PROMOTION_TIMEOUT: Duration = Duration::from_millis(1_000);
 
+/// Maximum time for which a demotion waits for acknowledgements of the pending order, so that
+/// statements that are under way at the former primary can end.
+const DEMOTION_WAIT: Duration = Duration::from_millis(300);
+
+/// Time after a demotion in which replicas may still receive the last entries of the former primary.
+const CATCH_UP_TIME: Duration = Duration::from_millis(300);
+
 struct GroupChange<'a> {
     instance: &'a Rc<Instance>,
     service: &'a ServiceId,
     former: Option<EndpointId>,
     survey: GroupSurvey,
-    paused: Vec<EndpointId>,
     pending: Option<PendingOrder>,
-    /// Whether the former primary serves until the promotion takes effect.
-    former_serves: bool,
-    /// Whether the former primary was sent a demotion, so that the change must be completed.
-    former_demoted: bool,
+    /// Whether no instance uses the former primary or passes on its acknowledgements any more.
+    former_unused: bool,
+    /// When the former primary was first sent a demotion.
+    demoted_at: Option<MonotonicTime>,
+    /// Position of the former primary in the previous survey.
+    earlier_point: Option<LogPoint>,
 }
 
 struct PendingOrder {
-    target: EndpointId,
     revision: u64,
     accepted_at: MonotonicTime,
 }
@@ -79,16 +97,7 @@
         ?reason,
         token = instance.fencing_token(),
     );
-    let mut change = GroupChange {
-        instance,
-        service,
-        former,
-        survey: GroupSurvey::default(),
-        paused: Vec::new(),
-        pending: None,
-        former_serves: reason == ChangeReason::Draining,
-        former_demoted: false,
-    };
+    let mut change = GroupChange::new(instance, service, former);
     let started_at = now();
     let done = change.run().await;
     tracing::warn!(
@@ -108,53 +117,54 @@
     let Some(target) = target else {
         return;
     };
-    let change = GroupChange {
-        instance,
-        service,
-        former: None,
-        survey: GroupSurvey::default(),
-        paused: Vec::new(),
-        pending: None,
-        former_serves: false,
-        former_demoted: false,
-    };
+    let change = GroupChange::new(instance, service, None);
     let revision = change.write_order(&target, OrderPhase::Open).await;
     tracing::info!(event = "first_order", service = %service, target = %target, revision);
 }
 
-impl GroupChange<'_> {
+impl<'a> GroupChange<'a> {
+    fn new(instance: &'a Rc<Instance>, service: &'a ServiceId, former: Option<EndpointId>) -> Self {
+        Self {
+            instance,
+            service,
+            former,
+            survey: GroupSurvey::default(),
+            pending: None,
+            former_unused: false,
+            demoted_at: None,
+            earlier_point: None,
+        }
+    }
+
     async fn run(&mut self) -> bool {
         while self.instance.leads() {
-            if !self.former_demoted && self.pending.is_none() && !self.is_pending_in_store() {
+            if self.pending.is_none() && !self.is_pending_in_store() {
                 let reason = group_leader::change_reason(
                     self.instance,
                     self.service,
                     MonotonicTime::default(),
                 );
                 if reason.is_none() {
-                    self.resume_paused().await;
                     return false;
                 }
             }
-            let entries = self.entries();
-            let members = self.survey.survey(self.instance, &entries).await;
-            let step = promotion_step::next_step(&members, self.former.as_ref());
-            tracing::info!(event = "promotion_step", service = %self.service, ?step, ?members);
+            let listed = self.entries();
+            let step = self.survey_group(&listed).await;
             let must_wait = step == PromotionStep::Wait;
             match step {
-                PromotionStep::Pause { endpoints, term } => {
-                    for id in endpoints {
-                        self.paused.push(id.clone());
-                        self.send_command(&id, EndpointCommand::Pause(term)).await;
-                    }
-                }
                 PromotionStep::Demote { endpoint, term } => {
-                    self.former_demoted = true;
-                    self.send_command(&endpoint, EndpointCommand::Demote(term))
-                        .await;
+                    self.demote(&endpoint, term).await;
                 }
-                PromotionStep::Promote(target) => {
-                    if self.promote(&target).await {
+                PromotionStep::Promote {
+                    target,
+                    former_may_acknowledge,
+                } => {
+                    if former_may_acknowledge && !self.former_unused {
+                        self.stop_use_of_former(&target).await;
+                    } else if !self.may_catch_up(&target)
+                        && self.write_pending_order(&target).await
+                        && self.promote(&target, &listed).await
+                    {
                         return self.open_order(&target).await;
                     }
                 }
@@ -174,6 +184,46 @@
         false
     }
 
+    /// Queries the endpoints of the group and returns the next step.
+    async fn survey_group(&mut self, listed: &[EndpointEntry]) -> PromotionStep {
+        let members = self.survey.survey(self.instance, listed, &[]).await;
+        let holders_known = true;
+        let group = SurveyedGroup {
+            members: &members,
+            former: self.former.as_ref(),
+            holders_known,
+            earlier_point: self.earlier_point,
+        };
+        let step = group.next_step();
+        tracing::info!(event = "promotion_step", service = %self.service, ?step, holders_known, ?members);
+        let former = members.iter().find(|m| self.former.as_ref() == Some(&m.id));
+        let report = former.and_then(|former| former.report);
+        self.earlier_point = report.map(|report| report.received);
+        step
+    }
+
+    /// Makes the former primary a replica, after which it acknowledges no commit.
+    async fn demote(&mut self, former: &EndpointId, term: LogTerm) {
+        if self.write_pending_order(former).await && self.await_former_unused(DEMOTION_WAIT).await {
+            self.demoted_at.get_or_insert_with(now);
+            self.send_command(former, EndpointCommand::Demote(term))
+                .await;
+        }
+    }
+
+    /// Stops the use of a former primary that does not answer.
+    async fn stop_use_of_former(&mut self, target: &EndpointId) {
+        self.former_unused =
+            self.write_pending_order(target).await && self.await_former_unused(REVOKE_WAIT).await;
+    }
+
+    /// Returns whether the demoted primary is the target although another endpoint may still receive
+    /// its last entries.
+    fn may_catch_up(&self, target: &EndpointId) -> bool {
+        let recent = |at: MonotonicTime| now().saturating_since(at) < CATCH_UP_TIME;
+        self.former.as_ref() == Some(target) && self.demoted_at.is_some_and(recent)
+    }
+
     fn is_pending_in_store(&self) -> bool {
         let view = self.instance.view.borrow();
         view.orders
@@ -195,12 +245,6 @@
         }
     }
 
-    async fn resume_paused(&mut self) {
-        for id in std::mem::take(&mut self.paused) {
-            self.send_command(&id, EndpointCommand::Resume).await;
-        }
-    }
-
     /// Writes an order on the condition that this instance still leads. Returns its revision.
     async fn write_order(&self, target: &EndpointId, phase: OrderPhase) -> Option<u64> {
         let token = self.instance.fencing_token()?;
@@ -241,29 +285,25 @@
         }
     }
 
-    /// Writes the pending order, at which all instances stop using the former primary.
+    /// Writes the pending order, unless this change has written it.
     async fn write_pending_order(&mut self, target: &EndpointId) -> bool {
-        if self.pending.as_ref().is_some_and(|p| p.target == *target) {
+        if self.pending.is_some() {
             return true;
         }
         let Some(revision) = self.write_order(target, OrderPhase::Pending).await else {
             return false;
         };
         self.pending = Some(PendingOrder {
-            target: target.clone(),
             revision,
             accepted_at: now(),
         });
         true
     }
 
-    /// Requests a promotion and waits until it takes effect.
-    ///
-    /// A former primary that still serves is used until then: every commit that it acknowledges
-    /// meanwhile is in the log of the target, and it acknowledges none afterwards. Otherwise the
-    /// pending order is written before the promotion.
-    async fn promote(&mut self, target: &EndpointId) -> bool {
-        if !self.former_serves && !self.write_pending_order(target).await {
+    /// Requests a promotion and waits until it takes effect. `surveyed` are the endpoints that the
+    /// survey before it has queried.
+    async fn promote(&mut self, target: &EndpointId, surveyed: &[EndpointEntry]) -> bool {
+        if !self.is_group_unchanged(surveyed).await {
             return false;
         }
         let Some(token) = self
@@ -286,10 +326,36 @@
             token,
             outcome = ordered.as_ref().map_or_else(|error| error.to_string(), |()| "accepted".to_owned()),
         );
-        if ordered.is_err() {
-            return false;
+        ordered.is_ok() && self.await_promotion(target).await
+    }
+
+    /// Reads the registry and returns whether the endpoints of the group are those of the survey.
+    /// One that has joined may hold an acknowledged commit, and one that has restarted may have lost
+    /// its log.
+    async fn is_group_unchanged(&self, surveyed: &[EndpointEntry]) -> bool {
+        let prefix = registry::ENDPOINT_PREFIX;
+        let freshness = ReadFreshness::Current;
+        let read = self
+            .instance
+            .store
+            .range(prefix, freshness, STORE_TIMEOUT)
+            .await;
+        match read {
+            Ok(view) => {
+                let items = ViewItems::from(view).items;
+                self.instance.view.borrow_mut().add_items(items);
+            }
+            Err(error) => {
+                tracing::info!(event = "registry_not_read", service = %self.service, %error);
+                return false;
+            }
         }
-        self.await_promotion(target).await && self.write_pending_order(target).await
+        let listed = self.entries();
+        let processes = |entries: &[EndpointEntry]| -> HashSet<(EndpointId, u64)> {
+            let entries = entries.iter();
+            entries.map(|e| (e.id.clone(), e.born)).collect()
+        };
+        processes(&listed) == processes(surveyed)
     }
 
     async fn await_promotion(&mut self, target: &EndpointId) -> bool {
@@ -329,32 +395,50 @@
     /// Opens the order, so that instances use the new primary, once none can still use the former
     /// one.
     async fn open_order(&mut self, target: &EndpointId) -> bool {
+        if !self.await_former_unused(REVOKE_WAIT).await {
+            return false;
+        }
+        if self.write_order(target, OrderPhase::Open).await.is_none() {
+            // The order may be opened later. A new pending order prevents that.
+            self.pending = None;
+            self.former_unused = false;
+            return false;
+        }
+        self.demote_former(target).await;
+        true
+    }
+
+    /// Waits until no instance uses the former primary or passes on its acknowledgements, or until
+    /// `limit` after the pending order. Returns whether this instance still leads.
+    ///
+    /// Each instance acknowledges the pending order or stops by itself within [`REVOKE_WAIT`]. The
+    /// list of members is complete once the view has reached the revision of the order: an instance
+    /// that registers later reads the order before it uses a primary.
+    async fn await_former_unused(&mut self, limit: Duration) -> bool {
         let mut changes = self.instance.changes.subscribe();
         loop {
             let Some(pending) = &self.pending else {
                 return false;
             };
+            let complete = self.instance.view.borrow().revision >= pending.revision;
             let missing = self.missing_acknowledgements(pending.revision);
             let waited = now().saturating_since(pending.accepted_at);
-            if missing.is_empty() || waited >= REVOKE_WAIT {
+            if complete && missing.is_empty() || waited >= limit {
                 tracing::info!(
                     event = "former_primary_unused",
                     service = %self.service,
+                    complete,
                     missing = ?missing,
                     waited_ms = waited.as_millis() as u64,
                 );
-                break;
+                return self.instance.leads();
             }
-            let changed = tokio::time::timeout(STEP_PAUSE, changes.changed()).await;
+            let left = limit.saturating_sub(waited).min(STEP_PAUSE);
+            let changed = tokio::time::timeout(left, changes.changed()).await;
             if matches!(changed, Ok(Err(_))) || !self.instance.leads() {
                 return false;
             }
         }
-        if self.write_order(target, OrderPhase::Open).await.is_none() {
-            return false;
-        }
-        self.reconfigure_replicas(target).await;
-        true
     }
 
     fn missing_acknowledgements(&self, revision: u64) -> Vec<String> {
@@ -374,23 +458,21 @@
             .collect()
     }
 
-    /// Resumes the paused replicas and makes the former primary a replica of the new one.
-    async fn reconfigure_replicas(&mut self, target: &EndpointId) {
-        self.paused.retain(|id| id != target);
-        self.resume_paused().await;
-        let entries = self.entries();
-        let target_entry = entries.iter().find(|entry| entry.id == *target);
-        let Some(new_primary) = target_entry else {
+    /// Makes a former primary that was not demoted before the promotion a replica of the new one.
+    async fn demote_former(&mut self, target: &EndpointId) {
+        let former = self.former.clone().filter(|former| former != target);
+        let (Some(former), None) = (former, self.demoted_at) else {
+            return;
+        };
+        let entry = self.instance.view.borrow().endpoints.get(target).cloned();
+        let Some(new_primary) = entry else {
             return;
         };
         let report = self
             .survey
-            .send_command(self.instance, new_primary, EndpointCommand::Status)
+            .send_command(self.instance, &new_primary, EndpointCommand::Status)
             .await;
-        let Some(report) = report.filter(|report| report.role == GroupRole::Primary) else {
-            return;
-        };
-        if let Some(former) = self.former.clone().filter(|former| former != target) {
+        if let Some(report) = report.filter(|report| report.role == GroupRole::Primary) {
             self.send_command(&former, EndpointCommand::Demote(report.term))
                 .await;
         }
--- a/crates/front/src/group_leader.rs
+++ b/crates/front/src/group_leader.rs
@@ -6,11 +6,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use platform::endpoint_codec::EndpointCommand;
 use platform::store_client::LeaseId;
 use platform::store_client::StoreChange;
 use platform::store_error::StoreError;
-use session_core::endpoint_entry::EndpointEntry;
 use session_core::endpoint_entry::GroupRole;
 use session_core::group_order::OrderPhase;
 use session_core::ids::EndpointId;
@@ -24,7 +22,6 @@
 use crate::fleet_keys::MemberValue;
 use crate::fleet_view::Revised;
 use crate::group_change;
-use crate::group_survey::GroupSurvey;
 use crate::instance::Instance;
 use crate::instance::LeaderTerm;
 use crate::instance_limits::CHANGE_PAUSE;
@@ -238,8 +235,6 @@
                 .apply_written(LEADER_KEY, value, token);
             instance.notify_view_change();
             tokio::task::spawn_local(renew_lead(Rc::clone(instance), lease, token));
-            let instance = Rc::clone(instance);
-            tokio::task::spawn_local(async move { resume_replicas(&instance).await });
         }
         Err(error) => {
             tracing::info!(event = "leader_not_elected", %error);
@@ -272,32 +267,6 @@
     }
 }
 
-/// Resumes replicas that an earlier leader paused for a change that it did not complete.
-async fn resume_replicas(instance: &Instance) {
-    let entries: Vec<EndpointEntry> = {
-        let view = instance.view.borrow();
-        let idle = |entry: &EndpointEntry| {
-            view.orders
-                .get(&entry.service)
-                .is_none_or(|order| order.value.phase == OrderPhase::Open)
-        };
-        view.endpoints
-            .values()
-            .filter(|entry| entry.role == GroupRole::Replica && idle(entry))
-            .cloned()
-            .collect()
-    };
-    let mut survey = GroupSurvey::default();
-    for entry in entries {
-        if !instance.leads() {
-            return;
-        }
-        survey
-            .send_command(instance, &entry, EndpointCommand::Resume)
-            .await;
-    }
-}
-
 fn monitor_groups(instance: &Rc<Instance>, state: &Rc<LeaderState>, led_since: MonotonicTime) {
     let services: Vec<ServiceId> = match &instance.view.borrow().rules {
         Some(rules) => rules.services.keys().cloned().collect(),
--- a/crates/front/src/group_survey.rs
+++ b/crates/front/src/group_survey.rs
@@ -28,22 +28,25 @@
 }
 
 impl GroupSurvey {
-    /// Queries all endpoints of the group in parallel.
+    /// Queries the listed and the dropped endpoints of the group in parallel.
     pub async fn survey(
         &mut self,
         instance: &Instance,
-        entries: &[EndpointEntry],
+        listed: &[EndpointEntry],
+        dropped: &[EndpointEntry],
     ) -> Vec<SurveyedEndpoint> {
-        let queries = entries.iter().map(|entry| {
+        let entries = listed.iter().map(|entry| (entry, true));
+        let entries = entries.chain(dropped.iter().map(|entry| (entry, false)));
+        let queries = entries.map(|(entry, listed)| {
             let kept = self.connections.remove(&entry.id);
             async move {
                 let (connection, report) =
                     send_once(instance, entry, kept, EndpointCommand::Status).await;
-                (entry, connection, report)
+                (entry, listed, connection, report)
             }
         });
         let mut surveyed = Vec::new();
-        for (entry, connection, report) in join_all(queries).await {
+        for (entry, listed, connection, report) in join_all(queries).await {
             if let Some(connection) = connection {
                 self.connections.insert(entry.id.clone(), connection);
             }
@@ -51,6 +54,7 @@
                 id: entry.id.clone(),
                 report,
                 draining: entry.draining,
+                listed,
             });
         }
         surveyed
--- a/crates/front/src/instance.rs
+++ b/crates/front/src/instance.rs
@@ -336,6 +336,15 @@
         view.usable_primary(service, now()).as_ref() == Ok(endpoint)
     }
 
+    /// Returns whether an acknowledgement of a commit that was sent to an endpoint at `sent_at` may
+    /// be passed on to the caller: the endpoint has been the primary since and may still be used.
+    /// Otherwise a promotion may have missed the commit.
+    pub fn may_pass_commit(&self, endpoint: &EndpointId, sent_at: MonotonicTime) -> bool {
+        let view = self.view.borrow();
+        let entry = view.endpoints.get(endpoint);
+        entry.is_some_and(|entry| view.has_been_primary_since(&entry.service, endpoint, sent_at))
+    }
+
     /// Records an endpoint's answer in its failure detector, its load and its group's positions.
     pub fn record_answer(
         &self,
@@ -350,13 +359,13 @@
             }
         });
         let view = self.view.borrow();
-        let Some(entry) = view.endpoints.get(endpoint) else {
+        let Some(service) = view.endpoints.get(endpoint).map(|e| e.service.clone()) else {
             return;
         };
         let mut floors = self.floors.borrow_mut();
-        let history = floors.entry(entry.service.clone()).or_default();
+        let history = floors.entry(service.clone()).or_default();
         if let Some(point) = answer.point()
-            && view.has_been_primary_since(&entry.service, endpoint, answer.sent_at)
+            && view.has_been_primary_since(&service, endpoint, answer.sent_at)
         {
             history.record(answer.sent_at, point);
         }
--- a/crates/front/src/store_feed.rs
+++ b/crates/front/src/store_feed.rs
@@ -105,7 +105,7 @@
     match listed {
         Ok(members) => {
             let items = ViewItems::from(members).items;
-            instance.view.borrow_mut().add_outdated(items);
+            instance.view.borrow_mut().add_items(items);
         }
         Err(error) => {
             tracing::info!(event = "members_not_listed", %error);
--- a/crates/front/tests/testsuite/main.rs
+++ b/crates/front/tests/testsuite/main.rs
@@ -1,7 +1,9 @@
 //! End-to-end tests: the built daemon against a stand-in of the users' platform.
 
 mod fleet;
+mod test_writers;
 
+mod acknowledged_commits;
 mod daemon_stop;
 mod fault_soak;
 mod instance_sizes;
--- a/crates/session-core/src/promotion_step.rs
+++ b/crates/session-core/src/promotion_step.rs
@@ -1,8 +1,18 @@
 //! Decides the next step of a promotion from the reports of the group's endpoints.
 //!
-//! A commit is acknowledged once one replica has received it. While every replica but the target is
-//! paused, each later acknowledgement needs the target. The target therefore has all acknowledged
-//! commits as soon as its log reaches as far as the logs of the paused replicas.
+//! A primary acknowledges a commit once a replica has received it, so its own log has every commit
+//! that it ever acknowledged. The promoted endpoint has them all for one of these reasons:
+//!
+//! - The former primary answers. It is made a replica first and acknowledges nothing afterwards, so
+//!   an endpoint whose log reaches as far as its log lacks nothing. Endpoints that join, leave, are
+//!   resumed or restart meanwhile do not matter, since the former primary's log alone counts.
+//! - The former primary does not answer, or no endpoint can catch up with it. Once no instance passes
+//!   its acknowledgements on, the endpoint with the furthest log is promoted, provided that every
+//!   endpoint that may hold an acknowledged commit has reported since. A replica that left may have
+//!   been the only one with a commit, until a commit is acknowledged by another one.
+//!
+//! An acknowledged commit is lost with its holders only if the former primary and a replica have
+//! both gone from the registry.
 
 use crate::endpoint_entry::GroupRole;
 use crate::ids::EndpointId;
@@ -31,18 +41,28 @@
     pub report: Option<EndpointReport>,
     /// Whether it is about to leave the group.
     pub draining: bool,
+    /// Whether the registry lists it. An endpoint whose entry is gone may still replicate; it counts
+    /// if it answers, but cannot be promoted.
+    pub listed: bool,
+}
+
+/// The endpoints of a group and what is known of those that are not among them.
+#[derive(Debug, Clone, Copy)]
+pub struct SurveyedGroup<'a> {
+    /// The endpoints, surveyed at the same time.
+    pub members: &'a [SurveyedEndpoint],
+    /// The primary to be replaced.
+    pub former: Option<&'a EndpointId>,
+    /// Whether each acknowledged commit is held by an endpoint of the survey besides the former
+    /// primary: a commit was acknowledged after the last replica had left.
+    pub holders_known: bool,
+    /// An earlier position of the former primary. A replica that has reached it is following.
+    pub earlier_point: Option<LogPoint>,
 }
 
 /// The next step of a promotion.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum PromotionStep {
-    /// Pause replication to these replicas, then survey again.
-    Pause {
-        /// The replicas.
-        endpoints: Vec<EndpointId>,
-        /// A term higher than any reported one.
-        term: LogTerm,
-    },
     /// Make the former primary a replica, then survey again.
     Demote {
         /// The former primary.
@@ -51,93 +71,133 @@
         term: LogTerm,
     },
     /// Promote this endpoint, which has every acknowledged commit.
-    Promote(EndpointId),
+    Promote {
+        /// The endpoint.
+        target: EndpointId,
+        /// Whether the former primary can still acknowledge commits. The survey must then have been
+        /// taken after all instances stopped passing its acknowledgements on.
+        former_may_acknowledge: bool,
+    },
     /// This endpoint is already the new primary: an earlier promotion took effect.
     Leads(EndpointId),
     /// Wait, since an endpoint that may be the only one with some acknowledged commits does not
-    /// answer.
+    /// answer, or no endpoint can take over.
     Wait,
 }
 
-/// Returns the next step; `former` is the primary to be replaced.
-///
-/// The target's report must have been taken after the pauses that the other reports show.
-pub fn next_step(members: &[SurveyedEndpoint], former: Option<&EndpointId>) -> PromotionStep {
-    let reports = || members.iter().filter_map(|m| m.report.map(|r| (m, r)));
-    let newest = reports().map(|(_, report)| report.term).max();
-    let Some(newest) = newest else {
-        return PromotionStep::Wait;
-    };
-    let leader = reports().find(|(member, report)| {
-        report.role == GroupRole::Primary
-            && report.term == newest
-            && former.is_some_and(|id| *id != member.id)
-    });
-    if let Some((member, _)) = leader {
-        return PromotionStep::Leads(member.id.clone());
-    }
-    let next_term = LogTerm(newest.0 + 1);
-    let is_former = |member: &SurveyedEndpoint| former == Some(&member.id);
-    let silent = members
-        .iter()
-        .any(|member| !is_former(member) && member.report.is_none());
-    let former_report = reports().find(|(member, _)| is_former(member));
-    if silent {
-        return match former_report {
-            Some((member, report)) if report.role == GroupRole::Primary => PromotionStep::Demote {
-                endpoint: member.id.clone(),
-                term: next_term,
-            },
-            Some((_, demoted)) => promote_caught_up(members, demoted.received),
-            None => PromotionStep::Wait,
+impl SurveyedGroup<'_> {
+    /// Returns the next step.
+    pub fn next_step(&self) -> PromotionStep {
+        let Some(newest) = self.reports().map(|(_, report)| report.term).max() else {
+            return PromotionStep::Wait;
+        };
+        let leader = self.reports().find(|(member, report)| {
+            report.role == GroupRole::Primary
+                && report.term == newest
+                && self.former.is_some_and(|id| *id != member.id)
+        });
+        if let Some((member, _)) = leader {
+            return PromotionStep::Leads(member.id.clone());
+        }
+        let former = self.members.iter().find(|member| self.is_former(member));
+        let Some(former) = former.filter(|former| former.listed || former.report.is_some()) else {
+            return self.promote_furthest(!self.has_silent());
         };
+        let Some(report) = former.report else {
+            return self.promote_furthest(!self.has_silent() && self.holders_known);
+        };
+        if report.role == GroupRole::Primary {
+            return match self.can_be_replaced() {
+                true => PromotionStep::Demote {
+                    endpoint: former.id.clone(),
+                    term: LogTerm(newest.0 + 1),
+                },
+                false => PromotionStep::Wait,
+            };
+        }
+        if self.replica_reports().any(|r| r.received > report.received) {
+            // The former primary restarted without its log.
+            return self.promote_furthest(!self.has_silent());
+        }
+        self.promote_after_demotion(former, report.received)
+    }
+
+    fn reports(&self) -> impl Iterator<Item = (&SurveyedEndpoint, EndpointReport)> {
+        self.members.iter().filter_map(|m| m.report.map(|r| (m, r)))
+    }
+
+    fn is_former(&self, member: &SurveyedEndpoint) -> bool {
+        self.former == Some(&member.id)
+    }
+
+    /// Returns the reports of the endpoints other than the former primary.
+    fn replica_reports(&self) -> impl Iterator<Item = EndpointReport> {
+        let replicas = self.reports().filter(|(member, _)| !self.is_former(member));
+        replicas.map(|(_, report)| report)
+    }
+
+    /// Returns the endpoints other than the former primary that can be promoted.
+    fn candidates(&self) -> impl Iterator<Item = (&SurveyedEndpoint, EndpointReport)> {
+        let replicas = self.reports().filter(|(member, _)| !self.is_former(member));
+        replicas.filter(|(member, _)| member.listed)
+    }
+
+    /// Returns whether a listed endpoint other than the former primary does not answer.
+    fn has_silent(&self) -> bool {
+        let mut others = self.members.iter().filter(|m| !self.is_former(m));
+        others.any(|member| member.listed && member.report.is_none())
     }
-    let replicas: Vec<_> = reports()
-        .filter(|(member, report)| !is_former(member) || report.role == GroupRole::Replica)
-        .collect();
-    let furthest = replicas.iter().map(|(_, report)| report.received).max();
-    let paused = |report: &EndpointReport| report.paused_term > newest;
-    let all_paused = replicas.iter().all(|(_, report)| paused(report));
-    let not_draining = replicas.iter().filter(|(member, _)| !member.draining);
-    let target = match not_draining.max_by_key(|(_, report)| report.received) {
-        Some((member, report)) if !all_paused || Some(report.received) == furthest => Some(member),
-        _ => replicas
-            .iter()
-            .max_by_key(|(_, report)| report.received)
-            .map(|(member, _)| member),
-    };
-    let Some(target) = target else {
-        return PromotionStep::Wait;
-    };
-    let target_received = target.report.map(|report| report.received);
-    let receiving: Vec<EndpointId> = replicas
-        .iter()
-        .filter(|(member, report)| member.id != target.id && !paused(report))
-        .map(|(member, _)| member.id.clone())
-        .collect();
-    if !receiving.is_empty() {
-        return PromotionStep::Pause {
-            endpoints: receiving,
-            term: next_term,
+
+    /// Returns whether another endpoint could be promoted if the former primary were demoted now.
+    fn can_be_replaced(&self) -> bool {
+        let follows = |report: EndpointReport| {
+            self.earlier_point
+                .is_some_and(|point| report.received >= point)
         };
+        let complete = !self.has_silent() && self.holders_known;
+        self.candidates()
+            .any(|(_, report)| complete || follows(report))
     }
-    if target_received == furthest {
-        return PromotionStep::Promote(target.id.clone());
+
+    /// Promotes an endpoint that has the whole log of the demoted primary, preferably one that is not
+    /// draining. If there is none, promotes the one with the furthest log if no other endpoint can
+    /// have more acknowledged commits, and otherwise the demoted primary itself if it is listed.
+    fn promote_after_demotion(&self, former: &SurveyedEndpoint, needed: LogPoint) -> PromotionStep {
+        let caught_up = self.candidates().filter(|(_, r)| r.received >= needed);
+        let target = caught_up
+            .map(|(member, _)| member)
+            .min_by_key(|m| m.draining);
+        let complete = !self.has_silent() && self.holders_known;
+        let target = target
+            .or_else(|| self.furthest().filter(|_| complete))
+            .or_else(|| former.listed.then_some(former));
+        match target {
+            Some(member) => PromotionStep::Promote {
+                target: member.id.clone(),
+                former_may_acknowledge: false,
+            },
+            None => PromotionStep::Wait,
+        }
     }
-    PromotionStep::Pause {
-        endpoints: vec![target.id.clone()],
-        term: next_term,
+
+    /// Promotes the endpoint with the furthest log, or waits unless `complete`.
+    fn promote_furthest(&self, complete: bool) -> PromotionStep {
+        match self.furthest().filter(|_| complete) {
+            Some(member) => PromotionStep::Promote {
+                target: member.id.clone(),
+                former_may_acknowledge: true,
+            },
+            None => PromotionStep::Wait,
+        }
     }
-}
 
-/// Returns the promotion of a replica that has received all entries up to `needed`, preferably one
-/// that is not draining, or `Wait` if there is none.
-fn promote_caught_up(members: &[SurveyedEndpoint], needed: LogPoint) -> PromotionStep {
-    members
-        .iter()
-        .filter(|member| member.report.is_some_and(|r| r.received >= needed))
-        .min_by_key(|member| member.draining)
-        .map_or(PromotionStep::Wait, |member| {
-            PromotionStep::Promote(member.id.clone())
-        })
+    /// Returns the endpoint with the furthest log, preferably one that is not draining. Returns
+    /// `None` if that endpoint cannot be promoted.
+    fn furthest(&self) -> Option<&SurveyedEndpoint> {
+        let furthest = self.replica_reports().map(|report| report.received).max()?;
+        self.candidates()
+            .filter(|(_, report)| report.received == furthest)
+            .map(|(member, _)| member)
+            .min_by_key(|member| member.draining)
+    }
 }
--- a/crates/soak/src/soak_run.rs
+++ b/crates/soak/src/soak_run.rs
@@ -240,6 +240,17 @@
         probes.join_all().await.into_iter().flatten().collect()
     }
 
+    /// Waits until the group has a primary, since a change may be under way, or until `timeout`.
+    async fn await_primary(&self, timeout: Duration) {
+        let led = async {
+            while self.platform.shared.group().primary().is_none() {
+                tokio::time::sleep(PROBE_PAUSE).await;
+            }
+        };
+        // A group without a primary is reported by the checks.
+        let _ = tokio::time::timeout(timeout, led).await;
+    }
+
     /// Reports a violation for each process that has exited without being stopped.
     async fn check_processes(&self) -> io::Result<()> {
         for (number, process) in self.processes.iter().enumerate() {
@@ -312,6 +323,7 @@
     let recovered_in = faults_ended_at.elapsed();
     stop.send_replace(true);
     callers.join_all().await;
+    fleet.await_primary(RECOVERY_TIMEOUT).await;
     fleet.check_processes().await?;
     let rates = [DEFAULT_TEAM, LIMITED_TEAM].map(|(team, _, rate)| (team.to_owned(), rate));
     let history = lock(&fleet.history);
