Consider what a replica that left may have held

Cause: commits that the replica that left had received were acknowledged through it alone. The survey compared only the logs of the endpoints that were still there, although the former primary had them all.

Change: each instance records when an endpoint last left a group (dropped, restarted, or unseen because the store's history was dropped), and up to when another endpoint is known to hold all that the primary has acknowledged: from its own commits, or, as the leader, from a comparison of the logs. An endpoint with a shorter log than the former primary's is promoted only if the second time is later. Dropped endpoints are still asked for their logs for 15 s.

Why this works: logs are prefixes of the primary's. A commit that was sent after the last departure and was acknowledged is held by an endpoint that was still there, with all before it; a later departure ends this knowledge. A new leader that has seen neither knows nothing, and promotes the former primary again, or waits for it until its registry entry is gone.

Ruled out: a list of members in the store (a call for each join, and a second source beside the registry); the position that instances passed on (lost with an instance that dies).

Open: an endpoint that replicates without ever having registered is not known to anybody.

--- a/crates/front/src/fleet_view.rs
+++ b/crates/front/src/fleet_view.rs
@@ -11,6 +11,7 @@
 use platform::store_client::StoreItem;
 use session_core::endpoint_entry::EndpointEntry;
 use session_core::group_order::GroupOrder;
+use session_core::group_order::OrderPhase;
 use session_core::ids::EndpointId;
 use session_core::ids::InstanceId;
 use session_core::ids::ServiceId;
@@ -34,6 +35,9 @@
 /// store outage are back within about two seconds.
 const MISSING_TIME: Duration = Duration::from_millis(2_500);
 
+/// Time for which a dropped endpoint is still asked for its log when the primary is replaced.
+const DROPPED_TIME: Duration = Duration::from_secs(15);
+
 /// Maximum number of removed items kept for followers.
 const MAX_REMOVALS: usize = 300;
 
@@ -74,6 +78,15 @@
     draining: HashMap<EndpointId, Option<MonotonicTime>>,
     /// Endpoints whose entries are missing, and since when.
     missing: HashMap<EndpointId, MonotonicTime>,
+    /// Entries of endpoints that were dropped, and when. Such an endpoint may still replicate.
+    dropped: HashMap<EndpointId, (EndpointEntry, MonotonicTime)>,
+    /// When an endpoint of a service last left its group, restarted included.
+    left_at: HashMap<ServiceId, MonotonicTime>,
+    /// Time before which endpoints of any service may have left without being seen.
+    watched_since: Option<MonotonicTime>,
+    /// Primary of each service, and the time up to which another endpoint is known to hold all that
+    /// the primary has acknowledged; since its order was opened.
+    held: HashMap<ServiceId, (EndpointId, MonotonicTime)>,
     /// All items as the store sent them, with those removed since `history_start`.
     items: BTreeMap<String, RelayItem>,
     /// Revision before which removals are unknown.
@@ -100,6 +113,8 @@
         for item in removed.into_iter().chain(view.items) {
             self.apply(item);
         }
+        // Endpoints may have joined and left since the previous revision.
+        self.watched_since = Some(now());
         self.history_start = self.history_start.max(revision);
         self.revision = self.revision.max(revision);
         self.synced_at = self.synced_at.max(Some(known_at));
@@ -215,14 +230,14 @@
 
     fn apply_endpoint(&mut self, item: &StoreItem) {
         let Some(value) = &item.value else {
-            if let Ok(id) = item
-                .key
-                .trim_start_matches(registry::ENDPOINT_PREFIX)
-                .parse::<EndpointId>()
-                && self.endpoints.contains_key(&id)
-            {
-                tracing::info!(event = "endpoint_missing", endpoint = %id, revision = item.revision);
-                self.missing.entry(id).or_insert_with(now);
+            let id = item.key.trim_start_matches(registry::ENDPOINT_PREFIX);
+            match id.parse::<EndpointId>() {
+                Ok(id) if self.endpoints.contains_key(&id) => {
+                    tracing::info!(event = "endpoint_missing", endpoint = %id, revision = item.revision);
+                    self.missing.entry(id).or_insert_with(now);
+                }
+                // The entry was added and removed between two updates.
+                _ => self.watched_since = Some(now()),
             }
             return;
         };
@@ -249,7 +264,13 @@
                 } else {
                     self.draining.remove(&entry.id);
                 }
+                if let Some(former) = former
+                    && (former.born != entry.born || former.service != entry.service)
+                {
+                    self.left_at.insert(former.service.clone(), now());
+                }
                 self.missing.remove(&entry.id);
+                self.dropped.remove(&entry.id);
                 self.endpoints.insert(entry.id.clone(), entry);
             }
             Err(error) => {
@@ -281,6 +302,9 @@
                         token = order.value.token,
                         revision = order.revision,
                     );
+                    if order.value.phase == OrderPhase::Open {
+                        self.held.remove(&service);
+                    }
                     self.orders.insert(service, order);
                 }
                 None => {
@@ -317,9 +341,60 @@
         self.missing = kept;
         for id in dropped.into_keys() {
             tracing::info!(event = "endpoint_gone", endpoint = %id);
-            self.endpoints.remove(&id);
             self.draining.remove(&id);
+            if let Some(entry) = self.endpoints.remove(&id) {
+                self.left_at.insert(entry.service.clone(), at);
+                self.dropped.insert(id, (entry, at));
+            }
         }
+        self.dropped
+            .retain(|_, (_, since)| at.saturating_since(*since) < DROPPED_TIME);
+    }
+
+    /// Returns the endpoints of a service that were dropped and may still replicate.
+    pub fn dropped_group<'a>(
+        &'a self,
+        service: &'a ServiceId,
+    ) -> impl Iterator<Item = &'a EndpointEntry> + 'a {
+        let entries = self.dropped.values().map(|(entry, _)| entry);
+        entries.filter(move |entry| entry.service == *service)
+    }
+
+    /// Records that another endpoint holds every commit that the primary of a service acknowledged
+    /// before `sent_at`: the primary acknowledged a commit that was sent then, or the logs were
+    /// compared.
+    pub fn record_held(
+        &mut self,
+        service: &ServiceId,
+        endpoint: &EndpointId,
+        sent_at: MonotonicTime,
+    ) {
+        if !self.has_been_primary_since(service, endpoint, sent_at) {
+            return;
+        }
+        match self.held.get_mut(service) {
+            Some((primary, at)) if primary == endpoint => *at = sent_at.max(*at),
+            _ => {
+                let value = (endpoint.clone(), sent_at);
+                self.held.insert(service.clone(), value);
+            }
+        }
+    }
+
+    /// Returns when an endpoint of the service last left its group, or may have left it unseen.
+    pub fn last_left_at(&self, service: &ServiceId) -> Option<MonotonicTime> {
+        self.watched_since.max(self.left_at.get(service).copied())
+    }
+
+    /// Returns whether each commit that the primary of the service acknowledged is held by another
+    /// endpoint that was in the group when the last one left it.
+    ///
+    /// Logs are prefixes of the primary's log: an endpoint that holds a commit holds every earlier
+    /// one, and a later commit was received by an endpoint that was still there.
+    pub fn are_holders_known(&self, service: &ServiceId, primary: &EndpointId) -> bool {
+        let held = self.held.get(service);
+        let held_at = held.and_then(|(id, at)| (id == primary).then_some(*at));
+        self.watched_since.is_some() && held_at > self.last_left_at(service)
     }
 
     /// Returns whether an endpoint has been draining for `limit` or longer, so that it gets no more
--- a/crates/front/src/group_change.rs
+++ b/crates/front/src/group_change.rs
@@ -186,8 +186,15 @@
 
     /// Queries the endpoints of the group and returns the next step.
     async fn survey_group(&mut self, listed: &[EndpointEntry]) -> PromotionStep {
-        let members = self.survey.survey(self.instance, listed, &[]).await;
-        let holders_known = true;
+        let dropped: Vec<EndpointEntry> = {
+            let view = self.instance.view.borrow();
+            view.dropped_group(self.service).cloned().collect()
+        };
+        let members = self.survey.survey(self.instance, listed, &dropped).await;
+        let holders_known = self.former.as_ref().is_some_and(|former| {
+            let view = self.instance.view.borrow();
+            view.are_holders_known(self.service, former)
+        });
         let group = SurveyedGroup {
             members: &members,
             former: self.former.as_ref(),
--- a/crates/front/src/instance.rs
+++ b/crates/front/src/instance.rs
@@ -358,10 +358,13 @@
                 detector.record_acknowledgement();
             }
         });
-        let view = self.view.borrow();
+        let mut view = self.view.borrow_mut();
         let Some(service) = view.endpoints.get(endpoint).map(|e| e.service.clone()) else {
             return;
         };
+        if acknowledged {
+            view.record_held(&service, endpoint, answer.sent_at);
+        }
         let mut floors = self.floors.borrow_mut();
         let history = floors.entry(service.clone()).or_default();
         if let Some(point) = answer.point()
--- a/crates/front/tests/testsuite/acknowledged_commits.rs
+++ b/crates/front/tests/testsuite/acknowledged_commits.rs
@@ -98,3 +98,36 @@
     assert!(writers.count() > 100, "{} writes", writers.count());
     assert_eq!(writers.finish(&fleet).await, Vec::<String>::new());
 }
+
+/// A replica that received nothing must not be promoted after the only other one has left, through
+/// which commits were acknowledged (review case 3).
+#[tokio::test]
+async fn leaving_replica_loses_nothing() {
+    let fleet = Fleet::start(2).await;
+    let replicas = replicas(&fleet);
+    let (leaving, staying) = (&replicas[0], &replicas[1]);
+    let first_writers = TestWriters::start(&fleet, "before", WRITERS);
+    tokio::time::sleep(ORDER_AGE).await;
+    set_deaf(&fleet, staying, true);
+    tokio::time::sleep(Duration::from_millis(500)).await;
+    assert_eq!(first_writers.finish(&fleet).await, Vec::<String>::new());
+    let newest = {
+        let group = fleet.platform.shared.group();
+        let commits = group.endpoints[leaving].log.iter();
+        let writes = commits.flat_map(|commit| &commit.writes);
+        writes.last().cloned().expect("a write was acknowledged")
+    };
+    fleet.platform.remove_endpoint(leaving);
+    // The registry's entry counts as gone after 2.5 s.
+    tokio::time::sleep(Duration::from_millis(3_000)).await;
+    let writers = TestWriters::start(&fleet, "item", WRITERS);
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    set_deaf(&fleet, staying, false);
+    let mut caller = fleet.caller(0, "linear").await;
+    caller.request_until_served("WRITE page later").await;
+    let read = caller
+        .request_until_served(&format!("READ {}", newest.0))
+        .await;
+    assert_eq!(read.rows, vec![newest.1]);
+    assert_eq!(writers.finish(&fleet).await, Vec::<String>::new());
+}
--- a/tests/testsuite/promotion_steps.rs
+++ b/tests/testsuite/promotion_steps.rs
@@ -126,6 +126,22 @@
     assert_eq!(known_step(&members), promotes("p"));
 }
 
+/// A replica that has left may have held the only copy of a commit. A replica whose log is shorter
+/// than that of the former primary must not be promoted then.
+#[test]
+fn left_replica_is_considered() {
+    let members = [replica("p", 9), replica("a", 8)];
+    assert_eq!(unknown_step(&members), promotes("p"));
+    let members = [silent("p"), replica("a", 8)];
+    assert_eq!(unknown_step(&members), PromotionStep::Wait);
+    // Once the former primary is gone as well, there is nothing to wait for.
+    assert_eq!(unknown_step(&members[1..]), promotes_unanswered("a"));
+    let mut dropped = silent("p");
+    dropped.listed = false;
+    let members = [dropped, replica("a", 8)];
+    assert_eq!(unknown_step(&members), promotes_unanswered("a"));
+}
+
 /// A primary must not be demoted if no other endpoint could take over.
 #[test]
 fn useless_demotion_is_avoided() {
@@ -145,6 +161,18 @@
     assert_eq!(known_step(&members), PromotionStep::Wait);
 }
 
+/// An endpoint that the registry lists no longer may still replicate and hold the only copy of a
+/// commit, but instances could not use it as the primary.
+#[test]
+fn unlisted_endpoint_counts() {
+    let mut unlisted = replica("b", 8);
+    unlisted.listed = false;
+    let members = [replica("a", 5), unlisted.clone(), silent("p")];
+    assert_eq!(known_step(&members), PromotionStep::Wait);
+    let members = [replica("a", 8), unlisted, silent("p")];
+    assert_eq!(known_step(&members), promotes_unanswered("a"));
+}
+
 /// A draining replica must not be promoted if another replica has the same position.
 #[test]
 fn staying_replica_is_preferred() {
