Skip single entries of the instance list that can't be read

Cause: other operators saw an odd entry among those of the backends (very deeply nested, a number too large, a port out of range) end the machines that read the list, or stop them from following it. The PostgreSQL daemon decoded the platform's instance list as a whole, so that one odd entry hid all the others, for as long as it was there.

Change: entries of the list are decoded one by one; one that can't be decoded is logged and skipped. Nesting is not followed recursively, so its depth does not matter. With the former decoder of the whole list behind the same function, `odd_instances_are_skipped` fails.

--- a/crates/front/tests/testsuite/main.rs
+++ b/crates/front/tests/testsuite/main.rs
@@ -11,6 +11,7 @@
 mod large_configuration;
 mod log_volume;
 mod member_keys;
+mod odd_entries;
 mod primary_changes;
 mod relayed_changes;
 mod session_state;
--- a/src/process/store_client.rs
+++ b/src/process/store_client.rs
@@ -6,13 +6,14 @@
 use std::time::Duration;
 
 use ntex::http::Method;
+use serde::Deserialize;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
+use serde_json::value::RawValue;
 use store_wire::CasAnswer;
 use store_wire::CasRequest;
 use store_wire::ErrorAnswer;
 use store_wire::InstanceEntry;
-use store_wire::InstanceList;
 use store_wire::KeyEntry;
 use store_wire::LeaseAnswer;
 use store_wire::LeaseRequest;
@@ -217,7 +218,7 @@
             .call(StoreCallKind::Instances, Method::GET, path, None)
             .await?;
         match reply.status {
-            OK => decode_body::<InstanceList>(&reply).map(|list| list.instances),
+            OK => parse_instances(&reply.body),
             _ => Err(error_of(&reply)),
         }
     }
@@ -240,6 +241,31 @@
     }
 }
 
+/// Instance list whose entries are not decoded yet.
+#[derive(Deserialize)]
+#[serde(rename_all = "snake_case")]
+struct RawInstances<'a> {
+    #[serde(borrow)]
+    instances: Vec<&'a RawValue>,
+}
+
+/// Decodes the body of an instance list. Entries that cannot be decoded are logged and skipped, so
+/// that one entry of another writer does not hide the others.
+///
+/// # Errors
+///
+/// `BadAnswer` if the body is not a JSON list of instances.
+pub fn parse_instances(body: &[u8]) -> Result<Vec<InstanceEntry>, StoreError> {
+    let list: RawInstances<'_> = serde_json::from_slice(body).map_err(|_| StoreError::BadAnswer)?;
+    let entries = list.instances.into_iter().filter_map(|entry| {
+        let decoded = serde_json::from_str(entry.get());
+        decoded
+            .inspect_err(|error| tracing::warn!("store: skipped an instance entry: {error}"))
+            .ok()
+    });
+    Ok(entries.collect())
+}
+
 /// Serializes a body as JSON; this cannot fail for the wire types.
 fn encode_body<T: Serialize>(value: &T) -> Option<Vec<u8>> {
     serde_json::to_vec(value).ok()
--- a/tests/testsuite/store_adapter.rs
+++ b/tests/testsuite/store_adapter.rs
@@ -15,6 +15,7 @@
 use tamaracklb::process::store_calls::StoreCallKind;
 use tamaracklb::process::store_client::StoreClient;
 use tamaracklb::process::store_client::SwapOutcome;
+use tamaracklb::process::store_client::parse_instances;
 use tamaracklb::process::store_error::StoreError;
 
 use crate::support::group::eventually;
@@ -238,3 +239,28 @@
     }
     assert_eq!(client.calls().total(), received.total());
 }
+
+/// An entry of another writer that is deeply nested, out of range or unreadable must not hide the
+/// other entries of the instance list.
+#[test]
+fn odd_instances_are_skipped() {
+    let good = r#"{"id":"i-1","address":"10.0.0.1:9432","zone":"zone-a","state":"live"}"#;
+    let nested = format!("{}{}", "[".repeat(100_000), "]".repeat(100_000));
+    let odd = [
+        nested.clone(),
+        format!(r#"{{"id":{nested},"address":"10.0.0.2:9432","zone":"zone-a","state":"live"}}"#),
+        format!(
+            r#"{{"id":{},"address":1e999,"zone":"zone-a","state":"live"}}"#,
+            "9".repeat(400)
+        ),
+        r#"{"id":"i-2","address":"10.0.0.2:9432","zone":"zone-a","state":"odd"}"#.to_owned(),
+        "null".to_owned(),
+    ];
+    for odd in odd {
+        let body = format!(r#"{{"instances":[{odd},{good}]}}"#);
+        let entries = parse_instances(body.as_bytes()).expect("the list is read");
+        let ids: Vec<&str> = entries.iter().map(|entry| entry.id.as_str()).collect();
+        assert_eq!(ids, ["i-1"], "{}", &odd[..odd.len().min(80)]);
+    }
+    assert_eq!(parse_instances(b"[]"), Err(StoreError::BadAnswer));
+}
