Inject changes of the group in the soak

Cause: the seeds of the soak held while the users' own runs lost hundreds of commits. Its group never changed: no endpoint joined, left or restarted without its log, no replica received nothing for a while, the store did late writes never or at once, and a leader died only by chance.

Change: a third kind of schedule, `--changes`, with these faults and with series of them around one change of the primary. Promotions take 1 s there, as on the users' platform. The faults that the other two kinds draw from a seed are the same as before.

--- a/crates/front/tests/testsuite/fault_soak.rs
+++ b/crates/front/tests/testsuite/fault_soak.rs
@@ -4,6 +4,8 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
+use soak::fault_schedule;
+use soak::fault_schedule::ScheduleKind;
 use soak::soak_run::SoakPlan;
 use soak::soak_run::SoakVerdict;
 use soak::soak_run::run_seed;
@@ -13,6 +15,9 @@
 const REGRESSION_CALLERS: usize = 6;
 const REGRESSION_TIME: Duration = Duration::from_secs(10);
 
+/// Length of the runs with changes of the group.
+const CHANGES_TIME: Duration = Duration::from_secs(22);
+
 async fn run_small(seed: u64) -> SoakVerdict {
     run_sized(seed, 3, 3, Duration::from_secs(6)).await
 }
@@ -32,11 +37,29 @@
     instances: usize,
     callers: usize,
     fault_time: Duration,
+) -> SoakVerdict {
+    let kind = fault_schedule::kind_of(seed);
+    run_kind(kind, seed, instances, callers, fault_time).await
+}
+
+/// Runs a seed with changes of the group, at the size in which the seeds below failed.
+async fn run_changes(seed: u64) -> SoakVerdict {
+    let kind = ScheduleKind::Changes;
+    run_kind(kind, seed, REGRESSION_INSTANCES, 4, CHANGES_TIME).await
+}
+
+async fn run_kind(
+    kind: ScheduleKind,
+    seed: u64,
+    instances: usize,
+    callers: usize,
+    fault_time: Duration,
 ) -> SoakVerdict {
     let folder = tempfile::tempdir().expect("create a temporary folder");
     let plan = SoakPlan {
         program: PathBuf::from(env!("CARGO_BIN_EXE_tamaracklb-front")),
         seed,
+        kind,
         instances,
         callers,
         fault_time,
@@ -85,3 +108,20 @@
     let verdict = run_regression(23).await;
     assert!(verdict.violations.is_empty(), "{:#?}", verdict.violations);
 }
+
+/// Regression test: with seed 12, acknowledged writes were lost while endpoints joined, left and
+/// received nothing during changes of the primary.
+#[tokio::test(flavor = "multi_thread")]
+async fn changes_lose_nothing() {
+    let verdict = run_changes(12).await;
+    assert!(verdict.violations.is_empty(), "{:#?}", verdict.violations);
+    assert!(verdict.promotions > 0, "{verdict}");
+}
+
+/// Regression test: seed 13 failed like seed 12, and reads from the primary were stale.
+#[tokio::test(flavor = "multi_thread")]
+async fn changes_serve_nothing_stale() {
+    let verdict = run_changes(13).await;
+    assert!(verdict.violations.is_empty(), "{:#?}", verdict.violations);
+    assert!(verdict.promotions > 0, "{verdict}");
+}
--- a/crates/soak/src/fault_schedule.rs
+++ b/crates/soak/src/fault_schedule.rs
@@ -1,5 +1,6 @@
 //! Derives the faults of a run from its seed.
 
+use std::fmt;
 use std::time::Duration;
 
 use rand::Rng;
@@ -22,6 +23,9 @@
 /// from the store.
 const FAULT_DURATION_MS: std::ops::Range<u64> = 200..4_500;
 
+/// Time between the starts of two faults of a run with changes of the group.
+const CHANGE_INTERVAL_MS: std::ops::Range<u64> = 300..2_500;
+
 /// Delay that a link adds to each chunk.
 const LINK_DELAY_MS: std::ops::Range<u64> = 5..250;
 
@@ -38,9 +42,59 @@
     Reload,
 }
 
+/// What a run injects.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ScheduleKind {
+    /// Overlapping faults of links, processes, endpoints and the store.
+    Faults,
+    /// Planned work only, during which no connection may be closed before its request is answered.
+    Planned,
+    /// Endpoints that join, leave, restart and fall silent or deaf, with faults of leaders and of the
+    /// store.
+    Changes,
+}
+
+impl fmt::Display for ScheduleKind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            ScheduleKind::Faults => "faults",
+            ScheduleKind::Planned => "planned work",
+            ScheduleKind::Changes => "changes",
+        })
+    }
+}
+
+/// Which endpoint a fault affects.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EndpointChoice {
+    /// The primary.
+    Primary,
+    /// The replica with this number, modulo the number of replicas.
+    Replica(usize),
+}
+
 /// A fault or a planned action that a run injects.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum SoakFault {
+    /// A new endpoint joins, and an old one drains for the duration and leaves. A primary leaves once
+    /// it has been replaced.
+    Release(EndpointChoice),
+    /// A replica receives nothing.
+    ReplicaDeaf(usize),
+    /// The primary is cut off from all replicas.
+    ReplicasCut,
+    /// An endpoint joins this time after the next promotion request.
+    JoinsDuringChange(Duration),
+    /// Targets of promotions receive nothing until the promotion takes effect.
+    TargetsDeaf,
+    /// A replica leaves while the others receive nothing, and is replaced later.
+    LastReplicaLeaves(usize),
+    /// A replica restarts without its log.
+    ReplicaRestarts(usize),
+    /// The leader is killed and restarted after the duration.
+    LeaderKilled,
+    /// The store does not answer changes, and does them after this time.
+    StoreChangesLate(Duration),
     /// Acts on the process of one instance.
     Process(usize, ProcessFault),
     /// Kills all processes and restarts them.
@@ -91,8 +145,17 @@
     seed.is_multiple_of(PLANNED_SEED_INTERVAL)
 }
 
+/// Returns what a seed runs unless it is given.
+pub fn kind_of(seed: u64) -> ScheduleKind {
+    match is_planned(seed) {
+        true => ScheduleKind::Planned,
+        false => ScheduleKind::Faults,
+    }
+}
+
 /// Returns the faults of a seed that begin before `end`.
 pub fn draw_faults(
+    kind: ScheduleKind,
     seed: u64,
     instances: usize,
     endpoints: usize,
@@ -102,17 +165,28 @@
     let mut faults = Vec::new();
     let mut starts_after = FIRST_FAULT_DELAY;
     while starts_after < end {
-        let fault = match is_planned(seed) {
-            true => draw_planned(&mut random, instances),
-            false => draw_fault(&mut random, instances, endpoints),
+        match kind {
+            ScheduleKind::Planned => {
+                let fault = draw_planned(&mut random, instances);
+                faults.push(schedule(&mut random, starts_after, fault));
+            }
+            ScheduleKind::Faults => {
+                let fault = draw_fault(&mut random, instances, endpoints);
+                faults.push(schedule(&mut random, starts_after, fault));
+            }
+            ScheduleKind::Changes => {
+                for (delay, fault) in draw_changes(&mut random, instances, endpoints) {
+                    faults.push(schedule(&mut random, starts_after + delay, fault));
+                }
+            }
+        }
+        let interval = match kind {
+            ScheduleKind::Changes => CHANGE_INTERVAL_MS,
+            ScheduleKind::Faults | ScheduleKind::Planned => FAULT_INTERVAL_MS,
         };
-        faults.push(ScheduledFault {
-            starts_after,
-            duration: Duration::from_millis(random.random_range(FAULT_DURATION_MS)),
-            fault,
-        });
-        starts_after += Duration::from_millis(random.random_range(FAULT_INTERVAL_MS));
+        starts_after += Duration::from_millis(random.random_range(interval));
     }
+    faults.sort_by_key(|fault| fault.starts_after);
     faults
 }
 
@@ -157,3 +231,75 @@
         _ => SoakFault::KeyWithdrawn,
     }
 }
+
+/// Draws a fault, or several that follow each other closely, with the delay of each.
+fn draw_changes(
+    random: &mut ChaCha8Rng,
+    instances: usize,
+    endpoints: usize,
+) -> Vec<(Duration, SoakFault)> {
+    let instance = random.random_range(0..instances);
+    let endpoint = random.random_range(0..endpoints);
+    let mut after = |delays_ms| Duration::from_millis(random.random_range(delays_ms));
+    let at_once = Duration::ZERO;
+    match after(0..10).as_millis() {
+        // An endpoint joins while the primary is replaced because its commits hang.
+        0 | 1 => vec![
+            (at_once, SoakFault::ReplicasCut),
+            (at_once, SoakFault::JoinsDuringChange(after(0..400))),
+        ],
+        // A new leader replaces a draining primary, and the target receives nothing.
+        2 | 3 => vec![
+            (at_once, SoakFault::TargetsDeaf),
+            (at_once, SoakFault::LeaderKilled),
+            (at_once, SoakFault::Release(EndpointChoice::Primary)),
+        ],
+        4 | 5 => vec![(at_once, SoakFault::LastReplicaLeaves(endpoint))],
+        // The registration of an instance is done late; later the instance is cut off from the store
+        // while a primary is replaced.
+        6 => vec![
+            (at_once, SoakFault::StoreChangesLate(after(1_000..3_000))),
+            (at_once, SoakFault::Process(instance, ProcessFault::Kill)),
+            (
+                Duration::from_millis(12_500),
+                SoakFault::StoreLink(instance, LinkFault::Silent),
+            ),
+            (
+                Duration::from_millis(13_000),
+                SoakFault::Release(EndpointChoice::Primary),
+            ),
+        ],
+        _ => vec![(at_once, draw_change(random, instance, endpoint))],
+    }
+}
+
+fn draw_change(random: &mut ChaCha8Rng, instance: usize, endpoint: usize) -> SoakFault {
+    let link = match random.random_range(0..3) {
+        0 => LinkFault::Silent,
+        1 => LinkFault::SilentToTarget,
+        _ => LinkFault::SilentFromTarget,
+    };
+    match random.random_range(0..16) {
+        0 | 1 => SoakFault::Release(EndpointChoice::Primary),
+        2 => SoakFault::Release(EndpointChoice::Replica(endpoint)),
+        3 => SoakFault::ReplicaDeaf(endpoint),
+        4 => SoakFault::ReplicasCut,
+        5 | 6 => SoakFault::ReplicaRestarts(endpoint),
+        7 => SoakFault::LeaderKilled,
+        8 | 9 => SoakFault::StoreLink(instance, link),
+        10 | 11 => SoakFault::EndpointLink(endpoint, link),
+        12 | 13 => SoakFault::EndpointSilent(endpoint),
+        14 => SoakFault::Process(instance, ProcessFault::Pause),
+        _ => SoakFault::Process(instance, ProcessFault::Kill),
+    }
+}
+
+/// Schedules a fault with a random duration.
+fn schedule(random: &mut ChaCha8Rng, starts_after: Duration, fault: SoakFault) -> ScheduledFault {
+    let duration = Duration::from_millis(random.random_range(FAULT_DURATION_MS));
+    ScheduledFault {
+        starts_after,
+        duration,
+        fault,
+    }
+}
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -7,6 +7,7 @@
 
 use argh::FromArgs;
 use soak::fault_schedule;
+use soak::fault_schedule::ScheduleKind;
 use soak::soak_run::SoakPlan;
 use soak::soak_run::run_seed;
 use tokio::signal::unix::SignalKind;
@@ -31,6 +32,9 @@
     /// number of daemon instances
     #[argh(option, default = "5")]
     instances: usize,
+    /// inject changes of the group: endpoints join, leave, restart and fall deaf or silent
+    #[argh(switch)]
+    changes: bool,
     /// number of callers of each kind
     #[argh(option, default = "6")]
     callers: usize,
@@ -39,9 +43,14 @@
 /// Runs one seed, prints its verdict and returns whether all guarantees held.
 fn check_seed(args: &SoakArgs, seed: u64) -> io::Result<bool> {
     let folder = tempfile::tempdir()?;
+    let kind = match args.changes {
+        true => ScheduleKind::Changes,
+        false => fault_schedule::kind_of(seed),
+    };
     let plan = SoakPlan {
         program: args.program.clone(),
         seed,
+        kind,
         instances: args.instances,
         callers: args.callers,
         fault_time: Duration::from_secs(args.seconds),
@@ -58,10 +67,6 @@
             _ = interrupt.recv() => Err(io::ErrorKind::Interrupted.into()),
         }
     })?;
-    let kind = match fault_schedule::is_planned(seed) {
-        true => "planned work",
-        false => "faults",
-    };
     println!("seed {seed} ({kind}): {verdict}");
     for violation in verdict.violations.iter().take(10) {
         println!("  {violation}");
--- a/crates/soak/src/soak_faults.rs
+++ b/crates/soak/src/soak_faults.rs
@@ -9,7 +9,9 @@
 use standins::platform::store_state::StoreFault;
 use tokio::task::JoinSet;
 
+use crate::fault_schedule::EndpointChoice;
 use crate::fault_schedule::ProcessFault;
+use crate::fault_schedule::ScheduleKind;
 use crate::fault_schedule::ScheduledFault;
 use crate::fault_schedule::SoakFault;
 use crate::link_proxy::LinkFault;
@@ -24,6 +26,26 @@
 /// Time between killing a process and restarting it.
 const RESTART_DELAY: Duration = Duration::from_millis(200);
 
+/// Time within which a draining primary must be replaced after its drain, with faults that last a few
+/// seconds each.
+const REPLACEMENT_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// Maximum silence of an endpoint beside changes of the group: shorter than the time after which an
+/// endpoint without a registry entry counts as gone, since its log would then be lost by right.
+const SHORT_SILENCE: Duration = Duration::from_millis(2_000);
+
+/// Time for which the store does changes late.
+const LATE_CHANGES_TIME: Duration = Duration::from_millis(800);
+
+/// Time before a replica leaves in which the others receive nothing.
+const DEAF_BEFORE: Duration = Duration::from_millis(800);
+
+/// Time after a replica has left for which the others receive nothing.
+const DEAF_AFTER: Duration = Duration::from_millis(5_500);
+
+/// Time within which a promotion request is awaited.
+const CHANGE_TIMEOUT: Duration = Duration::from_millis(5_000);
+
 /// Replication delay of replicas without a lag fault.
 pub const DEFAULT_LAG: Duration = Duration::from_millis(20);
 
@@ -73,7 +95,7 @@
                 Ok(())
             }
             SoakFault::EndpointLink(endpoint, fault) => {
-                let link = &self.endpoint_links[endpoint].1;
+                let link = self.endpoint_link(endpoint).1;
                 link.set_fault(fault);
                 tokio::time::sleep(duration).await;
                 link.set_fault(LinkFault::None);
@@ -84,14 +106,18 @@
                 Ok(())
             }
             SoakFault::EndpointReset(endpoint) => {
-                self.endpoint_links[endpoint].1.reset();
+                self.endpoint_link(endpoint).1.reset();
                 Ok(())
             }
             SoakFault::EndpointSilent(endpoint) => {
                 // Only one endpoint at a time: two silent endpoints of three may hold the only
                 // copies of a commit.
                 let _guard = self.endpoint_silence.lock().await;
-                let id = &self.endpoint_links[endpoint].0;
+                let duration = match self.kind {
+                    ScheduleKind::Changes => duration.min(SHORT_SILENCE),
+                    ScheduleKind::Faults | ScheduleKind::Planned => duration,
+                };
+                let id = &self.endpoint_link(endpoint).0;
                 self.platform.change_group(|group| {
                     if let Some(endpoint) = group.endpoints.get_mut(id) {
                         endpoint.alive = false;
@@ -101,6 +127,47 @@
                 self.platform.change_group(|group| group.revive(id));
                 Ok(())
             }
+            SoakFault::Release(choice) => self.release(choice, duration).await,
+            SoakFault::ReplicaDeaf(number) => {
+                let deaf: Vec<String> = self.replica(number).into_iter().collect();
+                self.deafen(&deaf, duration).await;
+                Ok(())
+            }
+            SoakFault::ReplicasCut => {
+                self.deafen(&self.replicas(), duration).await;
+                Ok(())
+            }
+            SoakFault::JoinsDuringChange(delay) => self.join_during_change(delay).await,
+            SoakFault::TargetsDeaf => {
+                self.platform.change_group(|g| g.deafen_targets = true);
+                tokio::time::sleep(duration * 2).await;
+                self.platform.change_group(|g| g.deafen_targets = false);
+                Ok(())
+            }
+            SoakFault::LastReplicaLeaves(number) => self.leave_last(number, duration).await,
+            SoakFault::ReplicaRestarts(number) => {
+                let replica = self.replica(number);
+                self.platform.change_group(|group| {
+                    // A target that restarts before its promotion takes effect loses commits by right.
+                    if let Some(id) = replica.filter(|_| group.promotions_under_way == 0) {
+                        group.restart(&id);
+                    }
+                });
+                Ok(())
+            }
+            SoakFault::LeaderKilled => match self.leader() {
+                Some(leader) => {
+                    let mut process = self.processes[leader].lock().await;
+                    process.kill();
+                    tokio::time::sleep(duration).await;
+                    process.restart()
+                }
+                None => Ok(()),
+            },
+            SoakFault::StoreChangesLate(delay) => {
+                let fault = StoreFault::ChangesLate(delay);
+                self.inject_store_fault(fault, LATE_CHANGES_TIME).await
+            }
             SoakFault::PrimaryDrains => {
                 let primary = self.platform.shared.group().primary();
                 let set = |draining: bool| {
@@ -148,6 +215,134 @@
         }
     }
 
+    /// Returns the ids of the replicas, sorted.
+    fn replicas(&self) -> Vec<String> {
+        let group = self.platform.shared.group();
+        let primary = group.primary();
+        let others = group
+            .endpoints
+            .keys()
+            .filter(|id| Some(*id) != primary.as_ref());
+        let mut ids: Vec<String> = others.cloned().collect();
+        ids.sort();
+        ids
+    }
+
+    fn replica(&self, number: usize) -> Option<String> {
+        let replicas = self.replicas();
+        let index = number.checked_rem(replicas.len())?;
+        replicas.into_iter().nth(index)
+    }
+
+    /// Returns the number of the instance that leads.
+    fn leader(&self) -> Option<usize> {
+        let store = self.platform.shared.store();
+        let item = store.items.get("tamaracklb/leader")?;
+        let value: serde_json::Value = serde_json::from_slice(&item.value).ok()?;
+        let name = value["instance"].as_str()?;
+        name.strip_prefix("front-")?.parse().ok()
+    }
+
+    /// Lets endpoints receive nothing for some time.
+    async fn deafen(&self, ids: &[String], duration: Duration) {
+        let set = |deaf: bool| {
+            self.platform.change_group(|group| {
+                for id in ids {
+                    if let Some(endpoint) = group.endpoints.get_mut(id) {
+                        endpoint.deaf = deaf;
+                    }
+                }
+                if !deaf {
+                    group.follow_newest();
+                }
+            });
+        };
+        set(true);
+        tokio::time::sleep(duration).await;
+        set(false);
+    }
+
+    async fn join_during_change(&self, delay: Duration) -> io::Result<()> {
+        let known = self.platform.shared.group().promotions.len();
+        let started_at = Instant::now();
+        while self.platform.shared.group().promotions.len() == known {
+            if started_at.elapsed() >= CHANGE_TIMEOUT {
+                return Ok(());
+            }
+            tokio::time::sleep(EXIT_CHECK_PAUSE).await;
+        }
+        tokio::time::sleep(delay).await;
+        self.add_endpoint().await?;
+        Ok(())
+    }
+
+    async fn leave_last(&self, number: usize, duration: Duration) -> io::Result<()> {
+        let _guard = self.releases.lock().await;
+        let Some(id) = self.replica(number) else {
+            return Ok(());
+        };
+        self.set_draining(&id);
+        tokio::time::sleep(duration).await;
+        let mut others = self.replicas();
+        others.retain(|other| *other != id);
+        let deaf = self.deafen(&others, DEAF_BEFORE + DEAF_AFTER);
+        let left = async {
+            tokio::time::sleep(DEAF_BEFORE).await;
+            let is_primary = {
+                let group = self.platform.shared.group();
+                group.primary().as_ref() == Some(&id) || group.promotions_under_way > 0
+            };
+            if !is_primary {
+                self.remove_endpoint(&id);
+            }
+        };
+        tokio::join!(deaf, left);
+        self.add_endpoint().await?;
+        Ok(())
+    }
+
+    fn set_draining(&self, id: &str) {
+        self.platform.change_group(|group| {
+            if let Some(endpoint) = group.endpoints.get_mut(id) {
+                endpoint.draining = true;
+            }
+        });
+    }
+
+    /// Replaces an endpoint by a new one. The old one drains for `duration` before it leaves, and as
+    /// long as it is the primary, or is about to be, for at most [`REPLACEMENT_TIMEOUT`].
+    async fn release(&self, choice: EndpointChoice, duration: Duration) -> io::Result<()> {
+        // One at a time, as a platform replaces the endpoints of a group.
+        let _guard = self.releases.lock().await;
+        let id = match choice {
+            EndpointChoice::Primary => self.platform.shared.group().primary(),
+            EndpointChoice::Replica(number) => self.replica(number),
+        };
+        let Some(id) = id else {
+            return Ok(());
+        };
+        self.add_endpoint().await?;
+        self.set_draining(&id);
+        tokio::time::sleep(duration).await;
+        let requested_at = Instant::now();
+        while requested_at.elapsed() < REPLACEMENT_TIMEOUT {
+            {
+                let group = self.platform.shared.group();
+                let primary = group.primary();
+                let replaced = primary.is_some_and(|primary| primary != id);
+                if replaced && group.promotions_under_way == 0 {
+                    break;
+                }
+            }
+            tokio::time::sleep(EXIT_CHECK_PAUSE).await;
+        }
+        if self.platform.shared.group().primary().as_ref() == Some(&id) {
+            self.report_violation(format!("{id} drains and was not replaced"));
+        }
+        self.remove_endpoint(&id);
+        Ok(())
+    }
+
     async fn inject_store_fault(&self, fault: StoreFault, duration: Duration) -> io::Result<()> {
         set_store_fault(&self.platform, fault);
         tokio::time::sleep(duration).await;
--- a/crates/soak/src/soak_run.rs
+++ b/crates/soak/src/soak_run.rs
@@ -7,7 +7,10 @@
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::Mutex as StdMutex;
+use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -23,6 +26,7 @@
 use tokio::task::JoinSet;
 
 use crate::fault_schedule;
+use crate::fault_schedule::ScheduleKind;
 use crate::guarantee_checks::GuaranteeViolation;
 use crate::guarantee_checks::check_guarantees;
 use crate::link_proxy::LinkProxy;
@@ -49,6 +53,16 @@
 /// Time after the start of a run within which all instances must serve.
 const START_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Time between a promotion request and its effect in runs with changes of the group. The time comes
+/// from the users' platform.
+const CHANGE_PROMOTION_TIME: Duration = Duration::from_millis(1_000);
+
+/// Time until a command that resumes a replica takes effect in such runs, as over a slow link.
+const CHANGE_RESUME_DELAY: Duration = Duration::from_millis(400);
+
+/// Number in the id of the first endpoint that joins during a run.
+const FIRST_JOINING_ENDPOINT: usize = 4;
+
 /// Pause between two checks of whether an instance serves.
 const PROBE_PAUSE: Duration = Duration::from_millis(50);
 
@@ -59,6 +73,8 @@
     pub program: PathBuf,
     /// Seed of the faults and of the callers' operations.
     pub seed: u64,
+    /// What the run injects.
+    pub kind: ScheduleKind,
     /// Number of daemon instances.
     pub instances: usize,
     /// Number of callers of each kind.
@@ -100,12 +116,17 @@
 
 /// The platform, the daemon processes and the links of a run.
 pub(crate) struct SoakFleet {
+    pub kind: ScheduleKind,
     pub platform: PlatformHandle,
     pub processes: Vec<Mutex<DaemonProcess>>,
     pub store_links: Vec<LinkProxy>,
-    pub endpoint_links: Vec<(String, LinkProxy)>,
+    endpoint_links: StdMutex<Vec<(String, LinkProxy)>>,
     /// Held during a fault that silences an endpoint, so that these faults do not overlap.
     pub endpoint_silence: Mutex<()>,
+    /// Held while an endpoint is replaced.
+    pub releases: Mutex<()>,
+    /// Number in the id of the next endpoint that joins.
+    next_endpoint: AtomicUsize,
     /// Held while the key of the limited team is withdrawn.
     key_withdrawal: Mutex<()>,
     /// Version of the newest configuration, and whether the key of the limited team is withdrawn.
@@ -149,12 +170,21 @@
             processes.push(Mutex::new(DaemonProcess::start(&process)?));
             store_links.push(link);
         }
+        if plan.kind == ScheduleKind::Changes {
+            platform.change_group(|group| {
+                group.promotion_time = CHANGE_PROMOTION_TIME;
+                group.resume_delay = CHANGE_RESUME_DELAY;
+            });
+        }
         let fleet = Self {
+            kind: plan.kind,
             platform,
             processes,
             store_links,
-            endpoint_links,
+            endpoint_links: StdMutex::new(endpoint_links),
             endpoint_silence: Mutex::default(),
+            releases: Mutex::default(),
+            next_endpoint: AtomicUsize::new(FIRST_JOINING_ENDPOINT),
             key_withdrawal: Mutex::default(),
             configuration: StdMutex::default(),
             history: Arc::default(),
@@ -209,6 +239,39 @@
         self.configure(true);
     }
 
+    fn links(&self) -> MutexGuard<'_, Vec<(String, LinkProxy)>> {
+        let links = self.endpoint_links.lock();
+        links.unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the id and the link of the endpoint with this number, modulo the number of endpoints.
+    pub fn endpoint_link(&self, number: usize) -> (String, LinkProxy) {
+        let links = self.links();
+        links[number % links.len()].clone()
+    }
+
+    /// Starts an endpoint that joins the group as a replica, and returns its id.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if an address cannot be bound.
+    pub async fn add_endpoint(&self) -> io::Result<String> {
+        let number = self.next_endpoint.fetch_add(1, Ordering::Relaxed);
+        let id = format!("db-{number}");
+        let target = self.platform.serve_endpoint(&id).await?;
+        let link = LinkProxy::start(target).await?;
+        self.platform
+            .change_group(|group| group.join(&id, link.address));
+        self.links().push((id.clone(), link));
+        Ok(id)
+    }
+
+    /// Ends an endpoint and its link.
+    pub fn remove_endpoint(&self, id: &str) {
+        self.platform.remove_endpoint(id);
+        self.links().retain(|(other, _)| other != id);
+    }
+
     pub fn report_violation(&self, violation: String) {
         lock(&self.history).record_violation(violation);
     }
@@ -305,13 +368,19 @@
             team: (team.to_owned(), key.to_owned()),
             addresses: addresses.clone(),
             history: Arc::clone(&fleet.history),
-            planned: fault_schedule::is_planned(plan.seed),
+            planned: plan.kind == ScheduleKind::Planned,
             seed: plan.seed.wrapping_mul(1_000).wrapping_add(number as u64),
         };
         callers.spawn(caller.run(stop.subscribe()));
     }
-    let endpoints = fleet.endpoint_links.len();
-    let faults = fault_schedule::draw_faults(plan.seed, plan.instances, endpoints, plan.fault_time);
+    let endpoints = fleet.links().len();
+    let faults = fault_schedule::draw_faults(
+        plan.kind,
+        plan.seed,
+        plan.instances,
+        endpoints,
+        plan.fault_time,
+    );
     soak_faults::inject_faults(&fleet, &faults).await?;
     let faults_ended_at = Instant::now();
     let unserved = fleet.await_service(RECOVERY_TIMEOUT).await;
--- a/crates/standins/src/platform/group_state.rs
+++ b/crates/standins/src/platform/group_state.rs
@@ -82,6 +82,8 @@
     pub refuse_promotions: bool,
     /// Whether the target of a promotion receives nothing until the promotion takes effect.
     pub deafen_targets: bool,
+    /// Number of promotions that were accepted and have not taken effect.
+    pub promotions_under_way: u32,
     /// Time between a promotion request and its effect.
     pub promotion_time: Duration,
     /// Time between a `RESUME` and its effect.
@@ -95,14 +97,15 @@
 }
 
 impl GroupState {
-    /// Adds a replica with an empty log, which follows the primary of the newest term.
+    /// Adds a replica, which receives the log of the primary at once.
     pub fn join(&mut self, id: &str, address: SocketAddr) {
-        let term = self.endpoints.values().map(|e| e.term).max().unwrap_or(1);
+        let primary = self.primary().and_then(|id| self.endpoints.get(&id));
+        let (term, log) = primary.map_or((0, Vec::new()), |p| (p.term, p.log.clone()));
         let state = EndpointState {
             address,
             primary: false,
             term,
-            log: Vec::new(),
+            log,
             visible_commits: 0,
             deaf: false,
             paused: 0,
@@ -113,10 +116,12 @@
         self.endpoints.insert(id.to_owned(), state);
     }
 
-    /// Restarts an endpoint as a replica with an empty log.
+    /// Restarts an endpoint as a replica with an empty log, which it receives again with the next
+    /// commit.
     pub fn restart(&mut self, id: &str) {
         if let Some(endpoint) = self.endpoints.get_mut(id) {
             endpoint.primary = false;
+            endpoint.term = 0;
             endpoint.log.clear();
             endpoint.visible_commits = 0;
             endpoint.paused = 0;
@@ -164,7 +169,9 @@
         let mut state = CommitState::Waiting;
         for (id, replica) in &mut self.endpoints {
             let follows = id != endpoint && !replica.primary && replica.alive;
-            if follows && !replica.deaf && replica.paused == 0 && replica.term == term {
+            let in_term = replica.term == term || replica.term == 0;
+            if follows && !replica.deaf && replica.paused == 0 && in_term {
+                replica.term = term;
                 replica.log.clone_from(&log);
                 state = CommitState::Received;
             }
--- a/crates/standins/src/platform/platform_handle.rs
+++ b/crates/standins/src/platform/platform_handle.rs
@@ -109,6 +109,7 @@
                 lag: Duration::from_millis(20),
                 refuse_promotions: false,
                 deafen_targets: false,
+                promotions_under_way: 0,
                 promotion_time: PROMOTION_TIME,
                 resume_delay: Duration::ZERO,
                 lose_answers: 0,
@@ -138,18 +139,28 @@
         self.shared.publish();
     }
 
-    /// Starts an endpoint with an empty log, which joins the group as a replica.
+    /// Starts an endpoint, which joins the group as a replica.
     ///
     /// # Errors
     ///
     /// Returns an error if an address cannot be bound.
     pub async fn add_endpoint(&self, id: &str) -> io::Result<()> {
+        let address = self.serve_endpoint(id).await?;
+        self.change_group(|group| group.join(id, address));
+        Ok(())
+    }
+
+    /// Starts the server of an endpoint that is not in the group yet, and returns its address.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if an address cannot be bound.
+    pub async fn serve_endpoint(&self, id: &str) -> io::Result<SocketAddr> {
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
         let address = listener.local_addr()?;
-        self.change_group(|group| group.join(id, address));
         let shared = Arc::clone(&self.shared);
         tokio::spawn(line_server::serve_endpoint(listener, shared, id.to_owned()));
-        Ok(())
+        Ok(address)
     }
 
     /// Ends an endpoint, whose log is lost, and removes its registry entry.
--- a/crates/standins/src/platform/store_server.rs
+++ b/crates/standins/src/platform/store_server.rs
@@ -255,6 +255,7 @@
         {
             endpoint.deaf = true;
         }
+        group.promotions_under_way += 1;
         group.promotion_time
     };
     let shared = Arc::clone(shared);
@@ -267,6 +268,7 @@
             {
                 endpoint.deaf = false;
             }
+            group.promotions_under_way -= 1;
             group.promote(&target);
         }
         shared.publish();
--- a/tests/testsuite/soak_checks.rs
+++ b/tests/testsuite/soak_checks.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use soak::fault_schedule::ScheduleKind;
 use soak::fault_schedule::draw_faults;
 use soak::fault_schedule::is_planned;
 use soak::guarantee_checks::check_guarantees;
@@ -42,6 +43,7 @@
         lag: Duration::ZERO,
         refuse_promotions: false,
         deafen_targets: false,
+        promotions_under_way: 0,
         promotion_time: Duration::ZERO,
         resume_delay: Duration::ZERO,
         lose_answers: 0,
@@ -235,7 +237,14 @@
 #[test]
 fn seeds_are_repeatable() {
     let end = Duration::from_secs(20);
-    assert_eq!(draw_faults(7, 5, 3, end), draw_faults(7, 5, 3, end));
-    assert_ne!(draw_faults(7, 5, 3, end), draw_faults(8, 5, 3, end));
+    for kind in [
+        ScheduleKind::Faults,
+        ScheduleKind::Planned,
+        ScheduleKind::Changes,
+    ] {
+        let draw = |seed| draw_faults(kind, seed, 5, 3, end);
+        assert_eq!(draw(7), draw(7));
+        assert_ne!(draw(7), draw(8));
+    }
     assert!(is_planned(8) && !is_planned(7));
 }
