Clear the values of a connection that queries a position

Cause: `query_position` sends a reset on a connection without a team and left the record of its values as it was; public sessions use the same connections. `probe_replica` cleared the record, but after the answer.

Change: both clear it before they send the reset.

`position_queries_keep_values` fails on the code before: the values of the read are empty. The sample configuration has a route without a key for it.

--- a/crates/front/src/position_probe.rs
+++ b/crates/front/src/position_probe.rs
@@ -40,10 +40,10 @@
     };
     let instance = Rc::clone(instance);
     tokio::task::spawn_local(async move {
+        connection.values = ConnectionValues::default();
         let reset = EndpointCommand::Replay(ReplayStep::Reset);
         match connection.run(reset, REPLICA_TIMEOUT).await {
             Ok(answer) => {
-                connection.values = ConnectionValues::default();
                 instance.record_position(&connection.endpoint, &answer);
             }
             Err(fault) => {
@@ -133,6 +133,8 @@
         }
         Err(PoolError::Exhausted) => return,
     };
+    // Callers without a team use the same connections.
+    connection.values = ConnectionValues::default();
     let reset = EndpointCommand::Replay(ReplayStep::Reset);
     match connection.run(reset, PROBE_TIMEOUT).await {
         Ok(answer) => instance.record_answer(&entry.id, &answer, false),
--- a/crates/front/tests/testsuite/session_state.rs
+++ b/crates/front/tests/testsuite/session_state.rs
@@ -114,3 +114,28 @@
     );
     assert!(caller.request("READ page").await.succeeded());
 }
+
+/// The values of a session without a team must survive queries of the primary's position, which use
+/// the same connections. A new leader has no other connection for them (review case 5).
+#[tokio::test]
+async fn position_queries_keep_values() {
+    let mut fleet = Fleet::start(2).await;
+    let leader = fleet.leader().expect("an instance leads");
+    // As a follower it has not queried the primary yet.
+    fleet.instances[1 - leader].restart();
+    fleet.instances[1 - leader].await_ready().await;
+    let address = fleet.instances[1 - leader].process.callers;
+    let mut caller = LineCaller::open(address, "open", "-").await;
+    assert!(caller.request("SET locale yo").await.succeeded());
+    let expected = vec![("locale".to_owned(), "yo".to_owned())];
+    caller.request_until_served("READ page").await;
+    fleet.instances[leader].kill();
+    for _ in 0..6 {
+        // A leader queries a primary that has been quiet for half a second.
+        tokio::time::sleep(std::time::Duration::from_millis(900)).await;
+        caller.request_until_served("READ page").await;
+        let group = fleet.platform.shared.group();
+        let run = group.executed_statements.last().expect("the read ran");
+        assert_eq!(run.values, expected);
+    }
+}
--- a/crates/standins/src/platform/sample_configuration.rs
+++ b/crates/standins/src/platform/sample_configuration.rs
@@ -36,13 +36,14 @@
 }
 
 /// Returns a configuration with one service and a route of each kind to it: `linear` reads from the
-/// primary, `bounded` with bounded staleness, and `own` with read-your-writes.
+/// primary, `bounded` with bounded staleness, `own` with read-your-writes, and `open` from the primary
+/// without a key.
 pub fn sample_configuration(version: u64, service: &str, teams: &[SampleTeam]) -> Value {
     let route = |host: &str, kind: &str| {
         json!({
             "Name": host, "Host": host, "Prefix": "/", "Kind": kind, "TimeoutMs": STATEMENT_MS,
             "TargetLatencyMs": 400, "Priority": 1, "Service": service,
-            "MaxStalenessMs": STALENESS_MS, "Public": false,
+            "MaxStalenessMs": STALENESS_MS, "Public": host == "open",
         })
     };
     let team = |team: &SampleTeam| {
@@ -56,6 +57,7 @@
             route("linear", "primary"),
             route("bounded", "bounded_staleness"),
             route("own", "read_your_writes"),
+            route("open", "primary"),
         ],
         "Services": [{"Name": service, "MaxConnections": 40, "SyncReplicas": 1}],
         "Limits": {"TransactionIdleMs": 3_000},
