--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -44,6 +44,7 @@
 mod platform_codecs;
 mod primary_permits;
 mod program_run;
+mod promotion_calls;
 mod promotion_steps;
 mod rate_deputies;
 mod rate_loans;
