Query dropped endpoints once for a change

Cause: a dropped endpoint whose machine is dark holds up each survey of a change by the 0.5 s of a connection attempt, for 15 s after its departure; a release replaces endpoints one after the other. While the former primary's last entries may still arrive, surveys followed each other within 15 ms, and each status costs a slot.

Change: a dropped endpoint that does not answer the first survey of a change is not queried again, and the change pauses as for any other wait while replicas may still catch up.

--- a/crates/front/src/group_change.rs
+++ b/crates/front/src/group_change.rs
@@ -70,6 +70,8 @@
     demoted_at: Option<MonotonicTime>,
     /// Position of the former primary in the previous survey.
     earlier_point: Option<LogPoint>,
+    /// Dropped endpoints that did not answer. They are not queried again, as that takes a timeout.
+    gone: HashSet<EndpointId>,
 }
 
 struct PendingOrder {
@@ -133,6 +135,7 @@
             former_unused: false,
             demoted_at: None,
             earlier_point: None,
+            gone: HashSet::new(),
         }
     }
 
@@ -150,7 +153,10 @@
             }
             let listed = self.entries();
             let step = self.survey_group(&listed).await;
-            let must_wait = step == PromotionStep::Wait;
+            if self.must_wait(&step) {
+                tokio::time::sleep(STEP_PAUSE).await;
+                continue;
+            }
             match step {
                 PromotionStep::Demote { endpoint, term } => {
                     self.demote(&endpoint, term).await;
@@ -161,8 +167,7 @@
                 } => {
                     if former_may_acknowledge && !self.former_unused {
                         self.stop_use_of_former(&target).await;
-                    } else if !self.may_catch_up(&target)
-                        && self.write_pending_order(&target).await
+                    } else if self.write_pending_order(&target).await
                         && self.promote(&target, &listed).await
                     {
                         return self.open_order(&target).await;
@@ -175,11 +180,7 @@
                 }
                 PromotionStep::Wait => {}
             }
-            let pause = match must_wait {
-                true => STEP_PAUSE,
-                false => STEP_PAUSE / 10,
-            };
-            tokio::time::sleep(pause).await;
+            tokio::time::sleep(STEP_PAUSE / 10).await;
         }
         false
     }
@@ -188,9 +189,15 @@
     async fn survey_group(&mut self, listed: &[EndpointEntry]) -> PromotionStep {
         let dropped: Vec<EndpointEntry> = {
             let view = self.instance.view.borrow();
-            view.dropped_group(self.service).cloned().collect()
+            let dropped = view.dropped_group(self.service);
+            dropped
+                .filter(|entry| !self.gone.contains(&entry.id))
+                .cloned()
+                .collect()
         };
         let members = self.survey.survey(self.instance, listed, &dropped).await;
+        let silent = members.iter().filter(|m| !m.listed && m.report.is_none());
+        self.gone.extend(silent.map(|member| member.id.clone()));
         let holders_known = self.former.as_ref().is_some_and(|former| {
             let view = self.instance.view.borrow();
             view.are_holders_known(self.service, former)
@@ -224,11 +231,17 @@
             self.write_pending_order(target).await && self.await_former_unused(REVOKE_WAIT).await;
     }
 
-    /// Returns whether the demoted primary is the target although another endpoint may still receive
-    /// its last entries.
-    fn may_catch_up(&self, target: &EndpointId) -> bool {
+    /// Returns whether to survey again after a pause instead of taking the step: there is none, or the
+    /// demoted primary is the target although another endpoint may still receive its last entries.
+    fn must_wait(&self, step: &PromotionStep) -> bool {
         let recent = |at: MonotonicTime| now().saturating_since(at) < CATCH_UP_TIME;
-        self.former.as_ref() == Some(target) && self.demoted_at.is_some_and(recent)
+        match step {
+            PromotionStep::Wait => true,
+            PromotionStep::Promote { target, .. } => {
+                self.former.as_ref() == Some(target) && self.demoted_at.is_some_and(recent)
+            }
+            PromotionStep::Demote { .. } | PromotionStep::Leads(_) => false,
+        }
     }
 
     fn is_pending_in_store(&self) -> bool {
