Use the platform's replication delay in the soak's changes

Cause: with 20 ms, a replica that serves a read in place of the primary is behind for too short a time for the callers to notice. The users' platform has 60 ms.

--- a/crates/soak/src/soak_run.rs
+++ b/crates/soak/src/soak_run.rs
@@ -57,6 +57,9 @@
 /// from the users' platform.
 const CHANGE_PROMOTION_TIME: Duration = Duration::from_millis(1_000);
 
+/// Replication delay of replicas in such runs. The time comes from the users' platform.
+const CHANGE_LAG: Duration = Duration::from_millis(60);
+
 /// Time until a command that resumes a replica takes effect in such runs, as over a slow link.
 const CHANGE_RESUME_DELAY: Duration = Duration::from_millis(400);
 
@@ -172,6 +175,7 @@
         }
         if plan.kind == ScheduleKind::Changes {
             platform.change_group(|group| {
+                group.lag = CHANGE_LAG;
                 group.promotion_time = CHANGE_PROMOTION_TIME;
                 group.resume_delay = CHANGE_RESUME_DELAY;
             });
