Don't count a primary among those that hold its commits

Change: the departure of the primary itself is no departure of a holder. A primary whose entry is gone but that answers is sent its demotion as well; the entry was looked up among the listed ones only.

`lapsed_primary_is_replaced` fails without the change: no promotion is requested in 15 s.

--- a/crates/front/src/fleet_view.rs
+++ b/crates/front/src/fleet_view.rs
@@ -80,7 +80,7 @@
     missing: HashMap<EndpointId, MonotonicTime>,
     /// Entries of endpoints that were dropped, and when. Such an endpoint may still replicate.
     dropped: HashMap<EndpointId, (EndpointEntry, MonotonicTime)>,
-    /// When an endpoint of a service last left its group, restarted included.
+    /// When a replica of a service last left its group, restarted included.
     left_at: HashMap<ServiceId, MonotonicTime>,
     /// Time before which endpoints of any service may have left without being seen.
     watched_since: Option<MonotonicTime>,
@@ -264,10 +264,10 @@
                 } else {
                     self.draining.remove(&entry.id);
                 }
-                if let Some(former) = former
-                    && (former.born != entry.born || former.service != entry.service)
-                {
-                    self.left_at.insert(former.service.clone(), now());
+                let left = former
+                    .filter(|former| former.born != entry.born || former.service != entry.service);
+                if let Some(service) = left.map(|left| left.service.clone()) {
+                    self.record_departure(&service, &entry.id, now());
                 }
                 self.missing.remove(&entry.id);
                 self.dropped.remove(&entry.id);
@@ -343,7 +343,7 @@
             tracing::info!(event = "endpoint_gone", endpoint = %id);
             self.draining.remove(&id);
             if let Some(entry) = self.endpoints.remove(&id) {
-                self.left_at.insert(entry.service.clone(), at);
+                self.record_departure(&entry.service, &id, at);
                 self.dropped.insert(id, (entry, at));
             }
         }
@@ -351,6 +351,21 @@
             .retain(|_, (_, since)| at.saturating_since(*since) < DROPPED_TIME);
     }
 
+    /// Records that an endpoint has left the group of a service. A primary is not among those that
+    /// hold what it has acknowledged.
+    fn record_departure(&mut self, service: &ServiceId, id: &EndpointId, at: MonotonicTime) {
+        let is_primary = self.orders.get(service).is_some_and(|order| {
+            let order = &order.value;
+            match order.phase {
+                OrderPhase::Open => order.target == *id,
+                OrderPhase::Pending => order.former.as_ref() == Some(id),
+            }
+        });
+        if !is_primary {
+            self.left_at.insert(service.clone(), at);
+        }
+    }
+
     /// Returns the endpoints of a service that were dropped and may still replicate.
     pub fn dropped_group<'a>(
         &'a self,
@@ -360,6 +375,12 @@
         entries.filter(move |entry| entry.service == *service)
     }
 
+    /// Returns the entry of an endpoint that is listed or was dropped a short time ago.
+    pub fn known_entry(&self, id: &EndpointId) -> Option<&EndpointEntry> {
+        let dropped = self.dropped.get(id).map(|(entry, _)| entry);
+        self.endpoints.get(id).or(dropped)
+    }
+
     /// Records that another endpoint holds every commit that the primary of a service acknowledged
     /// before `sent_at`: the primary acknowledged a commit that was sent then, or the logs were
     /// compared.
@@ -381,7 +402,7 @@
         }
     }
 
-    /// Returns when an endpoint of the service last left its group, or may have left it unseen.
+    /// Returns when a replica of the service last left its group, or may have left it unseen.
     pub fn last_left_at(&self, service: &ServiceId) -> Option<MonotonicTime> {
         self.watched_since.max(self.left_at.get(service).copied())
     }
--- a/crates/front/src/group_change.rs
+++ b/crates/front/src/group_change.rs
@@ -257,7 +257,7 @@
     }
 
     async fn send_command(&mut self, id: &EndpointId, command: EndpointCommand) {
-        let entry = self.instance.view.borrow().endpoints.get(id).cloned();
+        let entry = self.instance.view.borrow().known_entry(id).cloned();
         if let Some(entry) = entry {
             self.survey
                 .send_command(self.instance, &entry, command)
--- a/crates/front/tests/testsuite/acknowledged_commits.rs
+++ b/crates/front/tests/testsuite/acknowledged_commits.rs
@@ -131,3 +131,32 @@
     assert_eq!(read.rows, vec![newest.1]);
     assert_eq!(writers.finish(&fleet).await, Vec::<String>::new());
 }
+
+/// A primary that is cut off from its replicas must be replaced although its own registry entry is
+/// gone as well: what it acknowledged is held by its replicas, of which none has left.
+#[tokio::test]
+async fn lapsed_primary_is_replaced() {
+    let fleet = Fleet::start(2).await;
+    let writers = TestWriters::start(&fleet, "item", WRITERS);
+    tokio::time::sleep(ORDER_AGE).await;
+    let former = fleet.primary();
+    let replicas = replicas(&fleet);
+    let key = format!("servers/{former}");
+    fleet.platform.shared.store().remove(&key);
+    // The entry counts as gone a second later, before the hanging commits are noticed.
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+    for id in &replicas {
+        if let Some(endpoint) = fleet.platform.shared.group().endpoints.get_mut(id) {
+            endpoint.deaf = true;
+        }
+    }
+    assert!(await_promotion(&fleet).await, "no promotion was requested");
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    for id in &replicas {
+        set_deaf(&fleet, id, false);
+    }
+    let mut caller = fleet.caller(0, "linear").await;
+    caller.request_until_served("WRITE page later").await;
+    assert_ne!(fleet.primary(), former);
+    assert_eq!(writers.finish(&fleet).await, Vec::<String>::new());
+}
