Use one leader lookup and one new endpoint in the stand-in

Cause: the soak had a second copy of the tests' lookup of the leader, the stand-in listed the fields of a new endpoint twice, and the soak set a draining endpoint in two ways.

--- a/crates/front/tests/testsuite/fleet.rs
+++ b/crates/front/tests/testsuite/fleet.rs
@@ -147,11 +147,7 @@
 
     /// Returns the index of the instance that leads.
     pub fn leader(&self) -> Option<usize> {
-        let store = self.platform.shared.store();
-        let item = store.items.get("tamaracklb/leader")?;
-        let value: Value = serde_json::from_slice(&item.value).ok()?;
-        let name = value["instance"].as_str()?;
-        name.strip_prefix("front-")?.parse().ok()
+        self.platform.leader()
     }
 
     /// Returns the id of the primary.
--- a/crates/soak/src/soak_faults.rs
+++ b/crates/soak/src/soak_faults.rs
@@ -155,7 +155,7 @@
                 });
                 Ok(())
             }
-            SoakFault::LeaderKilled => match self.leader() {
+            SoakFault::LeaderKilled => match self.platform.leader() {
                 Some(leader) => {
                     let mut process = self.processes[leader].lock().await;
                     process.kill();
@@ -170,17 +170,13 @@
             }
             SoakFault::PrimaryDrains => {
                 let primary = self.platform.shared.group().primary();
-                let set = |draining: bool| {
-                    self.platform.change_group(|group| {
-                        let id = primary.as_ref();
-                        if let Some(e) = id.and_then(|id| group.endpoints.get_mut(id)) {
-                            e.draining = draining;
-                        }
-                    });
-                };
-                set(true);
+                if let Some(id) = &primary {
+                    self.set_draining(id, true);
+                }
                 tokio::time::sleep(duration).await;
-                set(false);
+                if let Some(id) = &primary {
+                    self.set_draining(id, false);
+                }
                 Ok(())
             }
             SoakFault::ReplicaLag(lag) => {
@@ -234,15 +230,6 @@
         replicas.into_iter().nth(index)
     }
 
-    /// Returns the number of the instance that leads.
-    fn leader(&self) -> Option<usize> {
-        let store = self.platform.shared.store();
-        let item = store.items.get("tamaracklb/leader")?;
-        let value: serde_json::Value = serde_json::from_slice(&item.value).ok()?;
-        let name = value["instance"].as_str()?;
-        name.strip_prefix("front-")?.parse().ok()
-    }
-
     /// Lets endpoints receive nothing for some time.
     async fn deafen(&self, ids: &[String], duration: Duration) {
         let set = |deaf: bool| {
@@ -281,7 +268,7 @@
         let Some(id) = self.replica(number) else {
             return Ok(());
         };
-        self.set_draining(&id);
+        self.set_draining(&id, true);
         tokio::time::sleep(duration).await;
         let mut others = self.replicas();
         others.retain(|other| *other != id);
@@ -301,10 +288,10 @@
         Ok(())
     }
 
-    fn set_draining(&self, id: &str) {
+    fn set_draining(&self, id: &str, draining: bool) {
         self.platform.change_group(|group| {
             if let Some(endpoint) = group.endpoints.get_mut(id) {
-                endpoint.draining = true;
+                endpoint.draining = draining;
             }
         });
     }
@@ -322,7 +309,7 @@
             return Ok(());
         };
         self.add_endpoint().await?;
-        self.set_draining(&id);
+        self.set_draining(&id, true);
         tokio::time::sleep(duration).await;
         let requested_at = Instant::now();
         while requested_at.elapsed() < REPLACEMENT_TIMEOUT {
--- a/crates/standins/src/platform/group_state.rs
+++ b/crates/standins/src/platform/group_state.rs
@@ -41,6 +41,24 @@
     pub born: u64,
 }
 
+impl EndpointState {
+    /// Creates a replica that has received nothing.
+    pub fn new(address: SocketAddr) -> Self {
+        Self {
+            address,
+            primary: false,
+            term: 0,
+            log: Vec::new(),
+            visible_commits: 0,
+            deaf: false,
+            paused: 0,
+            alive: true,
+            draining: false,
+            born: 1,
+        }
+    }
+}
+
 /// A statement that an endpoint executed.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct ExecutedStatement {
@@ -102,16 +120,9 @@
         let primary = self.primary().and_then(|id| self.endpoints.get(&id));
         let (term, log) = primary.map_or((0, Vec::new()), |p| (p.term, p.log.clone()));
         let state = EndpointState {
-            address,
-            primary: false,
             term,
             log,
-            visible_commits: 0,
-            deaf: false,
-            paused: 0,
-            alive: true,
-            draining: false,
-            born: 1,
+            ..EndpointState::new(address)
         };
         self.endpoints.insert(id.to_owned(), state);
     }
--- a/crates/standins/src/platform/platform_handle.rs
+++ b/crates/standins/src/platform/platform_handle.rs
@@ -87,16 +87,9 @@
         for (index, id) in ["db-1", "db-2", "db-3"].into_iter().enumerate() {
             let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
             let state = EndpointState {
-                address: listener.local_addr()?,
                 primary: index == 0,
                 term: 1,
-                log: Vec::new(),
-                visible_commits: 0,
-                deaf: false,
-                paused: 0,
-                alive: true,
-                draining: false,
-                born: 1,
+                ..EndpointState::new(listener.local_addr()?)
             };
             endpoints.insert(id.to_owned(), state);
             listeners.push((id.to_owned(), listener));
@@ -133,6 +126,15 @@
         self.shared.store().put("op/config", value, 0);
     }
 
+    /// Returns the number of the instance that leads, from its name `front-NUMBER` in the store.
+    pub fn leader(&self) -> Option<usize> {
+        let store = self.shared.store();
+        let item = store.items.get("tamaracklb/leader")?;
+        let value: serde_json::Value = serde_json::from_slice(&item.value).ok()?;
+        let name = value["instance"].as_str()?;
+        name.strip_prefix("front-")?.parse().ok()
+    }
+
     /// Changes the group and updates the registry entries of its endpoints.
     pub fn change_group(&self, change: impl FnOnce(&mut GroupState)) {
         change(&mut self.shared.group());
