Log promotion calls before they are sent, and the age of the evidence

The hypotheses of the lost commits cannot be told apart by the logs: a leader that is killed leaves no line of a call whose answer it did not get, and promotion_step names the verdict on the holders of commits but not the evidence behind it. promotion_called is written before the call, and promotion_step has the ages of the last evidence and of the last departure.

Nothing else changes.

--- a/crates/front/src/fleet_view.rs
+++ b/crates/front/src/fleet_view.rs
@@ -407,14 +407,20 @@
         self.watched_since.max(self.left_at.get(service).copied())
     }
 
+    /// Returns the time up to which another endpoint is known to hold all that the primary of the
+    /// service has acknowledged.
+    pub fn held_at(&self, service: &ServiceId, primary: &EndpointId) -> Option<MonotonicTime> {
+        let held = self.held.get(service);
+        held.and_then(|(id, at)| (id == primary).then_some(*at))
+    }
+
     /// Returns whether each commit that the primary of the service acknowledged is held by another
     /// endpoint that was in the group when the last one left it.
     ///
     /// Logs are prefixes of the primary's log: an endpoint that holds a commit holds every earlier
     /// one, and a later commit was received by an endpoint that was still there.
     pub fn are_holders_known(&self, service: &ServiceId, primary: &EndpointId) -> bool {
-        let held = self.held.get(service);
-        let held_at = held.and_then(|(id, at)| (id == primary).then_some(*at));
+        let held_at = self.held_at(service, primary);
         self.watched_since.is_some() && held_at > self.last_left_at(service)
     }
 
--- a/crates/front/src/group_change.rs
+++ b/crates/front/src/group_change.rs
@@ -209,7 +209,23 @@
             earlier_point: self.earlier_point,
         };
         let step = group.next_step();
-        tracing::info!(event = "promotion_step", service = %self.service, ?step, holders_known, ?members);
+        let (held_ms, left_ms) = {
+            let view = self.instance.view.borrow();
+            let age = |at: MonotonicTime| now().saturating_since(at).as_millis() as u64;
+            let former = self.former.as_ref();
+            let held_at = former.and_then(|former| view.held_at(self.service, former));
+            let left_at = view.last_left_at(self.service);
+            (held_at.map(age), left_at.map(age))
+        };
+        tracing::info!(
+            event = "promotion_step",
+            service = %self.service,
+            ?step,
+            holders_known,
+            held_ms,
+            left_ms,
+            ?members,
+        );
         let former = members.iter().find(|m| self.former.as_ref() == Some(&m.id));
         let report = former.and_then(|former| former.report);
         self.earlier_point = report.map(|report| report.received);
@@ -333,6 +349,8 @@
         else {
             return false;
         };
+        // The call may take effect although this instance ends before its answer.
+        tracing::warn!(event = "promotion_called", service = %self.service, target = %target, token);
         let leader = &self.instance.settings.instance;
         let ordered = self
             .instance
