Reproduce lost commits with a replacement in place

Callers lost every write that was acknowledged in the last second before a promotion. The stand-in knew only endpoints that join at another address; now one can take over the address and the log of another one, and register later, as the platform does after a drain.

--- a/crates/front/tests/testsuite/acknowledged_commits.rs
+++ b/crates/front/tests/testsuite/acknowledged_commits.rs
@@ -160,3 +160,33 @@
     assert_ne!(fleet.primary(), former);
     assert_eq!(writers.finish(&fleet).await, Vec::<String>::new());
 }
+
+/// A commit that a successor in place received before it was registered must not be lost: it counted
+/// as held by the replicas that were registered, and one that had received nothing was promoted.
+#[tokio::test]
+async fn unregistered_successor_loses_nothing() {
+    let fleet = Fleet::start(2).await;
+    let former = fleet.primary();
+    let replicas = replicas(&fleet);
+    let (staying, released) = (&replicas[0], &replicas[1]);
+    tokio::time::sleep(ORDER_AGE).await;
+    set_deaf(&fleet, staying, true);
+    fleet.platform.replace_in_place(released, "db-4");
+    // The registry's entry counts as gone after 2.5 s.
+    tokio::time::sleep(Duration::from_millis(3_000)).await;
+    let writers = TestWriters::start(&fleet, "item", WRITERS);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    fleet.platform.change_group(|group| {
+        if let Some(endpoint) = group.endpoints.get_mut(&former) {
+            endpoint.draining = true;
+        }
+    });
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    fleet.platform.register("db-4");
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    set_deaf(&fleet, staying, false);
+    let mut caller = fleet.caller(0, "linear").await;
+    caller.request_until_served("WRITE page later").await;
+    assert!(writers.count() > 50, "{} writes", writers.count());
+    assert_eq!(writers.finish(&fleet).await, Vec::<String>::new());
+}
--- a/crates/standins/src/platform/group_state.rs
+++ b/crates/standins/src/platform/group_state.rs
@@ -5,6 +5,12 @@
 use std::time::Duration;
 use std::time::Instant;
 
+/// Default time between a promotion request and its effect.
+const PROMOTION_TIME: Duration = Duration::from_millis(300);
+
+/// Default time after its commit at which replicas apply an entry.
+const DEFAULT_LAG: Duration = Duration::from_millis(20);
+
 /// One committed transaction.
 #[derive(Debug, Clone)]
 pub struct LoggedCommit {
@@ -39,6 +45,8 @@
     pub draining: bool,
     /// Start of its process in its registry entry.
     pub born: u64,
+    /// Whether the registry may list it; an endpoint replicates before it is registered.
+    pub registered: bool,
 }
 
 impl EndpointState {
@@ -55,6 +63,7 @@
             alive: true,
             draining: false,
             born: 1,
+            registered: true,
         }
     }
 }
@@ -94,6 +103,8 @@
     pub service: String,
     /// Endpoints by id.
     pub endpoints: HashMap<String, EndpointState>,
+    /// Endpoints that have ended, and those that took over their addresses and logs.
+    pub successors: HashMap<String, String>,
     /// Time after its commit at which replicas apply an entry.
     pub lag: Duration,
     /// Whether promotions are refused.
@@ -115,6 +126,24 @@
 }
 
 impl GroupState {
+    /// Creates a group without faults.
+    pub fn new(service: &str, endpoints: HashMap<String, EndpointState>) -> Self {
+        Self {
+            service: service.to_owned(),
+            endpoints,
+            successors: HashMap::new(),
+            lag: DEFAULT_LAG,
+            refuse_promotions: false,
+            deafen_targets: false,
+            promotions_under_way: 0,
+            promotion_time: PROMOTION_TIME,
+            resume_delay: Duration::ZERO,
+            lose_answers: 0,
+            executed_statements: Vec::new(),
+            promotions: Vec::new(),
+        }
+    }
+
     /// Adds a replica, which receives the log of the primary at once.
     pub fn join(&mut self, id: &str, address: SocketAddr) {
         let primary = self.primary().and_then(|id| self.endpoints.get(&id));
@@ -127,6 +156,36 @@
         self.endpoints.insert(id.to_owned(), state);
     }
 
+    /// Ends an endpoint and starts another one, which is not registered yet, at its address and with
+    /// its log. Returns whether there was such an endpoint.
+    pub fn succeed(&mut self, id: &str, successor: &str) -> bool {
+        let Some(former) = self.endpoints.remove(id) else {
+            return false;
+        };
+        let state = EndpointState {
+            primary: false,
+            alive: true,
+            draining: false,
+            deaf: false,
+            paused: 0,
+            registered: false,
+            ..former
+        };
+        self.endpoints.insert(successor.to_owned(), state);
+        self.successors.insert(id.to_owned(), successor.to_owned());
+        self.follow_newest();
+        true
+    }
+
+    /// Returns the endpoint that serves the address of an endpoint now.
+    pub fn current<'a>(&'a self, id: &'a str) -> &'a str {
+        let mut current = id;
+        while let Some(successor) = self.successors.get(current) {
+            current = successor;
+        }
+        current
+    }
+
     /// Restarts an endpoint as a replica with an empty log, which it receives again with the next
     /// commit.
     pub fn restart(&mut self, id: &str) {
--- a/crates/standins/src/platform/platform_handle.rs
+++ b/crates/standins/src/platform/platform_handle.rs
@@ -8,7 +8,6 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
-use std::time::Duration;
 
 use tokio::net::TcpListener;
 
@@ -18,9 +17,6 @@
 use crate::platform::store_server;
 use crate::platform::store_state::StoreState;
 
-/// Default time between a promotion request and its effect.
-const PROMOTION_TIME: Duration = Duration::from_millis(300);
-
 /// The state that the servers of the stand-in share.
 #[derive(Debug)]
 pub struct PlatformShared {
@@ -45,7 +41,9 @@
             let group = self.group();
             let ids = group.endpoints.iter();
             ids.map(|(id, endpoint)| {
-                let entry = group.entry(id).filter(|_| endpoint.alive);
+                let entry = group
+                    .entry(id)
+                    .filter(|_| endpoint.alive && endpoint.registered);
                 (
                     id.clone(),
                     entry.map(|entry| entry.to_string().into_bytes()),
@@ -96,19 +94,7 @@
         }
         let shared = Arc::new(PlatformShared {
             store: Mutex::default(),
-            group: Mutex::new(GroupState {
-                service: service.to_owned(),
-                endpoints,
-                lag: Duration::from_millis(20),
-                refuse_promotions: false,
-                deafen_targets: false,
-                promotions_under_way: 0,
-                promotion_time: PROMOTION_TIME,
-                resume_delay: Duration::ZERO,
-                lose_answers: 0,
-                executed_statements: Vec::new(),
-                promotions: Vec::new(),
-            }),
+            group: Mutex::new(GroupState::new(service, endpoints)),
         });
         for (id, listener) in listeners {
             let shared = Arc::clone(&shared);
@@ -165,6 +151,23 @@
         Ok(address)
     }
 
+    /// Ends an endpoint and removes its registry entry. Another one takes over its address and its
+    /// log, and is registered by [`Self::register`].
+    pub fn replace_in_place(&self, id: &str, successor: &str) {
+        if self.shared.group().succeed(id, successor) {
+            self.shared.store().remove(&format!("servers/{id}"));
+        }
+    }
+
+    /// Registers an endpoint that has replaced another one in place.
+    pub fn register(&self, id: &str) {
+        self.change_group(|group| {
+            if let Some(endpoint) = group.endpoints.get_mut(id) {
+                endpoint.registered = true;
+            }
+        });
+    }
+
     /// Ends an endpoint, whose log is lost, and removes its registry entry.
     pub fn remove_endpoint(&self, id: &str) {
         self.shared.group().endpoints.remove(id);
--- a/tests/testsuite/soak_checks.rs
+++ b/tests/testsuite/soak_checks.rs
@@ -25,31 +25,14 @@
         writes: vec![((*item).to_owned(), value.to_string())],
         committed_at: Instant::now(),
     };
+    let address = SocketAddr::from(([127, 0, 0, 1], 1));
     let endpoint = EndpointState {
-        address: SocketAddr::from(([127, 0, 0, 1], 1)),
         primary: true,
         term: 1,
         log: writes.iter().map(commit).collect(),
-        visible_commits: 0,
-        deaf: false,
-        paused: 0,
-        alive: true,
-        draining: false,
-        born: 1,
+        ..EndpointState::new(address)
     };
-    GroupState {
-        service: "orders".to_owned(),
-        endpoints: HashMap::from([("db-1".to_owned(), endpoint)]),
-        lag: Duration::ZERO,
-        refuse_promotions: false,
-        deafen_targets: false,
-        promotions_under_way: 0,
-        promotion_time: Duration::ZERO,
-        resume_delay: Duration::ZERO,
-        lose_answers: 0,
-        executed_statements: Vec::new(),
-        promotions: Vec::new(),
-    }
+    GroupState::new("orders", HashMap::from([("db-1".to_owned(), endpoint)]))
 }
 
 fn executed_statement(id: &str, team: &str, values: &[(&str, &str)]) -> ExecutedStatement {
