Promote only endpoints that reach what callers were told

Callers lost acknowledged writes: promotions took effect at endpoints with shorter logs although another endpoint had the commits.

Cause: a commit that was acknowledged after the last departure from the group counted as held by the endpoints of the survey. An acknowledgement does not say which endpoint received it. It may be a successor in place that has not registered, a replica whose entry has lapsed, or one that left before the survey. The class of the fault is evidence about one set of endpoints that is used for another. Three decisions relied on it: the shorter log was preferred to the demoted primary's own, it was promoted in place of a silent primary, and once the primary's entry was gone nobody asked for holders at all, although a primary that crashed comes back with its log.

Change: the promise is about what callers were told, and instances know that. Each instance records the highest log point that came with an acknowledgement it passed on, and reports it when it stops using a primary. An instance that left is covered by a point that the primary reported after its departure was seen. An endpoint is promoted if its log reaches the end of the demoted primary's log, or the point that covers all reports. Endpoints that join, leave, restart or register late do not enter the argument. Members are read from the store after the pending order, since a watch may have missed some. Only after the primary has been gone for 15 s the furthest log is promoted. The comparison of logs by the leader and the record of departed endpoints are gone.

Ruled out: acknowledgements passed on after the survey (each former_primary_unused that was read is complete), late promotion calls (all were answered), points of other terms (none seen).

Tests: promotion_steps passed the verdict on holders to the decision, which no longer exists. Its tests now pass the acknowledged point; those that waited or promoted the former primary still do. left_replica_is_considered is stricter: a primary whose entry is gone is waited for. The random model is replaced by the exhaustive one, which also has unregistered successors, lapsed entries, instances that die and new leaders.

--- a/crates/front/src/fleet_keys.rs
+++ b/crates/front/src/fleet_keys.rs
@@ -13,7 +13,8 @@
 /// Key of the leader, which changes primaries and lends rates.
 pub const LEADER_KEY: &str = "tamaracklb/leader";
 
-const MEMBER_PREFIX: &str = "tamaracklb/member/";
+/// Prefix of the keys of all instances.
+pub const MEMBER_PREFIX: &str = "tamaracklb/member/";
 const ORDER_PREFIX: &str = "tamaracklb/order/";
 
 /// Value of a member key: an instance that may use primaries. The key is removed when the
--- a/crates/front/src/fleet_view.rs
+++ b/crates/front/src/fleet_view.rs
@@ -9,9 +9,10 @@
 use platform::configuration;
 use platform::registry;
 use platform::store_client::StoreItem;
+use session_core::commit_evidence::DepartureLog;
+use session_core::commit_evidence::InstanceLife;
 use session_core::endpoint_entry::EndpointEntry;
 use session_core::group_order::GroupOrder;
-use session_core::group_order::OrderPhase;
 use session_core::ids::EndpointId;
 use session_core::ids::InstanceId;
 use session_core::ids::ServiceId;
@@ -35,7 +36,8 @@
 /// store outage are back within about two seconds.
 const MISSING_TIME: Duration = Duration::from_millis(2_500);
 
-/// Time for which a dropped endpoint is still asked for its log when the primary is replaced.
+/// Time for which a dropped primary is still asked for its log, and others for the commits that it
+/// acknowledged, when it is replaced.
 const DROPPED_TIME: Duration = Duration::from_secs(15);
 
 /// Maximum number of removed items kept for followers.
@@ -52,6 +54,16 @@
     pub seen_at: MonotonicTime,
 }
 
+impl Revised<MemberValue> {
+    /// Returns the registration of the member.
+    pub fn life(&self) -> InstanceLife {
+        InstanceLife {
+            address: self.value.address,
+            registered_at: self.revision,
+        }
+    }
+}
+
 /// View of the store, changed only by applying items of the store.
 #[derive(Debug, Default)]
 pub struct FleetView {
@@ -78,15 +90,12 @@
     draining: HashMap<EndpointId, Option<MonotonicTime>>,
     /// Endpoints whose entries are missing, and since when.
     missing: HashMap<EndpointId, MonotonicTime>,
-    /// Entries of endpoints that were dropped, and when. Such an endpoint may still replicate.
+    /// Entries of endpoints that were dropped, and when. Such an endpoint may still run.
     dropped: HashMap<EndpointId, (EndpointEntry, MonotonicTime)>,
-    /// When a replica of a service last left its group, restarted included.
-    left_at: HashMap<ServiceId, MonotonicTime>,
-    /// Time before which endpoints of any service may have left without being seen.
+    /// When this instance first read the whole view.
     watched_since: Option<MonotonicTime>,
-    /// Primary of each service, and the time up to which another endpoint is known to hold all that
-    /// the primary has acknowledged; since its order was opened.
-    held: HashMap<ServiceId, (EndpointId, MonotonicTime)>,
+    /// Instances that have left, which may have passed acknowledgements on.
+    pub departures: DepartureLog,
     /// All items as the store sent them, with those removed since `history_start`.
     items: BTreeMap<String, RelayItem>,
     /// Revision before which removals are unknown.
@@ -113,8 +122,9 @@
         for item in removed.into_iter().chain(view.items) {
             self.apply(item);
         }
-        // Endpoints may have joined and left since the previous revision.
-        self.watched_since = Some(now());
+        // Instances may have joined and left since the previous revision.
+        self.departures.record_gap(now());
+        self.watched_since.get_or_insert_with(now);
         self.history_start = self.history_start.max(revision);
         self.revision = self.revision.max(revision);
         self.synced_at = self.synced_at.max(Some(known_at));
@@ -231,13 +241,11 @@
     fn apply_endpoint(&mut self, item: &StoreItem) {
         let Some(value) = &item.value else {
             let id = item.key.trim_start_matches(registry::ENDPOINT_PREFIX);
-            match id.parse::<EndpointId>() {
-                Ok(id) if self.endpoints.contains_key(&id) => {
-                    tracing::info!(event = "endpoint_missing", endpoint = %id, revision = item.revision);
-                    self.missing.entry(id).or_insert_with(now);
-                }
-                // The entry was added and removed between two updates.
-                _ => self.watched_since = Some(now()),
+            if let Ok(id) = id.parse::<EndpointId>()
+                && self.endpoints.contains_key(&id)
+            {
+                tracing::info!(event = "endpoint_missing", endpoint = %id, revision = item.revision);
+                self.missing.entry(id).or_insert_with(now);
             }
             return;
         };
@@ -264,11 +272,6 @@
                 } else {
                     self.draining.remove(&entry.id);
                 }
-                let left = former
-                    .filter(|former| former.born != entry.born || former.service != entry.service);
-                if let Some(service) = left.map(|left| left.service.clone()) {
-                    self.record_departure(&service, &entry.id, now());
-                }
                 self.missing.remove(&entry.id);
                 self.dropped.remove(&entry.id);
                 self.endpoints.insert(entry.id.clone(), entry);
@@ -282,16 +285,24 @@
     fn apply_fleet_key(&mut self, key: FleetKey, item: &StoreItem) {
         match key {
             FleetKey::Leader => self.leader = decode(item),
-            FleetKey::Member(name) => match decode(item) {
-                Some(value) => {
-                    self.members.insert(name, value);
+            FleetKey::Member(name) => {
+                let member = decode::<MemberValue>(item);
+                if member.is_none() && self.has_member_key(&name) {
+                    return;
                 }
-                None => {
-                    if !self.has_member_key(&name) {
-                        self.members.remove(&name);
-                    }
+                let is_replaced = member.is_some();
+                let former = match member {
+                    Some(member) => self.members.insert(name, member),
+                    None => self.members.remove(&name),
+                };
+                match (former, is_replaced) {
+                    (Some(former), false) => self.departures.record(former.life(), now()),
+                    // The instance restarted, or joined and left, perhaps more than once between two
+                    // updates.
+                    (Some(_), true) | (None, false) => self.departures.record_gap(now()),
+                    (None, true) => {}
                 }
-            },
+            }
             FleetKey::Order(service) => match decode::<GroupOrder>(item) {
                 Some(order) => {
                     tracing::info!(
@@ -302,9 +313,6 @@
                         token = order.value.token,
                         revision = order.revision,
                     );
-                    if order.value.phase == OrderPhase::Open {
-                        self.held.remove(&service);
-                    }
                     self.orders.insert(service, order);
                 }
                 None => {
@@ -343,7 +351,6 @@
             tracing::info!(event = "endpoint_gone", endpoint = %id);
             self.draining.remove(&id);
             if let Some(entry) = self.endpoints.remove(&id) {
-                self.record_departure(&entry.service, &id, at);
                 self.dropped.insert(id, (entry, at));
             }
         }
@@ -351,77 +358,29 @@
             .retain(|_, (_, since)| at.saturating_since(*since) < DROPPED_TIME);
     }
 
-    /// Records that an endpoint has left the group of a service. A primary is not among those that
-    /// hold what it has acknowledged.
-    fn record_departure(&mut self, service: &ServiceId, id: &EndpointId, at: MonotonicTime) {
-        let is_primary = self.orders.get(service).is_some_and(|order| {
-            let order = &order.value;
-            match order.phase {
-                OrderPhase::Open => order.target == *id,
-                OrderPhase::Pending => order.former.as_ref() == Some(id),
-            }
-        });
-        if !is_primary {
-            self.left_at.insert(service.clone(), at);
-        }
-    }
-
-    /// Returns the endpoints of a service that were dropped and may still replicate.
-    pub fn dropped_group<'a>(
-        &'a self,
-        service: &'a ServiceId,
-    ) -> impl Iterator<Item = &'a EndpointEntry> + 'a {
-        let entries = self.dropped.values().map(|(entry, _)| entry);
-        entries.filter(move |entry| entry.service == *service)
-    }
-
     /// Returns the entry of an endpoint that is listed or was dropped a short time ago.
     pub fn known_entry(&self, id: &EndpointId) -> Option<&EndpointEntry> {
         let dropped = self.dropped.get(id).map(|(entry, _)| entry);
         self.endpoints.get(id).or(dropped)
     }
 
-    /// Records that another endpoint holds every commit that the primary of a service acknowledged
-    /// before `sent_at`: the primary acknowledged a commit that was sent then, or the logs were
-    /// compared.
-    pub fn record_held(
-        &mut self,
-        service: &ServiceId,
-        endpoint: &EndpointId,
-        sent_at: MonotonicTime,
-    ) {
-        if !self.has_been_primary_since(service, endpoint, sent_at) {
-            return;
-        }
-        match self.held.get_mut(service) {
-            Some((primary, at)) if primary == endpoint => *at = sent_at.max(*at),
-            _ => {
-                let value = (endpoint.clone(), sent_at);
-                self.held.insert(service.clone(), value);
-            }
-        }
+    /// Returns whether an endpoint has been gone for so long that its log counts as lost.
+    pub fn is_lost(&self, id: &EndpointId, at: MonotonicTime) -> bool {
+        let lost_since = |since: MonotonicTime| at.saturating_since(since) >= DROPPED_TIME;
+        self.known_entry(id).is_none() && self.watched_since.is_some_and(lost_since)
     }
 
-    /// Returns when a replica of the service last left its group, or may have left it unseen.
-    pub fn last_left_at(&self, service: &ServiceId) -> Option<MonotonicTime> {
-        self.watched_since.max(self.left_at.get(service).copied())
-    }
-
-    /// Returns the time up to which another endpoint is known to hold all that the primary of the
-    /// service has acknowledged.
-    pub fn held_at(&self, service: &ServiceId, primary: &EndpointId) -> Option<MonotonicTime> {
-        let held = self.held.get(service);
-        held.and_then(|(id, at)| (id == primary).then_some(*at))
-    }
-
-    /// Returns whether each commit that the primary of the service acknowledged is held by another
-    /// endpoint that was in the group when the last one left it.
-    ///
-    /// Logs are prefixes of the primary's log: an endpoint that holds a commit holds every earlier
-    /// one, and a later commit was received by an endpoint that was still there.
-    pub fn are_holders_known(&self, service: &ServiceId, primary: &EndpointId) -> bool {
-        let held_at = self.held_at(service, primary);
-        self.watched_since.is_some() && held_at > self.last_left_at(service)
+    /// Returns the revision of the open order of a service if it names this endpoint as the primary,
+    /// which this instance may use at `now` and could use at `since`.
+    pub fn opened_revision(
+        &self,
+        service: &ServiceId,
+        endpoint: &EndpointId,
+        since: MonotonicTime,
+    ) -> Option<u64> {
+        let order = self.orders.get(service)?;
+        let is_primary = self.has_been_primary_since(service, endpoint, since);
+        is_primary.then_some(order.revision)
     }
 
     /// Returns whether an endpoint has been draining for `limit` or longer, so that it gets no more
--- a/crates/front/src/group_change.rs
+++ b/crates/front/src/group_change.rs
@@ -1,9 +1,9 @@
 //! Replaces the primary of a group without losing an acknowledged commit.
 //!
 //! A change writes a pending order first. An instance that knows it, or that has no recent evidence
-//! from the store, neither uses the former primary nor passes on its acknowledgements of commits.
-//! [`SurveyedGroup`] decides from the endpoints' reports which endpoint may be promoted; instances
-//! use the new primary once the order is open.
+//! from the store, neither uses the former primary nor passes on its acknowledgements of commits; it
+//! reports what it has passed on. [`SurveyedGroup`] decides from the reports of instances and
+//! endpoints which endpoint may be promoted; instances use the new primary once the order is open.
 
 use std::collections::HashSet;
 use std::rc::Rc;
@@ -13,8 +13,11 @@
 use platform::registry;
 use platform::store_client::ReadFreshness;
 use platform::store_client::StoreChange;
+use session_core::commit_evidence::AcknowledgedPoint;
+use session_core::commit_evidence::InstanceLife;
 use session_core::endpoint_entry::EndpointEntry;
 use session_core::endpoint_entry::GroupRole;
+use session_core::floor_history::FloorSample;
 use session_core::group_order::GroupOrder;
 use session_core::group_order::OrderPhase;
 use session_core::ids::EndpointId;
@@ -70,13 +73,18 @@
     demoted_at: Option<MonotonicTime>,
     /// Position of the former primary in the previous survey.
     earlier_point: Option<LogPoint>,
-    /// Dropped endpoints that did not answer. They are not queried again, as that takes a timeout.
-    gone: HashSet<EndpointId>,
+    /// Whether the former primary was dropped and did not answer. It is not queried again, as that
+    /// takes a timeout.
+    former_silent: bool,
+    /// The last log point that the target reported before its promotion.
+    target_point: Option<LogPoint>,
 }
 
 struct PendingOrder {
     revision: u64,
     accepted_at: MonotonicTime,
+    /// Whether the members were read from the store after it had accepted the order.
+    members_read: bool,
 }
 
 /// Replaces the primary of a group; abandons the change if the reason for it ends first.
@@ -135,7 +143,8 @@
             former_unused: false,
             demoted_at: None,
             earlier_point: None,
-            gone: HashSet::new(),
+            former_silent: false,
+            target_point: None,
         }
     }
 
@@ -161,14 +170,12 @@
                 PromotionStep::Demote { endpoint, term } => {
                     self.demote(&endpoint, term).await;
                 }
-                PromotionStep::Promote {
-                    target,
-                    former_may_acknowledge,
-                } => {
-                    if former_may_acknowledge && !self.former_unused {
-                        self.stop_use_of_former(&target).await;
-                    } else if self.write_pending_order(&target).await
-                        && self.promote(&target, &listed).await
+                PromotionStep::StopUse(target) => self.stop_use_of_former(&target).await,
+                PromotionStep::Promote(target) => {
+                    let entry = listed.iter().find(|entry| entry.id == target);
+                    if let Some(entry) = entry
+                        && self.write_pending_order(&target).await
+                        && self.promote(entry).await
                     {
                         return self.open_order(&target).await;
                     }
@@ -187,51 +194,71 @@
 
     /// Queries the endpoints of the group and returns the next step.
     async fn survey_group(&mut self, listed: &[EndpointEntry]) -> PromotionStep {
-        let dropped: Vec<EndpointEntry> = {
+        // An endpoint that has reached this point once keeps it.
+        let acknowledged = self.acknowledged_point();
+        let dropped = self.dropped_former();
+        let queried = dropped.as_ref().filter(|_| !self.former_silent);
+        let queried: Vec<EndpointEntry> = queried.into_iter().cloned().collect();
+        let members = self.survey.survey(self.instance, listed, &queried).await;
+        let former = members.iter().find(|m| self.former.as_ref() == Some(&m.id));
+        self.former_silent |= former.is_some_and(|m| !m.listed && m.report.is_none());
+        let former_lost = {
             let view = self.instance.view.borrow();
-            let dropped = view.dropped_group(self.service);
-            dropped
-                .filter(|entry| !self.gone.contains(&entry.id))
-                .cloned()
-                .collect()
+            let former = self.former.as_ref();
+            former.is_none_or(|former| view.is_lost(former, now()))
         };
-        let members = self.survey.survey(self.instance, listed, &dropped).await;
-        let silent = members.iter().filter(|m| !m.listed && m.report.is_none());
-        self.gone.extend(silent.map(|member| member.id.clone()));
-        let holders_known = self.former.as_ref().is_some_and(|former| {
-            let view = self.instance.view.borrow();
-            view.are_holders_known(self.service, former)
-        });
         let group = SurveyedGroup {
             members: &members,
             former: self.former.as_ref(),
-            holders_known,
+            former_lost,
+            former_unused: self.former_unused,
+            acknowledged,
             earlier_point: self.earlier_point,
         };
         let step = group.next_step();
-        let (held_ms, left_ms) = {
-            let view = self.instance.view.borrow();
-            let age = |at: MonotonicTime| now().saturating_since(at).as_millis() as u64;
-            let former = self.former.as_ref();
-            let held_at = former.and_then(|former| view.held_at(self.service, former));
-            let left_at = view.last_left_at(self.service);
-            (held_at.map(age), left_at.map(age))
-        };
         tracing::info!(
             event = "promotion_step",
             service = %self.service,
             ?step,
-            holders_known,
-            held_ms,
-            left_ms,
+            ?acknowledged,
+            former_lost,
+            former_unused = self.former_unused,
             ?members,
         );
-        let former = members.iter().find(|m| self.former.as_ref() == Some(&m.id));
-        let report = former.and_then(|former| former.report);
-        self.earlier_point = report.map(|report| report.received);
+        let point = |id: &EndpointId| {
+            let member = members.iter().find(|member| member.id == *id);
+            member.and_then(|member| member.report.map(|report| report.received))
+        };
+        self.earlier_point = self.former.as_ref().and_then(point);
+        if let PromotionStep::Promote(target) | PromotionStep::Leads(target) = &step {
+            self.target_point = point(target);
+        }
         step
     }
 
+    /// Returns the entry of the former primary if it was dropped a short time ago.
+    fn dropped_former(&self) -> Option<EndpointEntry> {
+        let view = self.instance.view.borrow();
+        let former = self.former.as_ref()?;
+        let is_listed = view.endpoints.contains_key(former);
+        view.known_entry(former).filter(|_| !is_listed).cloned()
+    }
+
+    /// Returns what covers the acknowledged commits of the former primary.
+    fn acknowledged_point(&self) -> AcknowledgedPoint {
+        let view = self.instance.view.borrow();
+        let pending = self.pending.as_ref().filter(|pending| pending.members_read);
+        let pending = pending.map(|pending| pending.revision);
+        // A member that joined after the order has read it before using any primary.
+        let members = view.members.iter().filter(|(name, member)| {
+            **name != self.instance.settings.instance && Some(member.revision) < pending
+        });
+        let members: HashSet<InstanceLife> = members.map(|(_, member)| member.life()).collect();
+        let mut commits = self.instance.commits.borrow_mut();
+        let evidence = commits.entry(self.service.clone()).or_default();
+        evidence.acknowledged(pending, &members, &view.departures)
+    }
+
     /// Makes the former primary a replica, after which it acknowledges no commit.
     async fn demote(&mut self, former: &EndpointId, term: LogTerm) {
         if self.write_pending_order(former).await && self.await_former_unused(DEMOTION_WAIT).await {
@@ -253,10 +280,12 @@
         let recent = |at: MonotonicTime| now().saturating_since(at) < CATCH_UP_TIME;
         match step {
             PromotionStep::Wait => true,
-            PromotionStep::Promote { target, .. } => {
+            PromotionStep::Promote(target) => {
                 self.former.as_ref() == Some(target) && self.demoted_at.is_some_and(recent)
             }
-            PromotionStep::Demote { .. } | PromotionStep::Leads(_) => false,
+            PromotionStep::Demote { .. } | PromotionStep::StopUse(_) | PromotionStep::Leads(_) => {
+                false
+            }
         }
     }
 
@@ -332,14 +361,45 @@
         self.pending = Some(PendingOrder {
             revision,
             accepted_at: now(),
+            members_read: false,
         });
         true
     }
 
-    /// Requests a promotion and waits until it takes effect. `surveyed` are the endpoints that the
-    /// survey before it has queried.
-    async fn promote(&mut self, target: &EndpointId, surveyed: &[EndpointEntry]) -> bool {
-        if !self.is_group_unchanged(surveyed).await {
+    /// Reads the members from the store, unless this was done since the pending order. The view may
+    /// lack some of them: a watch reports nothing for a while before the store drops its history.
+    async fn read_members(&mut self) {
+        if self.pending.as_ref().is_none_or(|p| p.members_read) {
+            return;
+        }
+        let read = self.read_items(fleet_keys::MEMBER_PREFIX).await;
+        if let Some(pending) = &mut self.pending {
+            pending.members_read = read;
+        }
+    }
+
+    /// Reads the items of the store whose keys begin with a prefix. Returns whether it answered.
+    async fn read_items(&self, prefix: &str) -> bool {
+        let store = &self.instance.store;
+        let read = store.range(prefix, ReadFreshness::Current, STORE_TIMEOUT);
+        match read.await {
+            Ok(view) => {
+                let items = ViewItems::from(view).items;
+                self.instance.view.borrow_mut().add_items(items);
+                true
+            }
+            Err(error) => {
+                tracing::info!(event = "store_not_read", service = %self.service, prefix, %error);
+                false
+            }
+        }
+    }
+
+    /// Requests a promotion and waits until it takes effect. `surveyed` is the entry of the target
+    /// at the survey before it.
+    async fn promote(&mut self, surveyed: &EndpointEntry) -> bool {
+        let target = &surveyed.id;
+        if !self.has_not_restarted(surveyed).await {
             return false;
         }
         let Some(token) = self
@@ -367,33 +427,15 @@
         ordered.is_ok() && self.await_promotion(target).await
     }
 
-    /// Reads the registry and returns whether the endpoints of the group are those of the survey.
-    /// One that has joined may hold an acknowledged commit, and one that has restarted may have lost
-    /// its log.
-    async fn is_group_unchanged(&self, surveyed: &[EndpointEntry]) -> bool {
-        let prefix = registry::ENDPOINT_PREFIX;
-        let freshness = ReadFreshness::Current;
-        let read = self
-            .instance
-            .store
-            .range(prefix, freshness, STORE_TIMEOUT)
-            .await;
-        match read {
-            Ok(view) => {
-                let items = ViewItems::from(view).items;
-                self.instance.view.borrow_mut().add_items(items);
-            }
-            Err(error) => {
-                tracing::info!(event = "registry_not_read", service = %self.service, %error);
-                return false;
-            }
+    /// Reads the registry and returns whether an endpoint is still the one of the survey. One that
+    /// has restarted may have lost its log.
+    async fn has_not_restarted(&self, surveyed: &EndpointEntry) -> bool {
+        if !self.read_items(registry::ENDPOINT_PREFIX).await {
+            return false;
         }
-        let listed = self.entries();
-        let processes = |entries: &[EndpointEntry]| -> HashSet<(EndpointId, u64)> {
-            let entries = entries.iter();
-            entries.map(|e| (e.id.clone(), e.born)).collect()
-        };
-        processes(&listed) == processes(surveyed)
+        let view = self.instance.view.borrow();
+        let entry = view.endpoints.get(&surveyed.id);
+        entry.is_some_and(|entry| entry.born == surveyed.born)
     }
 
     async fn await_promotion(&mut self, target: &EndpointId) -> bool {
@@ -436,11 +478,22 @@
         if !self.await_former_unused(REVOKE_WAIT).await {
             return false;
         }
-        if self.write_order(target, OrderPhase::Open).await.is_none() {
+        let requested_at = now();
+        let Some(opened) = self.write_order(target, OrderPhase::Open).await else {
             // The order may be opened later. A new pending order prevents that.
             self.pending = None;
             self.former_unused = false;
             return false;
+        };
+        if let Some(point) = self.target_point {
+            let sample = FloorSample {
+                requested_at,
+                point,
+            };
+            let view = self.instance.view.borrow();
+            let mut commits = self.instance.commits.borrow_mut();
+            let evidence = commits.entry(self.service.clone()).or_default();
+            evidence.record_sample(opened, sample, &view.departures);
         }
         self.demote_former(target).await;
         true
@@ -450,17 +503,24 @@
     /// `limit` after the pending order. Returns whether this instance still leads.
     ///
     /// Each instance acknowledges the pending order or stops by itself within [`REVOKE_WAIT`]. The
-    /// list of members is complete once the view has reached the revision of the order: an instance
-    /// that registers later reads the order before it uses a primary.
+    /// list of members is complete once they have been read after the order: an instance that
+    /// registers later reads the order before it uses a primary.
     async fn await_former_unused(&mut self, limit: Duration) -> bool {
         let mut changes = self.instance.changes.subscribe();
         loop {
+            let waited = |pending: &PendingOrder| now().saturating_since(pending.accepted_at);
+            let left = self
+                .pending
+                .as_ref()
+                .map(|p| limit.saturating_sub(waited(p)));
+            // A call to the store may take longer than the limit.
+            let _ = tokio::time::timeout(left.unwrap_or_default(), self.read_members()).await;
             let Some(pending) = &self.pending else {
                 return false;
             };
-            let complete = self.instance.view.borrow().revision >= pending.revision;
+            let complete = pending.members_read;
             let missing = self.missing_acknowledgements(pending.revision);
-            let waited = now().saturating_since(pending.accepted_at);
+            let waited = waited(pending);
             if complete && missing.is_empty() || waited >= limit {
                 tracing::info!(
                     event = "former_primary_unused",
--- a/crates/front/src/group_leader.rs
+++ b/crates/front/src/group_leader.rs
@@ -6,7 +6,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use platform::endpoint_codec::EndpointCommand;
 use platform::store_client::LeaseId;
 use platform::store_client::StoreChange;
 use platform::store_error::StoreError;
@@ -23,7 +22,6 @@
 use crate::fleet_keys::MemberValue;
 use crate::fleet_view::Revised;
 use crate::group_change;
-use crate::group_survey::GroupSurvey;
 use crate::instance::Instance;
 use crate::instance::LeaderTerm;
 use crate::instance_limits::CHANGE_PAUSE;
@@ -57,10 +55,6 @@
 /// replaces it.
 const REPORT_QUORUM: usize = 2;
 
-/// Time between comparisons of the logs of a group, and time after a departure in which a commit
-/// may make the first one unnecessary.
-const COMPARISON_PERIOD: Duration = Duration::from_millis(1_000);
-
 /// Reason for a change of a group's primary or for its first order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ChangeReason {
@@ -88,7 +82,6 @@
 struct LeaderState {
     changing: RefCell<HashSet<ServiceId>>,
     probing: RefCell<HashSet<EndpointId>>,
-    comparing: RefCell<HashSet<ServiceId>>,
     campaign_after: Cell<MonotonicTime>,
 }
 
@@ -284,7 +277,6 @@
             continue;
         }
         probe_primary(instance, state, &service);
-        compare_logs(instance, state, &service);
         let Some(reason) = change_reason(instance, &service, led_since) else {
             continue;
         };
@@ -368,65 +360,3 @@
         state.probing.borrow_mut().remove(&entry.id);
     });
 }
-
-/// Compares the logs of a group if no acknowledged commit has shown since the last departure which
-/// endpoints hold all commits. A change of the primary needs to know if the primary does not answer
-/// then.
-fn compare_logs(instance: &Rc<Instance>, state: &Rc<LeaderState>, service: &ServiceId) {
-    let primary = {
-        let view = instance.view.borrow();
-        let Ok(primary) = view.ordered_primary(service) else {
-            return;
-        };
-        let is_due = view
-            .last_left_at(service)
-            .is_some_and(|at| now().saturating_since(at) >= COMPARISON_PERIOD);
-        if !is_due || view.are_holders_known(service, &primary) {
-            return;
-        }
-        primary
-    };
-    if !state.comparing.borrow_mut().insert(service.clone()) {
-        return;
-    }
-    let instance = Rc::clone(instance);
-    let state = Rc::clone(state);
-    let service = service.clone();
-    tokio::task::spawn_local(async move {
-        let requested_at = now();
-        if is_log_held(&instance, &service, &primary).await {
-            let mut view = instance.view.borrow_mut();
-            view.record_held(&service, &primary, requested_at);
-        }
-        tokio::time::sleep(COMPARISON_PERIOD).await;
-        state.comparing.borrow_mut().remove(&service);
-    });
-}
-
-/// Returns whether another endpoint of the group has received all that the primary has.
-async fn is_log_held(instance: &Instance, service: &ServiceId, primary: &EndpointId) -> bool {
-    let (primaries, replicas): (Vec<_>, Vec<_>) = {
-        let view = instance.view.borrow();
-        let entries = view.group(service).cloned();
-        entries.partition(|entry| entry.id == *primary)
-    };
-    let mut survey = GroupSurvey::default();
-    let Some(primary) = primaries.first() else {
-        return false;
-    };
-    let report = survey
-        .send_command(instance, primary, EndpointCommand::Status)
-        .await;
-    let Some(report) = report.filter(|report| report.role == GroupRole::Primary) else {
-        return false;
-    };
-    for replica in &replicas {
-        let other = survey
-            .send_command(instance, replica, EndpointCommand::Status)
-            .await;
-        if other.is_some_and(|other| other.received >= report.received) {
-            return true;
-        }
-    }
-    false
-}
--- a/crates/front/src/instance.rs
+++ b/crates/front/src/instance.rs
@@ -12,13 +12,18 @@
 use platform::promotion_client::PromotionClient;
 use platform::store_client::LeaseId;
 use platform::store_client::StoreClient;
+use session_core::commit_evidence::CommitEvidence;
+use session_core::commit_evidence::CommitReport;
+use session_core::commit_evidence::InstanceLife;
 use session_core::connection_share::ConnectionShare;
 use session_core::failure_detector::FailureDetector;
 use session_core::floor_history::FloorHistory;
+use session_core::floor_history::FloorSample;
 use session_core::group_order::OrderPhase;
 use session_core::ids::EndpointId;
 use session_core::ids::ServiceId;
 use session_core::instance_rank::RankedInstance;
+use session_core::log_point::LogPoint;
 use session_core::monotonic_time::MonotonicTime;
 use session_core::monotonic_time::now;
 use session_core::rate_deputy::DeputyLease;
@@ -87,6 +92,8 @@
     pub connection_share: RefCell<ConnectionShare>,
     /// Log positions of the primary over time, by service.
     pub floors: RefCell<HashMap<ServiceId, FloorHistory>>,
+    /// What is known of the acknowledged commits, by service.
+    pub commits: RefCell<HashMap<ServiceId, CommitEvidence>>,
     /// Failure detectors of primaries.
     pub detectors: RefCell<HashMap<EndpointId, FailureDetector>>,
     /// When each instance last reported a primary as failed, by primary and peer address.
@@ -338,11 +345,48 @@
 
     /// Returns whether an acknowledgement of a commit that was sent to an endpoint at `sent_at` may
     /// be passed on to the caller: the endpoint has been the primary since and may still be used.
-    /// Otherwise a promotion may have missed the commit.
-    pub fn may_pass_commit(&self, endpoint: &EndpointId, sent_at: MonotonicTime) -> bool {
+    /// Otherwise a promotion may have missed the commit. Records the log point that came with an
+    /// acknowledgement that may be passed on, for the report to a leader that replaces the primary.
+    pub fn may_pass_commit(
+        &self,
+        endpoint: &EndpointId,
+        sent_at: MonotonicTime,
+        point: Option<LogPoint>,
+    ) -> bool {
         let view = self.view.borrow();
-        let entry = view.endpoints.get(endpoint);
-        entry.is_some_and(|entry| view.has_been_primary_since(&entry.service, endpoint, sent_at))
+        let Some(service) = view.endpoints.get(endpoint).map(|e| e.service.clone()) else {
+            return false;
+        };
+        let opened = view.opened_revision(&service, endpoint, sent_at);
+        let (Some(opened), Some(point)) = (opened, point) else {
+            return false;
+        };
+        let mut commits = self.commits.borrow_mut();
+        let evidence = commits.entry(service).or_default();
+        evidence.record_passed(opened, point);
+        true
+    }
+
+    /// Returns this instance's reports for the pending orders.
+    pub fn commit_reports(&self) -> Vec<CommitReport> {
+        let mut commits = self.commits.borrow_mut();
+        let pending = self.pending_orders().into_iter();
+        let reports = pending.map(|(service, revision)| {
+            let evidence = commits.entry(service.clone()).or_default();
+            evidence.report(&service, revision)
+        });
+        reports.collect()
+    }
+
+    /// Records the reports of another instance.
+    pub fn record_commit_reports(&self, life: InstanceLife, reports: &[CommitReport]) {
+        let mut commits = self.commits.borrow_mut();
+        for report in reports {
+            let evidence = commits.entry(report.service.clone()).or_default();
+            evidence.record_report(life, report);
+        }
+        drop(commits);
+        self.notify_view_change();
     }
 
     /// Records an endpoint's answer in its failure detector, its load and its group's positions.
@@ -358,19 +402,23 @@
                 detector.record_acknowledgement();
             }
         });
-        let mut view = self.view.borrow_mut();
+        let view = self.view.borrow();
         let Some(service) = view.endpoints.get(endpoint).map(|e| e.service.clone()) else {
             return;
         };
-        if acknowledged {
-            view.record_held(&service, endpoint, answer.sent_at);
-        }
         let mut floors = self.floors.borrow_mut();
         let history = floors.entry(service.clone()).or_default();
         if let Some(point) = answer.point()
-            && view.has_been_primary_since(&service, endpoint, answer.sent_at)
+            && let Some(opened) = view.opened_revision(&service, endpoint, answer.sent_at)
         {
             history.record(answer.sent_at, point);
+            let sample = FloorSample {
+                requested_at: answer.sent_at,
+                point,
+            };
+            let mut commits = self.commits.borrow_mut();
+            let evidence = commits.entry(service).or_default();
+            evidence.record_sample(opened, sample, &view.departures);
         }
         self.pool.record_answer(endpoint, answer, history);
     }
--- a/crates/front/src/instance_run.rs
+++ b/crates/front/src/instance_run.rs
@@ -104,6 +104,7 @@
         deputy_lease: RefCell::default(),
         connection_share: RefCell::default(),
         floors: RefCell::default(),
+        commits: RefCell::default(),
         detectors: RefCell::default(),
         reports: RefCell::default(),
         acknowledged: RefCell::default(),
--- a/crates/front/src/peer_link.rs
+++ b/crates/front/src/peer_link.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use session_core::commit_evidence::InstanceLife;
 use session_core::instance_rank::ranked_order;
 use session_core::monotonic_time::now;
 
@@ -95,6 +96,18 @@
                 send(instance, &PeerMessage::Watched { sent, stamp }, from);
             }
         }
+        PeerMessage::Passed {
+            registered_at,
+            reports,
+        } => {
+            if instance.leads() {
+                let life = InstanceLife {
+                    address: from,
+                    registered_at,
+                };
+                instance.record_commit_reports(life, &reports);
+            }
+        }
         PeerMessage::Watched { sent, stamp } => {
             let mut monitor = instance.deputy_monitor.borrow_mut();
             monitor.record_answer(from, sent, stamp, now());
@@ -121,6 +134,13 @@
     if wanted.is_empty() && failing.is_empty() && seen.is_empty() && !report_due {
         return;
     }
+    if let Some(leader) = leader.filter(|_| !seen.is_empty()) {
+        let message = PeerMessage::Passed {
+            registered_at: instance.view.borrow().registered_at,
+            reports: instance.commit_reports(),
+        };
+        send(instance, &message, leader);
+    }
     let message = PeerMessage::Ask {
         number,
         wanted,
--- a/crates/front/src/peer_message.rs
+++ b/crates/front/src/peer_message.rs
@@ -4,6 +4,7 @@
 
 use serde::Deserialize;
 use serde::Serialize;
+use session_core::commit_evidence::CommitReport;
 use session_core::ids::EndpointId;
 use session_core::ids::ServiceId;
 use session_core::ids::TeamId;
@@ -56,4 +57,11 @@
         /// Time of the answer, on the deputy's clock.
         stamp: MonotonicTime,
     },
+    /// Reports which acknowledgements an instance passed on before it stopped using primaries.
+    Passed {
+        /// Revision at which the instance's member key was written.
+        registered_at: u64,
+        /// One report for each pending order.
+        reports: Vec<CommitReport>,
+    },
 }
--- a/crates/front/src/statement_run.rs
+++ b/crates/front/src/statement_run.rs
@@ -433,7 +433,12 @@
         self.instance.metrics.latency.observe(held.as_secs_f64());
         let commits = scope.commits_writes();
         match &answer.result {
-            Ok(_) if commits && !self.instance.may_pass_commit(endpoint, answer.sent_at) => {
+            Ok(_)
+                if commits
+                    && !self
+                        .instance
+                        .may_pass_commit(endpoint, answer.sent_at, answer.point()) =>
+            {
                 tracing::info!(event = "commit_not_passed", request = id, endpoint = %endpoint, position = answer.position);
                 self.refuse_request(id, CallerVerdict::Unknown, "primary_changed", arrived);
             }
--- a/crates/session-core/src/floor_history.rs
+++ b/crates/session-core/src/floor_history.rs
@@ -14,7 +14,7 @@
 const SAMPLE_LIFE: Duration = Duration::from_secs(20);
 
 /// A log point of the primary that covers all commits acknowledged before `requested_at`.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct FloorSample {
     /// Send time of the query that the primary answered with the point.
     pub requested_at: MonotonicTime,
--- a/crates/session-core/src/promotion_step.rs
+++ b/crates/session-core/src/promotion_step.rs
@@ -1,19 +1,17 @@
 //! Decides the next step of a promotion from the reports of the group's endpoints.
 //!
-//! A primary acknowledges a commit once a replica has received it, so its own log has every commit
-//! that it ever acknowledged. The promoted endpoint has them all for one of these reasons:
+//! The promoted endpoint must have every commit whose acknowledgement reached a caller. Its own log
+//! is compared with a point that covers them all; which endpoints received a commit, and which of
+//! them have joined, left or restarted since, does not matter. There are two such points:
 //!
-//! - The former primary answers. It is made a replica first and acknowledges nothing afterwards, so
-//!   an endpoint whose log reaches as far as its log lacks nothing. Endpoints that join, leave, are
-//!   resumed or restart meanwhile do not matter, since the former primary's log alone counts.
-//! - The former primary does not answer, or no endpoint can catch up with it. Once no instance passes
-//!   its acknowledgements on, the endpoint with the furthest log is promoted, provided that every
-//!   endpoint that may hold an acknowledged commit has reported since. A replica that left may have
-//!   been the only one with a commit, until a commit is acknowledged by another one.
+//! - the end of the former primary's log, if it answers. It is made a replica first and acknowledges
+//!   nothing afterwards.
+//! - the highest point that instances passed on, once all have stopped using the former primary; see
+//!   [`crate::commit_evidence`].
 //!
-//! An acknowledged commit is lost with its holders only if the former primary and a replica have
-//! both gone from the registry.
+//! An endpoint that has reached neither is promoted only if the former primary and its log are lost.
 
+use crate::commit_evidence::AcknowledgedPoint;
 use crate::endpoint_entry::GroupRole;
 use crate::ids::EndpointId;
 use crate::log_point::LogPoint;
@@ -46,16 +44,19 @@
     pub listed: bool,
 }
 
-/// The endpoints of a group and what is known of those that are not among them.
+/// The endpoints of a group and what is known of its acknowledged commits.
 #[derive(Debug, Clone, Copy)]
 pub struct SurveyedGroup<'a> {
     /// The endpoints, surveyed at the same time.
     pub members: &'a [SurveyedEndpoint],
     /// The primary to be replaced.
     pub former: Option<&'a EndpointId>,
-    /// Whether each acknowledged commit is held by an endpoint of the survey besides the former
-    /// primary: a commit was acknowledged after the last replica had left.
-    pub holders_known: bool,
+    /// Whether the former primary has been gone for so long that its log counts as lost.
+    pub former_lost: bool,
+    /// Whether no instance uses the former primary or passes on its acknowledgements any more.
+    pub former_unused: bool,
+    /// What covers the acknowledged commits, as known before the survey.
+    pub acknowledged: AcknowledgedPoint,
     /// An earlier position of the former primary. A replica that has reached it is following.
     pub earlier_point: Option<LogPoint>,
 }
@@ -70,18 +71,13 @@
         /// A term higher than any reported one.
         term: LogTerm,
     },
+    /// Stop the use of the former primary, then survey again. This endpoint is likely to replace it.
+    StopUse(EndpointId),
     /// Promote this endpoint, which has every acknowledged commit.
-    Promote {
-        /// The endpoint.
-        target: EndpointId,
-        /// Whether the former primary can still acknowledge commits. The survey must then have been
-        /// taken after all instances stopped passing its acknowledgements on.
-        former_may_acknowledge: bool,
-    },
+    Promote(EndpointId),
     /// This endpoint is already the new primary: an earlier promotion took effect.
     Leads(EndpointId),
-    /// Wait, since an endpoint that may be the only one with some acknowledged commits does not
-    /// answer, or no endpoint can take over.
+    /// Wait, since no endpoint is known to have every acknowledged commit, or none can take over.
     Wait,
 }
 
@@ -99,27 +95,24 @@
         if let Some((member, _)) = leader {
             return PromotionStep::Leads(member.id.clone());
         }
-        let former = self.members.iter().find(|member| self.is_former(member));
-        let Some(former) = former.filter(|former| former.listed || former.report.is_some()) else {
-            return self.promote_furthest(!self.has_silent());
-        };
-        let Some(report) = former.report else {
-            return self.promote_furthest(!self.has_silent() && self.holders_known);
-        };
-        if report.role == GroupRole::Primary {
-            return match self.can_be_replaced() {
-                true => PromotionStep::Demote {
-                    endpoint: former.id.clone(),
-                    term: LogTerm(newest.0 + 1),
-                },
-                false => PromotionStep::Wait,
-            };
-        }
-        if self.replica_reports().any(|r| r.received > report.received) {
-            // The former primary restarted without its log.
-            return self.promote_furthest(!self.has_silent());
+        let former = self.reports().find(|(member, _)| self.is_former(member));
+        match former {
+            Some((former, report)) if report.role == GroupRole::Primary => {
+                match self.can_be_replaced() {
+                    true => PromotionStep::Demote {
+                        endpoint: former.id.clone(),
+                        term: LogTerm(newest.0 + 1),
+                    },
+                    false => PromotionStep::Wait,
+                }
+            }
+            Some((former, report)) if !self.has_lost_log(report) => {
+                self.promote_after_demotion(former, report.received)
+            }
+            Some(_) => self.promote_acknowledged(),
+            None if self.former_lost => self.promote_furthest(),
+            None => self.promote_acknowledged(),
         }
-        self.promote_after_demotion(former, report.received)
     }
 
     fn reports(&self) -> impl Iterator<Item = (&SurveyedEndpoint, EndpointReport)> {
@@ -150,54 +143,60 @@
 
     /// Returns whether another endpoint could be promoted if the former primary were demoted now.
     fn can_be_replaced(&self) -> bool {
-        let follows = |report: EndpointReport| {
-            self.earlier_point
-                .is_some_and(|point| report.received >= point)
-        };
-        let complete = !self.has_silent() && self.holders_known;
+        let points = [self.earlier_point, self.acknowledged.known];
         self.candidates()
-            .any(|(_, report)| complete || follows(report))
+            .any(|(_, report)| points.iter().flatten().any(|p| report.received >= *p))
     }
 
-    /// Promotes an endpoint that has the whole log of the demoted primary, preferably one that is not
-    /// draining. If there is none, promotes the one with the furthest log if no other endpoint can
-    /// have more acknowledged commits, and otherwise the demoted primary itself if it is listed.
-    fn promote_after_demotion(&self, former: &SurveyedEndpoint, needed: LogPoint) -> PromotionStep {
-        let caught_up = self.candidates().filter(|(_, r)| r.received >= needed);
-        let target = caught_up
-            .map(|(member, _)| member)
-            .min_by_key(|m| m.draining);
-        let complete = !self.has_silent() && self.holders_known;
-        let target = target
-            .or_else(|| self.furthest().filter(|_| complete))
-            .or_else(|| former.listed.then_some(former));
-        match target {
-            Some(member) => PromotionStep::Promote {
-                target: member.id.clone(),
-                former_may_acknowledge: false,
-            },
+    /// Returns whether the former primary, which is a replica now, has restarted without its log.
+    fn has_lost_log(&self, report: EndpointReport) -> bool {
+        self.replica_reports().any(|r| r.received > report.received)
+            || self.acknowledged.known > Some(report.received)
+    }
+
+    /// Promotes an endpoint that has the whole log of the demoted primary or at least its
+    /// acknowledged commits, and otherwise the demoted primary itself if it is listed.
+    fn promote_after_demotion(&self, former: &SurveyedEndpoint, end: LogPoint) -> PromotionStep {
+        let covered = self
+            .acknowledged
+            .known
+            .filter(|_| self.acknowledged.complete);
+        let needed = covered.map_or(end, |covered| covered.min(end));
+        let target = self.best_candidate(needed);
+        match target.or_else(|| former.listed.then_some(former)) {
+            Some(member) => PromotionStep::Promote(member.id.clone()),
             None => PromotionStep::Wait,
         }
     }
 
-    /// Promotes the endpoint with the furthest log, or waits unless `complete`.
-    fn promote_furthest(&self, complete: bool) -> PromotionStep {
-        match self.furthest().filter(|_| complete) {
-            Some(member) => PromotionStep::Promote {
-                target: member.id.clone(),
-                former_may_acknowledge: true,
-            },
+    /// Promotes an endpoint that has all acknowledged commits although the former primary does not
+    /// show its log. Its use is stopped first, if an endpoint may turn out to have them.
+    fn promote_acknowledged(&self) -> PromotionStep {
+        let target = self.acknowledged.known.and_then(|p| self.best_candidate(p));
+        match target {
+            Some(member) if self.acknowledged.complete => PromotionStep::Promote(member.id.clone()),
+            Some(member) if !self.former_unused => PromotionStep::StopUse(member.id.clone()),
+            _ => PromotionStep::Wait,
+        }
+    }
+
+    /// Promotes the endpoint with the furthest log of all that may still have one.
+    fn promote_furthest(&self) -> PromotionStep {
+        let furthest = self.replica_reports().map(|report| report.received).max();
+        let target = furthest.and_then(|point| self.best_candidate(point));
+        match target.filter(|_| !self.has_silent()) {
+            Some(member) if self.former_unused => PromotionStep::Promote(member.id.clone()),
+            Some(member) => PromotionStep::StopUse(member.id.clone()),
             None => PromotionStep::Wait,
         }
     }
 
-    /// Returns the endpoint with the furthest log, preferably one that is not draining. Returns
-    /// `None` if that endpoint cannot be promoted.
-    fn furthest(&self) -> Option<&SurveyedEndpoint> {
-        let furthest = self.replica_reports().map(|report| report.received).max()?;
+    /// Returns the candidate to be promoted among those whose logs reach `needed`: preferably one
+    /// that is not draining, with the furthest log.
+    fn best_candidate(&self, needed: LogPoint) -> Option<&SurveyedEndpoint> {
         self.candidates()
-            .filter(|(_, report)| report.received == furthest)
+            .filter(|(_, report)| report.received >= needed)
+            .max_by_key(|(member, report)| (!member.draining, report.received))
             .map(|(member, _)| member)
-            .min_by_key(|member| member.draining)
     }
 }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -45,6 +45,7 @@
 mod primary_permits;
 mod program_run;
 mod promotion_calls;
+mod promotion_orders;
 mod promotion_steps;
 mod rate_deputies;
 mod rate_loans;
