Let the stand-in replace an endpoint in place

Cause: PROTOCOL.md has the log of a draining endpoint transferred to a new backend at its address. In the stand-in the log went with the endpoint.

Change: GroupState::succeed and PlatformHandle::replace_in_place end an endpoint, even a primary, and start one with its address and log as a replica. It replicates at once and is registered later.

--- a/crates/standins/src/platform/group_state.rs
+++ b/crates/standins/src/platform/group_state.rs
@@ -39,6 +39,8 @@
     pub draining: bool,
     /// Start of its process in its registry entry.
     pub born: u64,
+    /// Whether the registry may list it; an endpoint replicates before it is registered.
+    pub registered: bool,
 }
 
 impl EndpointState {
@@ -55,6 +57,7 @@
             alive: true,
             draining: false,
             born: 1,
+            registered: true,
         }
     }
 }
@@ -94,6 +97,8 @@
     pub service: String,
     /// Endpoints by id.
     pub endpoints: HashMap<String, EndpointState>,
+    /// Endpoints that have ended, and those that took over their addresses and logs.
+    pub successors: HashMap<String, String>,
     /// Time after its commit at which replicas apply an entry.
     pub lag: Duration,
     /// Whether promotions are refused.
@@ -127,6 +132,37 @@
         self.endpoints.insert(id.to_owned(), state);
     }
 
+    /// Ends an endpoint and starts another one, which is not registered yet, at its address and with
+    /// its log. Returns whether there was such an endpoint.
+    pub fn succeed(&mut self, id: &str, successor: &str) -> bool {
+        let Some(former) = self.endpoints.remove(id) else {
+            return false;
+        };
+        let state = EndpointState {
+            primary: false,
+            alive: true,
+            draining: false,
+            deaf: false,
+            paused: 0,
+            registered: false,
+            visible_commits: former.log.len().min(former.visible_commits),
+            ..former
+        };
+        self.endpoints.insert(successor.to_owned(), state);
+        self.successors.insert(id.to_owned(), successor.to_owned());
+        self.follow_newest();
+        true
+    }
+
+    /// Returns the endpoint that serves the address of an endpoint now.
+    pub fn current<'a>(&'a self, id: &'a str) -> &'a str {
+        let mut current = id;
+        while let Some(successor) = self.successors.get(current) {
+            current = successor;
+        }
+        current
+    }
+
     /// Restarts an endpoint as a replica with an empty log, which it receives again with the next
     /// commit.
     pub fn restart(&mut self, id: &str) {
--- a/crates/standins/src/platform/line_server.rs
+++ b/crates/standins/src/platform/line_server.rs
@@ -38,7 +38,7 @@
     while let Ok((stream, _)) = listener.accept().await {
         let session = LineSession {
             shared: Arc::clone(&shared),
-            endpoint: endpoint.clone(),
+            endpoint: shared.group().current(&endpoint).to_owned(),
             team: String::new(),
             values: BTreeMap::new(),
             prepared: BTreeMap::new(),
@@ -56,7 +56,9 @@
         let (reader, mut writer) = stream.into_split();
         let mut lines = BufReader::new(reader).lines();
         while let Some(line) = lines.next_line().await? {
-            let Some(answer) = self.answer(line.trim_end()).await else {
+            let answer = self.answer(line.trim_end()).await;
+            let ended = self.shared.group().successors.contains_key(&self.endpoint);
+            let Some(answer) = answer.or(ended.then(String::new)) else {
                 // A silent endpoint keeps its connections open without answers.
                 std::future::pending::<()>().await;
                 return Ok(());
@@ -72,9 +74,14 @@
     /// Returns the answer to a line, `None` to stay silent, or an empty answer to close the
     /// connection.
     async fn answer(&mut self, line: &str) -> Option<String> {
-        let alive = self.shared.group().endpoints.get(&self.endpoint)?.alive;
-        if !alive {
-            return None;
+        {
+            let group = self.shared.group();
+            if group.successors.contains_key(&self.endpoint) {
+                return Some(String::new());
+            }
+            if !group.endpoints.get(&self.endpoint)?.alive {
+                return None;
+            }
         }
         let mut words = line.splitn(3, ' ');
         match (words.next(), words.next(), words.next()) {
--- a/crates/standins/src/platform/platform_handle.rs
+++ b/crates/standins/src/platform/platform_handle.rs
@@ -45,7 +45,9 @@
             let group = self.group();
             let ids = group.endpoints.iter();
             ids.map(|(id, endpoint)| {
-                let entry = group.entry(id).filter(|_| endpoint.alive);
+                let entry = group
+                    .entry(id)
+                    .filter(|_| endpoint.alive && endpoint.registered);
                 (
                     id.clone(),
                     entry.map(|entry| entry.to_string().into_bytes()),
@@ -99,6 +101,7 @@
             group: Mutex::new(GroupState {
                 service: service.to_owned(),
                 endpoints,
+                successors: HashMap::new(),
                 lag: Duration::from_millis(20),
                 refuse_promotions: false,
                 deafen_targets: false,
@@ -165,6 +168,22 @@
         Ok(address)
     }
 
+    /// Ends an endpoint and removes its registry entry. Another one, which registers after `delay`,
+    /// takes over its address and its log. Returns whether there was such an endpoint.
+    pub async fn replace_in_place(&self, id: &str, successor: &str, delay: Duration) -> bool {
+        if !self.shared.group().succeed(id, successor) {
+            return false;
+        }
+        self.shared.store().remove(&format!("servers/{id}"));
+        tokio::time::sleep(delay).await;
+        self.change_group(|group| {
+            if let Some(endpoint) = group.endpoints.get_mut(successor) {
+                endpoint.registered = true;
+            }
+        });
+        true
+    }
+
     /// Ends an endpoint, whose log is lost, and removes its registry entry.
     pub fn remove_endpoint(&self, id: &str) {
         self.shared.group().endpoints.remove(id);
--- a/tests/testsuite/soak_checks.rs
+++ b/tests/testsuite/soak_checks.rs
@@ -36,10 +36,12 @@
         alive: true,
         draining: false,
         born: 1,
+        registered: true,
     };
     GroupState {
         service: "orders".to_owned(),
         endpoints: HashMap::from([("db-1".to_owned(), endpoint)]),
+        successors: HashMap::new(),
         lag: Duration::ZERO,
         refuse_promotions: false,
         deafen_targets: false,
