Name the promotion that lost an acknowledged write

Cause: the soak reported at the end that a write was missing, and not which promotion had taken it or who had it then.

Change: at each promotion's effect the stand-in records the writes that the target lacks and the endpoints that hold them. The check adds them to each loss; it reports the same losses as before. soak_checks has a test.

--- a/crates/soak/src/guarantee_checks.rs
+++ b/crates/soak/src/guarantee_checks.rs
@@ -5,6 +5,7 @@
 use std::fmt;
 use std::time::Duration;
 use std::time::Instant;
+use std::time::SystemTime;
 
 use standins::platform::group_state::ExecutedStatement;
 use standins::platform::group_state::GroupState;
@@ -90,7 +91,11 @@
         let observed = || format!("{} = {value}, {count} times in the log", write.item);
         match write.outcome {
             WriteOutcome::Acknowledged if count == 0 => {
-                report("no acknowledged write is lost", observed());
+                let loss = describe_loss(group, &write.item, &value);
+                report(
+                    "no acknowledged write is lost",
+                    format!("{}{loss}", observed()),
+                );
             }
             WriteOutcome::NotApplied if count > 0 => {
                 report("refused writes are not kept", observed())
@@ -101,6 +106,22 @@
     }
 }
 
+/// Names the promotions whose targets lacked a write, and the endpoints that held it then.
+fn describe_loss(group: &GroupState, item: &str, value: &str) -> String {
+    let write = (item.to_owned(), value.to_owned());
+    let mut text = String::new();
+    for effect in &group.effects {
+        if let Some(holders) = effect.lacking.get(&write) {
+            let at = effect.at.duration_since(SystemTime::UNIX_EPOCH);
+            let at = at.map_or(0, |at| at.as_millis());
+            let target = &effect.target;
+            let holders = holders.join(", ");
+            text += &format!("; lacked by {target}, promoted at {at} ms, and held by {holders}");
+        }
+    }
+    text
+}
+
 fn check_statements(
     history: &ObservedHistory,
     group: &GroupState,
--- a/crates/standins/src/platform/group_state.rs
+++ b/crates/standins/src/platform/group_state.rs
@@ -5,6 +5,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::platform::promotion_effect::PromotionEffect;
+
 /// One committed transaction.
 #[derive(Debug, Clone)]
 pub struct LoggedCommit {
@@ -117,6 +119,8 @@
     pub executed_statements: Vec<ExecutedStatement>,
     /// Accepted promotion requests: target, `Duty-Holder` and `Fencing-Token`.
     pub promotions: Vec<(String, String, u64)>,
+    /// Promotions that took effect, in order.
+    pub effects: Vec<PromotionEffect>,
 }
 
 impl GroupState {
@@ -266,7 +270,7 @@
     /// endpoint is now the primary of the newest term.
     pub fn promote(&mut self, target: &str) -> bool {
         let newest = self.endpoints.values().map(|e| e.term).max().unwrap_or(0);
-        let Some(endpoint) = self.endpoints.get_mut(target) else {
+        let Some(endpoint) = self.endpoints.get(target) else {
             return false;
         };
         if !endpoint.alive {
@@ -275,6 +279,11 @@
         if endpoint.primary && endpoint.term == newest {
             return true;
         }
+        let effect = PromotionEffect::new(self, target);
+        self.effects.push(effect);
+        let Some(endpoint) = self.endpoints.get_mut(target) else {
+            return false;
+        };
         endpoint.primary = true;
         endpoint.term = newest + 1;
         endpoint.paused = 0;
--- a/crates/standins/src/platform/mod.rs
+++ b/crates/standins/src/platform/mod.rs
@@ -6,6 +6,7 @@
 pub mod line_caller;
 mod line_server;
 pub mod platform_handle;
+pub mod promotion_effect;
 pub mod sample_configuration;
 mod store_server;
 pub mod store_state;
--- a/crates/standins/src/platform/platform_handle.rs
+++ b/crates/standins/src/platform/platform_handle.rs
@@ -111,6 +111,7 @@
                 lose_answers: 0,
                 executed_statements: Vec::new(),
                 promotions: Vec::new(),
+                effects: Vec::new(),
             }),
         });
         for (id, listener) in listeners {
--- a/tests/testsuite/soak_checks.rs
+++ b/tests/testsuite/soak_checks.rs
@@ -51,6 +51,7 @@
         lose_answers: 0,
         executed_statements: Vec::new(),
         promotions: Vec::new(),
+        effects: Vec::new(),
     }
 }
 
@@ -234,6 +235,29 @@
     }
 }
 
+/// Guards against a loss whose promotion, or whose holders at that time, are not named.
+#[test]
+fn lost_write_names_its_promotion() {
+    let mut history = ObservedHistory::default();
+    history.record_write("page", 1, WriteOutcome::Acknowledged);
+    history.record_write("page", 2, WriteOutcome::Acknowledged);
+    let mut group = group(&[("page", 1), ("page", 2)]);
+    let mut replica = group.endpoints["db-1"].clone();
+    replica.primary = false;
+    replica.log.truncate(1);
+    group.endpoints.insert("db-2".to_owned(), replica);
+    assert!(violated_guarantees(&history, &group).is_empty());
+    assert!(group.promote("db-2"));
+    let lost: Vec<String> = check_guarantees(&history, &group, &HashMap::new())
+        .into_iter()
+        .map(|violation| violation.to_string())
+        .collect();
+    assert_eq!(lost.len(), 1, "{lost:?}");
+    assert!(lost[0].starts_with("no acknowledged write is lost: page = 2, 0 times in the log; "));
+    assert!(lost[0].contains("lacked by db-2, promoted at "));
+    assert!(lost[0].ends_with("held by db-1 (primary, answers, registered)"));
+}
+
 /// Guards against a seed that draws different faults on each run, and against a wrong choice of the seeds for planned
 /// work.
 #[test]
