Release endpoints in place in the soak

Cause: the soak's releases started a new endpoint at another address before the old one left, so it never had a holder that is not registered yet.

The next one drains while the successor of the one before may not be registered; a replica that receives nothing, killed leaders and other faults that lose no log come beside it. Up to five violations of each guarantee are printed instead of ten in all.

--- a/crates/soak/src/fault_schedule.rs
+++ b/crates/soak/src/fault_schedule.rs
@@ -26,6 +26,28 @@
 /// Time between the starts of two faults of a run with changes of the group.
 const CHANGE_INTERVAL_MS: std::ops::Range<u64> = 300..2_500;
 
+/// Time between the starts of two faults beside releases in place, which last longer.
+const RELEASE_INTERVAL_MS: std::ops::Range<u64> = 200..1_800;
+
+/// Time for which an endpoint drains before it is replaced in place: the drain time of the daemons'
+/// settings and a little longer.
+const RELEASE_DRAIN_MS: std::ops::Range<u64> = 4_100..5_500;
+
+/// Time between the end of an endpoint that was released in place and the drain of the next one.
+const RELEASE_PAUSE_MS: std::ops::Range<u64> = 0..2_500;
+
+/// Time from the end of an endpoint that was released in place until its successor is registered.
+const REGISTRATION_DELAY_MS: std::ops::Range<u64> = 0..1_500;
+
+/// The same time while the successor is cut off from the store.
+const LATE_REGISTRATION_MS: std::ops::Range<u64> = 1_500..8_000;
+
+/// Time for which a replica receives nothing beside a release in place, from before its end.
+const RELEASE_DEAF_MS: std::ops::Range<u64> = 3_000..9_000;
+
+/// Time before the end of an endpoint that is released in place at which other faults begin.
+const BEFORE_END_MS: std::ops::Range<u64> = 0..1_000;
+
 /// Delay that a link adds to each chunk.
 const LINK_DELAY_MS: std::ops::Range<u64> = 5..250;
 
@@ -52,6 +74,9 @@
     /// Endpoints that join, leave, restart and fall silent or deaf, with faults of leaders and of the
     /// store.
     Changes,
+    /// Endpoints that are released in place, one after the other, with faults of replication, leaders
+    /// and the store.
+    Releases,
 }
 
 impl fmt::Display for ScheduleKind {
@@ -60,6 +85,7 @@
             ScheduleKind::Faults => "faults",
             ScheduleKind::Planned => "planned work",
             ScheduleKind::Changes => "changes",
+            ScheduleKind::Releases => "releases",
         })
     }
 }
@@ -79,6 +105,11 @@
     /// A new endpoint joins, and an old one drains for the duration and leaves. A primary leaves once
     /// it has been replaced.
     Release(EndpointChoice),
+    /// The endpoint with this number drains for the duration, ends even if it is the primary, and
+    /// hands its address and its log over to another one, which registers after this time.
+    ReleaseInPlace(usize, Duration),
+    /// The endpoint with this number receives nothing.
+    EndpointDeaf(usize),
     /// A replica receives nothing.
     ReplicaDeaf(usize),
     /// The primary is cut off from all replicas.
@@ -164,6 +195,9 @@
     let mut random = ChaCha8Rng::seed_from_u64(seed);
     let mut faults = Vec::new();
     let mut starts_after = FIRST_FAULT_DELAY;
+    if kind == ScheduleKind::Releases {
+        faults.extend(draw_releases(&mut random, endpoints, end));
+    }
     while starts_after < end {
         match kind {
             ScheduleKind::Planned => {
@@ -174,6 +208,10 @@
                 let fault = draw_fault(&mut random, instances, endpoints);
                 faults.push(schedule(&mut random, starts_after, fault));
             }
+            ScheduleKind::Releases => {
+                let fault = draw_beside_release(&mut random, instances, endpoints);
+                faults.push(schedule(&mut random, starts_after, fault));
+            }
             ScheduleKind::Changes => {
                 for (delay, fault) in draw_changes(&mut random, instances, endpoints) {
                     faults.push(schedule(&mut random, starts_after + delay, fault));
@@ -182,6 +220,7 @@
         }
         let interval = match kind {
             ScheduleKind::Changes => CHANGE_INTERVAL_MS,
+            ScheduleKind::Releases => RELEASE_INTERVAL_MS,
             ScheduleKind::Faults | ScheduleKind::Planned => FAULT_INTERVAL_MS,
         };
         starts_after += Duration::from_millis(random.random_range(interval));
@@ -294,6 +333,81 @@
     }
 }
 
+/// Draws releases in place of all endpoints, one after the other, and the faults beside their ends.
+fn draw_releases(random: &mut ChaCha8Rng, endpoints: usize, end: Duration) -> Vec<ScheduledFault> {
+    let mut faults = Vec::new();
+    let mut starts_after = FIRST_FAULT_DELAY;
+    let first = random.random_range(0..endpoints);
+    for number in first.. {
+        if starts_after >= end {
+            break;
+        }
+        let mut draw = |range| Duration::from_millis(random.random_range(range));
+        let drain = draw(RELEASE_DRAIN_MS);
+        let delay = match draw(0..2).is_zero() {
+            true => draw(REGISTRATION_DELAY_MS),
+            false => draw(LATE_REGISTRATION_MS),
+        };
+        let release_end = starts_after + drain;
+        let mut add = |starts_after, duration, fault| {
+            faults.push(ScheduledFault {
+                starts_after,
+                duration,
+                fault,
+            });
+        };
+        add(
+            starts_after,
+            drain,
+            SoakFault::ReleaseInPlace(number, delay),
+        );
+        let fault_start = release_end - draw(BEFORE_END_MS);
+        if !draw(0..3).is_zero() {
+            // The endpoint that is replaced next but one, so that the next one drains meanwhile.
+            let duration = draw(RELEASE_DEAF_MS);
+            add(fault_start, duration, SoakFault::EndpointDeaf(number + 2));
+        }
+        let fault_start = release_end - draw(BEFORE_END_MS);
+        match draw(0..4).as_millis() {
+            0 => add(
+                fault_start,
+                draw(FAULT_DURATION_MS),
+                SoakFault::LeaderKilled,
+            ),
+            1 => add(fault_start, Duration::ZERO, SoakFault::KillAll),
+            _ => {}
+        }
+        starts_after = release_end + draw(RELEASE_PAUSE_MS);
+    }
+    faults
+}
+
+/// Draws a fault beside releases in place. No log is lost by it.
+fn draw_beside_release(random: &mut ChaCha8Rng, instances: usize, endpoints: usize) -> SoakFault {
+    let instance = random.random_range(0..instances);
+    let endpoint = random.random_range(0..endpoints);
+    let link = match random.random_range(0..3) {
+        0 => LinkFault::Silent,
+        1 => LinkFault::SilentToTarget,
+        _ => LinkFault::SilentFromTarget,
+    };
+    match random.random_range(0..20) {
+        0..=4 => SoakFault::ReplicaDeaf(endpoint),
+        5 => SoakFault::ReplicasCut,
+        6 => SoakFault::TargetsDeaf,
+        7 | 8 => SoakFault::LeaderKilled,
+        9 => SoakFault::Process(instance, ProcessFault::Kill),
+        10 => SoakFault::Process(instance, ProcessFault::Pause),
+        11 | 12 => SoakFault::EndpointSilent(endpoint),
+        13 | 14 => SoakFault::EndpointLink(endpoint, link),
+        15 => SoakFault::StoreLink(instance, link),
+        16 => SoakFault::StoreSilent,
+        17 => SoakFault::StoreDropsHistory,
+        18 => SoakFault::KillAll,
+        _ => SoakFault::StoreChangesLate(Duration::from_millis(random.random_range(500..3_000))),
+    }
+}
+
 /// Schedules a fault with a random duration.
 fn schedule(random: &mut ChaCha8Rng, starts_after: Duration, fault: SoakFault) -> ScheduledFault {
     let duration = Duration::from_millis(random.random_range(FAULT_DURATION_MS));
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -1,5 +1,6 @@
 //! Runs seeds of the fault soak and prints the guarantees that were violated.
 
+use std::collections::BTreeMap;
 use std::io;
 use std::path::PathBuf;
 use std::process::ExitCode;
@@ -13,6 +14,9 @@
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
 
+/// Maximum number of violations of one guarantee that are printed.
+const MAX_PRINTED: usize = 5;
+
 /// Runs seeds of the fault soak. Exits with 0 if no guarantee was violated, with 1 if one was, and
 /// with 2 if a seed could not be run.
 #[derive(FromArgs)]
@@ -35,6 +39,9 @@
     /// inject changes of the group: endpoints join, leave, restart and fall deaf or silent
     #[argh(switch)]
     changes: bool,
+    /// replace endpoints in place, one after the other, beside faults that lose no log
+    #[argh(switch)]
+    releases: bool,
     /// number of callers of each kind
     #[argh(option, default = "6")]
     callers: usize,
@@ -43,9 +50,10 @@
 /// Runs one seed, prints its verdict and returns whether all guarantees held.
 fn check_seed(args: &SoakArgs, seed: u64) -> io::Result<bool> {
     let folder = tempfile::tempdir()?;
-    let kind = match args.changes {
-        true => ScheduleKind::Changes,
-        false => fault_schedule::kind_of(seed),
+    let kind = match (args.releases, args.changes) {
+        (true, _) => ScheduleKind::Releases,
+        (false, true) => ScheduleKind::Changes,
+        (false, false) => fault_schedule::kind_of(seed),
     };
     let plan = SoakPlan {
         program: args.program.clone(),
@@ -68,8 +76,16 @@
         }
     })?;
     println!("seed {seed} ({kind}): {verdict}");
-    for violation in verdict.violations.iter().take(10) {
-        println!("  {violation}");
+    let mut printed: BTreeMap<&str, usize> = BTreeMap::new();
+    for violation in &verdict.violations {
+        let count = printed.entry(violation.guarantee).or_default();
+        *count += 1;
+        if *count <= MAX_PRINTED {
+            println!("  {violation}");
+        }
+    }
+    for (guarantee, count) in printed.iter().filter(|(_, count)| **count > MAX_PRINTED) {
+        println!("  {guarantee}: {count} in all");
     }
     if !verdict.violations.is_empty() {
         println!("  logs: {}", folder.keep().display());
--- a/crates/soak/src/soak_faults.rs
+++ b/crates/soak/src/soak_faults.rs
@@ -114,7 +114,7 @@
                 // copies of a commit.
                 let _guard = self.endpoint_silence.lock().await;
                 let duration = match self.kind {
-                    ScheduleKind::Changes => duration.min(SHORT_SILENCE),
+                    ScheduleKind::Changes | ScheduleKind::Releases => duration.min(SHORT_SILENCE),
                     ScheduleKind::Faults | ScheduleKind::Planned => duration,
                 };
                 let id = &self.endpoint_link(endpoint).0;
@@ -128,6 +128,17 @@
                 Ok(())
             }
             SoakFault::Release(choice) => self.release(choice, duration).await,
+            SoakFault::ReleaseInPlace(number, delay) => {
+                let id = self.endpoint_link(number).0;
+                self.set_draining(&id, true);
+                tokio::time::sleep(duration).await;
+                self.replace_endpoint(&id, delay).await;
+                Ok(())
+            }
+            SoakFault::EndpointDeaf(number) => {
+                self.deafen(&[self.endpoint_link(number).0], duration).await;
+                Ok(())
+            }
             SoakFault::ReplicaDeaf(number) => {
                 let deaf: Vec<String> = self.replica(number).into_iter().collect();
                 self.deafen(&deaf, duration).await;
--- a/crates/soak/src/soak_run.rs
+++ b/crates/soak/src/soak_run.rs
@@ -173,7 +173,7 @@
             processes.push(Mutex::new(DaemonProcess::start(&process)?));
             store_links.push(link);
         }
-        if plan.kind == ScheduleKind::Changes {
+        if matches!(plan.kind, ScheduleKind::Changes | ScheduleKind::Releases) {
             platform.change_group(|group| {
                 group.lag = CHANGE_LAG;
                 group.promotion_time = CHANGE_PROMOTION_TIME;
@@ -270,6 +270,19 @@
         Ok(id)
     }
 
+    /// Replaces an endpoint by one at its address and with its log, which registers after `delay`.
+    pub async fn replace_endpoint(&self, id: &str, delay: Duration) {
+        let number = self.next_endpoint.fetch_add(1, Ordering::Relaxed);
+        let successor = format!("db-{number}");
+        for (linked, _) in self.links().iter_mut() {
+            if linked == id {
+                linked.clone_from(&successor);
+            }
+        }
+        let platform = &self.platform;
+        platform.replace_in_place(id, &successor, delay).await;
+    }
+
     /// Ends an endpoint and its link.
     pub fn remove_endpoint(&self, id: &str) {
         self.platform.remove_endpoint(id);
--- a/tests/testsuite/soak_checks.rs
+++ b/tests/testsuite/soak_checks.rs
@@ -267,6 +267,7 @@
         ScheduleKind::Faults,
         ScheduleKind::Planned,
         ScheduleKind::Changes,
+        ScheduleKind::Releases,
     ] {
         let draw = |seed| draw_faults(kind, seed, 5, 3, end);
         assert_eq!(draw(7), draw(7));
