Merge the soak's releases in place

The soak replaces all endpoints in place, one after the other, beside faults that lose no log, and names the promotion that lost a write.

--- a/crates/front/tests/testsuite/fault_soak.rs
+++ b/crates/front/tests/testsuite/fault_soak.rs
@@ -15,8 +15,9 @@
 const REGRESSION_CALLERS: usize = 6;
 const REGRESSION_TIME: Duration = Duration::from_secs(10);
 
-/// Length of the runs with changes of the group.
+/// Length of the runs with changes of the group, and of those with releases in place.
 const CHANGES_TIME: Duration = Duration::from_secs(22);
+const RELEASES_TIME: Duration = Duration::from_secs(26);
 
 async fn run_small(seed: u64) -> SoakVerdict {
     run_sized(seed, 3, 3, Duration::from_secs(6)).await
@@ -48,6 +49,12 @@
     run_kind(kind, seed, REGRESSION_INSTANCES, 4, CHANGES_TIME).await
 }
 
+/// Runs a seed with releases in place, at the size in which the seed below failed.
+async fn run_releases(seed: u64) -> SoakVerdict {
+    let kind = ScheduleKind::Releases;
+    run_kind(kind, seed, REGRESSION_INSTANCES, 4, RELEASES_TIME).await
+}
+
 async fn run_kind(
     kind: ScheduleKind,
     seed: u64,
@@ -125,3 +132,12 @@
     assert!(verdict.violations.is_empty(), "{:#?}", verdict.violations);
     assert!(verdict.promotions > 0, "{verdict}");
 }
+
+/// Regression test: with seed 44, writes that only a successor in place had received were lost before
+/// it was registered.
+#[tokio::test(flavor = "multi_thread")]
+async fn releases_lose_nothing() {
+    let verdict = run_releases(44).await;
+    assert!(verdict.violations.is_empty(), "{:#?}", verdict.violations);
+    assert!(verdict.promotions > 0, "{verdict}");
+}
--- a/crates/standins/src/platform/group_state.rs
+++ b/crates/standins/src/platform/group_state.rs
@@ -5,6 +5,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::platform::promotion_effect::PromotionEffect;
+
 /// Default time between a promotion request and its effect.
 const PROMOTION_TIME: Duration = Duration::from_millis(300);
 
@@ -123,6 +125,8 @@
     pub executed_statements: Vec<ExecutedStatement>,
     /// Accepted promotion requests: target, `Duty-Holder` and `Fencing-Token`.
     pub promotions: Vec<(String, String, u64)>,
+    /// Promotions that took effect, in order.
+    pub effects: Vec<PromotionEffect>,
 }
 
 impl GroupState {
@@ -141,6 +145,7 @@
             lose_answers: 0,
             executed_statements: Vec::new(),
             promotions: Vec::new(),
+            effects: Vec::new(),
         }
     }
 
@@ -289,7 +294,7 @@
     /// endpoint is now the primary of the newest term.
     pub fn promote(&mut self, target: &str) -> bool {
         let newest = self.endpoints.values().map(|e| e.term).max().unwrap_or(0);
-        let Some(endpoint) = self.endpoints.get_mut(target) else {
+        let Some(endpoint) = self.endpoints.get(target) else {
             return false;
         };
         if !endpoint.alive {
@@ -298,6 +303,11 @@
         if endpoint.primary && endpoint.term == newest {
             return true;
         }
+        let effect = PromotionEffect::new(self, target);
+        self.effects.push(effect);
+        let Some(endpoint) = self.endpoints.get_mut(target) else {
+            return false;
+        };
         endpoint.primary = true;
         endpoint.term = newest + 1;
         endpoint.paused = 0;
--- a/crates/standins/src/platform/line_server.rs
+++ b/crates/standins/src/platform/line_server.rs
@@ -74,9 +74,14 @@
     /// Returns the answer to a line, `None` to stay silent, or an empty answer to close the
     /// connection.
     async fn answer(&mut self, line: &str) -> Option<String> {
-        let alive = self.shared.group().endpoints.get(&self.endpoint)?.alive;
-        if !alive {
-            return None;
+        {
+            let group = self.shared.group();
+            if group.successors.contains_key(&self.endpoint) {
+                return Some(String::new());
+            }
+            if !group.endpoints.get(&self.endpoint)?.alive {
+                return None;
+            }
         }
         let mut words = line.splitn(3, ' ');
         match (words.next(), words.next(), words.next()) {
