Close gaps in the evidence of acknowledged commits

From an independent review of the fix, each found by reading:

- An instance that joined and left within the lag of the leader's view was missed.
The members are those that the store lists after the pending order, and the departures those of a view that has reached that revision.
Later departures, restarts and gaps no longer matter, since all members have to report; before, a gap after the order made the group wait for the former primary.
- The members were not read again after the store had failed once.
- The use of a silent primary was stopped although the evidence could not become complete any more.
- A primary of an earlier term that alone answered counted as the new one.
- A leader whose call had no clear answer could call for another endpoint, which the first call undoes when it takes effect; it now calls for no other one until the effect time has passed.
Equal candidates are told apart by their ids, so that another leader chooses the same one.
- More than about 50 reports did not fit a datagram.

Tests: superseded_primary_does_not_lead, silent_former_is_stopped (extended). The others have no test of their own: the model has one leader at a time and no lag of the view.

--- a/crates/front/src/group_change.rs
+++ b/crates/front/src/group_change.rs
@@ -13,7 +13,9 @@
 use platform::registry;
 use platform::store_client::ReadFreshness;
 use platform::store_client::StoreChange;
+use platform::store_error::StoreError;
 use session_core::commit_evidence::AcknowledgedPoint;
+use session_core::commit_evidence::DepartureLog;
 use session_core::commit_evidence::InstanceLife;
 use session_core::endpoint_entry::EndpointEntry;
 use session_core::endpoint_entry::GroupRole;
@@ -78,13 +80,24 @@
     former_silent: bool,
     /// The last log point that the target reported before its promotion.
     target_point: Option<LogPoint>,
+    /// Target of a promotion call that may still take effect, and when the call was sent.
+    called: Option<(EndpointId, MonotonicTime)>,
 }
 
 struct PendingOrder {
     revision: u64,
     accepted_at: MonotonicTime,
-    /// Whether the members were read from the store after it had accepted the order.
-    members_read: bool,
+    /// The members, read from the store after it had accepted the order.
+    members: Option<OrderMembers>,
+}
+
+/// The instances that may have used the former primary until the pending order.
+struct OrderMembers {
+    /// Revision up to which the store was read.
+    revision: u64,
+    lives: HashSet<InstanceLife>,
+    /// Instances that had left by then, once the view has reached the revision.
+    departures: Option<DepartureLog>,
 }
 
 /// Replaces the primary of a group; abandons the change if the reason for it ends first.
@@ -145,6 +158,7 @@
             earlier_point: None,
             former_silent: false,
             target_point: None,
+            called: None,
         }
     }
 
@@ -160,6 +174,7 @@
                     return false;
                 }
             }
+            self.read_members().await;
             let listed = self.entries();
             let step = self.survey_group(&listed).await;
             if self.must_wait(&step) {
@@ -171,6 +186,7 @@
                     self.demote(&endpoint, term).await;
                 }
                 PromotionStep::StopUse(target) => self.stop_use_of_former(&target).await,
+                PromotionStep::Promote(target) if self.may_still_lead(&target) => {}
                 PromotionStep::Promote(target) => {
                     let entry = listed.iter().find(|entry| entry.id == target);
                     if let Some(entry) = entry
@@ -245,18 +261,21 @@
     }
 
     /// Returns what covers the acknowledged commits of the former primary.
-    fn acknowledged_point(&self) -> AcknowledgedPoint {
+    fn acknowledged_point(&mut self) -> AcknowledgedPoint {
         let view = self.instance.view.borrow();
-        let pending = self.pending.as_ref().filter(|pending| pending.members_read);
-        let pending = pending.map(|pending| pending.revision);
-        // A member that joined after the order has read it before using any primary.
-        let members = view.members.iter().filter(|(name, member)| {
-            **name != self.instance.settings.instance && Some(member.revision) < pending
-        });
-        let members: HashSet<InstanceLife> = members.map(|(_, member)| member.life()).collect();
         let mut commits = self.instance.commits.borrow_mut();
         let evidence = commits.entry(self.service.clone()).or_default();
-        evidence.acknowledged(pending, &members, &view.departures)
+        if let Some(pending) = &mut self.pending
+            && let Some(members) = &mut pending.members
+        {
+            if members.departures.is_none() && view.revision >= members.revision {
+                members.departures = Some(view.departures.clone());
+            }
+            if let Some(departures) = &members.departures {
+                return evidence.acknowledged(Some(pending.revision), &members.lives, departures);
+            }
+        }
+        evidence.acknowledged(None, &HashSet::new(), &view.departures)
     }
 
     /// Makes the former primary a replica, after which it acknowledges no commit.
@@ -361,36 +380,50 @@
         self.pending = Some(PendingOrder {
             revision,
             accepted_at: now(),
-            members_read: false,
+            members: None,
         });
         true
     }
 
     /// Reads the members from the store, unless this was done since the pending order. The view may
-    /// lack some of them: a watch reports nothing for a while before the store drops its history.
+    /// lack some of them.
     async fn read_members(&mut self) {
-        if self.pending.as_ref().is_none_or(|p| p.members_read) {
+        let Some(order) = self.pending.as_ref().filter(|p| p.members.is_none()) else {
             return;
-        }
-        let read = self.read_items(fleet_keys::MEMBER_PREFIX).await;
+        };
+        let order = order.revision;
+        let Some(revision) = self.read_items(fleet_keys::MEMBER_PREFIX).await else {
+            return;
+        };
+        let view = self.instance.view.borrow();
+        // A member that joined after the order has read it before using any primary.
+        let members = view.members.iter().filter(|(name, member)| {
+            **name != self.instance.settings.instance && member.revision < order
+        });
+        let lives = members.map(|(_, member)| member.life()).collect();
         if let Some(pending) = &mut self.pending {
-            pending.members_read = read;
+            pending.members = Some(OrderMembers {
+                revision,
+                lives,
+                departures: None,
+            });
         }
     }
 
-    /// Reads the items of the store whose keys begin with a prefix. Returns whether it answered.
-    async fn read_items(&self, prefix: &str) -> bool {
+    /// Reads the items of the store whose keys begin with a prefix. Returns the revision up to which
+    /// it was read, or `None` if it did not answer.
+    async fn read_items(&self, prefix: &str) -> Option<u64> {
         let store = &self.instance.store;
         let read = store.range(prefix, ReadFreshness::Current, STORE_TIMEOUT);
         match read.await {
             Ok(view) => {
-                let items = ViewItems::from(view).items;
-                self.instance.view.borrow_mut().add_items(items);
-                true
+                let view = ViewItems::from(view);
+                self.instance.view.borrow_mut().add_items(view.items);
+                Some(view.revision)
             }
             Err(error) => {
                 tracing::info!(event = "store_not_read", service = %self.service, prefix, %error);
-                false
+                None
             }
         }
     }
@@ -411,6 +444,7 @@
         };
         // The call may take effect although this instance ends before its answer.
         tracing::warn!(event = "promotion_called", service = %self.service, target = %target, token);
+        self.called = Some((target.clone(), now()));
         let leader = &self.instance.settings.instance;
         let ordered = self
             .instance
@@ -424,13 +458,25 @@
             token,
             outcome = ordered.as_ref().map_or_else(|error| error.to_string(), |()| "accepted".to_owned()),
         );
+        if matches!(ordered, Err(StoreError::NotSent | StoreError::Refused(_))) {
+            self.called = None;
+        }
         ordered.is_ok() && self.await_promotion(target).await
     }
 
+    /// Returns whether an endpoint other than `target` may still become the primary by an earlier
+    /// call. It would undo the promotion of the target.
+    fn may_still_lead(&self, target: &EndpointId) -> bool {
+        self.called.as_ref().is_some_and(|(called, at)| {
+            called != target && now().saturating_since(*at) < PROMOTION_EFFECT_TIME
+        })
+    }
+
     /// Reads the registry and returns whether an endpoint is still the one of the survey. One that
     /// has restarted may have lost its log.
     async fn has_not_restarted(&self, surveyed: &EndpointEntry) -> bool {
-        if !self.read_items(registry::ENDPOINT_PREFIX).await {
+        let read = self.read_items(registry::ENDPOINT_PREFIX).await;
+        if read.is_none() {
             return false;
         }
         let view = self.instance.view.borrow();
@@ -518,7 +564,7 @@
             let Some(pending) = &self.pending else {
                 return false;
             };
-            let complete = pending.members_read;
+            let complete = pending.members.is_some();
             let missing = self.missing_acknowledgements(pending.revision);
             let waited = waited(pending);
             if complete && missing.is_empty() || waited >= limit {
--- a/crates/front/src/peer_link.rs
+++ b/crates/front/src/peer_link.rs
@@ -15,6 +15,9 @@
 use crate::peer_message::MAX_DATAGRAM_BYTES;
 use crate::peer_message::PeerMessage;
 
+/// Maximum number of reports of acknowledged commits in a datagram.
+const MAX_REPORTS: usize = 20;
+
 /// Receives and handles datagrams until the process ends.
 pub async fn serve_peers(instance: Rc<Instance>) {
     let mut buffer = [0; MAX_DATAGRAM_BYTES];
@@ -134,12 +137,15 @@
     if wanted.is_empty() && failing.is_empty() && seen.is_empty() && !report_due {
         return;
     }
-    if let Some(leader) = leader.filter(|_| !seen.is_empty()) {
-        let message = PeerMessage::Passed {
-            registered_at: instance.view.borrow().registered_at,
-            reports: instance.commit_reports(),
-        };
-        send(instance, &message, leader);
+    if let Some(leader) = leader {
+        let registered_at = instance.view.borrow().registered_at;
+        for reports in instance.commit_reports().chunks(MAX_REPORTS) {
+            let message = PeerMessage::Passed {
+                registered_at,
+                reports: reports.to_vec(),
+            };
+            send(instance, &message, leader);
+        }
     }
     let message = PeerMessage::Ask {
         number,
--- a/crates/session-core/src/commit_evidence.rs
+++ b/crates/session-core/src/commit_evidence.rs
@@ -49,12 +49,14 @@
 }
 
 /// The commits whose acknowledgements reached callers.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct AcknowledgedPoint {
     /// Highest point that is known to cover acknowledged commits.
     pub known: Option<LogPoint>,
     /// Whether it covers all of them.
     pub complete: bool,
+    /// Whether it covers all of them as soon as the other instances have reported.
+    pub sampled: bool,
 }
 
 /// What an instance knows of the acknowledged commits of one group, since its order was opened.
@@ -164,13 +166,14 @@
             let reported = self.reports.get(life);
             pending.is_some() && reported >= pending.as_ref()
         };
-        let complete = sample.is_some_and(|sample| {
+        let sampled = sample.is_some_and(|sample| {
             let since = sample.requested_at;
-            pending.is_some()
-                && !departures.has_gap(since)
-                && departures.left_since(since).all(has_reported)
-                && members.iter().all(has_reported)
+            !departures.has_gap(since) && departures.left_since(since).all(has_reported)
         });
-        AcknowledgedPoint { known, complete }
+        AcknowledgedPoint {
+            known,
+            complete: sampled && pending.is_some() && members.iter().all(has_reported),
+            sampled,
+        }
     }
 }
--- a/crates/session-core/src/promotion_step.rs
+++ b/crates/session-core/src/promotion_step.rs
@@ -91,6 +91,8 @@
             report.role == GroupRole::Primary
                 && report.term == newest
                 && self.former.is_some_and(|id| *id != member.id)
+                // A primary of an earlier term may answer while all later ones are silent.
+                && self.acknowledged.known.is_none_or(|p| report.term > p.term)
         });
         if let Some((member, _)) = leader {
             return PromotionStep::Leads(member.id.clone());
@@ -175,7 +177,9 @@
         let target = self.acknowledged.known.and_then(|p| self.best_candidate(p));
         match target {
             Some(member) if self.acknowledged.complete => PromotionStep::Promote(member.id.clone()),
-            Some(member) if !self.former_unused => PromotionStep::StopUse(member.id.clone()),
+            Some(member) if !self.former_unused && self.acknowledged.sampled => {
+                PromotionStep::StopUse(member.id.clone())
+            }
             _ => PromotionStep::Wait,
         }
     }
@@ -192,11 +196,11 @@
     }
 
     /// Returns the candidate to be promoted among those whose logs reach `needed`: preferably one
-    /// that is not draining, with the furthest log.
+    /// that is not draining, with the furthest log. The choice does not depend on the leader.
     fn best_candidate(&self, needed: LogPoint) -> Option<&SurveyedEndpoint> {
         self.candidates()
             .filter(|(_, report)| report.received >= needed)
-            .max_by_key(|(member, report)| (!member.draining, report.received))
+            .max_by_key(|(member, report)| (!member.draining, report.received, &member.id))
             .map(|(member, _)| member)
     }
 }
--- a/tests/testsuite/promotion_orders.rs
+++ b/tests/testsuite/promotion_orders.rs
@@ -82,8 +82,7 @@
     reports: Vec<(usize, Option<u8>, bool)>,
     demoted: bool,
     unused: bool,
-    known: Option<LogPoint>,
-    complete: bool,
+    acknowledged: AcknowledgedPoint,
 }
 
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
@@ -399,15 +398,13 @@
         let pending = self.written.then_some(PENDING);
         let members = self.other.listed.then(|| self.other.life());
         let members: HashSet<InstanceLife> = members.into_iter().collect();
-        let known = self
-            .evidence
-            .acknowledged(pending, &members, &self.departures);
+        let evidence = &self.evidence;
+        let acknowledged = evidence.acknowledged(pending, &members, &self.departures);
         self.survey = Some(ModelSurvey {
             reports,
             demoted: self.demoted,
             unused: self.unused,
-            known: known.known,
-            complete: known.complete,
+            acknowledged,
         });
     }
 
@@ -463,10 +460,7 @@
             former: Some(&member_id(PRIMARY)),
             former_lost: false,
             former_unused: survey.unused,
-            acknowledged: AcknowledgedPoint {
-                known: survey.known,
-                complete: survey.complete,
-            },
+            acknowledged: survey.acknowledged,
             earlier_point: self.earlier.map(point),
         };
         group.next_step()
--- a/tests/testsuite/promotion_steps.rs
+++ b/tests/testsuite/promotion_steps.rs
@@ -50,6 +50,7 @@
     former_unused: bool,
     known: Option<u64>,
     complete: bool,
+    sampled: bool,
     earlier: Option<u64>,
 }
 
@@ -62,6 +63,7 @@
             former_unused: false,
             known: None,
             complete: false,
+            sampled: true,
             earlier: None,
         }
     }
@@ -80,6 +82,12 @@
         self
     }
 
+    /// An instance that left may have passed any commit on.
+    fn unsampled(mut self) -> Self {
+        self.sampled = false;
+        self
+    }
+
     fn unused(mut self) -> Self {
         self.former_unused = true;
         self
@@ -105,6 +113,7 @@
             acknowledged: AcknowledgedPoint {
                 known: self.known.map(point),
                 complete: self.complete,
+                sampled: self.sampled,
             },
             earlier_point: self.earlier.map(point),
         };
@@ -143,6 +152,8 @@
 fn silent_former_is_stopped() {
     let members = || [replica("a", 5), replica("b", 8), silent("p")];
     assert_eq!(TestGroup::new(members()).step(), PromotionStep::Wait);
+    let group = TestGroup::new(members()).known(6).unsampled();
+    assert_eq!(group.step(), PromotionStep::Wait);
     let group = TestGroup::new(members()).known(6);
     assert_eq!(group.step(), stops_use("b"));
     assert_eq!(group.unused().step(), PromotionStep::Wait);
@@ -279,3 +290,12 @@
     let group = TestGroup::new([replica("p", 9), replica("a", 9), leader]);
     assert_eq!(group.step(), PromotionStep::Leads(id("b")));
 }
+
+/// A primary of an earlier term that answers while the later ones are silent does not lead.
+#[test]
+fn superseded_primary_does_not_lead() {
+    let group = TestGroup::new([silent("p"), primary("a", 9), silent("b")]);
+    assert_eq!(group.acknowledged(9).step(), promotes("a"));
+    let group = TestGroup::new([silent("p"), primary("a", 5), silent("b")]);
+    assert_eq!(group.acknowledged(9).step(), PromotionStep::Wait);
+}
