Count a process that registered again among those that reported

A report now names the first and the present registration of its process and covers those between, the leader's own included.

--- a/crates/front/src/fleet_view.rs
+++ b/crates/front/src/fleet_view.rs
@@ -11,6 +11,7 @@
 use platform::store_client::StoreItem;
 use session_core::commit_evidence::DepartureLog;
 use session_core::commit_evidence::InstanceLife;
+use session_core::commit_evidence::ProcessLives;
 use session_core::endpoint_entry::EndpointEntry;
 use session_core::group_order::GroupOrder;
 use session_core::ids::EndpointId;
@@ -83,6 +84,8 @@
     pub renewed_at: Option<MonotonicTime>,
     /// Revision at which this instance's member key was written.
     pub registered_at: u64,
+    /// Revision at which this process registered first.
+    pub first_registered_at: Option<u64>,
     /// Revision up to which changes have been applied.
     pub revision: u64,
     /// Draining endpoints and when their drain began, or `None` if it had already begun in the
@@ -370,6 +373,14 @@
         self.known_entry(id).is_none() && self.watched_since.is_some_and(lost_since)
     }
 
+    /// Returns the registrations of this process.
+    pub fn process_lives(&self) -> ProcessLives {
+        ProcessLives {
+            first: self.first_registered_at.unwrap_or(self.registered_at),
+            last: self.registered_at,
+        }
+    }
+
     /// Returns the revision of the open order of a service if it names this endpoint as the primary,
     /// which this instance may use at `now` and could use at `since`.
     pub fn opened_revision(
--- a/crates/front/src/group_change.rs
+++ b/crates/front/src/group_change.rs
@@ -272,10 +272,14 @@
                 members.departures = Some(view.departures.clone());
             }
             if let Some(departures) = &members.departures {
+                let own = evidence.report(self.service, pending.revision);
+                let address = self.instance.settings.peer_address;
+                evidence.record_report(address, view.process_lives(), &own);
                 return evidence.acknowledged(Some(pending.revision), &members.lives, departures);
             }
         }
-        evidence.acknowledged(None, &HashSet::new(), &view.departures)
+        let members = view.members.values().map(Revised::life).collect();
+        evidence.acknowledged(None, &members, &view.departures)
     }
 
     /// Makes the former primary a replica, after which it acknowledges no commit.
@@ -397,10 +401,9 @@
         };
         let view = self.instance.view.borrow();
         // A member that joined after the order has read it before using any primary.
-        let members = view.members.iter().filter(|(name, member)| {
-            **name != self.instance.settings.instance && member.revision < order
-        });
-        let lives = members.map(|(_, member)| member.life()).collect();
+        let members = view.members.values();
+        let members = members.filter(|member| member.revision < order);
+        let lives = members.map(Revised::life).collect();
         if let Some(pending) = &mut self.pending {
             pending.members = Some(OrderMembers {
                 revision,
--- a/crates/front/src/instance.rs
+++ b/crates/front/src/instance.rs
@@ -14,7 +14,7 @@
 use platform::store_client::StoreClient;
 use session_core::commit_evidence::CommitEvidence;
 use session_core::commit_evidence::CommitReport;
-use session_core::commit_evidence::InstanceLife;
+use session_core::commit_evidence::ProcessLives;
 use session_core::connection_share::ConnectionShare;
 use session_core::failure_detector::FailureDetector;
 use session_core::floor_history::FloorHistory;
@@ -379,11 +379,16 @@
     }
 
     /// Records the reports of another instance.
-    pub fn record_commit_reports(&self, life: InstanceLife, reports: &[CommitReport]) {
+    pub fn record_commit_reports(
+        &self,
+        address: SocketAddr,
+        process: ProcessLives,
+        reports: &[CommitReport],
+    ) {
         let mut commits = self.commits.borrow_mut();
         for report in reports {
             let evidence = commits.entry(report.service.clone()).or_default();
-            evidence.record_report(life, report);
+            evidence.record_report(address, process, report);
         }
         drop(commits);
         self.notify_view_change();
--- a/crates/front/src/peer_link.rs
+++ b/crates/front/src/peer_link.rs
@@ -3,7 +3,6 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use session_core::commit_evidence::InstanceLife;
 use session_core::instance_rank::ranked_order;
 use session_core::monotonic_time::now;
 
@@ -99,16 +98,9 @@
                 send(instance, &PeerMessage::Watched { sent, stamp }, from);
             }
         }
-        PeerMessage::Passed {
-            registered_at,
-            reports,
-        } => {
+        PeerMessage::Passed { process, reports } => {
             if instance.leads() {
-                let life = InstanceLife {
-                    address: from,
-                    registered_at,
-                };
-                instance.record_commit_reports(life, &reports);
+                instance.record_commit_reports(from, process, &reports);
             }
         }
         PeerMessage::Watched { sent, stamp } => {
@@ -138,10 +130,10 @@
         return;
     }
     if let Some(leader) = leader {
-        let registered_at = instance.view.borrow().registered_at;
+        let process = instance.view.borrow().process_lives();
         for reports in instance.commit_reports().chunks(MAX_REPORTS) {
             let message = PeerMessage::Passed {
-                registered_at,
+                process,
                 reports: reports.to_vec(),
             };
             send(instance, &message, leader);
--- a/crates/front/src/peer_message.rs
+++ b/crates/front/src/peer_message.rs
@@ -5,6 +5,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 use session_core::commit_evidence::CommitReport;
+use session_core::commit_evidence::ProcessLives;
 use session_core::ids::EndpointId;
 use session_core::ids::ServiceId;
 use session_core::ids::TeamId;
@@ -59,8 +60,8 @@
     },
     /// Reports which acknowledgements an instance passed on before it stopped using primaries.
     Passed {
-        /// Revision at which the instance's member key was written.
-        registered_at: u64,
+        /// Registrations of the instance's process.
+        process: ProcessLives,
         /// One report for each pending order.
         reports: Vec<CommitReport>,
     },
--- a/crates/session-core/src/commit_evidence.rs
+++ b/crates/session-core/src/commit_evidence.rs
@@ -26,6 +26,17 @@
     pub registered_at: u64,
 }
 
+/// The registrations of one process at an address, from the first to the present one. A process
+/// whose lease ended registers again.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub struct ProcessLives {
+    /// Revision of its first registration.
+    pub first: u64,
+    /// Revision of its present registration.
+    pub last: u64,
+}
+
 /// Report of an instance that has stopped using the primary of a group.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -68,8 +79,8 @@
     passed: Option<LogPoint>,
     /// Earliest point of the primary after the last departure.
     sample: Option<FloorSample>,
-    /// Newest pending order for which each instance reported.
-    reports: BTreeMap<InstanceLife, u64>,
+    /// Newest pending order for which the process at each address reported.
+    reports: BTreeMap<SocketAddr, (ProcessLives, u64)>,
 }
 
 impl DepartureLog {
@@ -109,7 +120,7 @@
             self.opened = opened;
             self.passed = None;
             self.sample = None;
-            self.reports.retain(|_, pending| *pending > opened);
+            self.reports.retain(|_, (_, pending)| *pending > opened);
         }
     }
 
@@ -142,14 +153,26 @@
     }
 
     /// Records the report of another instance.
-    pub fn record_report(&mut self, life: InstanceLife, report: &CommitReport) {
+    pub fn record_report(
+        &mut self,
+        address: SocketAddr,
+        process: ProcessLives,
+        report: &CommitReport,
+    ) {
         self.begin(report.opened);
         // Commits acknowledged under an earlier order are covered by each sample of a later one.
         if report.opened == self.opened {
             self.passed = self.passed.max(report.passed);
         }
-        let pending = self.reports.entry(life).or_default();
-        *pending = report.pending.max(*pending);
+        let (known, pending) = self.reports.entry(address).or_insert((process, 0));
+        // A report of an earlier process may arrive late.
+        if process.last >= known.last {
+            if process.first > known.last {
+                *pending = 0;
+            }
+            *known = process;
+            *pending = report.pending.max(*pending);
+        }
     }
 
     /// Returns what covers the acknowledged commits. It is complete if each of `members`, the other
@@ -163,16 +186,24 @@
         let sample = self.sample.as_ref();
         let known = self.passed.max(sample.map(|sample| sample.point));
         let has_reported = |life: &InstanceLife| {
-            let reported = self.reports.get(life);
-            pending.is_some() && reported >= pending.as_ref()
+            let report = self.reports.get(&life.address);
+            report.is_some_and(|(process, reported)| {
+                let lives = process.first..=process.last;
+                lives.contains(&life.registered_at) && pending.is_some_and(|p| *reported >= p)
+            })
         };
+        // A process whose lease ended reports after it has registered again.
+        let may_report = |life: &InstanceLife| members.iter().any(|m| m.address == life.address);
         let sampled = sample.is_some_and(|sample| {
             let since = sample.requested_at;
-            !departures.has_gap(since) && departures.left_since(since).all(has_reported)
+            let mut left = departures.left_since(since);
+            !departures.has_gap(since) && left.all(|life| has_reported(life) || may_report(life))
         });
+        let left = sample.map(|sample| departures.left_since(sample.requested_at));
+        let reported = left.into_iter().flatten().chain(members).all(has_reported);
         AcknowledgedPoint {
             known,
-            complete: sampled && pending.is_some() && members.iter().all(has_reported),
+            complete: sampled && pending.is_some() && reported,
             sampled,
         }
     }
--- a/tests/testsuite/promotion_orders.rs
+++ b/tests/testsuite/promotion_orders.rs
@@ -11,6 +11,7 @@
 use session_core::commit_evidence::CommitReport;
 use session_core::commit_evidence::DepartureLog;
 use session_core::commit_evidence::InstanceLife;
+use session_core::commit_evidence::ProcessLives;
 use session_core::endpoint_entry::GroupRole;
 use session_core::floor_history::FloorSample;
 use session_core::ids::EndpointId;
@@ -309,7 +310,12 @@
                     opened: OPENED,
                     passed: self.other.passed.map(point),
                 };
-                self.evidence.record_report(self.other.life(), &report);
+                let life = self.other.life();
+                let process = ProcessLives {
+                    first: life.registered_at,
+                    last: life.registered_at,
+                };
+                self.evidence.record_report(life.address, process, &report);
             }
             ModelEvent::OtherStops => self.other.stopped = true,
             ModelEvent::OtherDies => self.other.runs = false,
