Find the log of a primary that ended at its address

Orders now carry the addresses of the target and of the former primary. The endpoint that is listed there took over the log (the platform hands it over on a planned shutdown, and a primary that crashed comes back with it), so it is compared like the former primary itself: it may lead, or one that has received as much. If another endpoint has more, it did not take over the log.

Test: promotion_steps::successor_shows_the_log; the exhaustive model includes it.

--- a/crates/front/src/group_change.rs
+++ b/crates/front/src/group_change.rs
@@ -6,6 +6,7 @@
 //! endpoints which endpoint may be promoted; instances use the new primary once the order is open.
 
 use std::collections::HashSet;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -67,6 +68,7 @@
     instance: &'a Rc<Instance>,
     service: &'a ServiceId,
     former: Option<EndpointId>,
+    former_address: Option<SocketAddr>,
     survey: GroupSurvey,
     pending: Option<PendingOrder>,
     /// Whether no instance uses the former primary or passes on its acknowledgements any more.
@@ -106,12 +108,14 @@
         write_first_order(instance, service).await;
         return;
     }
-    let former = {
+    let order = {
         let view = instance.view.borrow();
-        match view.orders.get(service) {
-            Some(order) if order.value.phase == OrderPhase::Pending => order.value.former.clone(),
-            _ => view.ordered_primary(service).ok(),
-        }
+        view.orders.get(service).map(|order| order.value.clone())
+    };
+    let (former, former_address) = match order {
+        Some(order) if order.phase == OrderPhase::Pending => (order.former, order.former_address),
+        Some(order) => (Some(order.target), order.target_address),
+        None => (None, None),
     };
     tracing::warn!(
         event = "primary_change_started",
@@ -120,7 +124,7 @@
         ?reason,
         token = instance.fencing_token(),
     );
-    let mut change = GroupChange::new(instance, service, former);
+    let mut change = GroupChange::new(instance, service, former, former_address);
     let started_at = now();
     let done = change.run().await;
     tracing::warn!(
@@ -140,16 +144,26 @@
     let Some(target) = target else {
         return;
     };
-    let change = GroupChange::new(instance, service, None);
+    let change = GroupChange::new(instance, service, None, None);
     let revision = change.write_order(&target, OrderPhase::Open).await;
     tracing::info!(event = "first_order", service = %service, target = %target, revision);
 }
 
 impl<'a> GroupChange<'a> {
-    fn new(instance: &'a Rc<Instance>, service: &'a ServiceId, former: Option<EndpointId>) -> Self {
+    fn new(
+        instance: &'a Rc<Instance>,
+        service: &'a ServiceId,
+        former: Option<EndpointId>,
+        former_address: Option<SocketAddr>,
+    ) -> Self {
+        let address = |former: &EndpointId| {
+            let view = instance.view.borrow();
+            view.known_entry(former).map(|entry| entry.address)
+        };
         Self {
             instance,
             service,
+            former_address: former_address.or_else(|| former.as_ref().and_then(address)),
             former,
             survey: GroupSurvey::default(),
             pending: None,
@@ -223,9 +237,13 @@
             let former = self.former.as_ref();
             former.is_none_or(|former| view.is_lost(former, now()))
         };
+        let successor = listed.iter().find(|entry| {
+            self.former.as_ref() != Some(&entry.id) && self.former_address == Some(entry.address)
+        });
         let group = SurveyedGroup {
             members: &members,
             former: self.former.as_ref(),
+            successor: successor.map(|entry| &entry.id),
             former_lost,
             former_unused: self.former_unused,
             acknowledged,
@@ -237,6 +255,7 @@
             service = %self.service,
             ?step,
             ?acknowledged,
+            successor = successor.map(|entry| entry.id.as_str()),
             former_lost,
             former_unused = self.former_unused,
             ?members,
@@ -342,9 +361,12 @@
             let known = view.orders.get(self.service).map_or(0, |o| o.revision);
             known.max(self.pending.as_ref().map_or(0, |pending| pending.revision))
         };
+        let entry = self.instance.view.borrow().endpoints.get(target).cloned();
         let order = GroupOrder {
             target: target.clone(),
+            target_address: entry.map(|entry| entry.address),
             former: self.former.clone(),
+            former_address: self.former_address,
             phase,
             token,
         };
--- a/crates/session-core/src/group_order.rs
+++ b/crates/session-core/src/group_order.rs
@@ -1,5 +1,7 @@
 //! The order that names the primary of a group, as it is stored.
 
+use std::net::SocketAddr;
+
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -21,8 +23,14 @@
 pub struct GroupOrder {
     /// The endpoint that is the primary or is being promoted.
     pub target: EndpointId,
+    /// Address of the target, where its log is found again if another endpoint takes it over.
+    #[serde(default)]
+    pub target_address: Option<SocketAddr>,
     /// The previous primary, if any.
     pub former: Option<EndpointId>,
+    /// Address of the previous primary.
+    #[serde(default)]
+    pub former_address: Option<SocketAddr>,
     /// How far the change has come.
     pub phase: OrderPhase,
     /// The fencing token of the leader that wrote the order.
--- a/crates/session-core/src/promotion_step.rs
+++ b/crates/session-core/src/promotion_step.rs
@@ -5,7 +5,7 @@
 //! them have joined, left or restarted since, does not matter. There are two such points:
 //!
 //! - the end of the former primary's log, if it answers. It is made a replica first and acknowledges
-//!   nothing afterwards.
+//!   nothing afterwards. If it has ended, the endpoint that took over its address has its log.
 //! - the highest point that instances passed on, once all have stopped using the former primary; see
 //!   [`crate::commit_evidence`].
 //!
@@ -51,6 +51,8 @@
     pub members: &'a [SurveyedEndpoint],
     /// The primary to be replaced.
     pub former: Option<&'a EndpointId>,
+    /// The endpoint that is listed at the former primary's address now, and took over its log.
+    pub successor: Option<&'a EndpointId>,
     /// Whether the former primary has been gone for so long that its log counts as lost.
     pub former_lost: bool,
     /// Whether no instance uses the former primary or passes on its acknowledgements any more.
@@ -97,8 +99,7 @@
         if let Some((member, _)) = leader {
             return PromotionStep::Leads(member.id.clone());
         }
-        let former = self.reports().find(|(member, _)| self.is_former(member));
-        match former {
+        match self.former_log() {
             Some((former, report)) if report.role == GroupRole::Primary => {
                 match self.can_be_replaced() {
                     true => PromotionStep::Demote {
@@ -117,6 +118,15 @@
         }
     }
 
+    /// Returns the endpoint that has the former primary's log, if it answers.
+    fn former_log(&self) -> Option<(&SurveyedEndpoint, EndpointReport)> {
+        let former = self.reports().find(|(member, _)| self.is_former(member));
+        former.or_else(|| {
+            let mut reports = self.reports();
+            reports.find(|(member, _)| self.successor == Some(&member.id))
+        })
+    }
+
     fn reports(&self) -> impl Iterator<Item = (&SurveyedEndpoint, EndpointReport)> {
         self.members.iter().filter_map(|m| m.report.map(|r| (m, r)))
     }
--- a/tests/testsuite/primary_permits.rs
+++ b/tests/testsuite/primary_permits.rs
@@ -24,6 +24,8 @@
 fn order(target: &str, phase: OrderPhase) -> GroupOrder {
     GroupOrder {
         target: id(target),
+        target_address: None,
+        former_address: None,
         former: None,
         phase,
         token: 1,
--- a/tests/testsuite/promotion_orders.rs
+++ b/tests/testsuite/promotion_orders.rs
@@ -62,6 +62,8 @@
     /// Whether the leader's queries reach it.
     answers: bool,
     registry: RegistryState,
+    /// The first endpoint at its address.
+    address: usize,
 }
 
 /// An instance beside the leader.
@@ -83,6 +85,8 @@
     reports: Vec<(usize, Option<u8>, bool)>,
     demoted: bool,
     unused: bool,
+    /// The listed endpoint at the address of the primary, if it is another one.
+    successor: Option<usize>,
     acknowledged: AcknowledgedPoint,
 }
 
@@ -179,6 +183,7 @@
             receives: true,
             answers: true,
             registry: RegistryState::Listed,
+            address: 0,
         };
         let mut departures = DepartureLog::default();
         departures.record_gap(MonotonicTime::from_nanos(1));
@@ -188,8 +193,13 @@
             point: point(0),
         };
         evidence.record_sample(OPENED, sample, &departures);
+        let addresses = 0..FIRST_ENDPOINTS;
+        let endpoints = addresses.map(|address| ModelEndpoint {
+            address,
+            ..endpoint.clone()
+        });
         Self {
-            endpoints: vec![endpoint; FIRST_ENDPOINTS],
+            endpoints: endpoints.collect(),
             other: ModelInstance::new(0),
             demoted: false,
             pending: false,
@@ -410,6 +420,7 @@
             reports,
             demoted: self.demoted,
             unused: self.unused,
+            successor: self.successor_of(PRIMARY),
             acknowledged,
         });
     }
@@ -437,6 +448,17 @@
         }
     }
 
+    fn successor_of(&self, index: usize) -> Option<usize> {
+        let mut endpoints = self.endpoints.iter().enumerate();
+        endpoints
+            .find(|(other, endpoint)| {
+                *other != index
+                    && endpoint.address == index
+                    && endpoint.registry == RegistryState::Listed
+            })
+            .map(|(other, _)| other)
+    }
+
     fn write_pending(&mut self) {
         self.pending = true;
         self.written = true;
@@ -461,9 +483,11 @@
                 listed: *listed,
             })
             .collect();
+        let successor = survey.successor.map(member_id);
         let group = SurveyedGroup {
             members: &members,
             former: Some(&member_id(PRIMARY)),
+            successor: successor.as_ref(),
             former_lost: false,
             former_unused: survey.unused,
             acknowledged: survey.acknowledged,
--- a/tests/testsuite/promotion_steps.rs
+++ b/tests/testsuite/promotion_steps.rs
@@ -46,6 +46,7 @@
 /// The group of a test, whose former primary is `p`.
 struct TestGroup {
     members: Vec<SurveyedEndpoint>,
+    successor: Option<EndpointId>,
     former_lost: bool,
     former_unused: bool,
     known: Option<u64>,
@@ -59,6 +60,7 @@
     fn new<const N: usize>(members: [SurveyedEndpoint; N]) -> Self {
         Self {
             members: members.into(),
+            successor: None,
             former_lost: false,
             former_unused: false,
             known: None,
@@ -68,6 +70,12 @@
         }
     }
 
+    /// This endpoint is listed at the address of the former primary.
+    fn successor(mut self, name: &str) -> Self {
+        self.successor = Some(id(name));
+        self
+    }
+
     /// All instances have stopped and reported; none passed more than this position on.
     fn acknowledged(mut self, position: u64) -> Self {
         self.known = Some(position);
@@ -108,6 +116,7 @@
         let group = SurveyedGroup {
             members: &self.members,
             former: Some(&id("p")),
+            successor: self.successor.as_ref(),
             former_lost: self.former_lost,
             former_unused: self.former_unused,
             acknowledged: AcknowledgedPoint {
@@ -258,6 +267,24 @@
     assert_eq!(group.step(), PromotionStep::Wait);
 }
 
+/// The endpoint at the address of a former primary that has ended shows its log, unless another one
+/// has more.
+#[test]
+fn successor_shows_the_log() {
+    let members = || [replica("s", 9), replica("a", 8)];
+    assert_eq!(TestGroup::new(members()).step(), PromotionStep::Wait);
+    assert_eq!(
+        TestGroup::new(members()).successor("s").step(),
+        promotes("s")
+    );
+    let group = TestGroup::new([replica("s", 9), replica("a", 8), silent("p")]);
+    assert_eq!(group.successor("s").step(), promotes("s"));
+    let group = TestGroup::new([replica("s", 0), replica("a", 8)]);
+    assert_eq!(group.successor("s").step(), PromotionStep::Wait);
+    let group = TestGroup::new(members()).successor("s").known(10);
+    assert_eq!(group.step(), PromotionStep::Wait);
+}
+
 /// An endpoint that the registry lists no longer cannot be used as the primary.
 #[test]
 fn unlisted_endpoint_is_not_promoted() {
