--- a/crates/front/tests/testsuite/acknowledged_commits.rs
+++ b/crates/front/tests/testsuite/acknowledged_commits.rs
@@ -190,3 +190,34 @@
     assert!(writers.count() > 50, "{} writes", writers.count());
     assert_eq!(writers.finish(&fleet).await, Vec::<String>::new());
 }
+
+/// A primary that was silent for a while and comes back at its address, with its log and another id,
+/// must not find a replica promoted that had received nothing: nobody asked for the holders of its
+/// commits once its registry entry was gone.
+#[tokio::test]
+async fn returning_primary_loses_nothing() {
+    let fleet = Fleet::start(2).await;
+    let former = fleet.primary();
+    let replicas = replicas(&fleet);
+    let (staying, leaving) = (&replicas[0], &replicas[1]);
+    tokio::time::sleep(ORDER_AGE).await;
+    set_deaf(&fleet, staying, true);
+    let writers = TestWriters::start(&fleet, "item", WRITERS);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    fleet.platform.remove_endpoint(leaving);
+    fleet.platform.change_group(|group| {
+        if let Some(endpoint) = group.endpoints.get_mut(&former) {
+            endpoint.alive = false;
+        }
+    });
+    // The registry's entries count as gone after 2.5 s.
+    tokio::time::sleep(Duration::from_secs(7)).await;
+    fleet.platform.replace_in_place(&former, "db-4");
+    fleet.platform.register("db-4");
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    set_deaf(&fleet, staying, false);
+    let mut caller = fleet.caller(0, "linear").await;
+    caller.request_until_served("WRITE page later").await;
+    assert!(writers.count() > 50, "{} writes", writers.count());
+    assert_eq!(writers.finish(&fleet).await, Vec::<String>::new());
+}
