Correct two comments and hide a function of the evidence

Read again as a newcomer: the members of a pending order include the leader, the address of the former primary had no comment, and begin is used only within its type.

--- a/crates/front/src/group_change.rs
+++ b/crates/front/src/group_change.rs
@@ -68,6 +68,7 @@
     instance: &'a Rc<Instance>,
     service: &'a ServiceId,
     former: Option<EndpointId>,
+    /// Address of the former primary, where another endpoint may have taken over its log.
     former_address: Option<SocketAddr>,
     survey: GroupSurvey,
     pending: Option<PendingOrder>,
--- a/crates/session-core/src/commit_evidence.rs
+++ b/crates/session-core/src/commit_evidence.rs
@@ -115,7 +115,7 @@
 impl CommitEvidence {
     /// Starts anew if a later order was opened. The new primary has every commit that was
     /// acknowledged before.
-    pub fn begin(&mut self, opened: u64) {
+    fn begin(&mut self, opened: u64) {
         if opened > self.opened {
             self.opened = opened;
             self.passed = None;
@@ -175,7 +175,7 @@
         }
     }
 
-    /// Returns what covers the acknowledged commits. It is complete if each of `members`, the other
+    /// Returns what covers the acknowledged commits. It is complete if each of `members`, the
     /// instances that may have used the primary before the pending order, has reported for it.
     pub fn acknowledged(
         &self,
