--- a/crates/front/src/caller_session.rs
+++ b/crates/front/src/caller_session.rs
@@ -168,10 +168,11 @@
         }
     }
 
-    /// Waits for the next message. Meanwhile, ends a transaction that is idle for too long, and the
-    /// session when the instance stops.
+    /// Waits for the next message. Meanwhile, ends a transaction that is idle for too long or whose
+    /// endpoint's zone is evacuated, and the session when the instance stops.
     async fn next_message(&mut self) -> Result<CallerMessage, EndReason> {
         let mut stopping = self.instance.stopping.subscribe();
+        let mut changes = self.instance.changes.subscribe();
         loop {
             let stop_at = *stopping.borrow_and_update();
             let open = self.transaction.is_some();
@@ -190,10 +191,12 @@
                 .filter(|transaction| transaction.connection.is_some())
                 .and_then(|_| self.transaction_idle())
                 .map(|idle| now() + idle);
-            let deadline = match (stop_end, idle_end) {
-                (Some(stop), Some(rest)) => Some(stop.min(rest)),
-                (stop, rest) => stop.or(rest),
-            };
+            let use_end = self.transaction_use_end();
+            let deadline = [stop_end, idle_end, use_end].into_iter().flatten().min();
+            let runs = self
+                .transaction
+                .as_ref()
+                .is_some_and(|t| t.connection.is_some());
             let remaining = deadline.map(|at| at.saturating_since(now()));
             tokio::select! {
                 biased;
@@ -207,11 +210,20 @@
                         return Err("process_ends");
                     }
                 }
+                // An evacuation may have begun.
+                changed = changes.changed(), if runs => {
+                    if changed.is_err() {
+                        return Err("process_ends");
+                    }
+                }
                 () = tokio::time::sleep(remaining.unwrap_or_default()), if remaining.is_some() => {
                     if stop_end.is_some_and(|end| now() >= end) {
                         return Err("stopping");
                     }
-                    self.end_idle_transaction().await;
+                    match use_end.is_some_and(|end| now() >= end) {
+                        true => self.leave_evacuated_endpoint(),
+                        false => self.end_idle_transaction().await,
+                    }
                 }
             }
         }
@@ -222,6 +234,24 @@
         view.rules.as_ref().and_then(|rules| rules.transaction_idle)
     }
 
+    /// Returns when the open transaction ends because its endpoint's zone is evacuated.
+    fn transaction_use_end(&self) -> Option<MonotonicTime> {
+        let connection = self.transaction.as_ref()?.connection.as_ref()?;
+        self.instance.evacuation_end(&connection.endpoint)
+    }
+
+    /// Ends the transaction by closing its connection, since nothing more may be sent to its endpoint.
+    fn leave_evacuated_endpoint(&mut self) {
+        let Some(transaction) = &mut self.transaction else {
+            return;
+        };
+        if let Some(connection) = transaction.connection.take() {
+            tracing::info!(event = "transaction_ended", reason = "zone_evacuated", endpoint = %connection.endpoint);
+        }
+        transaction.failed = true;
+        transaction.ended_by = Some("zone_evacuated");
+    }
+
     async fn end_idle_transaction(&mut self) {
         let Some(transaction) = &mut self.transaction else {
             return;
@@ -366,6 +396,12 @@
                 reason: "keys_may_be_outdated",
             });
         }
+        if !self.instance.evacuations_are_current() {
+            return Err(SessionRefusal {
+                verdict: CallerVerdict::Busy,
+                reason: "evacuations_may_be_outdated",
+            });
+        }
         Ok((route.clone(), team.cloned()))
     }
 
--- a/crates/front/src/endpoint_pool.rs
+++ b/crates/front/src/endpoint_pool.rs
@@ -48,6 +48,12 @@
     limiter_changes: Rc<Notify>,
 }
 
+impl EndpointState {
+    fn open(&self) -> usize {
+        self.in_use + self.idle.len()
+    }
+}
+
 /// Connections, load and statement limiter of each endpoint.
 #[derive(Default)]
 pub struct EndpointPool {
@@ -304,10 +310,13 @@
     /// Returns the number of open connections, idle ones included.
     pub fn open_connections(&self) -> usize {
         let endpoints = self.endpoints.borrow();
-        endpoints
-            .values()
-            .map(|state| state.in_use + state.idle.len())
-            .sum()
+        endpoints.values().map(EndpointState::open).sum()
+    }
+
+    /// Returns the number of open connections to an endpoint, idle ones included.
+    pub fn open_connections_of(&self, endpoint: &EndpointId) -> usize {
+        let endpoints = self.endpoints.borrow();
+        endpoints.get(endpoint).map_or(0, EndpointState::open)
     }
 
     /// Acquires a connection of the team: an idle one with the session's values, else any idle one,
--- a/crates/front/src/fleet_view.rs
+++ b/crates/front/src/fleet_view.rs
@@ -7,16 +7,20 @@
 use std::time::Duration;
 
 use platform::configuration;
+use platform::evacuation;
 use platform::registry;
 use platform::store_client::StoreItem;
 use session_core::commit_evidence::DepartureLog;
 use session_core::commit_evidence::InstanceLife;
 use session_core::commit_evidence::ProcessLives;
 use session_core::endpoint_entry::EndpointEntry;
+use session_core::evacuated_zones::EvacuatedZones;
+use session_core::evacuated_zones::ZoneEvacuation;
 use session_core::group_order::GroupOrder;
 use session_core::ids::EndpointId;
 use session_core::ids::InstanceId;
 use session_core::ids::ServiceId;
+use session_core::ids::ZoneId;
 use session_core::monotonic_time::MonotonicTime;
 use session_core::monotonic_time::now;
 use session_core::primary_permit;
@@ -76,6 +80,8 @@
     pub orders: HashMap<ServiceId, Revised<GroupOrder>>,
     /// Members of the fleet by name.
     pub members: BTreeMap<InstanceId, Revised<MemberValue>>,
+    /// Availability zones that operators evacuate.
+    pub evacuated: EvacuatedZones,
     /// The current leader.
     pub leader: Option<Revised<LeaderValue>>,
     /// Time up to which the view holds every change that the store accepted.
@@ -201,11 +207,35 @@
             self.apply_configuration(&item);
         } else if item.key.starts_with(registry::ENDPOINT_PREFIX) {
             self.apply_endpoint(&item);
+        } else if let Some(zone) = evacuation::parse_evacuation(&item.key) {
+            match zone {
+                Ok(zone) => self.apply_evacuation(zone, &item),
+                Err(error) => {
+                    tracing::warn!(event = "evacuation_ignored", key = item.key, %error);
+                }
+            }
         } else if let Some(key) = fleet_keys::parse_key(&item.key) {
             self.apply_fleet_key(key, &item);
         }
     }
 
+    fn apply_evacuation(&mut self, zone: ZoneId, item: &StoreItem) {
+        let revision = item.revision;
+        if item.value.is_none() {
+            if self.evacuated.end(&zone) {
+                tracing::info!(event = "evacuation_ended", %zone, revision);
+            }
+            return;
+        }
+        let endpoints = self.endpoints.values().filter(|e| e.zone == zone).count();
+        let evacuation = ZoneEvacuation {
+            revision,
+            accepted_after: self.synced_at,
+        };
+        tracing::info!(event = "evacuation_begun", %zone, revision, endpoints);
+        self.evacuated.begin(zone, evacuation);
+    }
+
     /// Drops all kept removals once there are more than [`MAX_REMOVALS`].
     fn prune_removals(&mut self, revision: u64) {
         let removed = self.items.values().filter(|item| item.value.is_none());
--- a/crates/front/src/group_change.rs
+++ b/crates/front/src/group_change.rs
@@ -61,6 +61,9 @@
 /// statements that are under way at the former primary can end.
 const DEMOTION_WAIT: Duration = Duration::from_millis(300);
 
+/// Maximum pause between two surveys while an evacuated primary cannot be replaced.
+const MAX_STEP_PAUSE: Duration = Duration::from_millis(1_000);
+
 /// Time after a demotion in which replicas may still receive the last entries of the former primary.
 const CATCH_UP_TIME: Duration = Duration::from_millis(300);
 
@@ -178,6 +181,7 @@
     }
 
     async fn run(&mut self) -> bool {
+        let started_at = now();
         while self.instance.leads() {
             if self.pending.is_none() && !self.is_pending_in_store() {
                 let reason = group_leader::change_reason(
@@ -193,7 +197,7 @@
             let listed = self.entries();
             let step = self.survey_group(&listed).await;
             if self.must_wait(&step) {
-                tokio::time::sleep(STEP_PAUSE).await;
+                tokio::time::sleep(self.wait_pause(started_at)).await;
                 continue;
             }
             match step {
@@ -318,13 +322,16 @@
     }
 
     /// Returns whether to survey again after a pause instead of taking the step: there is none, or the
-    /// demoted primary is the target although another endpoint may still receive its last entries.
+    /// target is the demoted primary or of an evacuated zone although another endpoint may still receive
+    /// the last entries.
     fn must_wait(&self, step: &PromotionStep) -> bool {
         let recent = |at: MonotonicTime| now().saturating_since(at) < CATCH_UP_TIME;
+        let is_evacuated = |target| self.instance.evacuation_end(target).is_some();
         match step {
             PromotionStep::Wait => true,
             PromotionStep::Promote(target) => {
-                self.former.as_ref() == Some(target) && self.demoted_at.is_some_and(recent)
+                let is_poor = self.former.as_ref() == Some(target) || is_evacuated(target);
+                is_poor && self.demoted_at.is_some_and(recent)
             }
             PromotionStep::Demote { .. } | PromotionStep::StopUse(_) | PromotionStep::Leads(_) => {
                 false
@@ -332,6 +339,17 @@
         }
     }
 
+    /// Returns the pause before the next survey. It grows while an evacuated primary cannot be replaced:
+    /// each survey takes a slot of every endpoint, and the evacuation may last.
+    fn wait_pause(&self, started_at: MonotonicTime) -> Duration {
+        let former = self.former.as_ref();
+        let is_evacuated = former.is_some_and(|id| self.instance.evacuation_end(id).is_some());
+        match self.pending.is_none() && is_evacuated {
+            true => (now().saturating_since(started_at) / 4).clamp(STEP_PAUSE, MAX_STEP_PAUSE),
+            false => STEP_PAUSE,
+        }
+    }
+
     fn is_pending_in_store(&self) -> bool {
         let view = self.instance.view.borrow();
         view.orders
--- a/crates/front/src/group_leader.rs
+++ b/crates/front/src/group_leader.rs
@@ -20,6 +20,7 @@
 use crate::fleet_keys::LEADER_KEY;
 use crate::fleet_keys::LeaderValue;
 use crate::fleet_keys::MemberValue;
+use crate::fleet_view::FleetView;
 use crate::fleet_view::Revised;
 use crate::group_change;
 use crate::instance::Instance;
@@ -62,6 +63,8 @@
     Pending,
     /// The primary is draining.
     Draining,
+    /// The primary's availability zone is evacuated and the group has an endpoint elsewhere.
+    Evacuated,
     /// The primary's entry is no longer in the registry.
     Gone,
     /// The primary reports to be a replica and another endpoint to be the primary, for example
@@ -309,6 +312,10 @@
         if order.value.phase == OrderPhase::Pending {
             return Some(ChangeReason::Pending);
         }
+        // An evacuation has a time limit, which the pause would use up if it follows another change.
+        if is_evacuated(instance, &view, service, &order.value.target) {
+            return Some(ChangeReason::Evacuated);
+        }
         if at.saturating_since(order.seen_at) < CHANGE_PAUSE {
             return None;
         }
@@ -335,6 +342,21 @@
     (instance.peer_reports(&primary) >= REPORT_QUORUM).then_some(ChangeReason::Reported)
 }
 
+/// Returns whether a primary's availability zone is evacuated and another endpoint of its group could
+/// replace it.
+fn is_evacuated(
+    instance: &Instance,
+    view: &FleetView,
+    service: &ServiceId,
+    primary: &EndpointId,
+) -> bool {
+    let entry = view.endpoints.get(primary);
+    entry.is_some_and(|entry| instance.is_evacuated(entry))
+        && view
+            .group(service)
+            .any(|entry| !entry.draining && !instance.is_evacuated(entry))
+}
+
 /// Queries the position of a primary that has not answered for [`PROBE_AGE`], so that its failure
 /// detector is up to date without traffic.
 fn probe_primary(instance: &Rc<Instance>, state: &Rc<LeaderState>, service: &ServiceId) {
@@ -344,8 +366,8 @@
             return;
         };
         match view.endpoints.get(&primary) {
-            Some(entry) => entry.clone(),
-            None => return,
+            Some(entry) if !instance.is_evacuation_overdue(&primary) => entry.clone(),
+            _ => return,
         }
     };
     let answered_at = instance.with_detector(&entry.id, |detector| detector.answered_at());
--- a/crates/front/src/group_survey.rs
+++ b/crates/front/src/group_survey.rs
@@ -55,6 +55,7 @@
                 report,
                 draining: entry.draining,
                 listed,
+                evacuated: instance.is_evacuated(entry),
             });
         }
         surveyed
--- a/crates/front/src/instance.rs
+++ b/crates/front/src/instance.rs
@@ -16,6 +16,8 @@
 use session_core::commit_evidence::CommitReport;
 use session_core::commit_evidence::ProcessLives;
 use session_core::connection_share::ConnectionShare;
+use session_core::endpoint_entry::EndpointEntry;
+use session_core::evacuated_zones;
 use session_core::failure_detector::FailureDetector;
 use session_core::floor_history::FloorHistory;
 use session_core::floor_history::FloorSample;
@@ -171,6 +173,15 @@
         synced_at.is_some_and(|at| now().saturating_since(at) < limit)
     }
 
+    /// Returns whether the view holds every evacuation whose time may be over.
+    pub fn evacuations_are_current(&self) -> bool {
+        let Some(time) = self.settings.evacuation_time else {
+            return true;
+        };
+        let synced_at = self.view.borrow().synced_at;
+        synced_at.is_some_and(|at| now().saturating_since(at) < evacuated_zones::use_time(time))
+    }
+
     /// Returns whether the platform should send new connections to this instance.
     pub fn is_ready(&self) -> bool {
         self.stopping.borrow().is_none()
@@ -337,6 +348,42 @@
         })
     }
 
+    /// Returns whether an endpoint's availability zone is evacuated.
+    pub fn is_evacuated(&self, entry: &EndpointEntry) -> bool {
+        self.settings.evacuation_time.is_some()
+            && self.view.borrow().evacuated.get(&entry.zone).is_some()
+    }
+
+    /// Returns whether an endpoint's availability zone has been evacuated for so long that nothing may
+    /// be sent there, not even to a primary.
+    pub fn is_evacuation_overdue(&self, endpoint: &EndpointId) -> bool {
+        let end = self.evacuation_end(endpoint);
+        end.is_some_and(|end| now() >= end)
+    }
+
+    /// Returns when nothing may be sent to an endpoint any more because its availability zone is
+    /// evacuated, or `None` if it is not.
+    pub fn evacuation_end(&self, endpoint: &EndpointId) -> Option<MonotonicTime> {
+        let time = self.settings.evacuation_time?;
+        let view = self.view.borrow();
+        let zone = &view.endpoints.get(endpoint)?.zone;
+        let evacuation = view.evacuated.get(zone)?;
+        Some(evacuation.use_end(time))
+    }
+
+    /// Closes idle connections to endpoints that have left or whose zone is evacuated. Those to a
+    /// primary are kept while it may be used.
+    pub fn close_unused_connections(&self) {
+        let view = self.view.borrow();
+        self.pool.retain(|id| {
+            let Some(entry) = view.endpoints.get(id) else {
+                return false;
+            };
+            let is_primary = || view.ordered_primary(&entry.service).as_ref() == Ok(id);
+            !self.is_evacuated(entry) || (is_primary() && !self.is_evacuation_overdue(id))
+        });
+    }
+
     /// Returns whether an endpoint is the primary and this instance may use it now.
     pub fn may_use_primary(&self, service: &ServiceId, endpoint: &EndpointId) -> bool {
         let view = self.view.borrow();
@@ -518,6 +565,28 @@
         }
     }
 
+    /// Returns what is still in use in each evacuated zone, in the Prometheus text format.
+    fn evacuation_metrics(&self) -> String {
+        let view = self.view.borrow();
+        let mut text = String::from("# TYPE tamaracklb_evacuated_zone_in_use gauge\n");
+        for (zone, evacuation) in view.evacuated.iter() {
+            let revision = evacuation.revision;
+            let endpoints = view.endpoints.values().filter(|entry| entry.zone == *zone);
+            let (mut primaries, mut connections) = (0, 0);
+            for entry in endpoints {
+                let primary = view.ordered_primary(&entry.service);
+                primaries += usize::from(primary.as_ref() == Ok(&entry.id));
+                connections += self.pool.open_connections_of(&entry.id);
+            }
+            for (what, count) in [("primaries", primaries), ("connections", connections)] {
+                text.push_str(&format!(
+                    "tamaracklb_evacuated_zone_in_use{{zone=\"{zone}\",revision=\"{revision}\",what=\"{what}\"}} {count}\n"
+                ));
+            }
+        }
+        text
+    }
+
     /// Returns the metrics in the Prometheus text format.
     pub fn metrics_text(&self) -> String {
         let mut text = match self.metrics.encode() {
@@ -544,6 +613,7 @@
                 "tamaracklb_floor_age_ms{{service=\"{service}\"}} {age}\n"
             ));
         }
+        text.push_str(&self.evacuation_metrics());
         text.push_str("# TYPE tamaracklb_open gauge\n");
         let sessions = self.sessions.get();
         let connections = self.pool.open_connections();
--- a/crates/front/src/instance_run.rs
+++ b/crates/front/src/instance_run.rs
@@ -167,7 +167,6 @@
         if tick % IDLE_TICKS == 0 && instance.connections_are_scarce() {
             instance.pool.close_idle(SCARCE_IDLE_TIME);
         }
-        let view = instance.view.borrow();
-        instance.pool.retain(|id| view.endpoints.contains_key(id));
+        instance.close_unused_connections();
     }
 }
--- a/crates/front/src/position_probe.rs
+++ b/crates/front/src/position_probe.rs
@@ -110,6 +110,7 @@
         .keys()
         .filter(|service| is_stale(service))
         .filter_map(|service| view.usable_primary(service, at).ok())
+        .filter(|id| !instance.is_evacuation_overdue(id))
         .filter_map(|id| view.endpoints.get(&id).cloned())
         .collect()
 }
--- a/crates/front/src/request_attempt.rs
+++ b/crates/front/src/request_attempt.rs
@@ -28,6 +28,7 @@
 use crate::request_route;
 use crate::request_route::ChosenEndpoint;
 use crate::request_route::RouteQuery;
+use crate::request_route::RouteRefusal;
 
 /// Pause before a retry after an endpoint's queue was full.
 const BUSY_PAUSE: Duration = Duration::from_millis(15);
@@ -58,6 +59,8 @@
     Answered(EndpointAnswer, Box<PooledConnection>, Box<ChosenEndpoint>),
     /// The request may be retried after this pause, also on another endpoint.
     Retry(Duration),
+    /// The request cannot be served and was not sent.
+    Refused,
     /// The statement must not be retried; the fault is reported to the caller.
     Failed(StatementFault),
 }
@@ -86,6 +89,9 @@
             Ok(chosen) => chosen,
             Err(refusal) => {
                 *reason = refusal.reason();
+                if refusal.is_final() {
+                    return AttemptOutcome::Refused;
+                }
                 progress.excluded.clear();
                 return AttemptOutcome::Retry(ROUTE_PAUSE);
             }
@@ -131,6 +137,10 @@
             *reason = "primary_changed";
             return AttemptOutcome::Retry(ROUTE_PAUSE);
         }
+        if self.must_leave(&chosen) {
+            *reason = RouteRefusal::Evacuated.reason();
+            return AttemptOutcome::Retry(ROUTE_PAUSE);
+        }
         let statement_floor = match begun {
             Some((mode, _)) => {
                 let begin = EndpointCommand::Begin {
@@ -155,6 +165,12 @@
                 chosen.floor
             }
         };
+        // The preparation of a replica may have waited for its floor.
+        if self.must_leave(&chosen) {
+            connection.mark_broken();
+            *reason = RouteRefusal::Evacuated.reason();
+            return AttemptOutcome::Retry(ROUTE_PAUSE);
+        }
         progress.attempts += 1;
         progress.first_sent_at.get_or_insert_with(now);
         let command = EndpointCommand::Pass {
@@ -196,6 +212,15 @@
         }
     }
 
+    /// Returns whether nothing may be sent to an endpoint that was chosen before its availability zone
+    /// was evacuated.
+    fn must_leave(&self, chosen: &ChosenEndpoint) -> bool {
+        match chosen.primary {
+            true => self.instance.is_evacuation_overdue(&chosen.entry.id),
+            false => self.instance.is_evacuated(&chosen.entry),
+        }
+    }
+
     /// Replays the session's state on a connection and begins the transaction, if there is one.
     async fn prepare(
         &self,
--- a/crates/front/src/request_route.rs
+++ b/crates/front/src/request_route.rs
@@ -59,6 +59,8 @@
     NoEndpoint,
     /// The primary's drain time is nearly over and it has not been replaced.
     Leaving,
+    /// The primary's availability zone is evacuated and it has not been replaced in time.
+    Evacuated,
 }
 
 impl RouteRefusal {
@@ -68,8 +70,15 @@
             RouteRefusal::Primary(refusal) => refusal.reason(),
             RouteRefusal::NoEndpoint => "no_endpoint",
             RouteRefusal::Leaving => "primary_is_leaving",
+            RouteRefusal::Evacuated => "zone_evacuated",
         }
     }
+
+    /// Returns whether the request cannot be served for as long as it may wait: a primary that cannot
+    /// be replaced in the whole time of an evacuation cannot be replaced a moment later.
+    pub fn is_final(self) -> bool {
+        self == RouteRefusal::Evacuated
+    }
 }
 
 /// Returns the endpoint with the least cost on which a request may run.
@@ -86,6 +95,7 @@
     let leaving_time = instance.settings.drain_time.mul_f64(DRAIN_FRACTION);
     let primary = match view.usable_primary(&query.route.service, at) {
         Ok(id) if view.is_drain_overdue(&id, leaving_time, at) => Err(RouteRefusal::Leaving),
+        Ok(id) if instance.is_evacuation_overdue(&id) => Err(RouteRefusal::Evacuated),
         usable => usable.map_err(RouteRefusal::Primary),
     };
     let limit = match (query.mode, query.route.policy) {
@@ -105,7 +115,8 @@
     let mut best: Option<(f64, ChosenEndpoint)> = None;
     for entry in view.group(&query.route.service) {
         let is_primary = primary.as_ref() == Ok(&entry.id);
-        if query.excluded.contains(&entry.id) || (entry.draining && !is_primary) {
+        let leaves = entry.draining || instance.is_evacuated(entry);
+        if query.excluded.contains(&entry.id) || (leaves && !is_primary) {
             continue;
         }
         let same_zone = entry.zone == instance.settings.zone;
--- a/crates/front/src/statement_run.rs
+++ b/crates/front/src/statement_run.rs
@@ -141,6 +141,11 @@
             return;
         };
         let is_commit = statement.forwarded == ForwardedStatement::Commit;
+        if self.instance.is_evacuation_overdue(&connection.endpoint) {
+            self.drop_transaction(is_commit);
+            self.refuse_request(id, CallerVerdict::Aborted, "zone_evacuated", arrived);
+            return;
+        }
         transaction.wrote |= statement.mode == AccessMode::Write;
         let scope = match (is_commit, transaction.wrote) {
             (true, true) => OutcomeScope::Commit(AccessMode::Write),
@@ -259,17 +264,19 @@
                         None => QUEUE_FRACTION,
                     };
                     let end = arrived + route.target_latency.mul_f64(fraction);
-                    if now() + pause >= end {
-                        if let Some(team) = &team {
-                            self.instance.rates.give_back(team);
-                        }
-                        self.fail_transaction();
-                        self.refuse_unserved(&progress, scope, reason);
-                        return None;
+                    if now() + pause < end {
+                        tokio::time::sleep(pause).await;
+                        continue;
                     }
-                    tokio::time::sleep(pause).await;
                 }
+                AttemptOutcome::Refused => {}
+            }
+            if let Some(team) = &team {
+                self.instance.rates.give_back(team);
             }
+            self.fail_transaction();
+            self.refuse_unserved(&progress, scope, reason);
+            return None;
         }
     }
 
--- a/crates/session-core/src/lib.rs
+++ b/crates/session-core/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod connection_share;
 pub mod endpoint_entry;
 pub mod endpoint_load;
+pub mod evacuated_zones;
 pub mod failure_detector;
 pub mod floor_history;
 pub mod group_order;
--- a/crates/session-core/src/promotion_step.rs
+++ b/crates/session-core/src/promotion_step.rs
@@ -42,6 +42,9 @@
     /// Whether the registry lists it. An endpoint whose entry is gone may still replicate; it counts
     /// if it answers, but cannot be promoted.
     pub listed: bool,
+    /// Whether its availability zone is evacuated. It is promoted only if no other endpoint has every
+    /// acknowledged commit, since it cannot be used.
+    pub evacuated: bool,
 }
 
 /// The endpoints of a group and what is known of its acknowledged commits.
@@ -156,7 +159,13 @@
     /// Returns whether another endpoint could be promoted if the former primary were demoted now.
     fn can_be_replaced(&self) -> bool {
         let points = [self.earlier_point, self.acknowledged.known];
+        // The demotion of an evacuated primary is useless if its successor is evacuated as well.
+        let former_evacuated = self
+            .members
+            .iter()
+            .any(|m| self.is_former(m) && m.evacuated);
         self.candidates()
+            .filter(|(member, _)| !(former_evacuated && member.evacuated))
             .any(|(_, report)| points.iter().flatten().any(|p| report.received >= *p))
     }
 
@@ -206,11 +215,15 @@
     }
 
     /// Returns the candidate to be promoted among those whose logs reach `needed`: preferably one
-    /// that is not draining, with the furthest log. The choice does not depend on the leader.
+    /// whose zone is not evacuated and that is not draining, with the furthest log. The choice does not
+    /// depend on the leader.
     fn best_candidate(&self, needed: LogPoint) -> Option<&SurveyedEndpoint> {
         self.candidates()
             .filter(|(_, report)| report.received >= needed)
-            .max_by_key(|(member, report)| (!member.draining, report.received, &member.id))
+            .max_by_key(|(member, report)| {
+                let usable = (!member.evacuated, !member.draining);
+                (usable, report.received, &member.id)
+            })
             .map(|(member, _)| member)
     }
 }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -73,3 +73,4 @@
 mod store_commands;
 mod support;
 mod whole_system;
+mod zone_evacuations;
--- a/tests/testsuite/promotion_orders.rs
+++ b/tests/testsuite/promotion_orders.rs
@@ -113,6 +113,8 @@
     called: Option<usize>,
     /// Number of faults and replacements so far.
     faults: u8,
+    /// Number of the first endpoints, the primary being the first, whose zones are evacuated.
+    evacuated: usize,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -176,7 +178,7 @@
 }
 
 impl GroupModel {
-    fn new() -> Self {
+    fn new(evacuated: usize) -> Self {
         let endpoint = ModelEndpoint {
             log: 0,
             runs: true,
@@ -214,6 +216,7 @@
             survey: None,
             called: None,
             faults: 0,
+            evacuated,
         }
     }
 
@@ -481,6 +484,7 @@
                 }),
                 draining: false,
                 listed: *listed,
+                evacuated: *index < self.evacuated,
             })
             .collect();
         let successor = survey.successor.map(member_id);
@@ -512,16 +516,16 @@
     promotions: HashMap<usize, usize>,
 }
 
-/// Explores all orders of up to `events` events. Unless
-/// `follows_steps`, the first replica is promoted at once.
-fn explore(events: usize, follows_steps: bool) -> ExploredOrders {
+/// Explores all orders of up to `events` events in a group whose first `evacuated` endpoints are in
+/// evacuated zones. Unless `follows_steps`, the first replica is promoted at once.
+fn explore(events: usize, evacuated: usize, follows_steps: bool) -> ExploredOrders {
     let mut found = ExploredOrders {
         loss: None,
         promotions: HashMap::new(),
     };
-    let mut seen = HashSet::from([GroupModel::new()]);
+    let mut seen = HashSet::from([GroupModel::new(evacuated)]);
     // Each state with the index of the one before it and the event between them.
-    let mut states = vec![(GroupModel::new(), None)];
+    let mut states = vec![(GroupModel::new(evacuated), None)];
     let mut level = 0..1;
     for _ in 0..events {
         for index in level.clone() {
@@ -560,17 +564,28 @@
 /// received was lost.
 #[test]
 fn no_order_loses_commits() {
-    let found = explore(MAX_EVENTS, true);
+    let found = explore(MAX_EVENTS, 0, true);
     assert_eq!(found.loss, None);
     // The primary itself, its replicas and a successor.
     let promoted = |target| found.promotions.contains_key(&target);
     assert!((0..MAX_ENDPOINTS).all(promoted), "{:?}", found.promotions);
 }
 
+/// An endpoint that is preferred because its zone is not evacuated must have every acknowledged commit.
+#[test]
+fn no_evacuation_loses_commits() {
+    for evacuated in 1..FIRST_ENDPOINTS {
+        let found = explore(MAX_EVENTS - 1, evacuated, true);
+        assert_eq!(found.loss, None, "{evacuated} endpoints evacuated");
+        let promoted = |target| found.promotions.contains_key(&target);
+        assert!(promoted(FIRST_ENDPOINTS - 1), "{:?}", found.promotions);
+    }
+}
+
 /// The exploration must find the loss of a promotion that does not follow the steps.
 #[test]
 fn unsafe_promotion_is_found() {
-    let found = explore(MAX_EVENTS, false);
+    let found = explore(MAX_EVENTS, 0, false);
     let loss = found.loss.expect("a commit is lost");
     assert_eq!(loss.last(), Some(&ModelEvent::Act));
 }
--- a/tests/testsuite/promotion_steps.rs
+++ b/tests/testsuite/promotion_steps.rs
@@ -25,6 +25,7 @@
         }),
         draining: false,
         listed: true,
+        evacuated: false,
     }
 }
 
@@ -307,6 +308,33 @@
     assert_eq!(group.step(), promotes("b"));
 }
 
+/// A primary of an evacuated zone must be replaced by an endpoint that can be used: its demotion would
+/// only cost time if the other endpoints that could follow it are evacuated as well.
+#[test]
+fn endpoint_outside_evacuated_zones_leads() {
+    let evacuated = |endpoint: SurveyedEndpoint| SurveyedEndpoint {
+        evacuated: true,
+        ..endpoint
+    };
+    let members = |outside| {
+        let inside = [primary("p", 9), replica("a", 9)].map(evacuated);
+        [inside[0].clone(), inside[1].clone(), outside]
+    };
+    let group = TestGroup::new(members(replica("b", 9))).known(9);
+    assert_eq!(group.step(), demotes_former());
+    let group = TestGroup::new(members(replica("b", 7))).known(9);
+    assert_eq!(group.step(), PromotionStep::Wait);
+    let demoted = [replica("p", 9), replica("a", 9)].map(evacuated);
+    let [p, a] = demoted;
+    let group = TestGroup::new([p.clone(), a.clone(), replica("b", 9)]);
+    assert_eq!(group.step(), promotes("b"));
+    // Acknowledged commits go before the evacuation.
+    let group = TestGroup::new([p, a.clone(), replica("b", 8)]);
+    assert_eq!(group.step(), promotes("a"));
+    let group = TestGroup::new([silent("p"), a, replica("b", 8)]).acknowledged(9);
+    assert_eq!(group.step(), promotes("a"));
+}
+
 /// A promotion that took effect after its order was abandoned must be detected.
 #[test]
 fn earlier_promotion_is_found() {
