--- a/crates/front/src/fleet_view.rs
+++ b/crates/front/src/fleet_view.rs
@@ -25,6 +25,7 @@
 use session_core::monotonic_time::now;
 use session_core::primary_permit;
 use session_core::primary_permit::PermitRefusal;
+use session_core::relay_tree::MAX_RELAY_AGE;
 use session_core::serving_rules::ServingRules;
 
 use crate::fleet_keys;
@@ -101,6 +102,8 @@
     missing: HashMap<EndpointId, MonotonicTime>,
     /// Entries of endpoints that were dropped, and when. Such an endpoint may still run.
     dropped: HashMap<EndpointId, (EndpointEntry, MonotonicTime)>,
+    /// When the view became recent after it had not been, or after the start.
+    recent_since: MonotonicTime,
     /// When this instance first read the whole view.
     watched_since: Option<MonotonicTime>,
     /// Instances that have left, which may have passed acknowledgements on.
@@ -136,7 +139,7 @@
         self.watched_since.get_or_insert_with(now);
         self.history_start = self.history_start.max(revision);
         self.revision = self.revision.max(revision);
-        self.synced_at = self.synced_at.max(Some(known_at));
+        self.record_sync(known_at);
     }
 
     /// Returns the revision of the last known change of a key, or 0 if the key does not exist.
@@ -163,9 +166,28 @@
             self.apply(item);
         }
         self.revision = self.revision.max(revision);
+        self.record_sync(known_at);
+    }
+
+    /// Records that the view holds every change up to `known_at`.
+    fn record_sync(&mut self, known_at: MonotonicTime) {
+        let at = now();
+        if !self.is_recent(at) {
+            self.recent_since = at;
+        }
         self.synced_at = self.synced_at.max(Some(known_at));
     }
 
+    fn is_recent(&self, at: MonotonicTime) -> bool {
+        let synced_at = self.synced_at;
+        synced_at.is_some_and(|synced_at| at.saturating_since(synced_at) <= MAX_RELAY_AGE)
+    }
+
+    /// Returns since when this instance has had a recent view, or `None` if it has none.
+    pub fn in_touch_since(&self, at: MonotonicTime) -> Option<MonotonicTime> {
+        self.is_recent(at).then_some(self.recent_since)
+    }
+
     /// Applies a part of the items, such as the members that an instance reads at its start. They
     /// are no evidence: the view may lack other changes.
     pub fn add_items(&mut self, items: Vec<RelayItem>) {
--- a/crates/front/src/instance.rs
+++ b/crates/front/src/instance.rs
@@ -280,11 +280,12 @@
         )
     }
 
-    /// Returns the primaries whose failure detector reports a failure.
+    /// Returns the failing primaries that the leader should hear of: those that this instance has seen
+    /// fail while it was in touch with the store.
     pub fn failing_primaries(&self) -> Vec<EndpointId> {
         let at = now();
         let view = self.view.borrow();
-        let Some(rules) = &view.rules else {
+        let (Some(rules), Some(in_touch_since)) = (&view.rules, view.in_touch_since(at)) else {
             return Vec::new();
         };
         let detectors = self.detectors.borrow();
@@ -295,7 +296,7 @@
             .filter(|id| {
                 detectors
                     .get(id)
-                    .is_some_and(|detector| detector.verdict(at).is_some())
+                    .is_some_and(|detector| detector.is_reportable(in_touch_since, at))
             })
             .collect()
     }
--- a/crates/session-core/src/failure_detector.rs
+++ b/crates/session-core/src/failure_detector.rs
@@ -26,6 +26,8 @@
     failures: u32,
     hanging_since: Option<MonotonicTime>,
     hung_writes: u32,
+    /// When the last attempt or write that failed was begun.
+    last_failed_at: Option<MonotonicTime>,
 }
 
 /// Why a primary counts as failed.
@@ -65,12 +67,14 @@
     pub fn record_hung_write(&mut self, sent_at: MonotonicTime) {
         self.hanging_since.get_or_insert(sent_at);
         self.hung_writes += 1;
+        self.last_failed_at = self.last_failed_at.max(Some(sent_at));
     }
 
     /// Records a new connection that was started at `tried_at` and was refused or got no answer.
     pub fn record_connect_failure(&mut self, tried_at: MonotonicTime) {
         self.failing_since.get_or_insert(tried_at);
         self.failures += 1;
+        self.last_failed_at = self.last_failed_at.max(Some(tried_at));
     }
 
     /// Returns when the endpoint last answered.
@@ -78,6 +82,17 @@
         self.answered_at
     }
 
+    /// Returns whether other instances should hear that the endpoint counts as failed, given the time
+    /// since which this instance has been in touch with the store.
+    ///
+    /// An instance that was cut off sees every endpoint beyond the cut fail. When the cut heals, its
+    /// failures say nothing until one is repeated and the endpoint has had time to answer.
+    pub fn is_reportable(&self, in_touch_since: MonotonicTime, now: MonotonicTime) -> bool {
+        let repeated = self.last_failed_at.is_some_and(|at| at >= in_touch_since);
+        let settled = now.saturating_since(in_touch_since) >= SILENCE_LIMIT;
+        repeated && settled && self.verdict(now).is_some()
+    }
+
     /// Returns why the endpoint counts as failed, or `None` if it does not.
     pub fn verdict(&self, now: MonotonicTime) -> Option<FailureReason> {
         let silent = |since: MonotonicTime| now.saturating_since(since) >= SILENCE_LIMIT;
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -24,6 +24,7 @@
 mod failover_history;
 mod failover_rules;
 mod failover_sim;
+mod failure_reports;
 mod floor_samples;
 
 mod free_ports;
