--- a/crates/front/src/group_change.rs
+++ b/crates/front/src/group_change.rs
@@ -33,6 +33,7 @@
 use session_core::primary_permit;
 use session_core::primary_permit::REVOKE_WAIT;
 use session_core::promotion_step::PromotionStep;
+use session_core::promotion_step::SurveyedEndpoint;
 use session_core::promotion_step::SurveyedGroup;
 
 use crate::fleet_keys;
@@ -64,7 +65,8 @@
 /// Maximum pause between two surveys while an evacuated primary cannot be replaced.
 const MAX_STEP_PAUSE: Duration = Duration::from_millis(1_000);
 
-/// Time after a demotion in which replicas may still receive the last entries of the former primary.
+/// Time after a demotion, or after a primary is reached again, in which replicas may still receive its
+/// last entries.
 const CATCH_UP_TIME: Duration = Duration::from_millis(300);
 
 struct GroupChange<'a> {
@@ -81,6 +83,8 @@
     demoted_at: Option<MonotonicTime>,
     /// Position of the former primary in the previous survey.
     earlier_point: Option<LogPoint>,
+    /// Since when the former primary has answered as a primary in each survey.
+    leading_since: Option<MonotonicTime>,
     /// Whether the former primary was dropped and did not answer. It is not queried again, as that
     /// takes a timeout.
     former_silent: bool,
@@ -174,6 +178,7 @@
             former_unused: false,
             demoted_at: None,
             earlier_point: None,
+            leading_since: None,
             former_silent: false,
             target_point: None,
             called: None,
@@ -251,6 +256,7 @@
             successor: successor.map(|entry| &entry.id),
             former_lost,
             former_unused: self.former_unused,
+            former_may_return: self.may_former_return(),
             acknowledged,
             earlier_point: self.earlier_point,
         };
@@ -270,12 +276,25 @@
             member.and_then(|member| member.report.map(|report| report.received))
         };
         self.earlier_point = self.former.as_ref().and_then(point);
+        let leads = |member: &SurveyedEndpoint| {
+            let role = member.report.map(|report| report.role);
+            self.former.as_ref() == Some(&member.id) && role == Some(GroupRole::Primary)
+        };
+        let since = self.leading_since.unwrap_or_else(now);
+        self.leading_since = members.iter().any(leads).then_some(since);
         if let PromotionStep::Promote(target) | PromotionStep::Leads(target) = &step {
             self.target_point = point(target);
         }
         step
     }
 
+    /// Returns whether the former primary may lead again. Its replicas may have lost it for longer than
+    /// this instance, and callers wait meanwhile.
+    fn may_former_return(&self) -> bool {
+        let lasts = |since| now().saturating_since(since) >= CATCH_UP_TIME;
+        self.is_pending_in_store() && self.leading_since.is_some_and(lasts)
+    }
+
     /// Returns the entry of the former primary if it was dropped a short time ago.
     fn dropped_former(&self) -> Option<EndpointEntry> {
         let view = self.instance.view.borrow();
@@ -530,6 +549,7 @@
 
     async fn await_promotion(&mut self, target: &EndpointId) -> bool {
         let started_at = now();
+        let mut queried_at: Option<MonotonicTime> = None;
         let mut changes = self.instance.changes.subscribe();
         loop {
             let entry = self.instance.view.borrow().endpoints.get(target).cloned();
@@ -546,7 +566,10 @@
             if elapsed >= PROMOTION_EFFECT_TIME {
                 return false;
             }
-            if is_former || elapsed >= REGISTRY_TIME {
+            // The view changes with each report of an instance; a status query takes a slot.
+            let is_due = queried_at.is_none_or(|at| now().saturating_since(at) >= STEP_PAUSE);
+            if is_due && (is_former || elapsed >= REGISTRY_TIME) {
+                queried_at = Some(now());
                 let report = self
                     .survey
                     .send_command(self.instance, &entry, EndpointCommand::Status)
--- a/crates/session-core/src/promotion_step.rs
+++ b/crates/session-core/src/promotion_step.rs
@@ -60,6 +60,9 @@
     pub former_lost: bool,
     /// Whether no instance uses the former primary or passes on its acknowledgements any more.
     pub former_unused: bool,
+    /// Whether the former primary may lead again because callers already wait: the order is pending,
+    /// and the former primary has answered for some time without any endpoint that follows it.
+    pub former_may_return: bool,
     /// What covers the acknowledged commits, as known before the survey.
     pub acknowledged: AcknowledgedPoint,
     /// An earlier position of the former primary. A replica that has reached it is following.
@@ -104,7 +107,8 @@
         }
         match self.former_log() {
             Some((former, report)) if report.role == GroupRole::Primary => {
-                match self.can_be_replaced() {
+                let returns = self.former_may_return && !self.is_former_evacuated();
+                match self.can_be_replaced() || returns {
                     true => PromotionStep::Demote {
                         endpoint: former.id.clone(),
                         term: LogTerm(newest.0 + 1),
@@ -138,6 +142,11 @@
         self.former == Some(&member.id)
     }
 
+    fn is_former_evacuated(&self) -> bool {
+        let mut members = self.members.iter();
+        members.any(|member| self.is_former(member) && member.evacuated)
+    }
+
     /// Returns the reports of the endpoints other than the former primary.
     fn replica_reports(&self) -> impl Iterator<Item = EndpointReport> {
         let replicas = self.reports().filter(|(member, _)| !self.is_former(member));
@@ -157,13 +166,13 @@
     }
 
     /// Returns whether another endpoint could be promoted if the former primary were demoted now.
+    ///
+    /// While callers use the primary, a demotion after which only the primary itself could lead would
+    /// interrupt them for nothing.
     fn can_be_replaced(&self) -> bool {
         let points = [self.earlier_point, self.acknowledged.known];
         // The demotion of an evacuated primary is useless if its successor is evacuated as well.
-        let former_evacuated = self
-            .members
-            .iter()
-            .any(|m| self.is_former(m) && m.evacuated);
+        let former_evacuated = self.is_former_evacuated();
         self.candidates()
             .filter(|(member, _)| !(former_evacuated && member.evacuated))
             .any(|(_, report)| points.iter().flatten().any(|p| report.received >= *p))
--- a/tests/testsuite/promotion_orders.rs
+++ b/tests/testsuite/promotion_orders.rs
@@ -494,6 +494,7 @@
             successor: successor.as_ref(),
             former_lost: false,
             former_unused: survey.unused,
+            former_may_return: self.pending,
             acknowledged: survey.acknowledged,
             earlier_point: self.earlier.map(point),
         };
--- a/tests/testsuite/promotion_steps.rs
+++ b/tests/testsuite/promotion_steps.rs
@@ -50,6 +50,7 @@
     successor: Option<EndpointId>,
     former_lost: bool,
     former_unused: bool,
+    former_may_return: bool,
     known: Option<u64>,
     complete: bool,
     sampled: bool,
@@ -64,6 +65,7 @@
             successor: None,
             former_lost: false,
             former_unused: false,
+            former_may_return: false,
             known: None,
             complete: false,
             sampled: true,
@@ -120,6 +122,7 @@
             successor: self.successor.as_ref(),
             former_lost: self.former_lost,
             former_unused: self.former_unused,
+            former_may_return: self.former_may_return,
             acknowledged: AcknowledgedPoint {
                 known: self.known.map(point),
                 complete: self.complete,
@@ -255,6 +258,24 @@
     assert_eq!(group.earlier(8).step(), PromotionStep::Wait);
 }
 
+/// While callers wait for a change, a primary that answers again must lead again at once if no replica
+/// follows it: after a restart of all instances during a cut, nobody knows which of its commits were
+/// acknowledged, and the group had no primary for 5.9 s until its replicas had caught up.
+#[test]
+fn reached_primary_returns() {
+    let members = || [primary("p", 122), replica("a", 95), replica("b", 95)];
+    let mut group = TestGroup::new(members()).earlier(122);
+    assert_eq!(group.step(), PromotionStep::Wait);
+    group.former_may_return = true;
+    assert_eq!(group.step(), demotes_former());
+    let group = TestGroup::new([replica("p", 122), replica("a", 95), replica("b", 95)]);
+    assert_eq!(group.step(), promotes("p"));
+    let mut group = TestGroup::new(members());
+    group.members[0].evacuated = true;
+    group.former_may_return = true;
+    assert_eq!(group.step(), PromotionStep::Wait);
+}
+
 /// A former primary that restarted without its log does not show which commits it acknowledged.
 #[test]
 fn lost_log_is_no_measure() {
