--- a/crates/front/src/instance.rs
+++ b/crates/front/src/instance.rs
@@ -116,6 +116,8 @@
     pub session_ends: watch::Sender<usize>,
     /// Whether this instance watches the store directly rather than through a relay.
     pub direct: Cell<bool>,
+    /// Whether this instance is obtaining its first view, so that its followers wait for it.
+    pub first_view_pending: Cell<bool>,
 }
 
 impl Instance {
@@ -127,6 +129,11 @@
         }
     }
 
+    /// Returns whether this instance has read the whole view.
+    pub fn has_view(&self) -> bool {
+        self.view.borrow().synced_at.is_some()
+    }
+
     /// Returns whether this instance watches the store directly.
     pub fn follows_store(&self) -> bool {
         self.direct.get()
--- a/crates/front/src/main.rs
+++ b/crates/front/src/main.rs
@@ -4,6 +4,7 @@
 mod caller_session;
 mod endpoint_connection;
 mod endpoint_pool;
+mod first_view;
 mod fleet_keys;
 mod fleet_view;
 mod group_change;
--- a/crates/front/src/relay_message.rs
+++ b/crates/front/src/relay_message.rs
@@ -125,6 +125,12 @@
     })
 }
 
+/// Returns the frame of a relay that has no view yet: the start of a message, without data. Earlier
+/// versions skip it.
+pub fn start_frame() -> Bytes {
+    Bytes::from_static(&[1])
+}
+
 /// Reassembles messages from frames.
 #[derive(Debug, Default)]
 pub struct MessageAssembler(BytesMut);
--- a/crates/front/src/store_feed.rs
+++ b/crates/front/src/store_feed.rs
@@ -7,16 +7,14 @@
 use platform::store_error::StoreError;
 use session_core::monotonic_time::now;
 
-use crate::fleet_keys;
+use crate::first_view;
 use crate::instance::Instance;
 use crate::instance_limits::STORE_PAUSE;
 use crate::instance_limits::STORE_TIMEOUT;
 use crate::instance_limits::WATCH_PAUSE;
 use crate::instance_limits::WATCH_SLACK;
 use crate::instance_limits::WATCH_WAIT;
-use crate::relay_message::ViewItems;
 use crate::view_follower;
-
 use crate::view_follower::RelayError;
 use crate::view_follower::RelayExclusions;
 
@@ -30,21 +28,21 @@
 /// it, followers try all relays of the zone within milliseconds while the store answers nobody.
 const STALE_RELAY_PAUSE: Duration = Duration::from_millis(100);
 
-/// Time after which a starting instance whose relay has not sent the view reads the store itself. A
-/// relay that starts at the same time sends the view once its own relay has; the tree of a zone of
-/// 60 instances has three levels.
-const FIRST_VIEW_WAIT: Duration = Duration::from_millis(250);
-
 /// Follows the store until the process ends: through a relay if the relay tree has one for this
 /// instance, else directly.
 pub async fn follow_store(instance: Rc<Instance>) {
     let mut lost = false;
     let mut exclusions = RelayExclusions::default();
-    start_from_relay(&instance, &exclusions).await;
     let mut accept_stale_until = now();
     loop {
-        let has_view = instance.view.borrow().revision > 0;
-        if has_view && let Some(relay) = view_follower::relay_address(&instance, &exclusions) {
+        if !instance.has_view() {
+            if let Err(error) = first_view::start_view(&instance).await {
+                lost = report_lost(lost, &instance, "range", &error);
+                tokio::time::sleep(STORE_PAUSE).await;
+            }
+            continue;
+        }
+        if let Some(relay) = view_follower::relay_address(&instance, &exclusions) {
             instance.set_follows_store(false);
             let ended =
                 view_follower::follow_instance(&instance, relay, &exclusions, accept_stale_until)
@@ -61,78 +59,30 @@
         if !instance.follows_store() {
             instance.set_follows_store(true);
         }
-        let read = match has_view {
-            true => Ok(()),
-            false => read_all(&instance).await,
-        };
-        match read {
-            Ok(()) => {
-                match follow_changes(&instance, &mut lost, &exclusions).await {
-                    FollowOutcome::HistoryDropped => {
-                        if let Err(error) = read_all(&instance).await {
-                            lost = report_lost(lost, &instance, "range", &error);
-                        }
-                    }
-                    // Another instance may reach the store. If none does, waiting as a follower
-                    // costs no calls.
-                    FollowOutcome::Failed => {
-                        exclusions.clear_stale();
-                        accept_stale_until = now() + STALE_GRACE;
-                        tokio::time::sleep(STORE_PAUSE).await;
-                    }
-                    FollowOutcome::RelayAvailable => {}
+        match follow_changes(&instance, &mut lost, &exclusions).await {
+            FollowOutcome::HistoryDropped => {
+                if let Err(error) = read_all(&instance).await {
+                    lost = report_lost(lost, &instance, "range", &error);
                 }
             }
-            Err(error) => {
-                lost = report_lost(lost, &instance, "range", &error);
+            // Another instance may reach the store. If none does, waiting as a follower costs no
+            // calls.
+            FollowOutcome::Failed => {
+                exclusions.clear_stale();
+                accept_stale_until = now() + STALE_GRACE;
                 tokio::time::sleep(STORE_PAUSE).await;
             }
+            FollowOutcome::RelayAvailable => {}
         }
     }
 }
 
-/// Follows a relay of the zone from the start, if the store lists one, for as long as it can be
-/// followed. Otherwise the view stays empty.
+/// Reads the whole view from the store.
 ///
-/// After a restart of all instances, complete reads of each of them would queue up on the link of
-/// the store.
-async fn start_from_relay(instance: &Instance, exclusions: &RelayExclusions) {
-    let zone = fleet_keys::zone_prefix(&instance.settings.zone);
-    let listed = instance
-        .store
-        .range(&zone, ReadFreshness::Outdated, STORE_TIMEOUT)
-        .await;
-    match listed {
-        Ok(members) => {
-            let items = ViewItems::from(members).items;
-            instance.view.borrow_mut().add_items(items);
-        }
-        Err(error) => {
-            tracing::info!(event = "members_not_listed", %error);
-            return;
-        }
-    }
-    let Some(relay) = view_follower::relay_address(instance, exclusions) else {
-        return;
-    };
-    instance.set_follows_store(false);
-    let overdue = async {
-        tokio::time::sleep(FIRST_VIEW_WAIT).await;
-        if instance.view.borrow().revision > 0 {
-            std::future::pending::<()>().await;
-        }
-    };
-    tokio::select! {
-        ended = view_follower::follow_instance(instance, relay, exclusions, now()) => {
-            if let Err(error) = ended {
-                tracing::info!(event = "relay_lost", %relay, %error);
-            }
-        }
-        () = overdue => tracing::info!(event = "first_view_overdue", %relay),
-    }
-}
-
-async fn read_all(instance: &Instance) -> Result<(), StoreError> {
+/// # Errors
+///
+/// See [`StoreError`].
+pub async fn read_all(instance: &Instance) -> Result<(), StoreError> {
     let requested_at = now();
     let view = instance
         .store
--- a/crates/front/src/view_follower.rs
+++ b/crates/front/src/view_follower.rs
@@ -53,6 +53,16 @@
 
 impl std::error::Error for RelayError {}
 
+impl RelayError {
+    /// Returns whether no process listens at the relay's address.
+    pub fn is_refusal(&self) -> bool {
+        match self {
+            RelayError::Silent(error) => error.kind() == io::ErrorKind::ConnectionRefused,
+            RelayError::Stale(_) => false,
+        }
+    }
+}
+
 impl From<io::Error> for RelayError {
     fn from(error: io::Error) -> Self {
         RelayError::Silent(error)
--- a/crates/front/src/view_relay.rs
+++ b/crates/front/src/view_relay.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use futures_util::SinkExt;
 use futures_util::StreamExt;
 use session_core::monotonic_time::MonotonicTime;
@@ -21,6 +22,7 @@
 use crate::relay_message::RelayUpdate;
 use crate::relay_message::relay_codec;
 use crate::relay_message::split_message;
+use crate::relay_message::start_frame;
 
 /// Timeout of sending one frame to a follower.
 const SEND_TIMEOUT: Duration = Duration::from_millis(1_200);
@@ -86,28 +88,61 @@
     requested_at: MonotonicTime,
     sent_revision: u64,
 ) -> io::Result<u64> {
-    let update = {
-        let view = instance.view.borrow();
-        let Some(synced_at) = view.synced_at else {
-            return Ok(sent_revision);
-        };
-        let (complete, items) = view.items_after(sent_revision);
-        let at = now();
-        RelayUpdate {
-            since_ask: at.saturating_since(requested_at),
-            age: at.saturating_since(synced_at),
-            revision: view.revision,
-            complete,
-            items,
-            floors: instance.newest_floors(at),
-        }
+    let Some(update) = next_update(instance, requested_at, sent_revision) else {
+        send_start(instance, framed, sent_revision).await?;
+        return Ok(sent_revision);
     };
     let revision = update.revision;
     let bytes = postcard::to_stdvec(&update).map_err(io::Error::other)?;
     for frame in split_message(bytes) {
-        tokio::time::timeout(SEND_TIMEOUT, framed.send(frame))
-            .await
-            .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))??;
+        send_frame(framed, frame).await?;
     }
     Ok(revision)
 }
+
+/// Returns the changes after a revision, or `None` while the instance has no view.
+fn next_update(
+    instance: &Instance,
+    requested_at: MonotonicTime,
+    sent_revision: u64,
+) -> Option<RelayUpdate> {
+    let view = instance.view.borrow();
+    let synced_at = view.synced_at?;
+    let (complete, items) = view.items_after(sent_revision);
+    let at = now();
+    Some(RelayUpdate {
+        since_ask: at.saturating_since(requested_at),
+        age: at.saturating_since(synced_at),
+        revision: view.revision,
+        complete,
+        items,
+        floors: instance.newest_floors(at),
+    })
+}
+
+/// Tells a starting follower that its first view will follow. Fails if this instance cannot get a
+/// view itself.
+///
+/// A follower that has a view gets nothing: it finds another relay sooner.
+async fn send_start(
+    instance: &Instance,
+    framed: &mut Framed<TcpStream, LengthDelimitedCodec>,
+    sent_revision: u64,
+) -> io::Result<()> {
+    if sent_revision > 0 {
+        return Ok(());
+    }
+    if !instance.first_view_pending.get() {
+        return Err(io::Error::from(io::ErrorKind::NotConnected));
+    }
+    send_frame(framed, start_frame()).await
+}
+
+async fn send_frame(
+    framed: &mut Framed<TcpStream, LengthDelimitedCodec>,
+    frame: Bytes,
+) -> io::Result<()> {
+    tokio::time::timeout(SEND_TIMEOUT, framed.send(frame))
+        .await
+        .map_err(|_| io::Error::from(io::ErrorKind::TimedOut))?
+}
--- a/crates/front/tests/testsuite/fleet.rs
+++ b/crates/front/tests/testsuite/fleet.rs
@@ -24,6 +24,9 @@
 /// Default rate of the team, in operations per second.
 const RATE: u32 = 500;
 
+/// Metric of complete reads of the store.
+const COMPLETE_READS: &str = "tamaracklb_platform_calls_total{kind=\"range\",succeeded=\"true\"} ";
+
 const SERVICE: &str = "orders";
 const START_ATTEMPTS: usize = 400;
 const START_PAUSE: Duration = Duration::from_millis(25);
@@ -145,6 +148,23 @@
         self.set_keys(&[KEY]);
     }
 
+    /// Returns how many instances have read the whole store since they started.
+    pub async fn complete_readers(&self) -> usize {
+        let mut readers = 0;
+        for instance in &self.instances {
+            let metrics = instance.status("/metrics").await.1;
+            readers += usize::from(metrics.contains(COMPLETE_READS));
+        }
+        readers
+    }
+
+    /// Kills the processes of all instances.
+    pub fn kill_all(&mut self) {
+        for instance in &mut self.instances {
+            instance.kill();
+        }
+    }
+
     /// Returns the index of the instance that leads.
     pub fn leader(&self) -> Option<usize> {
         self.platform.leader()
--- a/crates/front/tests/testsuite/relayed_changes.rs
+++ b/crates/front/tests/testsuite/relayed_changes.rs
@@ -4,12 +4,20 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use standins::platform::store_state::StoreFault;
+
 use crate::fleet::Fleet;
 
 const INSTANCES: usize = 8;
 
-/// Metric of complete reads of the store.
-const COMPLETE_READS: &str = "tamaracklb_platform_calls_total{kind=\"range\",succeeded=\"true\"} ";
+/// Number of routes of a configuration of about 180 KB.
+const ROUTES: usize = 1_000;
+
+/// Time for 16 KB on a link on which a read of that configuration takes about 0.6 s.
+const CHUNK_TIME: Duration = Duration::from_millis(45);
+
+/// Processor shares of a zone whose first instance is the root of the relay tree.
+const SHARES: [f64; INSTANCES] = [0.5, 0.17, 0.17, 0.17, 0.17, 0.17, 0.17, 0.17];
 
 /// Without changes, most instances of a zone must not call the store except for their leases.
 #[tokio::test]
@@ -65,24 +73,76 @@
 #[tokio::test]
 async fn restarted_instances_read_from_relays() {
     let mut fleet = Fleet::start(INSTANCES).await;
-    for instance in &mut fleet.instances {
-        instance.kill();
-    }
+    fleet.kill_all();
     for instance in &mut fleet.instances {
         instance.restart();
     }
+    assert_few_readers(&fleet).await;
+}
+
+async fn assert_few_readers(fleet: &Fleet) {
     fleet.await_service().await;
-    let mut readers = 0;
-    for instance in &fleet.instances {
-        let metrics = instance.status("/metrics").await.1;
-        readers += usize::from(metrics.contains(COMPLETE_READS));
-    }
+    let readers = fleet.complete_readers().await;
     assert!(
         (1..=INSTANCES / 2).contains(&readers),
         "{readers} read the whole store"
     );
 }
 
+/// A relay whose process starts a little later than its followers refuses their connections. They
+/// must not all take this for the loss of the relay and read the whole store.
+#[tokio::test]
+async fn followers_wait_for_a_late_relay() {
+    let mut fleet = Fleet::start_sized(&SHARES).await;
+    fleet.kill_all();
+    for instance in &mut fleet.instances[1..] {
+        instance.restart();
+    }
+    tokio::time::sleep(Duration::from_millis(100)).await;
+    fleet.instances[0].restart();
+    assert_few_readers(&fleet).await;
+}
+
+/// Where the relay of all others is gone, one of them must take its place. They must not all read
+/// the whole store.
+#[tokio::test]
+async fn another_relay_replaces_a_lost_one() {
+    let mut fleet = Fleet::start_sized(&SHARES).await;
+    fleet.kill_all();
+    for instance in &mut fleet.instances[1..] {
+        instance.restart();
+    }
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    fleet.instances[0].restart();
+    assert_few_readers(&fleet).await;
+}
+
+/// Over a slow link of the store, the view of the relay takes longer to arrive than a relay takes to
+/// answer. Its followers must wait for it, or their reads queue up on the same link.
+#[tokio::test]
+async fn followers_wait_for_a_slow_read() {
+    let mut fleet = Fleet::start_large(INSTANCES, ROUTES, CHUNK_TIME).await;
+    fleet.kill_all();
+    for instance in &mut fleet.instances {
+        instance.restart();
+    }
+    assert_few_readers(&fleet).await;
+}
+
+/// Instances that start while the store does not answer must not all read it once it does.
+#[tokio::test]
+async fn regained_store_is_not_read_by_all() {
+    let mut fleet = Fleet::start_sized(&SHARES).await;
+    fleet.kill_all();
+    fleet.platform.shared.store().fault = StoreFault::Busy;
+    for instance in &mut fleet.instances {
+        instance.restart();
+    }
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    fleet.platform.shared.store().fault = StoreFault::None;
+    assert_few_readers(&fleet).await;
+}
+
 /// A starting instance whose relay does not answer must read the store itself, and soon.
 #[tokio::test]
 async fn silent_relay_does_not_delay_a_start() {
