--- a/crates/front/src/instance.rs
+++ b/crates/front/src/instance.rs
@@ -118,6 +118,9 @@
     pub session_ends: watch::Sender<usize>,
     /// Whether this instance watches the store directly rather than through a relay.
     pub direct: Cell<bool>,
+    /// Whether this instance follows another one because the store does not answer it. Meanwhile it
+    /// serves no followers.
+    pub has_substitute: watch::Sender<bool>,
     /// Whether this instance is obtaining its first view, so that its followers wait for it.
     pub first_view_pending: Cell<bool>,
 }
--- a/crates/front/src/instance_run.rs
+++ b/crates/front/src/instance_run.rs
@@ -93,6 +93,7 @@
         changes: watch::Sender::new(0),
         store_answers: watch::Sender::new(0),
         direct: Cell::new(true),
+        has_substitute: watch::Sender::new(false),
         first_view_pending: Cell::new(true),
         store: StoreClient::new(settings.store_address, calls.clone()),
         promotion_client: PromotionClient::new(settings.duty_address, calls.clone()),
--- a/crates/front/src/store_feed.rs
+++ b/crates/front/src/store_feed.rs
@@ -24,6 +24,9 @@
 /// Time after a failed watch for which a relay with an old view is accepted.
 const STALE_GRACE: Duration = Duration::from_millis(2_000);
 
+/// Time for which another instance is followed before the store is tried again.
+const SUBSTITUTE_TIME: Duration = Duration::from_millis(2_000);
+
 /// Pause after a relay with an old view, in which another one may get an answer of the store. Without
 /// it, followers try all relays of the zone within milliseconds while the store answers nobody.
 const STALE_RELAY_PAUSE: Duration = Duration::from_millis(100);
@@ -33,6 +36,7 @@
 pub async fn follow_store(instance: Rc<Instance>) {
     let mut lost = false;
     let mut exclusions = RelayExclusions::default();
+    let mut substitutes = RelayExclusions::default();
     let mut accept_stale_until = now();
     loop {
         if !instance.has_view() {
@@ -71,12 +75,35 @@
                 exclusions.clear_stale();
                 accept_stale_until = now() + STALE_GRACE;
                 tokio::time::sleep(STORE_PAUSE).await;
+                if view_follower::relay_address(&instance, &exclusions).is_none() {
+                    follow_substitute(&instance, &mut substitutes).await;
+                }
             }
             FollowOutcome::RelayAvailable => {}
         }
     }
 }
 
+/// Follows another instance for [`SUBSTITUTE_TIME`] in place of the store, which does not answer this
+/// one. Without it, the first instance of a zone that the store turned away for 9 s learned of no order,
+/// and a change of a primary waited for its lease to end.
+async fn follow_substitute(instance: &Instance, exclusions: &mut RelayExclusions) {
+    let Some(relay) = view_follower::substitute_address(instance, exclusions) else {
+        return;
+    };
+    let end = now() + SUBSTITUTE_TIME;
+    instance.has_substitute.send_replace(true);
+    let followed = view_follower::follow_while(instance, relay, || now() < end, now()).await;
+    instance.has_substitute.send_replace(false);
+    match followed {
+        Ok(()) => tracing::debug!(event = "substitute_followed", %relay),
+        Err(error) => {
+            tracing::info!(event = "substitute_lost", %relay, %error);
+            exclusions.add(relay, &error);
+        }
+    }
+}
+
 /// Reads the whole view from the store.
 ///
 /// # Errors
--- a/crates/front/src/view_follower.rs
+++ b/crates/front/src/view_follower.rs
@@ -13,6 +13,7 @@
 use session_core::monotonic_time::now;
 use session_core::relay_tree::MAX_RELAY_AGE;
 use session_core::relay_tree::relay_parent;
+use session_core::relay_tree::relay_substitute;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 use tokio_util::codec::Framed;
@@ -108,6 +109,18 @@
     view.members.get(parent).map(|member| member.value.address)
 }
 
+/// Returns the address of an instance that may hear the store while it does not answer this one, which
+/// has no relay: one of the zone, else the first one of another zone.
+pub fn substitute_address(instance: &Instance, exclusions: &RelayExclusions) -> Option<SocketAddr> {
+    let view = instance.view.borrow();
+    let members = view.members.iter().filter(|(name, member)| {
+        **name != instance.settings.instance && !exclusions.contains(member.value.address)
+    });
+    let ranked = members.map(|(name, member)| (&member.value.zone, member.value.ranked(name)));
+    let name = relay_substitute(&instance.settings.zone, ranked)?;
+    view.members.get(name).map(|member| member.value.address)
+}
+
 /// Follows a relay until it fails or the relay tree assigns another one. An old view is accepted
 /// until `accept_stale_until`.
 ///
@@ -119,6 +132,21 @@
     relay: SocketAddr,
     exclusions: &RelayExclusions,
     accept_stale_until: MonotonicTime,
+) -> Result<(), RelayError> {
+    let is_assigned = || relay_address(instance, exclusions) == Some(relay);
+    follow_while(instance, relay, is_assigned, accept_stale_until).await
+}
+
+/// Follows a relay until it fails or `may_follow` returns false; otherwise as [`follow_instance`].
+///
+/// # Errors
+///
+/// Returns the reason why the relay cannot be followed.
+pub async fn follow_while(
+    instance: &Instance,
+    relay: SocketAddr,
+    may_follow: impl Fn() -> bool,
+    accept_stale_until: MonotonicTime,
 ) -> Result<(), RelayError> {
     let overdue = || io::Error::from(io::ErrorKind::TimedOut);
     let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(relay))
@@ -134,7 +162,7 @@
     framed.send(Bytes::from(bytes)).await?;
     let mut silence = CONNECT_TIMEOUT;
     let mut assembler = MessageAssembler::default();
-    while relay_address(instance, exclusions) == Some(relay) {
+    while may_follow() {
         let message = timeout(silence, framed.next())
             .await
             .map_err(|_| overdue())?;
--- a/crates/front/src/view_relay.rs
+++ b/crates/front/src/view_relay.rs
@@ -59,7 +59,11 @@
     let mut sent_revision = request.after;
     let mut changes = instance.changes.subscribe();
     let mut answers = instance.store_answers.subscribe();
+    let mut substitution = instance.has_substitute.subscribe();
     loop {
+        if *substitution.borrow_and_update() {
+            return Ok(());
+        }
         sent_revision = send_update(instance, &mut framed, requested_at, sent_revision).await?;
         tokio::select! {
             changed = changes.changed() => {
@@ -72,6 +76,11 @@
                     return Ok(());
                 }
             }
+            changed = substitution.changed() => {
+                if changed.is_err() {
+                    return Ok(());
+                }
+            }
             () = tokio::time::sleep(RELAY_PERIOD) => {}
             message = framed.next() => {
                 if !matches!(message, Some(Ok(_))) {
--- a/crates/session-core/src/relay_tree.rs
+++ b/crates/session-core/src/relay_tree.rs
@@ -4,11 +4,13 @@
 //! follows an instance of higher rank. Since this also holds for an instance that skips parents,
 //! the tree has no cycles.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use crate::ids::InstanceId;
 use crate::ids::ZoneId;
 use crate::instance_rank::RankedInstance;
+use crate::instance_rank::ranked_order;
 
 /// Maximum number of instances that follow the same parent, which bounds the traffic of one change
 /// on the parent's link.
@@ -26,6 +28,25 @@
     before.get(index).map(|parent| parent.name)
 }
 
+/// Returns the instance that `own`, the first one of its zone, follows while the store answers others
+/// but not itself: the first of the other members of its zone, else the first one of another zone.
+///
+/// An instance with a substitute serves no followers, so that two instances never wait for each other.
+pub fn relay_substitute<'a>(
+    zone: &ZoneId,
+    others: impl Iterator<Item = (&'a ZoneId, RankedInstance<'a>)>,
+) -> Option<&'a InstanceId> {
+    let mut zones: BTreeMap<&ZoneId, Vec<RankedInstance<'a>>> = BTreeMap::new();
+    for (zone, member) in others {
+        zones.entry(zone).or_default().push(member);
+    }
+    let members = zones
+        .remove(zone)
+        .or_else(|| zones.pop_first().map(|(_, m)| m))?;
+    let ranked = ranked_order(zone, members.into_iter());
+    ranked.first().map(|member| member.name)
+}
+
 /// Age of the evidence above which an instance is no good relay: two watches.
 pub const MAX_RELAY_AGE: Duration = Duration::from_millis(1_800);
 
--- a/tests/testsuite/instance_ranks.rs
+++ b/tests/testsuite/instance_ranks.rs
@@ -10,6 +10,7 @@
 use session_core::relay_tree::MAX_FOLLOWERS;
 use session_core::relay_tree::queries_positions;
 use session_core::relay_tree::relay_parent;
+use session_core::relay_tree::relay_substitute;
 use session_core::units::ProcessorShare;
 
 fn names(count: usize) -> Vec<InstanceId> {
@@ -109,3 +110,23 @@
     assert_eq!(queries(young), members.len());
     assert!(!queries_positions(false, false, young));
 }
+
+/// Pattern: the store turns the first instance of a zone away and answers the others. It has no relay, and
+/// must hear what the others hear: a change of a primary waits for its acknowledgement.
+#[test]
+fn refused_root_has_a_substitute() {
+    let names = names(4);
+    let other: ZoneId = "zone-b".parse().expect("the name is valid");
+    let member = |index: usize, processor| RankedInstance {
+        processor: ProcessorShare(processor),
+        name: &names[index],
+    };
+    let zone = zone();
+    let mates = [(&zone, member(1, 1)), (&zone, member(2, 2))];
+    let others = [(&other, member(3, 9))];
+    let all = mates.into_iter().chain(others);
+    assert_eq!(relay_substitute(&zone, all), Some(&names[2]));
+    // The zone has no other member that answers.
+    assert_eq!(relay_substitute(&zone, others.into_iter()), Some(&names[3]));
+    assert_eq!(relay_substitute(&zone, std::iter::empty()), None);
+}
