--- a/crates/front/src/endpoint_connection.rs
+++ b/crates/front/src/endpoint_connection.rs
@@ -25,6 +25,7 @@
 use tokio::time::timeout;
 use tokio_util::codec::Framed;
 
+use crate::host_channel::HostChannel;
 use crate::instance_limits::CONNECT_TIMEOUT;
 use crate::instance_limits::UNACKNOWLEDGED_TIMEOUT;
 
@@ -41,6 +42,8 @@
     pub position: String,
     /// When the statement was sent.
     pub sent_at: MonotonicTime,
+    /// Time that the endpoint took, as measured by the instance that is connected to it.
+    pub took: Duration,
 }
 
 impl EndpointAnswer {
@@ -59,6 +62,8 @@
     Io(io::Error),
     /// The endpoint did not answer in time.
     Overdue,
+    /// The endpoint's host could not connect to it.
+    AtHost,
 }
 
 impl fmt::Display for ConnectError {
@@ -67,16 +72,26 @@
             ConnectError::Refused(refusal) => write!(f, "refused: {refusal:?}"),
             ConnectError::Io(error) => write!(f, "{error}"),
             ConnectError::Overdue => write!(f, "no answer"),
+            ConnectError::AtHost => write!(f, "host is not connected"),
         }
     }
 }
 
 impl std::error::Error for ConnectError {}
 
+/// How commands reach the endpoint.
+#[derive(Debug)]
+enum ConnectionTransport {
+    /// A connection of this instance.
+    Direct(Box<Framed<TcpStream, EndpointCodec>>),
+    /// A connection that the endpoint's host keeps.
+    Shared(HostChannel),
+}
+
 /// An open connection whose start-up the endpoint accepted.
 #[derive(Debug)]
 pub struct EndpointConnection {
-    framed: Framed<TcpStream, EndpointCodec>,
+    transport: ConnectionTransport,
     /// Id of the endpoint.
     pub endpoint: EndpointId,
     /// Team whose statements run on it.
@@ -86,6 +101,9 @@
     /// Transaction state after the last answer.
     pub state: SessionState,
     broken: bool,
+    /// Whether the values are uncertain, so that the connection must not be used for another
+    /// session.
+    uncertain: bool,
 }
 
 impl EndpointConnection {
@@ -109,26 +127,19 @@
         SockRef::from(&stream)
             .set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))
             .map_err(ConnectError::Io)?;
-        let mut connection = Self {
-            framed: Framed::new(stream, EndpointCodec::default()),
-            endpoint: entry.id.clone(),
-            team: team.clone(),
-            values: ConnectionValues::default(),
-            state: SessionState::Idle,
-            broken: false,
-        };
+        let mut framed = Framed::new(stream, EndpointCodec::default());
         let startup = EndpointCommand::Startup {
             service: entry.service.clone(),
-            team,
+            team: team.clone(),
             endpoint: entry.id.clone(),
         };
         let io = |error: platform::line_frame::FrameError| {
             ConnectError::Io(io::Error::other(error.to_string()))
         };
-        connection.framed.send(startup).await.map_err(io)?;
+        framed.send(startup).await.map_err(io)?;
         loop {
-            match connection.framed.next().await {
-                Some(Ok(EndpointMessage::Ready { .. })) => return Ok(connection),
+            match framed.next().await {
+                Some(Ok(EndpointMessage::Ready { .. })) => break,
                 Some(Ok(EndpointMessage::Refused { refusal, .. })) => {
                     return Err(ConnectError::Refused(refusal));
                 }
@@ -139,6 +150,62 @@
                 }
             }
         }
+        Ok(Self {
+            transport: ConnectionTransport::Direct(Box::new(framed)),
+            endpoint: entry.id.clone(),
+            team,
+            values: ConnectionValues::default(),
+            state: SessionState::Idle,
+            broken: false,
+            uncertain: false,
+        })
+    }
+
+    /// Creates a connection from a channel of the endpoint's host.
+    pub fn shared(
+        channel: HostChannel,
+        endpoint: EndpointId,
+        team: Option<TeamId>,
+        values: ConnectionValues,
+    ) -> Self {
+        Self {
+            transport: ConnectionTransport::Shared(channel),
+            endpoint,
+            team,
+            values,
+            state: SessionState::Idle,
+            broken: false,
+            uncertain: false,
+        }
+    }
+
+    /// Returns whether another session may use the connection.
+    pub fn is_reusable(&self) -> bool {
+        !self.broken && !self.uncertain && self.state == SessionState::Idle
+    }
+
+    /// Returns whether the last fault says nothing about the endpoint, because the way to the host
+    /// or the host itself caused it.
+    pub fn has_host_fault(&self) -> bool {
+        match &self.transport {
+            ConnectionTransport::Direct(_) => false,
+            ConnectionTransport::Shared(channel) => channel.has_host_fault(),
+        }
+    }
+
+    /// Marks the values as uncertain. The current session may end its transaction.
+    pub fn set_uncertain(&mut self) {
+        self.uncertain = true;
+    }
+
+    /// Returns a connection of a host to it, and closes one of this instance.
+    pub fn finish(mut self) {
+        let is_reusable = self.is_reusable();
+        if let ConnectionTransport::Shared(channel) = &mut self.transport
+            && is_reusable
+        {
+            channel.set_reusable();
+        }
     }
 
     /// Returns whether the connection must not be used again.
@@ -153,8 +220,12 @@
 
     /// Returns whether the endpoint closed the connection or sent data while it was idle.
     pub fn is_stale(&self) -> bool {
+        let framed = match &self.transport {
+            ConnectionTransport::Direct(framed) => framed,
+            ConnectionTransport::Shared(channel) => return channel.is_lost(),
+        };
         let mut byte = [0];
-        let read = self.framed.get_ref().try_read(&mut byte);
+        let read = framed.get_ref().try_read(&mut byte);
         !matches!(read, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
     }
 
@@ -183,60 +254,66 @@
         time: Duration,
     ) -> Result<Vec<EndpointAnswer>, StatementFault> {
         self.broken = true;
-        let answered = timeout(time, self.exchange(commands)).await;
-        let answers = answered.unwrap_or(Err(StatementFault::Overdue))?;
+        let answers = match &mut self.transport {
+            ConnectionTransport::Direct(framed) => {
+                let answered = timeout(time, exchange(framed, commands)).await;
+                answered.unwrap_or(Err(StatementFault::Overdue))?
+            }
+            ConnectionTransport::Shared(channel) => channel.run(commands, time).await?,
+        };
         self.broken = false;
         if let Some(last) = answers.last() {
             self.state = last.state;
         }
         Ok(answers)
     }
+}
 
-    async fn exchange(
-        &mut self,
-        commands: Vec<EndpointCommand>,
-    ) -> Result<Vec<EndpointAnswer>, StatementFault> {
-        let sent_at = now();
-        let count = commands.len();
-        for command in commands {
-            self.framed
-                .feed(command)
-                .await
-                .map_err(|_| StatementFault::Broken)?;
-        }
-        self.framed
-            .flush()
+async fn exchange(
+    framed: &mut Framed<TcpStream, EndpointCodec>,
+    commands: Vec<EndpointCommand>,
+) -> Result<Vec<EndpointAnswer>, StatementFault> {
+    let sent_at = now();
+    let count = commands.len();
+    for command in commands {
+        framed
+            .feed(command)
             .await
             .map_err(|_| StatementFault::Broken)?;
-        let mut answers = Vec::with_capacity(count);
-        for _ in 0..count {
-            answers.push(self.answer(sent_at).await?);
-        }
-        Ok(answers)
     }
+    framed.flush().await.map_err(|_| StatementFault::Broken)?;
+    let mut answers = Vec::with_capacity(count);
+    for _ in 0..count {
+        answers.push(read_answer(framed, sent_at).await?);
+    }
+    Ok(answers)
+}
 
-    async fn answer(&mut self, sent_at: MonotonicTime) -> Result<EndpointAnswer, StatementFault> {
-        let mut rows = Vec::new();
-        let mut result = None;
-        loop {
-            match self.framed.next().await {
-                Some(Ok(EndpointMessage::Row(row))) => rows.push(row),
-                Some(Ok(EndpointMessage::Done(receipt))) => result = Some(Ok(receipt)),
-                Some(Ok(EndpointMessage::Refused { refusal, text })) => {
-                    result = Some(Err((refusal, text)));
-                }
-                Some(Ok(EndpointMessage::Ready { state, position })) => {
-                    let result = result.ok_or(StatementFault::Broken)?;
-                    return Ok(EndpointAnswer {
-                        rows,
-                        result,
-                        state,
-                        position,
-                        sent_at,
-                    });
-                }
-                Some(Err(_)) | None => return Err(StatementFault::Broken),
+async fn read_answer(
+    framed: &mut Framed<TcpStream, EndpointCodec>,
+    sent_at: MonotonicTime,
+) -> Result<EndpointAnswer, StatementFault> {
+    let mut rows = Vec::new();
+    let mut result = None;
+    loop {
+        match framed.next().await {
+            Some(Ok(EndpointMessage::Row(row))) => rows.push(row),
+            Some(Ok(EndpointMessage::Done(receipt))) => result = Some(Ok(receipt)),
+            Some(Ok(EndpointMessage::Refused { refusal, text })) => {
+                result = Some(Err((refusal, text)));
+            }
+            Some(Ok(EndpointMessage::Ready { state, position })) => {
+                let result = result.ok_or(StatementFault::Broken)?;
+                return Ok(EndpointAnswer {
+                    rows,
+                    result,
+                    state,
+                    position,
+                    sent_at,
+                    took: now().saturating_since(sent_at),
+                });
             }
+            Some(Err(_)) | None => return Err(StatementFault::Broken),
         }
     }
 }
--- a/crates/front/src/endpoint_pool.rs
+++ b/crates/front/src/endpoint_pool.rs
@@ -8,7 +8,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use platform::caller_codec::SessionState;
+use session_core::connection_host;
 use session_core::endpoint_entry::EndpointEntry;
 use session_core::endpoint_load::EndpointLoad;
 use session_core::floor_history::FloorHistory;
@@ -16,7 +16,8 @@
 use session_core::ids::TeamId;
 use session_core::monotonic_time::MonotonicTime;
 use session_core::monotonic_time::now;
-use session_core::session_values::SessionValues;
+use session_core::request_outcome::EndpointRefusal;
+use session_core::session_values::ConnectionValues;
 use session_core::statement_limiter::StatementLimiter;
 use tokio::sync::Notify;
 
@@ -27,6 +28,10 @@
 /// Time after its last use for which a pair of endpoint and team counts towards the demand.
 const DEMAND_WINDOW: Duration = Duration::from_secs(3);
 
+/// Time for which no more connections are opened than were open when the endpoint refused one
+/// because of its limit. Each attempt costs the endpoint a start-up.
+const REFUSAL_PAUSE: Duration = Duration::from_millis(300);
+
 /// Limits on an instance's connections to one endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ConnectionLimit {
@@ -34,20 +39,72 @@
     pub max_open: usize,
     /// Maximum number in use at once. May exceed the even share, since load is uneven.
     pub max_in_use: usize,
+    /// Whether the connections are for all instances, so that no team may take all of them.
+    pub is_host: bool,
 }
 
 #[derive(Default)]
 struct EndpointState {
     idle: Vec<(MonotonicTime, EndpointConnection)>,
     in_use: usize,
+    /// Number of connections in use by team.
+    used: HashMap<Option<TeamId>, usize>,
     load: EndpointLoad,
     released: Rc<Notify>,
+    /// Number of connections that were open when the endpoint refused one because of its limit, and
+    /// until when it applies.
+    refused: Option<(MonotonicTime, usize)>,
     /// When a connection was last requested, by team.
     used_at: HashMap<Option<TeamId>, MonotonicTime>,
     limiter: Option<StatementLimiter>,
     limiter_changes: Rc<Notify>,
 }
 
+impl EndpointState {
+    /// Returns the limits, lowered for some time after the endpoint refused a connection.
+    fn limit_now(&self, limit: ConnectionLimit) -> ConnectionLimit {
+        match self.refused {
+            Some((until, open)) if now() < until => ConnectionLimit {
+                max_open: limit.max_open.min(open),
+                max_in_use: limit.max_in_use.min(open),
+                is_host: limit.is_host,
+            },
+            _ => limit,
+        }
+    }
+
+    /// Counts a connection of the team as in use if the limit allows it.
+    fn try_use(&mut self, team: Option<&TeamId>, limit: ConnectionLimit) -> bool {
+        let max_in_use = self.limit_now(limit).max_in_use;
+        let free = max_in_use.saturating_sub(self.in_use);
+        let used = self.used.get(&team.cloned()).copied().unwrap_or(0);
+        let may_use = match limit.is_host {
+            true => connection_host::may_use_another(used, free),
+            false => free > 0,
+        };
+        if may_use {
+            self.count_use(team);
+        }
+        may_use
+    }
+
+    fn count_use(&mut self, team: Option<&TeamId>) {
+        self.in_use += 1;
+        *self.used.entry(team.cloned()).or_default() += 1;
+    }
+
+    fn end_use(&mut self, team: Option<&TeamId>) {
+        self.in_use -= 1;
+        let team = team.cloned();
+        if let Some(used) = self.used.get_mut(&team) {
+            *used -= 1;
+            if *used == 0 {
+                self.used.remove(&team);
+            }
+        }
+    }
+}
+
 /// Connections, load and statement limiter of each endpoint.
 #[derive(Default)]
 pub struct EndpointPool {
@@ -69,7 +126,12 @@
     pool: Rc<EndpointPool>,
     connection: Option<EndpointConnection>,
     endpoint: EndpointId,
+    team: Option<TeamId>,
     limit: ConnectionLimit,
+    /// Whether it was opened for this use.
+    pub opened: bool,
+    /// Whether the endpoint's host keeps the connection, so that it does not count here.
+    shared: bool,
 }
 
 impl Deref for PooledConnection {
@@ -93,7 +155,15 @@
 impl Drop for PooledConnection {
     fn drop(&mut self) {
         let connection = self.connection.take();
-        self.pool.release(&self.endpoint, connection, self.limit);
+        match (self.shared, connection) {
+            (true, Some(connection)) => connection.finish(),
+            (true, None) => {}
+            (false, connection) => {
+                let team = self.team.as_ref();
+                self.pool
+                    .release(&self.endpoint, team, connection, self.limit);
+            }
+        }
     }
 }
 
@@ -259,10 +329,12 @@
         });
     }
 
-    /// Closes connections that have been idle for at least `time`.
-    pub fn close_idle(&self, time: Duration) {
+    /// Closes connections that have been idle for at least the time that `limit` returns for their
+    /// endpoint.
+    pub fn close_idle(&self, limit: impl Fn(&EndpointId) -> Duration) {
         let at = now();
-        for state in self.endpoints.borrow_mut().values_mut() {
+        for (id, state) in self.endpoints.borrow_mut().iter_mut() {
+            let time = limit(id);
             state
                 .idle
                 .retain(|(since, _)| at.saturating_since(*since) < time);
@@ -310,8 +382,8 @@
             .sum()
     }
 
-    /// Acquires a connection of the team: an idle one with the session's values, else any idle one,
-    /// else a new one.
+    /// Acquires a connection of the team: the idle one for whose values `preference` returns the
+    /// highest number, else a new one.
     ///
     /// # Errors
     ///
@@ -320,18 +392,21 @@
         self: &Rc<Self>,
         entry: &EndpointEntry,
         team: Option<&TeamId>,
-        session: &SessionValues,
+        preference: impl Fn(&ConnectionValues) -> u8,
         limit: ConnectionLimit,
         wait: Duration,
     ) -> Result<PooledConnection, PoolError> {
         self.record_use(&entry.id, team);
-        let reserved = tokio::time::timeout(wait, self.reserve(&entry.id, limit)).await;
+        let reserved = tokio::time::timeout(wait, self.reserve(&entry.id, team, limit)).await;
         reserved.map_err(|_| PoolError::Exhausted)?;
         let mut pooled = PooledConnection {
             pool: Rc::clone(self),
-            connection: self.take_idle(&entry.id, team, session),
+            connection: self.take_idle(&entry.id, team, preference),
             endpoint: entry.id.clone(),
+            team: team.cloned(),
             limit,
+            shared: false,
+            opened: false,
         };
         if pooled.connection.is_none() {
             self.evict(&entry.id, limit);
@@ -339,8 +414,12 @@
                 Ok(connection) => {
                     self.opened.set(self.opened.get() + 1);
                     pooled.connection = Some(connection);
+                    pooled.opened = true;
+                }
+                Err(error) => {
+                    self.record_refusal(&entry.id, &error);
+                    return Err(PoolError::Connect(error));
                 }
-                Err(error) => return Err(PoolError::Connect(error)),
             }
         }
         Ok(pooled)
@@ -355,22 +434,56 @@
         let mut endpoints = self.endpoints.borrow_mut();
         let state = endpoints.get_mut(endpoint)?;
         let (_, connection) = state.idle.pop()?;
-        state.in_use += 1;
+        let team = connection.team.clone();
+        state.count_use(team.as_ref());
         Some(PooledConnection {
             pool: Rc::clone(self),
             connection: Some(connection),
             endpoint: endpoint.clone(),
+            team,
             limit,
+            shared: false,
+            opened: false,
         })
     }
 
-    async fn reserve(&self, endpoint: &EndpointId, limit: ConnectionLimit) {
+    /// Wraps a connection that the endpoint's host keeps.
+    pub fn shared_connection(self: &Rc<Self>, connection: EndpointConnection) -> PooledConnection {
+        PooledConnection {
+            pool: Rc::clone(self),
+            endpoint: connection.endpoint.clone(),
+            team: connection.team.clone(),
+            connection: Some(connection),
+            limit: ConnectionLimit {
+                max_open: 0,
+                max_in_use: 0,
+                is_host: false,
+            },
+            shared: true,
+            opened: false,
+        }
+    }
+
+    fn record_refusal(&self, endpoint: &EndpointId, error: &ConnectError) {
+        if !matches!(
+            error,
+            ConnectError::Refused(EndpointRefusal::ConnectionLimit)
+        ) {
+            return;
+        }
+        let mut endpoints = self.endpoints.borrow_mut();
+        let state = endpoints.entry(endpoint.clone()).or_default();
+        // The refused connection still counts as in use.
+        let open = state.in_use + state.idle.len() - 1;
+        state.refused = Some((now() + REFUSAL_PAUSE, open.max(1)));
+    }
+
+    async fn reserve(&self, endpoint: &EndpointId, team: Option<&TeamId>, limit: ConnectionLimit) {
         loop {
             let released = {
                 let mut endpoints = self.endpoints.borrow_mut();
                 let state = endpoints.entry(endpoint.clone()).or_default();
-                if state.in_use < limit.max_in_use {
-                    state.in_use += 1;
+                if state.try_use(team, limit) {
                     return;
                 }
                 Rc::clone(&state.released)
@@ -383,19 +496,16 @@
         &self,
         endpoint: &EndpointId,
         team: Option<&TeamId>,
-        session: &SessionValues,
+        preference: impl Fn(&ConnectionValues) -> u8,
     ) -> Option<EndpointConnection> {
         let mut endpoints = self.endpoints.borrow_mut();
         let state = endpoints.get_mut(endpoint)?;
         loop {
-            let index = {
-                let is_of_team = |connection: &EndpointConnection| connection.team.as_ref() == team;
-                let same = state
-                    .idle
-                    .iter()
-                    .rposition(|(_, c)| is_of_team(c) && c.values.matches(session));
-                same.or_else(|| state.idle.iter().rposition(|(_, c)| is_of_team(c)))?
-            };
+            let idle = state.idle.iter().enumerate();
+            let of_team = idle.filter(|(_, (_, connection))| connection.team.as_ref() == team);
+            // Of equal ones, the last is the one that was used most recently.
+            let (index, _) =
+                of_team.max_by_key(|(_, (_, connection))| preference(&connection.values))?;
             let (_, connection) = state.idle.remove(index);
             if !connection.is_stale() {
                 return Some(connection);
@@ -407,6 +517,7 @@
     fn evict(&self, endpoint: &EndpointId, limit: ConnectionLimit) {
         let mut endpoints = self.endpoints.borrow_mut();
         if let Some(state) = endpoints.get_mut(endpoint) {
+            let limit = state.limit_now(limit);
             while !state.idle.is_empty() && state.in_use + state.idle.len() > limit.max_open {
                 state.idle.remove(0);
             }
@@ -416,6 +527,7 @@
     fn release(
         &self,
         endpoint: &EndpointId,
+        team: Option<&TeamId>,
         connection: Option<EndpointConnection>,
         limit: ConnectionLimit,
     ) {
@@ -423,14 +535,14 @@
         let Some(state) = endpoints.get_mut(endpoint) else {
             return;
         };
-        state.in_use -= 1;
+        state.end_use(team);
         if let Some(connection) = connection
-            && !connection.is_broken()
-            && connection.state == SessionState::Idle
+            && connection.is_reusable()
             && state.in_use + state.idle.len() < limit.max_open
         {
             state.idle.push((now(), connection));
         }
-        state.released.notify_one();
+        // The first that waits may be of a team that may not use another one yet.
+        state.released.notify_waiters();
     }
 }
--- a/crates/front/src/instance.rs
+++ b/crates/front/src/instance.rs
@@ -15,13 +15,16 @@
 use session_core::commit_evidence::CommitEvidence;
 use session_core::commit_evidence::CommitReport;
 use session_core::commit_evidence::ProcessLives;
+use session_core::connection_host;
 use session_core::connection_share::ConnectionShare;
+use session_core::endpoint_entry::EndpointEntry;
 use session_core::failure_detector::FailureDetector;
 use session_core::floor_history::FloorHistory;
 use session_core::floor_history::FloorSample;
 use session_core::group_order::OrderPhase;
 use session_core::ids::EndpointId;
 use session_core::ids::ServiceId;
+use session_core::ids::TeamId;
 use session_core::instance_rank::RankedInstance;
 use session_core::log_point::LogPoint;
 use session_core::monotonic_time::MonotonicTime;
@@ -30,6 +33,7 @@
 use session_core::rate_deputy::DeputyMonitor;
 use session_core::rate_lender::LendingMode;
 use session_core::request_outcome::StatementFault;
+use session_core::units::ConnectionCount;
 use tokio::net::UdpSocket;
 use tokio::sync::watch;
 
@@ -38,11 +42,15 @@
 use crate::endpoint_pool::ConnectionLimit;
 use crate::endpoint_pool::EndpointPool;
 use crate::fleet_view::FleetView;
+use crate::host_links::HostLinks;
 use crate::instance_limits::CONNECTION_FRACTION;
+use crate::instance_limits::DIRECT_IDLE_TIME;
+use crate::instance_limits::HOST_IDLE_TIME;
 use crate::instance_limits::KEY_MARGIN;
 use crate::instance_limits::LEADER_LEASE_TIME;
 use crate::instance_limits::LEADER_MARGIN;
 use crate::instance_limits::LENDING_GRACE;
+use crate::instance_limits::SCARCE_IDLE_TIME;
 use crate::instance_limits::SKEW_FACTOR;
 use crate::instance_limits::STORE_UNREACHABLE_AGE;
 use crate::metrics::FrontMetrics;
@@ -116,6 +124,16 @@
     pub session_ends: watch::Sender<usize>,
     /// Whether this instance watches the store directly rather than through a relay.
     pub direct: Cell<bool>,
+    /// Links to the hosts of endpoints.
+    pub host_links: HostLinks,
+    /// Number of links of other instances that this one serves as a host.
+    pub served_links: Cell<usize>,
+    /// Number of channels that are open on these links.
+    pub served_channels: Cell<usize>,
+    /// Number of connections that this instance provided to others as a host.
+    pub provided: Cell<u64>,
+    /// Number of these that were opened for that purpose.
+    pub provided_new: Cell<u64>,
 }
 
 impl Instance {
@@ -224,25 +242,87 @@
         self.leader_term.get().map(|term| term.token)
     }
 
-    /// Returns the limits on this instance's connections to each endpoint of a service.
-    pub fn connection_limit(&self, service: &ServiceId) -> ConnectionLimit {
-        let view = self.view.borrow();
-        let fraction = self
-            .connection_share
-            .borrow()
-            .fraction(view.members.len(), now());
-        let accepted = view
-            .rules
-            .as_ref()
-            .and_then(|rules| rules.services.get(service))
-            .map_or(0.0, |limit| f64::from(limit.connections.0));
-        let share = accepted * CONNECTION_FRACTION * fraction;
+    /// Returns the limits on this instance's connections to an endpoint.
+    pub fn connection_limit(&self, entry: &EndpointEntry) -> ConnectionLimit {
+        let accepted = self.accepted_connections(&entry.service);
+        if let Some(rank) = self.host_rank(entry) {
+            let count = connection_host::host_connections(accepted, rank);
+            return ConnectionLimit {
+                max_open: count,
+                max_in_use: count,
+                is_host: true,
+            };
+        }
+        // Without a host that answers, for example before an update, nobody else uses the rest.
+        let part = match self.connections_are_scarce() && self.host_links.has_confirmed() {
+            true => connection_host::DIRECT_FRACTION,
+            false => CONNECTION_FRACTION,
+        };
+        let instances = self.view.borrow().members.len();
+        let fraction = self.connection_share.borrow().fraction(instances, now());
+        let share = f64::from(accepted.0) * part * fraction;
         ConnectionLimit {
             max_open: (share as usize).max(1),
             max_in_use: ((share * SKEW_FACTOR) as usize).max(2),
+            is_host: false,
+        }
+    }
+
+    fn accepted_connections(&self, service: &ServiceId) -> ConnectionCount {
+        let view = self.view.borrow();
+        let rules = view.rules.as_ref();
+        let limit = rules.and_then(|rules| rules.services.get(service));
+        limit.map_or(ConnectionCount(0), |limit| limit.connections)
+    }
+
+    /// Returns this instance's rank among the hosts of an endpoint, if it is one.
+    fn host_rank(&self, entry: &EndpointEntry) -> Option<usize> {
+        if !self.connections_are_scarce() {
+            return None;
+        }
+        let candidates = self.host_links.candidates(self, entry);
+        candidates
+            .iter()
+            .position(|candidate| candidate.name == self.settings.instance)
+    }
+
+    /// Returns whether a request to an endpoint is likely to find an open connection of its team.
+    pub fn is_connected(&self, entry: &EndpointEntry, team: Option<&TeamId>) -> bool {
+        self.pool.has_idle(&entry.id, team)
+            || (self.connections_are_scarce() && self.host_links.is_likely_connected(self, entry))
+    }
+
+    /// Returns how long an idle connection to an endpoint is kept while connections are scarce.
+    pub fn idle_time(&self, endpoint: &EndpointId) -> Duration {
+        let Some(entry) = self.view.borrow().endpoints.get(endpoint).cloned() else {
+            return SCARCE_IDLE_TIME;
+        };
+        match self.host_rank(&entry) {
+            Some(0) => HOST_IDLE_TIME,
+            _ if self.host_links.is_likely_connected(self, &entry) => DIRECT_IDLE_TIME,
+            _ => SCARCE_IDLE_TIME,
+        }
+    }
+
+    /// Counts a new channel of another instance.
+    pub fn begin_channel(&self) {
+        self.served_channels.set(self.served_channels.get() + 1);
+    }
+
+    /// Counts a connection that was provided to another instance.
+    pub fn count_provided(&self, is_new: bool) {
+        self.provided.set(self.provided.get() + 1);
+        if is_new {
+            self.provided_new.set(self.provided_new.get() + 1);
         }
     }
 
+    /// Counts a channel that ended.
+    pub fn end_channel(&self) {
+        self.served_channels.set(self.served_channels.get() - 1);
+        self.session_ends.send_replace(self.sessions.get());
+    }
+
     /// Returns whether some endpoint accepts fewer connections than there are instances, so that
     /// not every instance can keep one open.
     pub fn connections_are_scarce(&self) -> bool {
@@ -508,10 +588,15 @@
         self.stopping.send_replace(Some(now()));
     }
 
-    /// Waits until no session is open.
+    /// Returns whether the process was requested to stop.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.borrow().is_some()
+    }
+
+    /// Waits until no session of this instance and no channel of another one is open.
     pub async fn await_no_sessions(&self) {
         let mut ends = self.session_ends.subscribe();
-        while self.sessions.get() > 0 {
+        while self.sessions.get() > 0 || self.served_channels.get() > 0 {
             if ends.changed().await.is_err() {
                 return;
             }
@@ -553,6 +638,26 @@
         text.push_str(&format!(
             "tamaracklb_open{{what=\"endpoint_connections\"}} {connections}\n"
         ));
+        let (links, channels) = self.host_links.open_links();
+        let counts = [
+            ("host_links", links),
+            ("host_channels", channels),
+            ("served_links", self.served_links.get()),
+            ("served_channels", self.served_channels.get()),
+        ];
+        for (what, count) in counts {
+            text.push_str(&format!("tamaracklb_open{{what=\"{what}\"}} {count}\n"));
+        }
+        text.push_str("# TYPE tamaracklb_acquired_from_hosts_total counter\n");
+        let acquired = self.host_links.acquired();
+        let opened = self.provided_new.get();
+        let kept = self.provided.get() - opened;
+        text.push_str(&format!(
+            "tamaracklb_acquired_from_hosts_total {acquired}\n\
+             # TYPE tamaracklb_provided_connections_total counter\n\
+             tamaracklb_provided_connections_total{{opened=\"true\"}} {opened}\n\
+             tamaracklb_provided_connections_total{{opened=\"false\"}} {kept}\n"
+        ));
         text
     }
 }
--- a/crates/front/src/instance_limits.rs
+++ b/crates/front/src/instance_limits.rs
@@ -83,6 +83,14 @@
 /// connections open.
 pub const SCARCE_IDLE_TIME: Duration = Duration::from_millis(1_500);
 
+/// Time after which a host closes idle connections. A host keeps the connections of all teams, and
+/// closes the least recently used one when it needs room.
+pub const HOST_IDLE_TIME: Duration = Duration::from_secs(30);
+
+/// Time after which an instance closes idle connections of its own to an endpoint whose host it uses.
+/// Position probes use such a connection each [`FLOOR_PERIOD`], callers' requests do not.
+pub const DIRECT_IDLE_TIME: Duration = Duration::from_millis(700);
+
 /// Ticks between checks for connections that have been idle for too long.
 pub const IDLE_TICKS: u64 = 3;
 
--- a/crates/front/src/instance_run.rs
+++ b/crates/front/src/instance_run.rs
@@ -20,9 +20,10 @@
 
 use crate::caller_listener;
 use crate::group_leader;
+use crate::host_links::HostLinks;
+use crate::host_server;
 use crate::instance::Instance;
 use crate::instance_limits::IDLE_TICKS;
-use crate::instance_limits::SCARCE_IDLE_TIME;
 use crate::instance_limits::STORE_TIMEOUT;
 use crate::instance_limits::TICK_PERIOD;
 use crate::log_output::LogOutput;
@@ -115,12 +116,18 @@
         metrics: FrontMetrics::new().map_err(InstanceError::Metrics)?,
         calls,
         session_ends: watch::Sender::new(0),
+        host_links: HostLinks::default(),
+        served_links: Cell::new(0),
+        served_channels: Cell::new(0),
+        provided: Cell::new(0),
+        provided_new: Cell::new(0),
         settings,
     });
     tokio::task::spawn_local(store_feed::follow_store(Rc::clone(&instance)));
     tokio::task::spawn_local(store_lease::keep_lease(Rc::clone(&instance)));
     tokio::task::spawn_local(peer_link::acknowledge_orders(Rc::clone(&instance)));
     tokio::task::spawn_local(view_relay::serve_followers(followers, Rc::clone(&instance)));
+    tokio::task::spawn_local(host_server::serve_links(Rc::clone(&instance)));
     tokio::task::spawn_local(peer_link::serve_peers(Rc::clone(&instance)));
     tokio::task::spawn_local(position_probe::query_primaries(Rc::clone(&instance)));
     tokio::task::spawn_local(group_leader::lead_groups(Rc::clone(&instance)));
@@ -165,7 +172,7 @@
         instance.view.borrow_mut().drop_missing(now());
         peer_link::prefetch_loans(&instance, tick);
         if tick % IDLE_TICKS == 0 && instance.connections_are_scarce() {
-            instance.pool.close_idle(SCARCE_IDLE_TIME);
+            instance.pool.close_idle(|id| instance.idle_time(id));
         }
         let view = instance.view.borrow();
         instance.pool.retain(|id| view.endpoints.contains_key(id));
--- a/crates/front/src/position_probe.rs
+++ b/crates/front/src/position_probe.rs
@@ -13,7 +13,6 @@
 use session_core::relay_tree;
 use session_core::session_values::ConnectionValues;
 use session_core::session_values::ReplayStep;
-use session_core::session_values::SessionValues;
 
 use crate::endpoint_pool::PoolError;
 use crate::instance::Instance;
@@ -34,7 +33,7 @@
     if !wanted {
         return;
     }
-    let limit = instance.connection_limit(&entry.service);
+    let limit = instance.connection_limit(entry);
     let Some(mut connection) = instance.pool.acquire_idle(&entry.id, limit) else {
         return;
     };
@@ -118,11 +117,12 @@
 /// the answer or the failure.
 pub async fn query_position(instance: &Rc<Instance>, entry: &EndpointEntry) {
     let tried_at = now();
-    let limit = instance.connection_limit(&entry.service);
-    let values = SessionValues::default();
+    let limit = instance.connection_limit(entry);
+    // A reset removes whatever values the connection holds.
+    let preference = |_: &ConnectionValues| 0;
     let acquired = instance
         .pool
-        .acquire_connection(entry, None, &values, limit, PROBE_TIMEOUT)
+        .acquire_connection(entry, None, preference, limit, PROBE_TIMEOUT)
         .await;
     let mut connection = match acquired {
         Ok(connection) => connection,
--- a/crates/front/src/request_attempt.rs
+++ b/crates/front/src/request_attempt.rs
@@ -22,6 +22,8 @@
 use crate::endpoint_connection::EndpointAnswer;
 use crate::endpoint_pool::PoolError;
 use crate::endpoint_pool::PooledConnection;
+use crate::host_links;
+use crate::host_links::ConnectionNeed;
 use crate::instance_limits::QUEUE_FRACTION;
 use crate::instance_limits::ROUTE_PAUSE;
 use crate::instance_limits::SERVICE_TIME_FRACTION;
@@ -94,7 +96,6 @@
         let outstanding = self.instance.pool.count_outstanding(&endpoint);
         let queue_end = progress.arrived + route.target_latency.mul_f64(QUEUE_FRACTION);
         let wait = queue_end.saturating_since(now()).max(MIN_WAIT);
-        let limit = self.instance.connection_limit(&route.service);
         let instances = self.instance.view.borrow().members.len();
         let pool = &self.instance.pool;
         let Some(permit) = pool
@@ -106,14 +107,20 @@
             return AttemptOutcome::Retry(Duration::ZERO);
         };
         let wait = queue_end.saturating_since(now()).max(MIN_WAIT);
-        let acquired = pool
-            .acquire_connection(&chosen.entry, team, &self.values, limit, wait)
-            .await;
+        let need = ConnectionNeed {
+            entry: &chosen.entry,
+            team,
+            session: &self.values,
+            definition: statement.definition.as_ref(),
+            bytes: statement.forwarded.text_bytes(),
+            wait,
+        };
+        let acquired = host_links::acquire_connection(&self.instance, &need).await;
         let mut connection = match acquired {
             Ok(connection) => connection,
             Err(PoolError::Exhausted) => {
                 *reason = "connections_in_use";
-                tracing::info!(event = "connections_exhausted", request = progress.id, endpoint = %endpoint, primary = chosen.primary, limit = limit.max_in_use);
+                tracing::info!(event = "connections_exhausted", request = progress.id, endpoint = %endpoint, primary = chosen.primary);
                 progress.excluded.push(endpoint);
                 return AttemptOutcome::Retry(Duration::ZERO);
             }
@@ -168,11 +175,10 @@
         drop((outstanding, permit));
         match result {
             Ok(answer) => {
-                let latency = now().saturating_since(answer.sent_at);
                 let target = route.target_latency.mul_f64(SERVICE_TIME_FRACTION);
                 self.instance
                     .pool
-                    .record_latency(&endpoint, latency, target);
+                    .record_latency(&endpoint, answer.took, target);
                 self.record_answer(&endpoint, &answer, scope);
                 match &answer.result {
                     Err((refusal, _)) if is_repeatable(*refusal) => {
@@ -185,7 +191,9 @@
                 }
             }
             Err(fault) => {
-                self.record_fault(&endpoint, fault, scope, sent_at);
+                if !connection.has_host_fault() {
+                    self.record_fault(&endpoint, fault, scope, sent_at);
+                }
                 progress.excluded.push(endpoint);
                 progress.last_fault = Some(fault);
                 match request_outcome::may_repeat(scope, fault) {
@@ -218,7 +226,9 @@
         let answers = match connection.run_all(commands, route.statement_time).await {
             Ok(answers) => answers,
             Err(fault) => {
-                self.record_fault(&endpoint, fault, OutcomeScope::Inside, now());
+                if !connection.has_host_fault() {
+                    self.record_fault(&endpoint, fault, OutcomeScope::Inside, now());
+                }
                 progress.excluded.push(endpoint);
                 progress.last_fault = Some(StatementFault::NotSent);
                 return Err(AttemptOutcome::Retry(Duration::ZERO));
--- a/crates/front/src/request_route.rs
+++ b/crates/front/src/request_route.rs
@@ -109,7 +109,7 @@
             continue;
         }
         let same_zone = entry.zone == instance.settings.zone;
-        let connected = instance.pool.has_idle(&entry.id, query.team);
+        let connected = instance.is_connected(entry, query.team);
         let (failing, has_reached, cost) = instance.pool.with_load(&entry.id, |load| {
             (
                 load.is_failing(at),
--- a/crates/front/src/statement_run.rs
+++ b/crates/front/src/statement_run.rs
@@ -162,6 +162,7 @@
         let sent_at = now();
         let permit = self.instance.pool.acquire_unqueued(&endpoint);
         let result = connection.run_all(commands, time).await;
+        let is_host_fault = connection.has_host_fault();
         drop(permit);
         let answer = result.and_then(|mut answers| answers.pop().ok_or(StatementFault::Broken));
         match answer {
@@ -175,7 +176,9 @@
                 self.send_answer(id, scope, &endpoint, answer, arrived);
             }
             Err(fault) => {
-                self.record_fault(&endpoint, fault, scope, sent_at);
+                if !is_host_fault {
+                    self.record_fault(&endpoint, fault, scope, sent_at);
+                }
                 self.drop_transaction(is_commit);
                 self.send_fault(id, scope, &endpoint, fault, arrived);
             }
--- a/crates/front/tests/testsuite/fleet.rs
+++ b/crates/front/tests/testsuite/fleet.rs
@@ -1,6 +1,7 @@
 //! Starts instances of the daemon that use a stand-in of the platform.
 
 use std::net::SocketAddr;
+use std::net::TcpListener;
 use std::path::PathBuf;
 use std::process::ExitStatus;
 use std::time::Duration;
@@ -9,6 +10,7 @@
 use soak::link_proxy::LinkFault;
 use soak::link_proxy::LinkProxy;
 use standins::free_ports::free_tcp;
+use standins::free_ports::free_tcp_pair;
 use standins::platform::daemon_process::DaemonPlan;
 use standins::platform::daemon_process::DaemonProcess;
 use standins::platform::line_caller::LineCaller;
@@ -43,6 +45,8 @@
     version: u64,
     rate: u32,
     _folder: TempDir,
+    /// Listeners on the link ports of the instances, if these ports are held.
+    _held: Vec<TcpListener>,
 }
 
 fn configuration(version: u64, keys: &[&str], rate: u32) -> Value {
@@ -67,7 +71,7 @@
             .expect("start the stand-in");
         platform.configure(&configuration(1, &[KEY], RATE));
         let store = platform.address;
-        Self::start_instances(platform, cpu_shares, store).await
+        Self::start_instances(platform, cpu_shares, store, false).await
     }
 
     /// Starts instances with a configuration of many routes, on links that take `chunk_time` for 16
@@ -83,24 +87,44 @@
             .await
             .expect("start the link proxy");
         link.set_fault(LinkFault::Delay(chunk_time));
-        Self::start_instances(platform, &vec![0.17; count], link.address).await
+        Self::start_instances(platform, &vec![0.17; count], link.address, false).await
+    }
+
+    /// Starts instances before endpoints that accept no more than this number of connections each. If
+    /// `held_links` is set, the link ports of the instances are taken and never answer.
+    pub async fn start_scarce(count: usize, connections: u32, held_links: bool) -> Self {
+        let platform = PlatformHandle::start(SERVICE)
+            .await
+            .expect("start the stand-in");
+        platform.shared.group().max_connections = Some(connections as usize);
+        let mut accepted = configuration(1, &[KEY], RATE);
+        accepted["Services"][0]["MaxConnections"] = connections.into();
+        platform.configure(&accepted);
+        let store = platform.address;
+        Self::start_instances(platform, &vec![0.17; count], store, held_links).await
     }
 
     async fn start_instances(
         platform: PlatformHandle,
         cpu_shares: &[f64],
         store_address: SocketAddr,
+        held_links: bool,
     ) -> Self {
         let folder = tempfile::tempdir().expect("create a temporary folder");
         let mut instances = Vec::new();
+        let mut held = Vec::new();
         for (number, cpu_share) in cpu_shares.iter().enumerate() {
-            let ports = free_tcp(3);
+            let ports = free_tcp(2);
+            let [peers, links] = free_tcp_pair();
+            if held_links {
+                held.push(TcpListener::bind(links).expect("bind a link port"));
+            }
             let plan = DaemonPlan {
                 program: PathBuf::from(env!("CARGO_BIN_EXE_tamaracklb-front")),
                 folder: folder.path().to_owned(),
                 number,
                 cpu_share: *cpu_share,
-                ports: [ports[0], ports[1], ports[2]],
+                ports: [ports[0], ports[1], peers],
                 store_address,
                 promotion_address: store_address,
             };
@@ -113,6 +137,7 @@
             version: 1,
             rate: RATE,
             _folder: folder,
+            _held: held,
         };
         fleet.await_service().await;
         fleet
--- a/crates/front/tests/testsuite/main.rs
+++ b/crates/front/tests/testsuite/main.rs
@@ -15,5 +15,6 @@
 mod primary_changes;
 mod relayed_changes;
 mod session_state;
+mod shared_connections;
 mod silent_leader;
 mod store_faults;
--- a/crates/session-core/src/caller_statement.rs
+++ b/crates/session-core/src/caller_statement.rs
@@ -14,7 +14,8 @@
 }
 
 /// The access mode and text of a prepared statement.
-#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub struct StatementDefinition {
     /// Whether it reads or writes.
     pub mode: AccessMode,
--- a/crates/session-core/src/lib.rs
+++ b/crates/session-core/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod caller_statement;
 pub mod commit_evidence;
+pub mod connection_host;
 pub mod connection_share;
 pub mod endpoint_entry;
 pub mod endpoint_load;
--- a/crates/session-core/src/request_outcome.rs
+++ b/crates/session-core/src/request_outcome.rs
@@ -1,9 +1,13 @@
 //! Maps the ways in which a statement can fail to the verdict that its caller gets.
 
+use serde::Deserialize;
+use serde::Serialize;
+
 use crate::caller_statement::AccessMode;
 
 /// Why an endpoint refused a statement.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum EndpointRefusal {
     /// The endpoint's queue is full.
     Busy,
@@ -28,7 +32,8 @@
 }
 
 /// How one statement at an endpoint ended without a result.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum StatementFault {
     /// The endpoint answered with a refusal.
     Refused(EndpointRefusal),
--- a/crates/session-core/src/session_values.rs
+++ b/crates/session-core/src/session_values.rs
@@ -3,6 +3,9 @@
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 use crate::caller_statement::AccessMode;
 use crate::caller_statement::StatementDefinition;
 
@@ -25,7 +28,8 @@
 }
 
 /// A statement that restores part of a session's state on a connection.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
 pub enum ReplayStep {
     /// Drops all values and prepared names.
     Reset,
@@ -60,6 +64,18 @@
         self.values == session.values
     }
 
+    /// Returns how well the connection suits a session that runs this prepared statement, if it is
+    /// one; higher is better.
+    pub fn preference(
+        &self,
+        session: &SessionValues,
+        definition: Option<&StatementDefinition>,
+    ) -> u8 {
+        let name = definition.map(shared_name);
+        let holds_name = name.is_none_or(|name| self.prepared.contains(&name));
+        2 * u8::from(self.matches(session)) + u8::from(holds_name)
+    }
+
     /// Returns the steps that must run before a statement of the session, and updates the
     /// connection's values as if they had run. `definition` is what the statement executes, if it
     /// is prepared.
@@ -95,4 +111,17 @@
         }
         steps
     }
+
+    /// Updates the values after a step ran on the connection.
+    pub fn apply(&mut self, step: &ReplayStep) {
+        match step {
+            ReplayStep::Reset => *self = Self::default(),
+            ReplayStep::Set { name, value } => {
+                self.values.insert(name.clone(), value.clone());
+            }
+            ReplayStep::Prepare { name, .. } => {
+                self.prepared.insert(name.clone());
+            }
+        }
+    }
 }
--- a/crates/soak/src/soak_run.rs
+++ b/crates/soak/src/soak_run.rs
@@ -15,6 +15,7 @@
 use std::time::Instant;
 
 use standins::free_ports::free_tcp;
+use standins::free_ports::free_tcp_pair;
 use standins::platform::daemon_process::DaemonPlan;
 use standins::platform::daemon_process::DaemonProcess;
 use standins::platform::line_caller::LineCaller;
@@ -159,14 +160,15 @@
         let mut store_links = Vec::new();
         let mut processes = Vec::new();
         for number in 0..plan.instances {
-            let ports = free_tcp(3);
+            let ports = free_tcp(2);
+            let [peers, _links] = free_tcp_pair();
             let link = LinkProxy::start(platform.address).await?;
             let process = DaemonPlan {
                 program: plan.program.clone(),
                 folder: plan.folder.clone(),
                 number,
                 cpu_share: if number % 4 == 0 { 0.5 } else { 0.08 },
-                ports: [ports[0], ports[1], ports[2]],
+                ports: [ports[0], ports[1], peers],
                 store_address: link.address,
                 promotion_address: link.address,
             };
--- a/crates/standins/src/free_ports.rs
+++ b/crates/standins/src/free_ports.rs
@@ -46,6 +46,18 @@
     find_free(count, "/proc/net/tcp")
 }
 
+/// Returns two free TCP addresses with successive ports on the loopback interface.
+pub fn free_tcp_pair() -> [SocketAddr; 2] {
+    let mut last = free_tcp(1)[0];
+    loop {
+        let next = free_tcp(1)[0];
+        if last.port().checked_add(1) == Some(next.port()) {
+            return [last, next];
+        }
+        last = next;
+    }
+}
+
 /// Returns `count` free UDP addresses on the loopback interface.
 pub fn free_udp(count: usize) -> Vec<SocketAddr> {
     find_free(count, "/proc/net/udp")
--- a/crates/standins/src/platform/group_state.rs
+++ b/crates/standins/src/platform/group_state.rs
@@ -98,6 +98,43 @@
     Lost,
 }
 
+/// Connections to the endpoints of a group.
+#[derive(Debug, Clone, Default)]
+pub struct ConnectionLog {
+    /// Number of open connections by endpoint.
+    pub open: HashMap<String, usize>,
+    /// Highest number of connections that were open at a time, by endpoint.
+    pub most: HashMap<String, usize>,
+    /// Endpoint and team of each connection that was opened, in order.
+    pub opened: Vec<(String, String)>,
+    /// Endpoint and team of each connection that was refused because of the limit, in order.
+    pub refused: Vec<(String, String)>,
+}
+
+impl ConnectionLog {
+    /// Counts a new connection, unless `limit` are open. Returns whether it is accepted.
+    pub fn open(&mut self, endpoint: &str, team: &str, limit: Option<usize>) -> bool {
+        let open = self.open.entry(endpoint.to_owned()).or_default();
+        let connection = (endpoint.to_owned(), team.to_owned());
+        if limit.is_some_and(|limit| *open >= limit) {
+            self.refused.push(connection);
+            return false;
+        }
+        *open += 1;
+        let most = self.most.entry(endpoint.to_owned()).or_default();
+        *most = (*most).max(*open);
+        self.opened.push(connection);
+        true
+    }
+
+    /// Counts a connection that was closed.
+    pub fn close(&mut self, endpoint: &str) {
+        if let Some(open) = self.open.get_mut(endpoint) {
+            *open -= 1;
+        }
+    }
+}
+
 /// State of the group of endpoints.
 #[derive(Debug)]
 pub struct GroupState {
@@ -123,6 +160,10 @@
     pub lose_answers: u32,
     /// Statements that were executed, in order.
     pub executed_statements: Vec<ExecutedStatement>,
+    /// Maximum number of open connections to each endpoint.
+    pub max_connections: Option<usize>,
+    /// Connections to endpoints.
+    pub connections: ConnectionLog,
     /// Accepted promotion requests: target, `Duty-Holder` and `Fencing-Token`.
     pub promotions: Vec<(String, String, u64)>,
     /// Promotions that took effect, in order.
@@ -144,6 +185,8 @@
             resume_delay: Duration::ZERO,
             lose_answers: 0,
             executed_statements: Vec::new(),
+            max_connections: None,
+            connections: ConnectionLog::default(),
             promotions: Vec::new(),
             effects: Vec::new(),
         }
--- a/crates/standins/src/platform/line_server.rs
+++ b/crates/standins/src/platform/line_server.rs
@@ -31,6 +31,16 @@
     /// The open transaction: whether it may write, and its writes.
     transaction: Option<(bool, Vec<(String, String)>)>,
     failed: bool,
+    /// Whether the session counts as an open connection.
+    started: bool,
+}
+
+impl Drop for LineSession {
+    fn drop(&mut self) {
+        if self.started {
+            self.shared.group().connections.close(&self.endpoint);
+        }
+    }
 }
 
 /// Accepts connections to an endpoint until its listener fails.
@@ -44,6 +54,7 @@
             prepared: BTreeMap::new(),
             transaction: None,
             failed: false,
+            started: false,
         };
         // An error only means that the client closed its connection.
         tokio::spawn(async move { session.run(stream).await.ok() });
@@ -92,7 +103,7 @@
                 if service != self.shared.group().service || expected != self.endpoint {
                     return Some(format!("ERROR WRONGNODE {}\r\n", self.endpoint));
                 }
-                Some(self.ready_line())
+                self.start()
             }
             (Some("QUERY"), Some(id), Some(text)) => {
                 let text = text.to_owned();
@@ -103,6 +114,20 @@
         }
     }
 
+    /// Counts the connection and returns the answer to its start-up.
+    fn start(&mut self) -> Option<String> {
+        if !self.started {
+            let mut group = self.shared.group();
+            let limit = group.max_connections;
+            let connections = &mut group.connections;
+            self.started = connections.open(&self.endpoint, &self.team, limit);
+        }
+        match self.started {
+            true => Some(self.ready_line()),
+            false => Some(format!("ERROR CONNLIMIT {}\r\n", self.endpoint)),
+        }
+    }
+
     fn ready_line(&self) -> String {
         let group = self.shared.group();
         let state = match (&self.transaction, self.failed) {
--- /dev/null
+++ b/tests/testsuite/connection_hosts.rs
@@ -0,0 +1,109 @@
+//! Guards against hosts of endpoint connections that are overloaded, that instances disagree about,
+//! or that open more connections than an endpoint accepts.
+
+use std::collections::HashMap;
+
+use session_core::connection_host::DIRECT_FRACTION;
+use session_core::connection_host::MAX_CANDIDATES;
+use session_core::connection_host::connection_hosts;
+use session_core::connection_host::host_connections;
+use session_core::ids::EndpointId;
+use session_core::ids::InstanceId;
+use session_core::instance_rank::RankedInstance;
+use session_core::units::ConnectionCount;
+use session_core::units::ProcessorShare;
+
+/// Members of one zone of a fleet of 100 and of the largest fleet, which has 11 zones.
+const ZONE_SIZES: [usize; 4] = [3, 33, 48, 177];
+
+fn names(count: usize) -> Vec<InstanceId> {
+    let name = |number| format!("front-{number}").parse();
+    (0..count)
+        .map(|number| name(number).expect("a valid name"))
+        .collect()
+}
+
+fn endpoints(count: usize) -> Vec<EndpointId> {
+    let id = |number| format!("db-{number}").parse();
+    (0..count)
+        .map(|number| id(number).expect("a valid id"))
+        .collect()
+}
+
+/// Returns members of which every seventh is large.
+fn members(names: &[InstanceId]) -> Vec<RankedInstance<'_>> {
+    let ranked = |(number, name)| RankedInstance {
+        processor: ProcessorShare(if number % 7 == 0 { 500 } else { 84 }),
+        name,
+    };
+    names.iter().enumerate().map(ranked).collect()
+}
+
+/// The endpoints of a zone must be spread over its larger instances, so that none forwards the
+/// statements of the whole zone.
+#[test]
+fn hosts_are_spread() {
+    for size in ZONE_SIZES {
+        let names = names(size);
+        let members = members(&names);
+        let mut counts: HashMap<&InstanceId, usize> = HashMap::new();
+        for endpoint in endpoints(78) {
+            let hosts = connection_hosts(&endpoint, members.iter().copied());
+            assert_eq!(hosts.len(), MAX_CANDIDATES);
+            *counts.entry(hosts[0]).or_default() += 1;
+        }
+        let most = counts.values().max().copied().unwrap_or(0);
+        let even = 78.0 / (size as f64 / 3.0).max(3.0);
+        assert!((most as f64) < 2.0 * even + 4.0, "{size}: {most}");
+        let smallest = members.iter().filter(|m| m.processor.0 == 84).count();
+        let small_hosts = counts.keys().filter(|name| {
+            let member = members.iter().find(|member| member.name == **name);
+            member.is_some_and(|member| member.processor.0 == 84)
+        });
+        assert!(small_hosts.count() <= smallest / 2 + 1);
+    }
+}
+
+/// When one member leaves, hardly any endpoint other than its own may change its host: each change
+/// opens new connections for all teams.
+#[test]
+fn departure_moves_few_hosts() {
+    for size in [33, 177] {
+        let names = names(size);
+        let members = members(&names);
+        let endpoints = endpoints(78);
+        for gone in (0..size).step_by(4) {
+            let remaining = || {
+                let others = members.iter().enumerate();
+                others
+                    .filter(|(number, _)| *number != gone)
+                    .map(|(_, m)| *m)
+            };
+            let mut moved = 0;
+            for endpoint in &endpoints {
+                let before = connection_hosts(endpoint, members.iter().copied());
+                let after = connection_hosts(endpoint, remaining());
+                let was_host = before[0] == &names[gone];
+                if was_host {
+                    assert!(after[0] == before[1] || !before.contains(&after[0]));
+                }
+                moved += usize::from(after[0] != before[0] && !was_host);
+            }
+            // The eligible members change by at most the one that takes the place of the other.
+            assert!(moved <= 78 * 3 / size.min(45) + 4, "{size} {gone}: {moved}");
+        }
+    }
+}
+
+/// The first host, one that takes over from it and the direct connections together must stay within
+/// what the endpoint accepts.
+#[test]
+fn parts_fit_the_limit() {
+    for accepted in 4..400 {
+        let host = |rank| host_connections(ConnectionCount(accepted), rank);
+        let direct = (f64::from(accepted) * DIRECT_FRACTION) as usize;
+        assert!(host(0) + host(1) + direct <= accepted as usize);
+        assert!(host(0) * 2 <= accepted as usize);
+        assert!(host(2) >= 1);
+    }
+}
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -16,6 +16,7 @@
 mod caller_startup;
 mod caller_state;
 mod commit_reports;
+mod connection_hosts;
 mod daemon_program;
 mod daemon_settings;
 mod decision_journal;
