--- a/crates/front/tests/testsuite/fault_soak.rs
+++ b/crates/front/tests/testsuite/fault_soak.rs
@@ -15,10 +15,21 @@
 const REGRESSION_CALLERS: usize = 6;
 const REGRESSION_TIME: Duration = Duration::from_secs(10);
 
+/// Number of connections that each endpoint accepts in runs in which instances share them.
+const SCARCE_CONNECTIONS: u32 = 6;
+
 /// Length of the runs with changes of the group, and of those with releases in place.
 const CHANGES_TIME: Duration = Duration::from_secs(22);
 const RELEASES_TIME: Duration = Duration::from_secs(26);
 
+/// Size of a run.
+struct SoakSize {
+    instances: usize,
+    callers: usize,
+    connections: Option<u32>,
+    fault_time: Duration,
+}
+
 async fn run_small(seed: u64) -> SoakVerdict {
     run_sized(seed, 3, 3, Duration::from_secs(6)).await
 }
@@ -40,36 +51,55 @@
     fault_time: Duration,
 ) -> SoakVerdict {
     let kind = fault_schedule::kind_of(seed);
-    run_kind(kind, seed, instances, callers, fault_time).await
+    let size = SoakSize {
+        instances,
+        callers,
+        connections: None,
+        fault_time,
+    };
+    run_kind(kind, seed, size).await
+}
+
+/// Runs a seed with so few connections that the instances share them.
+async fn run_scarce(kind: ScheduleKind, seed: u64) -> SoakVerdict {
+    let size = SoakSize {
+        connections: Some(SCARCE_CONNECTIONS),
+        ..regression_size(REGRESSION_CALLERS, REGRESSION_TIME)
+    };
+    run_kind(kind, seed, size).await
+}
+
+fn regression_size(callers: usize, fault_time: Duration) -> SoakSize {
+    SoakSize {
+        instances: REGRESSION_INSTANCES,
+        callers,
+        connections: None,
+        fault_time,
+    }
 }
 
 /// Runs a seed with changes of the group, at the size in which the seeds below failed.
 async fn run_changes(seed: u64) -> SoakVerdict {
     let kind = ScheduleKind::Changes;
-    run_kind(kind, seed, REGRESSION_INSTANCES, 4, CHANGES_TIME).await
+    run_kind(kind, seed, regression_size(4, CHANGES_TIME)).await
 }
 
 /// Runs a seed with releases in place, at the size in which the seed below failed.
 async fn run_releases(seed: u64) -> SoakVerdict {
     let kind = ScheduleKind::Releases;
-    run_kind(kind, seed, REGRESSION_INSTANCES, 4, RELEASES_TIME).await
+    run_kind(kind, seed, regression_size(4, RELEASES_TIME)).await
 }
 
-async fn run_kind(
-    kind: ScheduleKind,
-    seed: u64,
-    instances: usize,
-    callers: usize,
-    fault_time: Duration,
-) -> SoakVerdict {
+async fn run_kind(kind: ScheduleKind, seed: u64, size: SoakSize) -> SoakVerdict {
     let folder = tempfile::tempdir().expect("create a temporary folder");
     let plan = SoakPlan {
         program: PathBuf::from(env!("CARGO_BIN_EXE_tamaracklb-front")),
         seed,
         kind,
-        instances,
-        callers,
-        fault_time,
+        instances: size.instances,
+        callers: size.callers,
+        connections: size.connections,
+        fault_time: size.fault_time,
         folder: folder.path().to_owned(),
     };
     run_seed(&plan).await.expect("run the seed")
@@ -92,6 +122,22 @@
     assert!(verdict.served > 100, "{verdict}");
 }
 
+/// No guarantee may be violated while the hosts of shared connections fail with everything else.
+#[tokio::test(flavor = "multi_thread")]
+async fn faults_of_hosts_violate_no_guarantee() {
+    let verdict = run_scarce(ScheduleKind::Faults, 3).await;
+    assert!(verdict.violations.is_empty(), "{:#?}", verdict.violations);
+    assert!(verdict.served > 100, "{verdict}");
+}
+
+/// Stops of hosts and draining primaries must not cut off any request on shared connections.
+#[tokio::test(flavor = "multi_thread")]
+async fn planned_work_on_hosts_cuts_nothing() {
+    let verdict = run_scarce(ScheduleKind::Planned, 4).await;
+    assert!(verdict.violations.is_empty(), "{:#?}", verdict.violations);
+    assert!(verdict.served > 100, "{verdict}");
+}
+
 /// Regression test: with seed 3, the stand-in let a lagging replica report the term of a promotion
 /// that it had not applied yet, so reads from it were stale.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -36,6 +36,9 @@
     /// number of daemon instances
     #[argh(option, default = "5")]
     instances: usize,
+    /// number of connections that each endpoint accepts; fewer than instances are shared
+    #[argh(option)]
+    connections: Option<u32>,
     /// inject changes of the group: endpoints join, leave, restart and fall deaf or silent
     #[argh(switch)]
     changes: bool,
@@ -61,6 +64,7 @@
         kind,
         instances: args.instances,
         callers: args.callers,
+        connections: args.connections,
         fault_time: Duration::from_secs(args.seconds),
         folder: folder.path().to_owned(),
     };
--- a/crates/soak/src/soak_run.rs
+++ b/crates/soak/src/soak_run.rs
@@ -83,6 +83,9 @@
     pub instances: usize,
     /// Number of callers of each kind.
     pub callers: usize,
+    /// Number of connections that each endpoint accepts by the configuration, if it is not the
+    /// default. With fewer than instances, they share connections.
+    pub connections: Option<u32>,
     /// Time during which faults begin.
     pub fault_time: Duration,
     /// Directory for the settings and logs of the instances.
@@ -121,6 +124,7 @@
 /// The platform, the daemon processes and the links of a run.
 pub(crate) struct SoakFleet {
     pub kind: ScheduleKind,
+    connections: Option<u32>,
     pub platform: PlatformHandle,
     pub processes: Vec<Mutex<DaemonProcess>>,
     pub store_links: Vec<LinkProxy>,
@@ -184,6 +188,7 @@
         }
         let fleet = Self {
             kind: plan.kind,
+            connections: plan.connections,
             platform,
             processes,
             store_links,
@@ -216,8 +221,11 @@
         let present = with_key && !withdrawn;
         let teams = [team(DEFAULT_TEAM, true), team(LIMITED_TEAM, present)];
         configuration.0 = version + 1;
-        self.platform
-            .configure(&sample_configuration(version + 1, SERVICE, &teams));
+        let mut accepted = sample_configuration(version + 1, SERVICE, &teams);
+        if let Some(connections) = self.connections {
+            accepted["Services"][0]["MaxConnections"] = connections.into();
+        }
+        self.platform.configure(&accepted);
     }
 
     /// Withdraws the key of the limited team for twice `duration`.
