--- a/crates/front/src/host_link.rs
+++ b/crates/front/src/host_link.rs
@@ -142,6 +142,8 @@
             became_busy: Notify::new(),
             endpoint_faults: RefCell::default(),
         });
+        // The answer confirms the link, and its absence ends it.
+        let _ = link.request(LINK_CHANNEL, &HostRequest::Ping);
         tokio::task::spawn_local(Rc::clone(&link).run(address));
         link
     }
--- a/crates/front/src/host_links.rs
+++ b/crates/front/src/host_links.rs
@@ -11,6 +11,7 @@
 use session_core::caller_statement::StatementDefinition;
 use session_core::connection_host;
 use session_core::endpoint_entry::EndpointEntry;
+use session_core::host_exclusion::HostExclusion;
 use session_core::ids::EndpointId;
 use session_core::ids::InstanceId;
 use session_core::ids::TeamId;
@@ -37,8 +38,8 @@
 use crate::instance::Instance;
 use crate::instance_limits::CONNECT_TIMEOUT;
 
-/// Time for which a host that cannot be used is passed over.
-const EXCLUSION_TIME: Duration = Duration::from_secs(3);
+/// Time after the failure of a link in which a new one is not tried at once.
+const FAILURE_TIME: Duration = Duration::from_secs(1);
 
 /// Time without a message after which a host that owes a reply is passed over.
 const HOST_SILENCE: Duration = Duration::from_millis(300);
@@ -94,7 +95,7 @@
 #[derive(Debug, Default)]
 pub struct HostLinks {
     links: RefCell<HashMap<InstanceId, Rc<HostLink>>>,
-    excluded: RefCell<HashMap<InstanceId, MonotonicTime>>,
+    excluded: RefCell<HashMap<InstanceId, HostExclusion>>,
     candidates: RefCell<CandidateCache>,
     acquired: Cell<u64>,
 }
@@ -124,7 +125,7 @@
     fn link(&self, candidate: &HostCandidate) -> Option<Rc<HostLink>> {
         let mut links = self.links.borrow_mut();
         let failed_at = links.get(&candidate.name).and_then(|link| link.failed_at());
-        let has_failed = failed_at.is_some_and(|at| now().saturating_since(at) < EXCLUSION_TIME);
+        let has_failed = failed_at.is_some_and(|at| now().saturating_since(at) < FAILURE_TIME);
         links.retain(|_, link| !link.is_lost());
         if has_failed {
             self.exclude(&candidate.name, "lost");
@@ -138,17 +139,18 @@
 
     /// Passes a host over for some time.
     fn exclude(&self, host: &InstanceId, reason: &'static str) {
-        let until = now() + EXCLUSION_TIME;
-        let former = self.excluded.borrow_mut().insert(host.clone(), until);
-        if former.is_none_or(|former| former < now()) {
+        let at = now();
+        let mut excluded = self.excluded.borrow_mut();
+        let former = excluded.get(host).copied();
+        excluded.insert(host.clone(), HostExclusion::after_failure(former, at));
+        if former.is_none_or(|former| !former.applies(at)) {
             tracing::info!(event = "host_excluded", host = %host, reason);
         }
     }
 
     fn is_excluded(&self, host: &InstanceId) -> bool {
-        let mut excluded = self.excluded.borrow_mut();
-        excluded.retain(|_, until| now() < *until);
-        excluded.contains_key(host)
+        let excluded = self.excluded.borrow();
+        excluded.get(host).is_some_and(|host| host.applies(now()))
     }
 
     /// Returns whether a host may be asked for a connection to an endpoint.
@@ -186,6 +188,8 @@
         });
         let candidates = Rc::new(candidates.collect::<Vec<_>>());
         cache.retain(|id, _| view.endpoints.contains_key(id));
+        let mut excluded = self.excluded.borrow_mut();
+        excluded.retain(|host, _| view.members.contains_key(host));
         cache.insert(entry.id.clone(), (view.revision, Rc::clone(&candidates)));
         candidates
     }
@@ -224,6 +228,8 @@
             match acquire_from_host(instance, candidate, need, end).await {
                 Ok(connection) => return Ok(connection),
                 Err(HostError::Pool(error)) => return Err(error),
+                // The next host is tried by a later request.
+                Err(HostError::Unavailable) if now() >= end => break,
                 Err(HostError::Unavailable) => {}
             }
         }
@@ -244,6 +250,10 @@
 ) -> Result<PooledConnection, HostError> {
     let links = &instance.host_links;
     let link = links.link(candidate).ok_or(HostError::Unavailable)?;
+    if !link.is_confirmed() && links.excluded.borrow().contains_key(&candidate.name) {
+        // A request need not wait for the first answer of a host that has failed before.
+        return Err(HostError::Unavailable);
+    }
     if link.silence() >= HOST_SILENCE {
         links.exclude(&candidate.name, "silent");
         return Err(HostError::Unavailable);
@@ -272,6 +282,7 @@
     match reply.body {
         ReplyBody::Acquired { values, prepared } => {
             links.acquired.set(links.acquired.get() + 1);
+            links.excluded.borrow_mut().remove(&candidate.name);
             let values = connection_values(request, values, prepared);
             let team = need.team.cloned();
             let connection = EndpointConnection::shared(channel, endpoint, team, values);
--- a/crates/front/tests/testsuite/shared_connections.rs
+++ b/crates/front/tests/testsuite/shared_connections.rs
@@ -248,6 +248,33 @@
     assert!(connections.refused.is_empty(), "{connections:?}");
 }
 
+/// A statement and an answer of nearly 1 MiB must pass a link without holding up other sessions.
+#[tokio::test]
+async fn large_messages_pass_links() {
+    let fleet = start().await;
+    let (_, other) = host_and_other(&fleet);
+    let mut writer = fleet.caller(other, "linear").await;
+    let mut reader = fleet.caller(other, "linear").await;
+    reader.request_until_served("WRITE side 1").await;
+    let value = "x".repeat(1_000_000);
+    assert_eq!(writer.request("BEGIN").await.state, "T");
+    assert!(writer.request("READ side").await.succeeded());
+    let text = format!("WRITE page {value}");
+    let (written, read) = tokio::join!(
+        writer.request(&text),
+        reader.request_until_served("READ side")
+    );
+    assert!(written.succeeded(), "{}", written.last_line);
+    assert_eq!(read.rows, vec!["1"]);
+    assert!(writer.request("COMMIT").await.succeeded());
+    let (large, read) = tokio::join!(
+        writer.request_until_served("READ page"),
+        reader.request_until_served("READ side")
+    );
+    assert_eq!(large.rows, vec![value]);
+    assert_eq!(read.rows, vec!["1"]);
+}
+
 /// Where link ports do not answer, as on instances of an earlier version, requests must be served over
 /// direct connections.
 #[tokio::test]
--- a/tests/testsuite/connection_hosts.rs
+++ b/tests/testsuite/connection_hosts.rs
@@ -2,14 +2,18 @@
 //! or that open more connections than an endpoint accepts.
 
 use std::collections::HashMap;
+use std::time::Duration;
 
 use session_core::connection_host::DIRECT_FRACTION;
 use session_core::connection_host::MAX_CANDIDATES;
 use session_core::connection_host::connection_hosts;
 use session_core::connection_host::host_connections;
+use session_core::connection_host::may_use_another;
+use session_core::host_exclusion::HostExclusion;
 use session_core::ids::EndpointId;
 use session_core::ids::InstanceId;
 use session_core::instance_rank::RankedInstance;
+use session_core::monotonic_time::MonotonicTime;
 use session_core::units::ConnectionCount;
 use session_core::units::ProcessorShare;
 
@@ -95,6 +99,52 @@
     }
 }
 
+/// Teams that use all connections of a host that they may must leave some for another team.
+#[test]
+fn greedy_teams_leave_connections() {
+    for limit in 2..160 {
+        for teams in 1..limit / 3 {
+            let mut used = vec![0_usize; teams];
+            let mut in_use = 0;
+            let mut grew = true;
+            while grew {
+                grew = false;
+                for team in &mut used {
+                    if may_use_another(*team, limit - in_use) {
+                        *team += 1;
+                        in_use += 1;
+                        grew = true;
+                    }
+                }
+            }
+            assert!(may_use_another(0, limit - in_use), "{limit} {teams}");
+        }
+        assert!(may_use_another(0, 1) && !may_use_another(0, 0));
+    }
+}
+
+/// A host that stays silent must hold up requests ever more rarely, and one that was used again must
+/// be passed over only shortly.
+#[test]
+fn exclusions_grow() {
+    let start = MonotonicTime::from_millis(1_000);
+    let first = HostExclusion::after_failure(None, start);
+    let again = start + Duration::from_millis(10);
+    assert_eq!(HostExclusion::after_failure(Some(first), again), first);
+    let mut exclusion = first;
+    let mut at = start;
+    let mut attempts = 0;
+    while at < start + Duration::from_secs(300) {
+        if !exclusion.applies(at) {
+            exclusion = HostExclusion::after_failure(Some(exclusion), at);
+            attempts += 1;
+        }
+        at = at + Duration::from_millis(50);
+    }
+    assert!((10..=15).contains(&attempts), "{attempts}");
+    assert!(!first.applies(start + Duration::from_millis(1_001)));
+}
+
 /// The first host, one that takes over from it and the direct connections together must stay within
 /// what the endpoint accepts.
 #[test]
