--- a/crates/session-core/src/lib.rs
+++ b/crates/session-core/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod caller_statement;
 pub mod commit_evidence;
+pub mod connection_host;
 pub mod connection_share;
 pub mod endpoint_entry;
 pub mod endpoint_load;
@@ -12,6 +13,7 @@
 pub mod failure_detector;
 pub mod floor_history;
 pub mod group_order;
+pub mod host_exclusion;
 pub mod ids;
 pub mod instance_rank;
 pub mod loan_pacer;
