--- a/crates/front/tests/testsuite/fleet.rs
+++ b/crates/front/tests/testsuite/fleet.rs
@@ -11,6 +11,7 @@
 use standins::free_ports::free_tcp;
 use standins::platform::daemon_process::DaemonPlan;
 use standins::platform::daemon_process::DaemonProcess;
+use standins::platform::daemon_process::MachineLimits;
 use standins::platform::line_caller::LineCaller;
 use standins::platform::platform_handle::PlatformHandle;
 use standins::platform::sample_configuration::SampleTeam;
@@ -103,6 +104,7 @@
                 ports: [ports[0], ports[1], ports[2]],
                 store_address,
                 promotion_address: store_address,
+                limits: MachineLimits::default(),
             };
             let process = DaemonProcess::start(&plan).expect("start the daemon");
             instances.push(Instance { process });
--- a/crates/soak/src/soak_run.rs
+++ b/crates/soak/src/soak_run.rs
@@ -17,6 +17,7 @@
 use standins::free_ports::free_tcp;
 use standins::platform::daemon_process::DaemonPlan;
 use standins::platform::daemon_process::DaemonProcess;
+use standins::platform::daemon_process::MachineLimits;
 use standins::platform::line_caller::LineCaller;
 use standins::platform::platform_handle::PlatformHandle;
 use standins::platform::sample_configuration::SampleTeam;
@@ -169,6 +170,7 @@
                 ports: [ports[0], ports[1], ports[2]],
                 store_address: link.address,
                 promotion_address: link.address,
+                limits: MachineLimits::default(),
             };
             processes.push(Mutex::new(DaemonProcess::start(&process)?));
             store_links.push(link);
--- a/crates/standins/src/platform/daemon_process.rs
+++ b/crates/standins/src/platform/daemon_process.rs
@@ -37,20 +37,46 @@
     pub store_address: SocketAddr,
     /// Address of the HTTP service that takes promotion requests.
     pub promotion_address: SocketAddr,
+    /// Limits of the machine in the settings.
+    pub limits: MachineLimits,
+}
+
+/// Limits of the machine that a daemon runs on, as its settings state them.
+#[derive(Debug, Clone, Copy)]
+pub struct MachineLimits {
+    /// Memory in MB, if the settings state it.
+    pub memory_mb: Option<u32>,
+    /// Maximum number of open file descriptors.
+    pub file_descriptors: u32,
+}
+
+impl Default for MachineLimits {
+    fn default() -> Self {
+        Self {
+            memory_mb: None,
+            file_descriptors: 3_000,
+        }
+    }
 }
 
 impl DaemonPlan {
     fn settings_text(&self) -> String {
         let [callers, status, peers] = self.ports;
         let port = peers.port();
+        let memory = self.limits.memory_mb;
+        let memory = memory.map_or(String::new(), |mb| format!("  MemoryMb: {mb}\n"));
         format!(
             "NodeName: front-{}\nIp: 127.0.0.1\nZone: zone-a\n\
              Listen:\n  Front: {callers}\n  Ready: {status}\n\
              InternalPorts:\n  - {port}\n  - {port}\n\
              Bounds:\n  RevokeMs: 5000\n  GraceS: 4\n  DrainMs: 4000\n\
              platform:\n  Address: {}\nCloud:\n  Address: {}\n\
-             Limits:\n  FileDescriptors: 3000\n  CpuShare: {}\nNewField: 1\n",
-            self.number, self.store_address, self.promotion_address, self.cpu_share,
+             Limits:\n  FileDescriptors: {}\n{memory}  CpuShare: {}\nNewField: 1\n",
+            self.number,
+            self.store_address,
+            self.promotion_address,
+            self.limits.file_descriptors,
+            self.cpu_share,
         )
     }
 }
@@ -125,6 +151,11 @@
         (status.unwrap_or(0), text)
     }
 
+    /// Returns the operating system's id of the process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Returns the content of the log file, or an empty text if it cannot be read.
     pub fn log(&self) -> String {
         std::fs::read_to_string(&self.log).unwrap_or_default()
