--- a/crates/front/src/caller_session.rs
+++ b/crates/front/src/caller_session.rs
@@ -1,21 +1,20 @@
 //! A caller's session: reads its requests and keeps the state between them.
 
-use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 
-use futures_util::Sink;
-use futures_util::SinkExt;
-use futures_util::StreamExt;
 use platform::caller_codec::CallerCodec;
 use platform::caller_codec::CallerMessage;
 use platform::caller_codec::CallerReply;
 use platform::caller_codec::SessionState;
+use platform::caller_limits::CONNECTION_ALLOWANCE;
+use platform::caller_limits::CallerLimits;
 use platform::line_frame::FrameError;
 use session_core::caller_statement::AccessMode;
 use session_core::caller_statement::CallerStatement;
 use session_core::ids::TeamId;
 use session_core::log_point::LogPoint;
+use session_core::memory_account::MemoryPart;
 use session_core::monotonic_time::MonotonicTime;
 use session_core::monotonic_time::now;
 use session_core::request_outcome::CallerVerdict;
@@ -24,10 +23,13 @@
 use session_core::serving_rules::DatabaseRoute;
 use session_core::session_values::SessionValues;
 use tokio::net::TcpStream;
-use tokio_util::codec::Framed;
 
+use crate::caller_memory::CloseCause;
+use crate::caller_memory::ConnectionMemory;
 use crate::endpoint_pool::PooledConnection;
 use crate::instance::Instance;
+use crate::line_channel::LineChannel;
+use crate::line_channel::MAX_INPUT_BYTES;
 
 /// Time within which the start-up message must arrive after a connection is accepted.
 const STARTUP_TIMEOUT: Duration = Duration::from_secs(5);
@@ -41,6 +43,24 @@
 /// Timeout of a rollback on an endpoint.
 const ROLLBACK_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Maximum length of a start-up message: a caller without an accepted key gets the allowance of a
+/// connection and nothing beyond it.
+const MAX_STARTUP_BYTES: usize = CONNECTION_ALLOWANCE.0 as usize;
+
+/// Copies of a message that exist until it has been sent to an endpoint: the statement and the bytes
+/// to send.
+const REQUEST_COPIES: usize = 2;
+
+/// What a message beyond the allowance reserves before it is read, as its length is not known.
+const MESSAGE_RESERVATION_BYTES: usize = REQUEST_COPIES * MAX_INPUT_BYTES;
+
+/// Copies of a session's values and names: the session's, that of the endpoint connection which
+/// serves it, and the bytes that replay them.
+const STATE_COPIES: usize = 3;
+
+/// Memory of a value or a prepared name in addition to its text.
+const STATE_ENTRY_BYTES: usize = 128;
+
 /// Reason why a session ended, for log lines.
 pub type EndReason = &'static str;
 
@@ -63,30 +83,48 @@
     pub reason: &'static str,
 }
 
+/// Why no message was received.
+enum ReceiveEnd {
+    /// The caller closed the connection.
+    Left,
+    /// The bytes are no message, or the connection failed.
+    Frame(FrameError),
+    /// A message was not complete in time.
+    Overdue,
+}
+
 /// Session of one connected caller.
 pub struct CallerSession {
     pub(crate) instance: Rc<Instance>,
-    pub(crate) framed: Framed<TcpStream, CallerCodec>,
+    pub(crate) channel: LineChannel<CallerCodec>,
+    pub(crate) memory: ConnectionMemory,
     pub(crate) database: String,
     pub(crate) key: SecretText,
     pub(crate) values: SessionValues,
     /// Position of the session's newest commit.
     pub(crate) floor: Option<LogPoint>,
     pub(crate) transaction: Option<OpenTransaction>,
+    /// Size of the values and prepared names.
+    state_bytes: usize,
+    /// When the first byte of the message arrived that is being received.
+    message_begun_at: Option<MonotonicTime>,
     served: u64,
 }
 
 impl CallerSession {
     /// Creates the session of a new connection.
-    pub fn new(instance: Rc<Instance>, stream: TcpStream) -> Self {
+    pub fn new(instance: Rc<Instance>, stream: TcpStream, memory: ConnectionMemory) -> Self {
         Self {
             instance,
-            framed: Framed::new(stream, CallerCodec::default()),
+            channel: LineChannel::new(stream, CallerCodec::default()),
+            memory,
             database: String::new(),
             key: SecretText::default(),
             values: SessionValues::default(),
             floor: None,
             transaction: None,
+            state_bytes: 0,
+            message_begun_at: None,
             served: 0,
         }
     }
@@ -99,24 +137,32 @@
         };
         self.transaction = None;
         tracing::debug!(event = "session_ended", reason = end);
-        if let Err(error) = self.framed.close().await {
+        if let Err(error) = self.channel.shutdown().await {
             tracing::debug!(event = "caller_lost", %error);
         }
     }
 
     async fn start(&mut self) -> Result<(), EndReason> {
-        let first = tokio::time::timeout(STARTUP_TIMEOUT, self.framed.next()).await;
+        let close = self.memory.close_signal();
+        let first = tokio::select! {
+            biased;
+            first = tokio::time::timeout(STARTUP_TIMEOUT, self.receive(MAX_STARTUP_BYTES)) => first,
+            cause = close.raised() => return Err(self.report_close(cause)),
+        };
         match first {
-            Ok(Some(Ok(CallerMessage::Startup { database, key }))) => {
+            Ok(Ok(CallerMessage::Startup { database, key })) => {
                 self.database = database;
                 self.key = key;
             }
-            Ok(Some(Ok(_))) => return Err("no_startup"),
-            Ok(Some(Err(error))) => return Err(self.report_frame_error(&error).await),
-            Ok(None) => return Err("caller_left"),
+            Ok(Ok(_)) => return Err("no_startup"),
+            Ok(Err(end)) => return Err(self.report_receive_end(end).await),
             Err(_) => return Err("startup_overdue"),
         }
-        self.await_rules().await;
+        tokio::select! {
+            biased;
+            () = self.await_rules() => {}
+            cause = close.raised() => return Err(self.report_close(cause)),
+        }
         if let Err(refusal) = self.access() {
             tracing::info!(
                 event = "session_refused",
@@ -128,6 +174,7 @@
             self.flush().await?;
             return Err(refusal.reason);
         }
+        self.memory.record_start();
         self.queue_ready("-");
         self.flush().await
     }
@@ -153,11 +200,15 @@
                 Ok(message) => message,
                 Err(end) => return end,
             };
-            let served = match message {
+            let (id, statement) = match message {
                 CallerMessage::Terminate => return "terminated",
                 CallerMessage::Startup { .. } => return "second_startup",
-                CallerMessage::Request { id, statement } => self.serve_request(id, statement).await,
+                CallerMessage::Request { id, statement } => (id, statement),
             };
+            self.memory.set_busy(true);
+            let served = self.serve_request(id, statement).await;
+            self.memory.set(MemoryPart::Request, 0);
+            self.memory.set_busy(false);
             self.served += 1;
             if let Err(end) = served {
                 return end;
@@ -172,6 +223,7 @@
     /// session when the instance stops.
     async fn next_message(&mut self) -> Result<CallerMessage, EndReason> {
         let mut stopping = self.instance.stopping.subscribe();
+        let close = self.memory.close_signal();
         loop {
             let stop_at = *stopping.borrow_and_update();
             let open = self.transaction.is_some();
@@ -197,11 +249,11 @@
             let remaining = deadline.map(|at| at.saturating_since(now()));
             tokio::select! {
                 biased;
-                message = self.framed.next() => return match message {
-                    Some(Ok(message)) => Ok(message),
-                    Some(Err(error)) => Err(self.report_frame_error(&error).await),
-                    None => Err("caller_left"),
+                message = self.receive(usize::MAX) => return match message {
+                    Ok(message) => Ok(message),
+                    Err(end) => Err(self.report_receive_end(end).await),
                 },
+                cause = close.raised() => return Err(self.report_close(cause)),
                 changed = stopping.changed() => {
                     if changed.is_err() {
                         return Err("process_ends");
@@ -217,6 +269,62 @@
         }
     }
 
+    /// Receives a message of at most `max_bytes`. Reads no further than one step beyond its end, so
+    /// that a caller which sends without waiting for answers is held up. No bytes are lost if the
+    /// future is dropped.
+    async fn receive(&mut self, max_bytes: usize) -> Result<CallerMessage, ReceiveEnd> {
+        let limit = self.instance.settings.callers.message_time;
+        let mut unreported = 0;
+        loop {
+            let before = self.channel.input_bytes();
+            if let Some(message) = self.channel.decode().map_err(ReceiveEnd::Frame)? {
+                let left = self.channel.input_bytes();
+                self.message_begun_at = None;
+                self.memory
+                    .set(MemoryPart::Request, REQUEST_COPIES * (before - left));
+                self.memory.set(MemoryPart::Input, left);
+                return Ok(message);
+            }
+            if before > max_bytes {
+                return Err(ReceiveEnd::Frame(FrameError::TooLarge));
+            }
+            let deadline = match before {
+                0 => None,
+                _ => Some(*self.message_begun_at.get_or_insert_with(now) + limit),
+            };
+            let read = match deadline {
+                None => self.channel.read_some().await,
+                Some(end) => {
+                    let time = end.saturating_since(now());
+                    match tokio::time::timeout(time, self.read_more()).await {
+                        Ok(read) => read,
+                        Err(_) => return Err(ReceiveEnd::Overdue),
+                    }
+                }
+            };
+            match read {
+                Ok(0) => return Err(ReceiveEnd::Left),
+                Ok(size) => unreported += size,
+                Err(error) => return Err(ReceiveEnd::Frame(FrameError::Io(error))),
+            }
+            if unreported >= CallerLimits::PROGRESS_BYTES {
+                unreported = 0;
+                self.memory.record_progress();
+            }
+        }
+    }
+
+    /// Reads more of a message that has begun, as soon as there is memory for it.
+    async fn read_more(&mut self) -> std::io::Result<usize> {
+        let ahead = self.channel.input_bytes_ahead();
+        let bytes = match ahead <= MAX_STARTUP_BYTES {
+            true => ahead,
+            false => MESSAGE_RESERVATION_BYTES,
+        };
+        self.memory.wait_set(MemoryPart::Input, bytes).await;
+        self.channel.read_some().await
+    }
+
     fn transaction_idle(&self) -> Option<Duration> {
         let view = self.instance.view.borrow();
         view.rules.as_ref().and_then(|rules| rules.transaction_idle)
@@ -259,15 +367,28 @@
         }
         match statement {
             CallerStatement::Set { name, value } => {
-                self.values.values.insert(name, value);
-                self.answer_local();
+                let former = self.values.values.get(&name);
+                let former = former.map_or(0, |former| entry_bytes(&name, former));
+                if self.grow_state(&id, former, entry_bytes(&name, &value), arrived) {
+                    self.values.values.insert(name, value);
+                    self.answer_local();
+                }
             }
             CallerStatement::Prepare { name, definition } => {
-                self.values.prepared.insert(name, definition);
-                self.answer_local();
+                let former = self.values.prepared.get(&name);
+                let former = former.map_or(0, |former| entry_bytes(&name, &former.text));
+                let added = entry_bytes(&name, &definition.text);
+                if self.grow_state(&id, former, added, arrived) {
+                    self.values.prepared.insert(name, definition);
+                    self.answer_local();
+                }
             }
             CallerStatement::Deallocate { name } => {
-                self.values.prepared.remove(&name);
+                if let Some(former) = self.values.prepared.remove(&name) {
+                    self.state_bytes -= entry_bytes(&name, &former.text);
+                    self.memory
+                        .set(MemoryPart::State, STATE_COPIES * self.state_bytes);
+                }
                 self.answer_local();
             }
             CallerStatement::Begin(mode) => {
@@ -295,6 +416,33 @@
         Ok(())
     }
 
+    /// Accounts for a value or a prepared name that replaces one of `former` bytes. If it exceeds
+    /// the limit or there is no memory for it, refuses the request and returns `false`.
+    fn grow_state(
+        &mut self,
+        id: &str,
+        former: usize,
+        added: usize,
+        arrived: MonotonicTime,
+    ) -> bool {
+        let bytes = self.state_bytes - former + added;
+        if bytes as u64 > self.instance.settings.callers.session_state.0 && added > former {
+            self.refuse_request(
+                id,
+                CallerVerdict::TooLarge,
+                "session_state_too_large",
+                arrived,
+            );
+            return false;
+        }
+        if !self.memory.try_set(MemoryPart::State, STATE_COPIES * bytes) {
+            self.refuse_request(id, CallerVerdict::Busy, "memory_short", arrived);
+            return false;
+        }
+        self.state_bytes = bytes;
+        true
+    }
+
     /// Serves a request inside a failed transaction, which accepts only COMMIT and ROLLBACK.
     async fn serve_failed(
         &mut self,
@@ -333,7 +481,7 @@
             statement: platform::endpoint_codec::ForwardedStatement::Rollback,
         };
         if let Err(fault) = connection.run(rollback, ROLLBACK_TIMEOUT).await {
-            tracing::info!(event = "rollback_by_close", request = id, endpoint = %connection.endpoint, ?fault);
+            tracing::info!(event = "rollback_by_close", request = shown_id(id), endpoint = %connection.endpoint, ?fault);
         }
     }
 
@@ -398,7 +546,7 @@
     ) {
         tracing::info!(
             event = "request_refused",
-            request = id,
+            request = shown_id(id),
             ?verdict,
             reason,
             database = self.database,
@@ -430,13 +578,70 @@
     }
 
     pub(crate) fn queue_reply(&mut self, reply: CallerReply) {
-        if let Err(error) = Pin::new(&mut self.framed).start_send(reply) {
+        if let Err(error) = self.channel.queue(reply) {
             tracing::debug!(event = "caller_lost", %error);
         }
     }
 
-    async fn flush(&mut self) -> Result<(), EndReason> {
-        self.framed.flush().await.map_err(|_| "caller_lost")
+    /// Writes what is queued. A caller that takes too little of it for too long loses the connection
+    /// of its open transaction, then its own.
+    pub(crate) async fn flush(&mut self) -> Result<(), EndReason> {
+        self.channel.try_write().map_err(|_| "caller_lost")?;
+        self.memory
+            .set(MemoryPart::Output, self.channel.output_held_bytes());
+        let reader_time = self.instance.settings.callers.reader_time;
+        let close = self.memory.close_signal();
+        let mut begun_at = now();
+        let mut taken = 0;
+        while self.channel.output_bytes() > 0 {
+            let holds_connection = self.transaction.as_ref();
+            let holds_connection = holds_connection.is_some_and(|t| t.connection.is_some());
+            let time = match holds_connection {
+                true => self
+                    .transaction_idle()
+                    .unwrap_or(reader_time)
+                    .min(reader_time),
+                false => reader_time,
+            };
+            let remaining = (begun_at + time).saturating_since(now());
+            tokio::select! {
+                biased;
+                written = self.channel.write_some() => {
+                    taken += written.map_err(|_| "caller_lost")?;
+                    self.memory.set(MemoryPart::Output, self.channel.output_held_bytes());
+                }
+                cause = close.raised() => return Err(self.report_close(cause)),
+                () = tokio::time::sleep(remaining) => {
+                    if !holds_connection {
+                        return Err(self.report_overdue("reader_overdue"));
+                    }
+                    self.end_idle_transaction().await;
+                }
+            }
+            if taken >= CallerLimits::PROGRESS_BYTES {
+                taken = 0;
+                begun_at = now();
+                self.memory.record_progress();
+            }
+        }
+        Ok(())
+    }
+
+    async fn report_receive_end(&mut self, end: ReceiveEnd) -> EndReason {
+        match end {
+            ReceiveEnd::Left => "caller_left",
+            ReceiveEnd::Frame(error) => self.report_frame_error(&error).await,
+            ReceiveEnd::Overdue => self.report_overdue("message_overdue"),
+        }
+    }
+
+    fn report_overdue(&self, reason: EndReason) -> EndReason {
+        self.instance.report_closed_caller(reason);
+        reason
+    }
+
+    fn report_close(&self, cause: CloseCause) -> EndReason {
+        self.report_overdue(cause.reason())
     }
 
     async fn report_frame_error(&mut self, error: &FrameError) -> EndReason {
@@ -455,3 +660,15 @@
         }
     }
 }
+
+/// Returns what a value or a prepared name takes.
+fn entry_bytes(name: &str, text: &str) -> usize {
+    STATE_ENTRY_BYTES + name.len() + text.len()
+}
+
+/// Returns the beginning of an id of a caller's request, which may be as long as a message, for log
+/// lines.
+pub(crate) fn shown_id(id: &str) -> &str {
+    const MAX_SHOWN_BYTES: usize = 128;
+    &id[..id.floor_char_boundary(MAX_SHOWN_BYTES)]
+}
--- a/crates/front/src/endpoint_connection.rs
+++ b/crates/front/src/endpoint_connection.rs
@@ -4,17 +4,17 @@
 use std::io;
 use std::time::Duration;
 
-use futures_util::SinkExt;
-use futures_util::StreamExt;
 use platform::caller_codec::SessionState;
 use platform::endpoint_codec;
 use platform::endpoint_codec::EndpointCodec;
 use platform::endpoint_codec::EndpointCommand;
 use platform::endpoint_codec::EndpointMessage;
+use platform::line_frame::FrameError;
 use session_core::endpoint_entry::EndpointEntry;
 use session_core::ids::EndpointId;
 use session_core::ids::TeamId;
 use session_core::log_point::LogPoint;
+use session_core::memory_account::MemoryPart;
 use session_core::monotonic_time::MonotonicTime;
 use session_core::monotonic_time::now;
 use session_core::request_outcome::EndpointRefusal;
@@ -23,10 +23,11 @@
 use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
-use tokio_util::codec::Framed;
 
+use crate::caller_memory::ConnectionMemory;
 use crate::instance_limits::CONNECT_TIMEOUT;
 use crate::instance_limits::UNACKNOWLEDGED_TIMEOUT;
+use crate::line_channel::LineChannel;
 
 /// The answer of an endpoint to one statement.
 #[derive(Debug, Clone)]
@@ -50,6 +51,16 @@
     }
 }
 
+/// The caller whose memory an answer is charged to.
+#[derive(Debug, Clone, Copy)]
+pub struct AnswerBudget<'a> {
+    /// Memory of the caller's connection.
+    pub memory: &'a ConnectionMemory,
+    /// Whether the answer is read only as far as there is memory for it. The outcome of a write or
+    /// a commit must not wait: if its time passed meanwhile, it would be unknown.
+    pub waits: bool,
+}
+
 /// Errors of opening a connection.
 #[derive(Debug)]
 pub enum ConnectError {
@@ -76,7 +87,7 @@
 /// An open connection whose start-up the endpoint accepted.
 #[derive(Debug)]
 pub struct EndpointConnection {
-    framed: Framed<TcpStream, EndpointCodec>,
+    channel: LineChannel<EndpointCodec>,
     /// Id of the endpoint.
     pub endpoint: EndpointId,
     /// Team whose statements run on it.
@@ -110,7 +121,7 @@
             .set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))
             .map_err(ConnectError::Io)?;
         let mut connection = Self {
-            framed: Framed::new(stream, EndpointCodec::default()),
+            channel: LineChannel::new(stream, EndpointCodec::default()),
             endpoint: entry.id.clone(),
             team: team.clone(),
             values: ConnectionValues::default(),
@@ -122,22 +133,40 @@
             team,
             endpoint: entry.id.clone(),
         };
-        let io = |error: platform::line_frame::FrameError| {
-            ConnectError::Io(io::Error::other(error.to_string()))
-        };
-        connection.framed.send(startup).await.map_err(io)?;
+        let io = |error: FrameError| ConnectError::Io(io::Error::other(error.to_string()));
+        connection.channel.queue(startup).map_err(io)?;
+        connection.channel.flush().await.map_err(ConnectError::Io)?;
         loop {
-            match connection.framed.next().await {
-                Some(Ok(EndpointMessage::Ready { .. })) => return Ok(connection),
-                Some(Ok(EndpointMessage::Refused { refusal, .. })) => {
+            match connection.next_message(None, 0).await.map_err(io)? {
+                EndpointMessage::Ready { .. } => return Ok(connection),
+                EndpointMessage::Refused { refusal, .. } => {
                     return Err(ConnectError::Refused(refusal));
                 }
-                Some(Ok(_)) => {}
-                Some(Err(error)) => return Err(io(error)),
-                None => {
-                    return Err(ConnectError::Io(io::ErrorKind::UnexpectedEof.into()));
+                EndpointMessage::Row(_) | EndpointMessage::Done(_) => {}
+            }
+        }
+    }
+
+    /// Reads the next message. `held` is the size of the answer so far.
+    async fn next_message(
+        &mut self,
+        budget: Option<AnswerBudget<'_>>,
+        held: usize,
+    ) -> Result<EndpointMessage, FrameError> {
+        loop {
+            if let Some(message) = self.channel.decode()? {
+                return Ok(message);
+            }
+            if let Some(budget) = budget {
+                let bytes = held + self.channel.input_bytes_ahead();
+                match budget.waits {
+                    true => budget.memory.wait_set(MemoryPart::Output, bytes).await,
+                    false => budget.memory.set(MemoryPart::Output, bytes),
                 }
             }
+            if self.channel.read_some().await? == 0 {
+                return Err(FrameError::Io(io::ErrorKind::UnexpectedEof.into()));
+            }
         }
     }
 
@@ -154,7 +183,7 @@
     /// Returns whether the endpoint closed the connection or sent data while it was idle.
     pub fn is_stale(&self) -> bool {
         let mut byte = [0];
-        let read = self.framed.get_ref().try_read(&mut byte);
+        let read = self.channel.stream().try_read(&mut byte);
         !matches!(read, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
     }
 
@@ -168,11 +197,12 @@
         command: EndpointCommand,
         time: Duration,
     ) -> Result<EndpointAnswer, StatementFault> {
-        let mut answers = self.run_all(vec![command], time).await?;
+        let mut answers = self.run_all(vec![command], time, None).await?;
         answers.pop().ok_or(StatementFault::Broken)
     }
 
-    /// Sends several statements at once and returns their answers in order.
+    /// Sends several statements at once and returns their answers in order. The answers are charged
+    /// to the budget, which the caller of this function then sets to what it keeps of them.
     ///
     /// # Errors
     ///
@@ -181,9 +211,10 @@
         &mut self,
         commands: Vec<EndpointCommand>,
         time: Duration,
+        budget: Option<AnswerBudget<'_>>,
     ) -> Result<Vec<EndpointAnswer>, StatementFault> {
         self.broken = true;
-        let answered = timeout(time, self.exchange(commands)).await;
+        let answered = timeout(time, self.exchange(commands, budget)).await;
         let answers = answered.unwrap_or(Err(StatementFault::Overdue))?;
         self.broken = false;
         if let Some(last) = answers.last() {
@@ -195,37 +226,46 @@
     async fn exchange(
         &mut self,
         commands: Vec<EndpointCommand>,
+        budget: Option<AnswerBudget<'_>>,
     ) -> Result<Vec<EndpointAnswer>, StatementFault> {
         let sent_at = now();
         let count = commands.len();
         for command in commands {
-            self.framed
-                .feed(command)
-                .await
+            self.channel
+                .queue(command)
                 .map_err(|_| StatementFault::Broken)?;
         }
-        self.framed
+        self.channel
             .flush()
             .await
             .map_err(|_| StatementFault::Broken)?;
         let mut answers = Vec::with_capacity(count);
         for _ in 0..count {
-            answers.push(self.answer(sent_at).await?);
+            answers.push(self.answer(sent_at, budget).await?);
         }
         Ok(answers)
     }
 
-    async fn answer(&mut self, sent_at: MonotonicTime) -> Result<EndpointAnswer, StatementFault> {
+    async fn answer(
+        &mut self,
+        sent_at: MonotonicTime,
+        budget: Option<AnswerBudget<'_>>,
+    ) -> Result<EndpointAnswer, StatementFault> {
         let mut rows = Vec::new();
         let mut result = None;
+        let mut held = 0;
         loop {
-            match self.framed.next().await {
-                Some(Ok(EndpointMessage::Row(row))) => rows.push(row),
-                Some(Ok(EndpointMessage::Done(receipt))) => result = Some(Ok(receipt)),
-                Some(Ok(EndpointMessage::Refused { refusal, text })) => {
+            let message = self.next_message(budget, held).await;
+            match message.map_err(|_| StatementFault::Broken)? {
+                EndpointMessage::Row(row) => {
+                    held += size_of::<String>() + row.len();
+                    rows.push(row);
+                }
+                EndpointMessage::Done(receipt) => result = Some(Ok(receipt)),
+                EndpointMessage::Refused { refusal, text } => {
                     result = Some(Err((refusal, text)));
                 }
-                Some(Ok(EndpointMessage::Ready { state, position })) => {
+                EndpointMessage::Ready { state, position } => {
                     let result = result.ok_or(StatementFault::Broken)?;
                     return Ok(EndpointAnswer {
                         rows,
@@ -235,7 +275,6 @@
                         sent_at,
                     });
                 }
-                Some(Err(_)) | None => return Err(StatementFault::Broken),
             }
         }
     }
--- a/crates/front/src/endpoint_pool.rs
+++ b/crates/front/src/endpoint_pool.rs
@@ -27,6 +27,10 @@
 /// Time after its last use for which a pair of endpoint and team counts towards the demand.
 const DEMAND_WINDOW: Duration = Duration::from_secs(3);
 
+/// Maximum size of the values and prepared names on a connection that is kept for later statements.
+/// They accumulate over the sessions that use it.
+const MAX_KEPT_VALUES_BYTES: usize = 64 * 1024;
+
 /// Limits on an instance's connections to one endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ConnectionLimit {
@@ -427,6 +431,7 @@
         if let Some(connection) = connection
             && !connection.is_broken()
             && connection.state == SessionState::Idle
+            && connection.values.bytes() <= MAX_KEPT_VALUES_BYTES
             && state.in_use + state.idle.len() < limit.max_open
         {
             state.idle.push((now(), connection));
--- a/crates/front/src/instance.rs
+++ b/crates/front/src/instance.rs
@@ -33,10 +33,12 @@
 use tokio::net::UdpSocket;
 use tokio::sync::watch;
 
+use crate::caller_memory::CallerMemory;
 use crate::endpoint_connection::ConnectError;
 use crate::endpoint_connection::EndpointAnswer;
 use crate::endpoint_pool::ConnectionLimit;
 use crate::endpoint_pool::EndpointPool;
+use crate::event_limiter::EventLimiter;
 use crate::fleet_view::FleetView;
 use crate::instance_limits::CONNECTION_FRACTION;
 use crate::instance_limits::KEY_MARGIN;
@@ -106,6 +108,10 @@
     pub leader_term: Cell<Option<LeaderTerm>>,
     /// When the process was requested to stop, if it was.
     pub stopping: watch::Sender<Option<MonotonicTime>>,
+    /// Memory and number of callers' connections.
+    pub callers: Rc<CallerMemory>,
+    /// Bounds the log lines on callers whose connections were closed.
+    pub closed_callers: EventLimiter,
     /// Number of open sessions.
     pub sessions: Cell<usize>,
     /// Prometheus metrics of the daemon.
@@ -491,6 +497,24 @@
             .with_load(endpoint, |load| load.record_failure(now()));
     }
 
+    /// Counts a caller's connection that a limit closed or refused, and logs it unless another one
+    /// was logged a moment ago.
+    pub fn report_closed_caller(&self, reason: &'static str) {
+        self.metrics
+            .closed_callers
+            .with_label_values(&[reason])
+            .inc();
+        if let Some(others) = self.closed_callers.admit(now()) {
+            tracing::warn!(
+                event = "caller_closed",
+                reason,
+                others,
+                connections = self.callers.connections(),
+                memory_bytes = self.callers.charged().0,
+            );
+        }
+    }
+
     /// Counts a new session.
     pub fn begin_session(&self) {
         self.sessions.set(self.sessions.get() + 1);
@@ -544,6 +568,20 @@
                 "tamaracklb_floor_age_ms{{service=\"{service}\"}} {age}\n"
             ));
         }
+        text.push_str("# TYPE tamaracklb_caller_memory_bytes gauge\n");
+        let charged = self.callers.charged();
+        text.push_str(&format!("tamaracklb_caller_memory_bytes {charged}\n"));
+        let limits = &self.settings.callers;
+        if let Some(memory) = limits.memory {
+            text.push_str("# TYPE tamaracklb_caller_memory_limit_bytes gauge\n");
+            text.push_str(&format!("tamaracklb_caller_memory_limit_bytes {memory}\n"));
+        }
+        if let Some(connections) = limits.connections {
+            text.push_str("# TYPE tamaracklb_caller_connections_limit gauge\n");
+            text.push_str(&format!(
+                "tamaracklb_caller_connections_limit {connections}\n"
+            ));
+        }
         text.push_str("# TYPE tamaracklb_open gauge\n");
         let sessions = self.sessions.get();
         let connections = self.pool.open_connections();
--- a/crates/front/src/instance_run.rs
+++ b/crates/front/src/instance_run.rs
@@ -19,6 +19,8 @@
 use tokio::task::LocalSet;
 
 use crate::caller_listener;
+use crate::caller_memory::CallerMemory;
+use crate::event_limiter::EventLimiter;
 use crate::group_leader;
 use crate::instance::Instance;
 use crate::instance_limits::IDLE_TICKS;
@@ -111,6 +113,8 @@
         peer_socket,
         leader_term: Cell::new(None),
         stopping: watch::Sender::new(None),
+        callers: Rc::new(CallerMemory::new(&settings.callers)),
+        closed_callers: EventLimiter::default(),
         sessions: Cell::new(0),
         metrics: FrontMetrics::new().map_err(InstanceError::Metrics)?,
         calls,
@@ -161,6 +165,7 @@
         interval.tick().await;
         tick += 1;
         log.flush();
+        instance.callers.close_stalled();
         instance.update_lending();
         instance.view.borrow_mut().drop_missing(now());
         peer_link::prefetch_loans(&instance, tick);
--- a/crates/front/src/main.rs
+++ b/crates/front/src/main.rs
@@ -1,9 +1,11 @@
 //! Database proxy daemon for the front instances of the users' platform.
 
 mod caller_listener;
+mod caller_memory;
 mod caller_session;
 mod endpoint_connection;
 mod endpoint_pool;
+mod event_limiter;
 mod fleet_keys;
 mod fleet_view;
 mod group_change;
@@ -12,6 +14,7 @@
 mod instance;
 mod instance_limits;
 mod instance_run;
+mod line_channel;
 mod log_output;
 mod metrics;
 mod packed_value;
--- a/crates/front/src/metrics.rs
+++ b/crates/front/src/metrics.rs
@@ -26,6 +26,8 @@
     pub status_checks: IntCounter,
     /// Number of accepted sessions.
     pub sessions: IntCounter,
+    /// Number of callers' connections that a limit closed or refused, by reason.
+    pub closed_callers: IntCounterVec,
 }
 
 impl FrontMetrics {
@@ -51,6 +53,13 @@
                 "Status checks sent to endpoints",
             )?,
             sessions: IntCounter::new("tamaracklb_sessions_total", "Sessions accepted")?,
+            closed_callers: IntCounterVec::new(
+                Opts::new(
+                    "tamaracklb_callers_closed_total",
+                    "Connections of callers closed or refused by a limit",
+                ),
+                &["reason"],
+            )?,
             registry,
         };
         metrics
@@ -66,6 +75,9 @@
         metrics
             .registry
             .register(Box::new(metrics.sessions.clone()))?;
+        metrics
+            .registry
+            .register(Box::new(metrics.closed_callers.clone()))?;
         Ok(metrics)
     }
 
--- a/crates/front/src/request_attempt.rs
+++ b/crates/front/src/request_attempt.rs
@@ -19,6 +19,7 @@
 use session_core::serving_rules::DatabaseRoute;
 
 use crate::caller_session::CallerSession;
+use crate::caller_session::shown_id;
 use crate::endpoint_connection::EndpointAnswer;
 use crate::endpoint_pool::PoolError;
 use crate::endpoint_pool::PooledConnection;
@@ -113,13 +114,13 @@
             Ok(connection) => connection,
             Err(PoolError::Exhausted) => {
                 *reason = "connections_in_use";
-                tracing::info!(event = "connections_exhausted", request = progress.id, endpoint = %endpoint, primary = chosen.primary, limit = limit.max_in_use);
+                tracing::info!(event = "connections_exhausted", request = shown_id(progress.id), endpoint = %endpoint, primary = chosen.primary, limit = limit.max_in_use);
                 progress.excluded.push(endpoint);
                 return AttemptOutcome::Retry(Duration::ZERO);
             }
             Err(PoolError::Connect(error)) => {
                 *reason = "endpoint_not_connected";
-                tracing::info!(event = "endpoint_not_connected", request = progress.id, endpoint = %endpoint, %error);
+                tracing::info!(event = "endpoint_not_connected", request = shown_id(progress.id), endpoint = %endpoint, %error);
                 self.instance.record_connect_failure(&endpoint, &error);
                 self.instance.pool.back_off(&endpoint);
                 progress.excluded.push(endpoint);
@@ -164,8 +165,12 @@
         };
         let scope = self.first_statement_scope(statement);
         let sent_at = now();
-        let result = connection.run(command, route.statement_time).await;
+        let budget = self.answer_budget(scope);
+        let result = connection
+            .run_all(vec![command], route.statement_time, Some(budget))
+            .await;
         drop((outstanding, permit));
+        let result = result.and_then(|mut answers| answers.pop().ok_or(StatementFault::Broken));
         match result {
             Ok(answer) => {
                 let latency = now().saturating_since(answer.sent_at);
@@ -215,7 +220,8 @@
             return Ok(());
         }
         let endpoint = connection.endpoint.clone();
-        let answers = match connection.run_all(commands, route.statement_time).await {
+        let run = connection.run_all(commands, route.statement_time, None);
+        let answers = match run.await {
             Ok(answers) => answers,
             Err(fault) => {
                 self.record_fault(&endpoint, fault, OutcomeScope::Inside, now());
@@ -231,7 +237,7 @@
         let Some((index, (refusal, text))) = refused else {
             return Ok(());
         };
-        tracing::info!(event = "preparation_refused", request = progress.id, endpoint = %endpoint, ?refusal, text);
+        tracing::info!(event = "preparation_refused", request = shown_id(progress.id), endpoint = %endpoint, ?refusal, text);
         let refusal = *refusal;
         progress.last_fault = Some(StatementFault::Refused(refusal));
         if index < replayed {
@@ -257,7 +263,7 @@
                 .await
                 .is_err()
         {
-            tracing::debug!(event = "rollback_by_close", request = progress.id, endpoint = %endpoint);
+            tracing::debug!(event = "rollback_by_close", request = shown_id(progress.id), endpoint = %endpoint);
         }
         let pool = &self.instance.pool;
         match refusal {
--- a/crates/front/src/statement_run.rs
+++ b/crates/front/src/statement_run.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use futures_util::SinkExt;
 use platform::caller_codec::CallerReply;
 use platform::caller_codec::SessionState;
 use platform::endpoint_codec::EndpointCommand;
@@ -25,6 +24,8 @@
 use crate::caller_session::CallerSession;
 use crate::caller_session::EndReason;
 use crate::caller_session::SessionRefusal;
+use crate::caller_session::shown_id;
+use crate::endpoint_connection::AnswerBudget;
 use crate::endpoint_connection::EndpointAnswer;
 use crate::endpoint_pool::PooledConnection;
 use crate::instance_limits::QUEUE_FRACTION;
@@ -35,6 +36,9 @@
 use crate::request_attempt::RequestProgress;
 use crate::request_route::ChosenEndpoint;
 
+/// What a row on the wire has in addition to its text, at most.
+const ROW_BYTES: usize = 16;
+
 /// Fraction of the target latency within which a request that has been sent may be retried.
 const RETRY_FRACTION: f64 = 0.6;
 
@@ -90,7 +94,7 @@
     }
 
     async fn end_after_answer(&mut self, reason: &'static str) -> Result<(), EndReason> {
-        self.framed.flush().await.map_err(|_| "caller_lost")?;
+        self.flush().await?;
         Err(reason)
     }
 
@@ -161,7 +165,11 @@
         });
         let sent_at = now();
         let permit = self.instance.pool.acquire_unqueued(&endpoint);
-        let result = connection.run_all(commands, time).await;
+        let budget = AnswerBudget {
+            memory: &self.memory,
+            waits: !scope.commits_writes(),
+        };
+        let result = connection.run_all(commands, time, Some(budget)).await;
         drop(permit);
         let answer = result.and_then(|mut answers| answers.pop().ok_or(StatementFault::Broken));
         match answer {
@@ -273,6 +281,14 @@
         }
     }
 
+    /// Returns the budget of the answer to a statement outside a running transaction.
+    pub(crate) fn answer_budget(&self, scope: OutcomeScope) -> AnswerBudget<'_> {
+        AnswerBudget {
+            memory: &self.memory,
+            waits: !scope.commits_writes(),
+        }
+    }
+
     /// Returns the scope of a single statement or of the first one of a transaction. A commit that
     /// comes first commits no writes.
     pub(crate) fn first_statement_scope(&self, statement: &EndpointStatement) -> OutcomeScope {
@@ -355,7 +371,7 @@
         self.instance.metrics.wait.observe(wait.as_secs_f64());
         tracing::info!(
             event = "request_routed",
-            request = progress.id,
+            request = shown_id(progress.id),
             endpoint = %endpoint,
             primary = chosen.primary,
             floor = chosen.floor.map(|floor| floor.to_string()),
@@ -416,7 +432,7 @@
         arrived: MonotonicTime,
     ) {
         let verdict = request_outcome::verdict(scope, fault);
-        tracing::info!(event = "request_broken", request = id, endpoint = %endpoint, ?scope, ?fault);
+        tracing::info!(event = "request_broken", request = shown_id(id), endpoint = %endpoint, ?scope, ?fault);
         self.refuse_request(id, verdict, "endpoint_lost", arrived);
     }
 
@@ -439,7 +455,7 @@
                         .instance
                         .may_pass_commit(endpoint, answer.sent_at, answer.point()) =>
             {
-                tracing::info!(event = "commit_not_passed", request = id, endpoint = %endpoint, position = answer.position);
+                tracing::info!(event = "commit_not_passed", request = shown_id(id), endpoint = %endpoint, position = answer.position);
                 self.refuse_request(id, CallerVerdict::Unknown, "primary_changed", arrived);
             }
             Ok(receipt) => {
@@ -448,7 +464,7 @@
                 }
                 tracing::info!(
                     event = "request_served",
-                    request = id,
+                    request = shown_id(id),
                     endpoint = %endpoint,
                     ?scope,
                     position = answer.position,
@@ -456,6 +472,8 @@
                 );
                 self.count_outcome("served");
                 let receipt = receipt.clone();
+                let bytes: usize = answer.rows.iter().map(|row| row.len() + ROW_BYTES).sum();
+                self.channel.reserve_output(bytes);
                 for row in answer.rows {
                     self.queue_reply(CallerReply::Row(row));
                 }
@@ -464,7 +482,7 @@
             }
             Err((refusal, text)) => {
                 let verdict = request_outcome::verdict(scope, StatementFault::Refused(*refusal));
-                tracing::info!(event = "endpoint_refused", request = id, endpoint = %endpoint, ?scope, text);
+                tracing::info!(event = "endpoint_refused", request = shown_id(id), endpoint = %endpoint, ?scope, text);
                 self.refuse_request(id, verdict, "endpoint_refused", arrived);
             }
         }
--- a/crates/front/tests/caller_limits/limited_daemon.rs
+++ b/crates/front/tests/caller_limits/limited_daemon.rs
@@ -60,6 +60,11 @@
 impl LimitedDaemon {
     /// Waits until no other case runs, then starts a daemon and waits until it serves.
     pub async fn start() -> Self {
+        Self::start_with(None).await
+    }
+
+    /// Starts a daemon with time limits of slow callers, in milliseconds.
+    pub async fn start_with(caller_ms: Option<u32>) -> Self {
         let lock = CASE_LOCK.lock().await;
         let platform = PlatformHandle::start(SERVICE)
             .await
@@ -83,6 +88,7 @@
             limits: MachineLimits {
                 memory_mb: Some(MEMORY_MB),
                 file_descriptors: FILE_DESCRIPTORS,
+                caller_ms,
             },
         };
         let process = DaemonProcess::start(&plan).expect("start the daemon");
@@ -108,6 +114,22 @@
         self.process.callers
     }
 
+    /// Returns whether the log has a text. Waits for it, since lines are written every 100 ms.
+    pub async fn logs(&self, text: &str) -> bool {
+        for _ in 0..SERVE_ATTEMPTS {
+            if self.logs_now(text) {
+                return true;
+            }
+            tokio::time::sleep(SERVE_PAUSE).await;
+        }
+        false
+    }
+
+    /// Returns whether the log has a text now.
+    pub fn logs_now(&self, text: &str) -> bool {
+        self.process.log().contains(text)
+    }
+
     /// Writes the value that the reads of a crowd return.
     pub async fn write_value(&self, bytes: usize) {
         self.serve(&format!("WRITE big {}", "v".repeat(bytes)))
--- a/crates/front/tests/caller_limits/main.rs
+++ b/crates/front/tests/caller_limits/main.rs
@@ -5,3 +5,4 @@
 mod limited_daemon;
 
 mod crowd_bounds;
+mod single_callers;
--- a/crates/session-core/src/lib.rs
+++ b/crates/session-core/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod instance_rank;
 pub mod loan_pacer;
 pub mod log_point;
+pub mod memory_account;
 pub mod monotonic_time;
 pub mod primary_permit;
 pub mod promotion_step;
--- a/crates/session-core/src/session_values.rs
+++ b/crates/session-core/src/session_values.rs
@@ -55,6 +55,13 @@
 }
 
 impl ConnectionValues {
+    /// Returns the size of the values and names in bytes.
+    pub fn bytes(&self) -> usize {
+        let values = self.values.iter();
+        let values = values.map(|(name, value)| name.len() + value.len());
+        values.chain(self.prepared.iter().map(String::len)).sum()
+    }
+
     /// Returns whether the connection's values equal the session's, so that they need no replay.
     pub fn matches(&self, session: &SessionValues) -> bool {
         self.values == session.values
--- a/crates/standins/src/platform/daemon_process.rs
+++ b/crates/standins/src/platform/daemon_process.rs
@@ -48,6 +48,8 @@
     pub memory_mb: Option<u32>,
     /// Maximum number of open file descriptors.
     pub file_descriptors: u32,
+    /// Time limits of slow callers in milliseconds, if the settings state them.
+    pub caller_ms: Option<u32>,
 }
 
 impl Default for MachineLimits {
@@ -55,6 +57,7 @@
         Self {
             memory_mb: None,
             file_descriptors: 3_000,
+            caller_ms: None,
         }
     }
 }
@@ -65,13 +68,17 @@
         let port = peers.port();
         let memory = self.limits.memory_mb;
         let memory = memory.map_or(String::new(), |mb| format!("  MemoryMb: {mb}\n"));
+        let slow_callers = self.limits.caller_ms;
+        let slow_callers = slow_callers.map_or(String::new(), |ms| {
+            format!("Callers:\n  MessageMs: {ms}\n  ReaderMs: {ms}\n")
+        });
         format!(
             "NodeName: front-{}\nIp: 127.0.0.1\nZone: zone-a\n\
              Listen:\n  Front: {callers}\n  Ready: {status}\n\
              InternalPorts:\n  - {port}\n  - {port}\n\
              Bounds:\n  RevokeMs: 5000\n  GraceS: 4\n  DrainMs: 4000\n\
              platform:\n  Address: {}\nCloud:\n  Address: {}\n\
-             Limits:\n  FileDescriptors: {}\n{memory}  CpuShare: {}\nNewField: 1\n",
+             Limits:\n  FileDescriptors: {}\n{memory}  CpuShare: {}\n{slow_callers}NewField: 1\n",
             self.number,
             self.store_address,
             self.promotion_address,
