--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -16,6 +16,7 @@
 mod caller_standins;
 mod caller_startup;
 mod caller_state;
+mod codec_bounds;
 mod commit_reports;
 mod daemon_program;
 mod daemon_settings;
