--- a/crates/front/src/endpoint_connection.rs
+++ b/crates/front/src/endpoint_connection.rs
@@ -4,17 +4,17 @@
 use std::io;
 use std::time::Duration;
 
-use futures_util::SinkExt;
-use futures_util::StreamExt;
 use platform::caller_codec::SessionState;
 use platform::endpoint_codec;
 use platform::endpoint_codec::EndpointCodec;
 use platform::endpoint_codec::EndpointCommand;
 use platform::endpoint_codec::EndpointMessage;
+use platform::line_frame::FrameError;
 use session_core::endpoint_entry::EndpointEntry;
 use session_core::ids::EndpointId;
 use session_core::ids::TeamId;
 use session_core::log_point::LogPoint;
+use session_core::memory_account::MemoryPart;
 use session_core::monotonic_time::MonotonicTime;
 use session_core::monotonic_time::now;
 use session_core::request_outcome::EndpointRefusal;
@@ -23,11 +23,12 @@
 use socket2::SockRef;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
-use tokio_util::codec::Framed;
 
+use crate::caller_memory::ConnectionMemory;
 use crate::host_channel::HostChannel;
 use crate::instance_limits::CONNECT_TIMEOUT;
 use crate::instance_limits::UNACKNOWLEDGED_TIMEOUT;
+use crate::line_channel::LineChannel;
 
 /// The answer of an endpoint to one statement.
 #[derive(Debug, Clone)]
@@ -53,6 +54,16 @@
     }
 }
 
+/// The caller whose memory an answer is charged to.
+#[derive(Debug, Clone, Copy)]
+pub struct AnswerBudget<'a> {
+    /// Memory of the caller's connection.
+    pub memory: &'a ConnectionMemory,
+    /// Whether the answer is read only as far as there is memory for it. The outcome of a write or
+    /// a commit must not wait: if its time passed meanwhile, it would be unknown.
+    pub waits: bool,
+}
+
 /// Errors of opening a connection.
 #[derive(Debug)]
 pub enum ConnectError {
@@ -83,7 +94,7 @@
 #[derive(Debug)]
 enum ConnectionTransport {
     /// A connection of this instance.
-    Direct(Box<Framed<TcpStream, EndpointCodec>>),
+    Direct(Box<LineChannel<EndpointCodec>>),
     /// A connection that the endpoint's host keeps.
     Shared(HostChannel),
 }
@@ -127,31 +138,26 @@
         SockRef::from(&stream)
             .set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))
             .map_err(ConnectError::Io)?;
-        let mut framed = Framed::new(stream, EndpointCodec::default());
+        let mut channel = LineChannel::new(stream, EndpointCodec::default());
         let startup = EndpointCommand::Startup {
             service: entry.service.clone(),
             team: team.clone(),
             endpoint: entry.id.clone(),
         };
-        let io = |error: platform::line_frame::FrameError| {
-            ConnectError::Io(io::Error::other(error.to_string()))
-        };
-        framed.send(startup).await.map_err(io)?;
+        let io = |error: FrameError| ConnectError::Io(io::Error::other(error.to_string()));
+        channel.queue(startup).map_err(io)?;
+        channel.flush().await.map_err(ConnectError::Io)?;
         loop {
-            match framed.next().await {
-                Some(Ok(EndpointMessage::Ready { .. })) => break,
-                Some(Ok(EndpointMessage::Refused { refusal, .. })) => {
+            match next_message(&mut channel, None, 0).await.map_err(io)? {
+                EndpointMessage::Ready { .. } => break,
+                EndpointMessage::Refused { refusal, .. } => {
                     return Err(ConnectError::Refused(refusal));
                 }
-                Some(Ok(_)) => {}
-                Some(Err(error)) => return Err(io(error)),
-                None => {
-                    return Err(ConnectError::Io(io::ErrorKind::UnexpectedEof.into()));
-                }
+                EndpointMessage::Row(_) | EndpointMessage::Done(_) => {}
             }
         }
         Ok(Self {
-            transport: ConnectionTransport::Direct(Box::new(framed)),
+            transport: ConnectionTransport::Direct(Box::new(channel)),
             endpoint: entry.id.clone(),
             team,
             values: ConnectionValues::default(),
@@ -220,12 +226,12 @@
 
     /// Returns whether the endpoint closed the connection or sent data while it was idle.
     pub fn is_stale(&self) -> bool {
-        let framed = match &self.transport {
-            ConnectionTransport::Direct(framed) => framed,
+        let channel = match &self.transport {
+            ConnectionTransport::Direct(channel) => channel,
             ConnectionTransport::Shared(channel) => return channel.is_lost(),
         };
         let mut byte = [0];
-        let read = framed.get_ref().try_read(&mut byte);
+        let read = channel.stream().try_read(&mut byte);
         !matches!(read, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
     }
 
@@ -239,11 +245,12 @@
         command: EndpointCommand,
         time: Duration,
     ) -> Result<EndpointAnswer, StatementFault> {
-        let mut answers = self.run_all(vec![command], time).await?;
+        let mut answers = self.run_all(vec![command], time, None).await?;
         answers.pop().ok_or(StatementFault::Broken)
     }
 
-    /// Sends several statements at once and returns their answers in order.
+    /// Sends several statements at once and returns their answers in order. The answers are charged
+    /// to the budget, which the caller of this function then sets to what it keeps of them.
     ///
     /// # Errors
     ///
@@ -252,14 +259,26 @@
         &mut self,
         commands: Vec<EndpointCommand>,
         time: Duration,
+        budget: Option<AnswerBudget<'_>>,
     ) -> Result<Vec<EndpointAnswer>, StatementFault> {
         self.broken = true;
         let answers = match &mut self.transport {
-            ConnectionTransport::Direct(framed) => {
-                let answered = timeout(time, exchange(framed, commands)).await;
+            ConnectionTransport::Direct(channel) => {
+                let answered = timeout(time, exchange(channel, commands, budget)).await;
                 answered.unwrap_or(Err(StatementFault::Overdue))?
             }
-            ConnectionTransport::Shared(channel) => channel.run(commands, time).await?,
+            ConnectionTransport::Shared(channel) => {
+                let answers = channel.run(commands, time).await?;
+                if let Some(budget) = budget {
+                    let bytes = answers
+                        .iter()
+                        .flat_map(|a| &a.rows)
+                        .map(|row| row_bytes(row))
+                        .sum();
+                    budget.memory.set(MemoryPart::Output, bytes);
+                }
+                answers
+            }
         };
         self.broken = false;
         if let Some(last) = answers.last() {
@@ -270,39 +289,43 @@
 }
 
 async fn exchange(
-    framed: &mut Framed<TcpStream, EndpointCodec>,
+    channel: &mut LineChannel<EndpointCodec>,
     commands: Vec<EndpointCommand>,
+    budget: Option<AnswerBudget<'_>>,
 ) -> Result<Vec<EndpointAnswer>, StatementFault> {
     let sent_at = now();
     let count = commands.len();
     for command in commands {
-        framed
-            .feed(command)
-            .await
-            .map_err(|_| StatementFault::Broken)?;
+        channel.queue(command).map_err(|_| StatementFault::Broken)?;
     }
-    framed.flush().await.map_err(|_| StatementFault::Broken)?;
+    channel.flush().await.map_err(|_| StatementFault::Broken)?;
     let mut answers = Vec::with_capacity(count);
     for _ in 0..count {
-        answers.push(read_answer(framed, sent_at).await?);
+        answers.push(read_answer(channel, sent_at, budget).await?);
     }
     Ok(answers)
 }
 
 async fn read_answer(
-    framed: &mut Framed<TcpStream, EndpointCodec>,
+    channel: &mut LineChannel<EndpointCodec>,
     sent_at: MonotonicTime,
+    budget: Option<AnswerBudget<'_>>,
 ) -> Result<EndpointAnswer, StatementFault> {
     let mut rows = Vec::new();
     let mut result = None;
+    let mut held = 0;
     loop {
-        match framed.next().await {
-            Some(Ok(EndpointMessage::Row(row))) => rows.push(row),
-            Some(Ok(EndpointMessage::Done(receipt))) => result = Some(Ok(receipt)),
-            Some(Ok(EndpointMessage::Refused { refusal, text })) => {
+        let message = next_message(channel, budget, held).await;
+        match message.map_err(|_| StatementFault::Broken)? {
+            EndpointMessage::Row(row) => {
+                held += row_bytes(&row);
+                rows.push(row);
+            }
+            EndpointMessage::Done(receipt) => result = Some(Ok(receipt)),
+            EndpointMessage::Refused { refusal, text } => {
                 result = Some(Err((refusal, text)));
             }
-            Some(Ok(EndpointMessage::Ready { state, position })) => {
+            EndpointMessage::Ready { state, position } => {
                 let result = result.ok_or(StatementFault::Broken)?;
                 return Ok(EndpointAnswer {
                     rows,
@@ -313,7 +336,33 @@
                     took: now().saturating_since(sent_at),
                 });
             }
-            Some(Err(_)) | None => return Err(StatementFault::Broken),
+        }
+    }
+}
+
+fn row_bytes(row: &str) -> usize {
+    size_of::<String>() + row.len()
+}
+
+/// Reads the next message. `held` is the size of the answer so far.
+async fn next_message(
+    channel: &mut LineChannel<EndpointCodec>,
+    budget: Option<AnswerBudget<'_>>,
+    held: usize,
+) -> Result<EndpointMessage, FrameError> {
+    loop {
+        if let Some(message) = channel.decode()? {
+            return Ok(message);
+        }
+        if let Some(budget) = budget {
+            let bytes = held + channel.input_bytes_ahead();
+            match budget.waits {
+                true => budget.memory.wait_set(MemoryPart::Output, bytes).await,
+                false => budget.memory.set(MemoryPart::Output, bytes),
+            }
+        }
+        if channel.read_some().await? == 0 {
+            return Err(FrameError::Io(io::ErrorKind::UnexpectedEof.into()));
         }
     }
 }
--- a/crates/front/src/endpoint_pool.rs
+++ b/crates/front/src/endpoint_pool.rs
@@ -32,6 +32,10 @@
 /// because of its limit. Each attempt costs the endpoint a start-up.
 const REFUSAL_PAUSE: Duration = Duration::from_millis(300);
 
+/// Maximum size of the values and prepared names on a connection that is kept for later statements.
+/// They accumulate over the sessions that use it.
+const MAX_KEPT_VALUES_BYTES: usize = 64 * 1024;
+
 /// Limits on an instance's connections to one endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ConnectionLimit {
@@ -545,6 +549,7 @@
         state.end_use(team);
         if let Some(connection) = connection
             && connection.is_reusable()
+            && connection.values.bytes() <= MAX_KEPT_VALUES_BYTES
             && state.in_use + state.idle.len() < limit.max_open
         {
             state.idle.push((now(), connection));
--- a/crates/front/src/host_server.rs
+++ b/crates/front/src/host_server.rs
@@ -364,7 +364,7 @@
     let steps: Vec<_> = commands.iter().map(replay_step).collect();
     let sent = commands.into_iter().zip(&held);
     let sent = sent.filter(|(_, held)| !**held).map(|(command, _)| command);
-    let result = connection.run_all(sent.collect(), time);
+    let result = connection.run_all(sent.collect(), time, None);
     let answers = match result.await {
         Ok(answers) => answers,
         Err(fault) => return ReplyBody::Failed(fault),
--- a/crates/front/src/main.rs
+++ b/crates/front/src/main.rs
@@ -1,9 +1,11 @@
 //! Database proxy daemon for the front instances of the users' platform.
 
 mod caller_listener;
+mod caller_memory;
 mod caller_session;
 mod endpoint_connection;
 mod endpoint_pool;
+mod event_limiter;
 mod first_view;
 mod fleet_keys;
 mod fleet_view;
@@ -18,6 +20,7 @@
 mod instance;
 mod instance_limits;
 mod instance_run;
+mod line_channel;
 mod link_outbox;
 mod log_output;
 mod message_parts;
--- a/crates/front/tests/testsuite/fleet.rs
+++ b/crates/front/tests/testsuite/fleet.rs
@@ -13,6 +13,7 @@
 use standins::free_ports::free_tcp_pair;
 use standins::platform::daemon_process::DaemonPlan;
 use standins::platform::daemon_process::DaemonProcess;
+use standins::platform::daemon_process::MachineLimits;
 use standins::platform::line_caller::LineCaller;
 use standins::platform::platform_handle::PlatformHandle;
 use standins::platform::sample_configuration::SampleTeam;
@@ -130,6 +131,7 @@
                 ports: [ports[0], ports[1], peers],
                 store_address,
                 promotion_address: store_address,
+                limits: MachineLimits::default(),
             };
             let process = DaemonProcess::start(&plan).expect("start the daemon");
             instances.push(Instance { process });
--- a/crates/soak/src/soak_run.rs
+++ b/crates/soak/src/soak_run.rs
@@ -18,6 +18,7 @@
 use standins::free_ports::free_tcp_pair;
 use standins::platform::daemon_process::DaemonPlan;
 use standins::platform::daemon_process::DaemonProcess;
+use standins::platform::daemon_process::MachineLimits;
 use standins::platform::line_caller::LineCaller;
 use standins::platform::platform_handle::PlatformHandle;
 use standins::platform::sample_configuration::SampleTeam;
@@ -175,6 +176,7 @@
                 ports: [ports[0], ports[1], peers],
                 store_address: link.address,
                 promotion_address: link.address,
+                limits: MachineLimits::default(),
             };
             processes.push(Mutex::new(DaemonProcess::start(&process)?));
             store_links.push(link);
