--- a/crates/front/src/fleet_view.rs
+++ b/crates/front/src/fleet_view.rs
@@ -17,6 +17,7 @@
 use session_core::ids::EndpointId;
 use session_core::ids::InstanceId;
 use session_core::ids::ServiceId;
+use session_core::lender_table::LenderTable;
 use session_core::monotonic_time::MonotonicTime;
 use session_core::monotonic_time::now;
 use session_core::primary_permit;
@@ -78,6 +79,8 @@
     pub members: BTreeMap<InstanceId, Revised<MemberValue>>,
     /// The current leader.
     pub leader: Option<Revised<LeaderValue>>,
+    /// The lenders of the parts of the rates.
+    pub lenders: Option<Revised<LenderTable>>,
     /// Time up to which the view holds every change that the store accepted.
     pub synced_at: Option<MonotonicTime>,
     /// When the last successful renewal of this instance's lease was sent.
@@ -288,6 +291,7 @@
     fn apply_fleet_key(&mut self, key: FleetKey, item: &StoreItem) {
         match key {
             FleetKey::Leader => self.leader = decode(item),
+            FleetKey::Lenders => self.lenders = decode(item),
             FleetKey::Member(name) => {
                 let member = decode::<MemberValue>(item);
                 if member.is_none() && self.has_member_key(&name) {
--- a/crates/front/src/group_leader.rs
+++ b/crates/front/src/group_leader.rs
@@ -13,11 +13,14 @@
 use session_core::group_order::OrderPhase;
 use session_core::ids::EndpointId;
 use session_core::ids::ServiceId;
+use session_core::lender_roster::LenderRoster;
+use session_core::lender_table::LenderTable;
 use session_core::monotonic_time::MonotonicTime;
 use session_core::monotonic_time::now;
 use session_core::primary_permit;
 
 use crate::fleet_keys::LEADER_KEY;
+use crate::fleet_keys::LENDERS_KEY;
 use crate::fleet_keys::LeaderValue;
 use crate::fleet_keys::MemberValue;
 use crate::fleet_view::Revised;
@@ -32,6 +35,7 @@
 use crate::instance_limits::STORE_PAUSE;
 use crate::instance_limits::STORE_TIMEOUT;
 use crate::instance_limits::TICK_PERIOD;
+use crate::lender_link;
 use crate::position_probe;
 use crate::store_lease;
 
@@ -209,6 +213,9 @@
         return;
     }
     let former = instance.view.borrow().leader.as_ref().map(|l| l.revision);
+    // The election confirms the table that this instance knows, since its rights are renewed by it.
+    let table = instance.view.borrow().lenders.clone();
+    let known_lenders = instance.view.borrow().key_revision(LENDERS_KEY);
     let value = LeaderValue {
         instance: instance.settings.instance.clone(),
         address: instance.settings.peer_address,
@@ -217,7 +224,10 @@
         return;
     };
     let change = StoreChange {
-        conditions: vec![(LEADER_KEY.to_owned(), former.unwrap_or(0))],
+        conditions: vec![
+            (LEADER_KEY.to_owned(), former.unwrap_or(0)),
+            (LENDERS_KEY.to_owned(), known_lenders),
+        ],
         puts: vec![(LEADER_KEY.to_owned(), value.clone(), Some(lease))],
         removals: Vec::new(),
     };
@@ -229,10 +239,15 @@
                 renewed_at: requested_at,
             }));
             instance.leader_lease.set(Some(lease));
+            let roster = |table: Revised<LenderTable>| {
+                LenderRoster::new(token, table.value, table.revision, now())
+            };
+            instance.lender_roster.replace(table.map(roster));
             instance
                 .view
                 .borrow_mut()
                 .apply_written(LEADER_KEY, value, token);
+            lender_link::renew_rights(instance, 0);
             instance.notify_view_change();
             tokio::task::spawn_local(renew_lead(Rc::clone(instance), lease, token));
         }
--- a/crates/front/src/instance.rs
+++ b/crates/front/src/instance.rs
@@ -23,12 +23,11 @@
 use session_core::ids::EndpointId;
 use session_core::ids::ServiceId;
 use session_core::instance_rank::RankedInstance;
+use session_core::lender_roster::LenderRoster;
+use session_core::lending_right::LendingRight;
 use session_core::log_point::LogPoint;
 use session_core::monotonic_time::MonotonicTime;
 use session_core::monotonic_time::now;
-use session_core::rate_deputy::DeputyLease;
-use session_core::rate_deputy::DeputyMonitor;
-use session_core::rate_lender::LendingMode;
 use session_core::request_outcome::StatementFault;
 use tokio::net::UdpSocket;
 use tokio::sync::watch;
@@ -42,7 +41,6 @@
 use crate::instance_limits::KEY_MARGIN;
 use crate::instance_limits::LEADER_LEASE_TIME;
 use crate::instance_limits::LEADER_MARGIN;
-use crate::instance_limits::LENDING_GRACE;
 use crate::instance_limits::SKEW_FACTOR;
 use crate::instance_limits::STORE_UNREACHABLE_AGE;
 use crate::metrics::FrontMetrics;
@@ -84,10 +82,14 @@
     pub pool: Rc<EndpointPool>,
     /// This instance's shares of the teams' rates.
     pub rates: RateExchange,
-    /// Monitors the deputy while this instance leads.
-    pub deputy_monitor: RefCell<DeputyMonitor>,
-    /// Right to lend that the leader gave this instance as its deputy.
-    pub deputy_lease: RefCell<DeputyLease>,
+    /// The lenders of the current or last period of leadership of this instance.
+    pub lender_roster: RefCell<Option<LenderRoster>>,
+    /// This instance's right to lend parts of the rates.
+    pub lending_right: RefCell<LendingRight>,
+    /// Whether a write of the lender table is under way.
+    pub writes_lenders: Cell<bool>,
+    /// When each instance last sent a request or report, by peer address.
+    pub heard_at: RefCell<HashMap<SocketAddr, MonotonicTime>>,
     /// This instance's share of the connections that endpoints accept.
     pub connection_share: RefCell<ConnectionShare>,
     /// Log positions of the primary over time, by service.
@@ -190,23 +192,26 @@
         self.leads_within(Duration::MAX)
     }
 
-    /// Sets the lending mode that applies now.
+    /// Gives up the right to lend when the process stops, and logs changes of the right.
     pub fn update_lending(&self) {
-        self.rates.set_lending(self.lending_mode());
+        let mut right = self.lending_right.borrow_mut();
+        if self.stopping.borrow().is_some() {
+            right.give_up();
+        }
+        self.rates.set_right(right.ends());
     }
 
-    fn lending_mode(&self) -> Option<LendingMode> {
-        let at = now();
-        if self.leads_within(LEADER_LEASE_TIME + LENDING_GRACE) {
-            return Some(match self.deputy_monitor.borrow().is_sole_lender(at) {
-                false => LendingMode::Shared,
-                true if self.leads() => LendingMode::Alone,
-                true => LendingMode::Lapsed,
-            });
-        }
-        let leader = self.view.borrow().leader.as_ref().map(|l| l.revision);
-        let may_lend = self.deputy_lease.borrow().may_lend(leader, at);
-        may_lend.then_some(LendingMode::Shared)
+    /// Returns the addresses of the lenders other than this instance, or of the leader if the store
+    /// names no lenders, as before the first election of a leader of this version.
+    pub fn other_lenders(&self) -> Vec<SocketAddr> {
+        let view = self.view.borrow();
+        let mut lenders = match (&view.lenders, &view.leader) {
+            (Some(table), _) => table.value.lenders(),
+            (None, Some(leader)) => vec![leader.value.address],
+            (None, None) => Vec::new(),
+        };
+        lenders.retain(|address| *address != self.settings.peer_address);
+        lenders
     }
 
     fn leads_within(&self, time: Duration) -> bool {
@@ -544,6 +549,9 @@
                 "tamaracklb_floor_age_ms{{service=\"{service}\"}} {age}\n"
             ));
         }
+        text.push_str("# TYPE tamaracklb_lent_parts gauge\n");
+        let parts = self.rates.lent_parts();
+        text.push_str(&format!("tamaracklb_lent_parts {parts}\n"));
         text.push_str("# TYPE tamaracklb_open gauge\n");
         let sessions = self.sessions.get();
         let connections = self.pool.open_connections();
--- a/crates/front/src/instance_run.rs
+++ b/crates/front/src/instance_run.rs
@@ -12,6 +12,7 @@
 use platform::status_server;
 use platform::status_server::StatusPorts;
 use platform::store_client::StoreClient;
+use session_core::lending_right::LendingRight;
 use session_core::monotonic_time::now;
 use tokio::net::TcpListener;
 use tokio::net::UdpSocket;
@@ -25,6 +26,7 @@
 use crate::instance_limits::SCARCE_IDLE_TIME;
 use crate::instance_limits::STORE_TIMEOUT;
 use crate::instance_limits::TICK_PERIOD;
+use crate::lender_link;
 use crate::log_output::LogOutput;
 use crate::metrics::FrontMetrics;
 use crate::peer_link;
@@ -100,8 +102,10 @@
         pool: Rc::default(),
         // Starting at the current time keeps the request numbers of two incarnations distinct.
         rates: RateExchange::new(now().as_nanos()),
-        deputy_monitor: RefCell::default(),
-        deputy_lease: RefCell::default(),
+        lender_roster: RefCell::default(),
+        lending_right: RefCell::new(LendingRight::new(now())),
+        writes_lenders: Cell::new(false),
+        heard_at: RefCell::default(),
         connection_share: RefCell::default(),
         floors: RefCell::default(),
         commits: RefCell::default(),
@@ -162,6 +166,7 @@
         tick += 1;
         log.flush();
         instance.update_lending();
+        lender_link::renew_rights(&instance, tick);
         instance.view.borrow_mut().drop_missing(now());
         peer_link::prefetch_loans(&instance, tick);
         if tick % IDLE_TICKS == 0 && instance.connections_are_scarce() {
--- a/crates/front/src/main.rs
+++ b/crates/front/src/main.rs
@@ -12,6 +12,7 @@
 mod instance;
 mod instance_limits;
 mod instance_run;
+mod lender_link;
 mod log_output;
 mod metrics;
 mod packed_value;
--- a/crates/front/src/peer_link.rs
+++ b/crates/front/src/peer_link.rs
@@ -3,14 +3,13 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use session_core::instance_rank::ranked_order;
 use session_core::monotonic_time::now;
 
-use crate::fleet_keys::LEADER_KEY;
 use crate::instance::Instance;
 use crate::instance_limits::REPORT_TICKS;
 use crate::instance_limits::REQUEST_TICKS;
 use crate::instance_limits::TICK_PERIOD;
+use crate::lender_link;
 use crate::peer_message::MAX_DATAGRAM_BYTES;
 use crate::peer_message::PeerMessage;
 
@@ -47,26 +46,22 @@
                 instance.record_peer_failure(&endpoint, from);
             }
             if instance.leads() {
+                instance.heard_at.borrow_mut().insert(from, now());
                 instance.record_acknowledgements(from, seen);
             }
             let Some(rules) = instance.view.borrow().rules.clone() else {
                 return;
             };
-            instance.update_lending();
-            let Some(lent) = instance.rates.answer(&wanted, &rules.teams) else {
-                return;
-            };
-            let is_leader = instance.is_latest_leader();
-            let part = is_leader.then(|| {
+            let lent = instance.rates.answer(&wanted, &rules.teams);
+            let part = instance.is_latest_leader().then(|| {
                 let mut share = instance.connection_share.borrow_mut();
                 share.record_demand(from, demand, now()) as f32
             });
-            let deputy = instance.deputy_monitor.borrow().deputy();
             let message = PeerMessage::Lend {
                 number,
                 lent,
                 part,
-                deputy: deputy.filter(|_| is_leader),
+                deputy: None,
             };
             send(instance, &message, from);
         }
@@ -74,7 +69,7 @@
             number,
             lent,
             part,
-            deputy,
+            deputy: _,
         } => {
             if let Some(part) = part {
                 let fraction = f64::from(part);
@@ -82,114 +77,73 @@
                     .connection_share
                     .borrow_mut()
                     .record_grant(fraction, now());
-                let own = instance.settings.peer_address;
-                instance.rates.set_deputy(deputy.filter(|a| *a != own));
-            }
-            instance.rates.record_grant(number, &lent);
-        }
-        PeerMessage::Watch {
-            token,
-            sent,
-            confirmed,
-        } => {
-            let stamp = now();
-            let mut lease = instance.deputy_lease.borrow_mut();
-            if lease.record_message(token, confirmed, stamp) {
-                send(instance, &PeerMessage::Watched { sent, stamp }, from);
             }
+            let lenders = instance.other_lenders().len();
+            instance.rates.record_grant(number, &lent, lenders);
         }
+        PeerMessage::Watch { .. } | PeerMessage::Watched { .. } => {}
         PeerMessage::Passed { process, reports } => {
             if instance.leads() {
                 instance.record_commit_reports(from, process, &reports);
             }
         }
-        PeerMessage::Watched { sent, stamp } => {
-            let mut monitor = instance.deputy_monitor.borrow_mut();
-            monitor.record_answer(from, sent, stamp, now());
+        PeerMessage::RenewRight(renewal) => {
+            lender_link::receive_renewal(instance, &renewal, from);
+        }
+        PeerMessage::RightRenewed { token, answer } => {
+            lender_link::receive_answer(instance, token, answer, from);
         }
     }
 }
 
-/// Sends the leader, and the deputy if the leader seems to be silent, a request for tokens with the
-/// failing primaries, pending orders and demand. Sends nothing if there is nothing to request or
-/// report and no report is due.
-pub fn request_loans(instance: &Instance, report_due: bool) {
-    let leader = match &instance.view.borrow().leader {
-        Some(leader) if leader.value.instance == instance.settings.instance => return,
-        Some(leader) => Some(leader.value.address),
-        None => None,
-    };
-    let deputy = instance.rates.fallback_lender(leader.is_some());
-    if leader.is_none() && deputy.is_none() {
+/// Sends requests for the tokens that are wanted now.
+pub fn request_loans(instance: &Instance) {
+    let lenders = instance.other_lenders();
+    let requests = instance.rates.create_requests(&lenders);
+    if requests.is_empty() {
         return;
     }
-    let (number, wanted) = instance.rates.create_request();
+    let demand = instance.pool.demand(now());
+    for request in requests {
+        let message = PeerMessage::Ask {
+            number: request.number,
+            wanted: request.wanted,
+            failing: Vec::new(),
+            demand,
+            seen: Vec::new(),
+        };
+        send(instance, &message, request.lender);
+    }
+}
+
+/// Sends the leader the failing primaries, the pending orders and the demand for connections. Sends
+/// nothing if there is nothing to report and no report is due.
+pub fn report_to_leader(instance: &Instance, report_due: bool) {
+    let leader = match &instance.view.borrow().leader {
+        Some(leader) if leader.value.instance != instance.settings.instance => leader.value.address,
+        _ => return,
+    };
     let failing = instance.failing_primaries();
     let seen = instance.pending_orders();
-    if wanted.is_empty() && failing.is_empty() && seen.is_empty() && !report_due {
+    if failing.is_empty() && seen.is_empty() && !report_due {
         return;
     }
-    if let Some(leader) = leader {
-        let process = instance.view.borrow().process_lives();
-        for reports in instance.commit_reports().chunks(MAX_REPORTS) {
-            let message = PeerMessage::Passed {
-                process,
-                reports: reports.to_vec(),
-            };
-            send(instance, &message, leader);
-        }
+    let process = instance.view.borrow().process_lives();
+    for reports in instance.commit_reports().chunks(MAX_REPORTS) {
+        let message = PeerMessage::Passed {
+            process,
+            reports: reports.to_vec(),
+        };
+        send(instance, &message, leader);
     }
     let message = PeerMessage::Ask {
-        number,
-        wanted,
+        number: instance.rates.next_number(),
+        wanted: Vec::new(),
         failing,
         demand: instance.pool.demand(now()),
         seen,
     };
-    for address in leader.into_iter().chain(deputy) {
-        send(instance, &message, address);
-    }
-}
-
-/// Sends the deputy its lease, after choosing a new deputy if there is none.
-fn monitor_deputy(instance: &Instance) {
-    let Some(token) = instance.fencing_token() else {
-        return;
-    };
-    let at = now();
-    let mut monitor = instance.deputy_monitor.borrow_mut();
-    let former = monitor.deputy();
-    let candidates = std::iter::once_with(|| deputy_candidates(instance)).flatten();
-    let chosen = monitor.choose(candidates, at);
-    if chosen != former {
-        tracing::info!(event = "deputy_chosen", ?former, ?chosen, token);
-    }
-    if let Some(address) = chosen {
-        let message = PeerMessage::Watch {
-            token,
-            sent: at,
-            confirmed: monitor.confirmed(),
-        };
-        send(instance, &message, address);
-    }
-}
-
-/// Returns the addresses of the other instances by rank, those of other availability zones first.
-fn deputy_candidates(instance: &Instance) -> Vec<SocketAddr> {
-    let view = instance.view.borrow();
-    let members = view.members.iter();
-    let ranked = ranked_order(
-        &LEADER_KEY,
-        members.map(|(name, member)| member.value.ranked(name)),
-    );
-    let others = ranked
-        .iter()
-        .filter(|other| *other.name != instance.settings.instance);
-    let values = others.filter_map(|other| view.members.get(other.name));
-    let (near, far): (Vec<_>, Vec<_>) =
-        values.partition(|member| member.value.zone == instance.settings.zone);
-    let ordered = far.into_iter().chain(near);
-    ordered.map(|member| member.value.address).collect()
+    send(instance, &message, leader);
 }
 
 /// Acknowledges pending orders to the leader as soon as this instance knows them.
@@ -200,17 +154,16 @@
         let pending = instance.pending_orders();
         if pending != former && !pending.is_empty() {
             tracing::info!(event = "orders_acknowledged", orders = ?pending);
-            request_loans(&instance, true);
+            report_to_leader(&instance, true);
         }
         former = pending;
     }
 }
 
 /// Requests loans in advance and reports the demand for connections every few ticks; the leader
-/// renews its deputy's lease and its own connection share instead.
+/// renews its own connection share instead of reporting.
 pub fn prefetch_loans(instance: &Instance, tick: u64) {
     if instance.is_latest_leader() {
-        monitor_deputy(instance);
         let demand = instance.pool.demand(now());
         let own = instance.settings.peer_address;
         let fraction = instance
@@ -222,11 +175,15 @@
             .borrow_mut()
             .record_grant(fraction, now());
     } else if tick.is_multiple_of(REQUEST_TICKS) {
-        request_loans(instance, tick.is_multiple_of(REPORT_TICKS));
+        report_to_leader(instance, tick.is_multiple_of(REPORT_TICKS));
+    }
+    if tick.is_multiple_of(REQUEST_TICKS) {
+        request_loans(instance);
     }
 }
 
-fn send(instance: &Instance, message: &PeerMessage, to: SocketAddr) {
+/// Sends a datagram, which may be lost.
+pub fn send(instance: &Instance, message: &PeerMessage, to: SocketAddr) {
     let bytes = match postcard::to_stdvec(message) {
         Ok(bytes) => bytes,
         Err(error) => {
--- a/crates/front/src/peer_message.rs
+++ b/crates/front/src/peer_message.rs
@@ -9,6 +9,8 @@
 use session_core::ids::EndpointId;
 use session_core::ids::ServiceId;
 use session_core::ids::TeamId;
+use session_core::lending_right::RightAnswer;
+use session_core::lending_right::RightRenewal;
 use session_core::monotonic_time::MonotonicTime;
 
 /// Maximum length of a datagram in bytes, which fits a packet without fragmentation.
@@ -18,7 +20,7 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum PeerMessage {
-    /// Requests tokens of the lender and reports failing primaries.
+    /// Requests tokens of a lender, or reports to the leader.
     Ask {
         /// Number of the request, repeated in the answer.
         number: u64,
@@ -39,10 +41,10 @@
         lent: Vec<(TeamId, u32)>,
         /// The instance's fraction of the connections to each endpoint, if the leader answers.
         part: Option<f32>,
-        /// Address of the deputy, which lends while the leader is silent.
+        /// Unused; earlier versions sent the address of their second lender.
         deputy: Option<SocketAddr>,
     },
-    /// Grants or renews the deputy lease.
+    /// Sent by the leader of earlier versions to its second lender, and ignored.
     Watch {
         /// Fencing token of the leader.
         token: u64,
@@ -51,7 +53,7 @@
         /// Newest time on the deputy's clock in its answers so far.
         confirmed: Option<MonotonicTime>,
     },
-    /// Confirms a deputy lease.
+    /// Answer of earlier versions to `Watch`, and ignored.
     Watched {
         /// Time in the message that is answered.
         sent: MonotonicTime,
@@ -65,4 +67,13 @@
         /// One report for each pending order.
         reports: Vec<CommitReport>,
     },
+    /// Renews the right of a lender.
+    RenewRight(RightRenewal),
+    /// Answers a renewal.
+    RightRenewed {
+        /// Fencing token in the renewal.
+        token: u64,
+        /// The answer.
+        answer: RightAnswer,
+    },
 }
--- a/crates/front/src/statement_run.rs
+++ b/crates/front/src/statement_run.rs
@@ -14,6 +14,7 @@
 use session_core::loan_pacer::REQUEST_PAUSE;
 use session_core::monotonic_time::MonotonicTime;
 use session_core::monotonic_time::now;
+use session_core::rate_lender::TOKEN_USE_TIME;
 use session_core::request_outcome;
 use session_core::request_outcome::CallerVerdict;
 use session_core::request_outcome::OutcomeScope;
@@ -38,6 +39,35 @@
 /// Fraction of the target latency within which a request that has been sent may be retried.
 const RETRY_FRACTION: f64 = 0.6;
 
+/// Admission of an operation by its team's rate.
+#[derive(Debug, Clone, Copy)]
+struct Admission {
+    /// When the token was taken and when it expires; `None` without a limit.
+    taken_at: MonotonicTime,
+    expires_at: Option<MonotonicTime>,
+}
+
+impl Admission {
+    fn new(expires_at: MonotonicTime) -> Self {
+        Self {
+            taken_at: now(),
+            expires_at: Some(expires_at),
+        }
+    }
+
+    fn unlimited() -> Self {
+        Self {
+            taken_at: now(),
+            expires_at: None,
+        }
+    }
+
+    /// Returns whether the operation may not be sent any more without another token.
+    fn is_outdated(&self, at: MonotonicTime) -> bool {
+        self.expires_at.is_some() && at.saturating_since(self.taken_at) >= TOKEN_USE_TIME
+    }
+}
+
 impl CallerSession {
     pub(crate) async fn serve_statement(
         &mut self,
@@ -203,13 +233,14 @@
         route: DatabaseRoute,
         team: Option<TeamId>,
     ) -> Option<SessionRefusal> {
-        if let Some(team) = &team
-            && !self.admit(team, &route, arrived).await
-        {
-            self.fail_transaction();
-            self.refuse_request(id, CallerVerdict::Busy, "team_rate_exceeded", arrived);
-            return None;
-        }
+        let mut admission = match self.admit(team.as_ref(), &route, arrived).await {
+            Some(admission) => admission,
+            None => {
+                self.fail_transaction();
+                self.refuse_request(id, CallerVerdict::Busy, "team_rate_exceeded", arrived);
+                return None;
+            }
+        };
         let scope = self.first_statement_scope(&statement);
         let mut progress = RequestProgress {
             id,
@@ -231,6 +262,16 @@
                 }
                 Err(refusal) => return Some(refusal),
             };
+            if admission.is_outdated(now()) {
+                match self.admit(team.as_ref(), &route, now()).await {
+                    Some(renewed) => admission = renewed,
+                    None => {
+                        self.fail_transaction();
+                        self.refuse_unserved(&progress, scope, "team_rate_exceeded");
+                        return None;
+                    }
+                }
+            }
             let outcome = self
                 .attempt(
                     &statement,
@@ -260,8 +301,8 @@
                     };
                     let end = arrived + route.target_latency.mul_f64(fraction);
                     if now() + pause >= end {
-                        if let Some(team) = &team {
-                            self.instance.rates.give_back(team);
+                        if let (Some(team), Some(expires_at)) = (&team, admission.expires_at) {
+                            self.instance.rates.give_back(team, expires_at);
                         }
                         self.fail_transaction();
                         self.refuse_unserved(&progress, scope, reason);
@@ -283,18 +324,22 @@
         }
     }
 
-    /// Takes a token of the team's rate, requesting a loan if needed. Returns whether the operation
-    /// is admitted.
-    async fn admit(&self, team: &TeamId, route: &DatabaseRoute, arrived: MonotonicTime) -> bool {
-        let Some(limit) = self.team_limit(team) else {
-            return true;
+    /// Takes a token of the team's rate, requesting a loan if needed. Returns `None` if there is
+    /// none.
+    async fn admit(
+        &self,
+        team: Option<&TeamId>,
+        route: &DatabaseRoute,
+        arrived: MonotonicTime,
+    ) -> Option<Admission> {
+        let limited = team.and_then(|team| Some((team, self.team_limit(team)?)));
+        let Some((team, limit)) = limited else {
+            return Some(Admission::unlimited());
         };
         let rates = &self.instance.rates;
-        self.instance.update_lending();
         rates.record_demand(team);
-        let instances = self.instance.view.borrow().members.len();
-        if rates.take(team, &limit, instances) {
-            return true;
+        if let Some(expires_at) = rates.take(team, &limit) {
+            return Some(Admission::new(expires_at));
         }
         // Without a leader, waits for the full queue time, in which one may be elected.
         let queue_time = route.target_latency.mul_f64(QUEUE_FRACTION);
@@ -305,31 +350,29 @@
         let end = arrived + wait;
         let mut lent = rates.subscribe();
         rates.begin_wait(team);
-        let mut admitted = false;
-        while !admitted && now() < end {
-            if rates.may_request() {
-                peer_link::request_loans(&self.instance, false);
-            }
+        let mut taken = None;
+        while taken.is_none() && now() < end {
+            peer_link::request_loans(&self.instance);
             let pause = end.saturating_since(now()).min(REQUEST_PAUSE);
             let changed = tokio::time::timeout(pause, lent.changed()).await;
             if matches!(changed, Ok(Err(_))) {
                 break;
             }
-            admitted = rates.take(team, &limit, instances);
+            taken = rates.take(team, &limit);
         }
         rates.end_wait(team);
-        if !admitted {
+        if taken.is_none() {
             tracing::info!(
                 event = "rate_exhausted",
                 database = self.database,
                 team = %team,
                 rate_per_s = limit.rate.0,
                 burst = limit.burst.0,
-                instances,
+                lenders = self.instance.other_lenders().len(),
                 leads = self.instance.leads(),
             );
         }
-        admitted
+        taken.map(Admission::new)
     }
 
     fn team_limit(&self, team: &TeamId) -> Option<TeamLimit> {
