--- a/crates/front/src/fleet_keys.rs
+++ b/crates/front/src/fleet_keys.rs
@@ -53,6 +53,10 @@
     pub instance: InstanceId,
     /// Address for datagrams of other instances.
     pub address: SocketAddr,
+    /// Whether the leader renews the rights of lenders. Leaders of earlier versions lend all tokens
+    /// themselves.
+    #[serde(default)]
+    pub renews_rights: bool,
 }
 
 /// A parsed key of the daemon.
--- a/crates/front/src/group_leader.rs
+++ b/crates/front/src/group_leader.rs
@@ -219,6 +219,7 @@
     let value = LeaderValue {
         instance: instance.settings.instance.clone(),
         address: instance.settings.peer_address,
+        renews_rights: true,
     };
     let Ok(value) = store_lease::encode(&value) else {
         return;
--- a/crates/front/src/instance.rs
+++ b/crates/front/src/instance.rs
@@ -192,24 +192,45 @@
         self.leads_within(Duration::MAX)
     }
 
-    /// Gives up the right to lend when the process stops, and logs changes of the right.
+    /// Applies this instance's right to lend. The right is given up when the process stops, and
+    /// suspended while a leader of an earlier version lends all tokens.
     pub fn update_lending(&self) {
         let mut right = self.lending_right.borrow_mut();
         if self.stopping.borrow().is_some() {
             right.give_up();
         }
-        self.rates.set_right(right.ends());
+        let ends = match self.earlier_leader() {
+            Some(_) => Default::default(),
+            None => right.ends(),
+        };
+        self.rates.set_right(ends);
     }
 
-    /// Returns the addresses of the lenders other than this instance, or of the leader if the store
-    /// names no lenders, as before the first election of a leader of this version.
+    /// Returns the address of the leader if it is of a version that lends all tokens itself.
+    fn earlier_leader(&self) -> Option<SocketAddr> {
+        let view = self.view.borrow();
+        let leader = view.leader.as_ref().map(|leader| &leader.value);
+        leader
+            .filter(|leader| !leader.renews_rights)
+            .map(|leader| leader.address)
+    }
+
+    /// Returns whether the table names this instance as a lender.
+    pub fn is_named_lender(&self) -> bool {
+        let view = self.view.borrow();
+        let own = self.settings.peer_address;
+        let table = view.lenders.as_ref();
+        table.is_some_and(|table| !table.value.parts(own).is_empty())
+    }
+
+    /// Returns the addresses of the lenders other than this instance.
     pub fn other_lenders(&self) -> Vec<SocketAddr> {
+        if let Some(leader) = self.earlier_leader() {
+            return vec![leader];
+        }
         let view = self.view.borrow();
-        let mut lenders = match (&view.lenders, &view.leader) {
-            (Some(table), _) => table.value.lenders(),
-            (None, Some(leader)) => vec![leader.value.address],
-            (None, None) => Vec::new(),
-        };
+        let table = view.lenders.as_ref();
+        let mut lenders = table.map_or_else(Vec::new, |table| table.value.lenders());
         lenders.retain(|address| *address != self.settings.peer_address);
         lenders
     }
--- a/crates/front/src/peer_link.rs
+++ b/crates/front/src/peer_link.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use session_core::ids::TeamId;
 use session_core::monotonic_time::now;
 
 use crate::instance::Instance;
@@ -52,7 +53,11 @@
             let Some(rules) = instance.view.borrow().rules.clone() else {
                 return;
             };
-            let lent = instance.rates.answer(&wanted, &rules.teams);
+            // The lender answers a request that was forwarded.
+            let (number, lent) = match forward_request(instance, from, number, &wanted) {
+                true => (0, Vec::new()),
+                false => (number, instance.rates.answer(&wanted, &rules.teams)),
+            };
             let part = instance.is_latest_leader().then(|| {
                 let mut share = instance.connection_share.borrow_mut();
                 share.record_demand(from, demand, now()) as f32
@@ -65,6 +70,22 @@
             };
             send(instance, &message, from);
         }
+        PeerMessage::AskFor {
+            borrower,
+            number,
+            wanted,
+        } => {
+            let Some(rules) = instance.view.borrow().rules.clone() else {
+                return;
+            };
+            let message = PeerMessage::Lend {
+                number,
+                lent: instance.rates.answer(&wanted, &rules.teams),
+                part: None,
+                deputy: None,
+            };
+            send(instance, &message, borrower);
+        }
         PeerMessage::Lend {
             number,
             lent,
@@ -96,6 +117,29 @@
     }
 }
 
+/// Forwards a request for tokens to a lender if this instance is none, and returns whether it did.
+/// Only instances of earlier versions send such requests to the leader.
+fn forward_request(
+    instance: &Instance,
+    borrower: SocketAddr,
+    number: u64,
+    wanted: &[(TeamId, u32)],
+) -> bool {
+    let lenders = instance.other_lenders();
+    let is_lender = instance.is_named_lender();
+    if wanted.is_empty() || lenders.is_empty() || is_lender || !instance.is_latest_leader() {
+        return false;
+    }
+    let lender = lenders[number as usize % lenders.len()];
+    let message = PeerMessage::AskFor {
+        borrower,
+        number,
+        wanted: wanted.to_vec(),
+    };
+    send(instance, &message, lender);
+    true
+}
+
 /// Sends requests for the tokens that are wanted now.
 pub fn request_loans(instance: &Instance) {
     let lenders = instance.other_lenders();
--- a/crates/front/src/peer_message.rs
+++ b/crates/front/src/peer_message.rs
@@ -67,6 +67,16 @@
         /// One report for each pending order.
         reports: Vec<CommitReport>,
     },
+    /// Forwards a request for tokens of an instance of an earlier version, which knows no lender but
+    /// the leader. The answer goes to that instance.
+    AskFor {
+        /// Address of the instance.
+        borrower: SocketAddr,
+        /// Number of the request.
+        number: u64,
+        /// Number of tokens by team.
+        wanted: Vec<(TeamId, u32)>,
+    },
     /// Renews the right of a lender.
     RenewRight(RightRenewal),
     /// Answers a renewal.
--- a/tests/testsuite/lender_parts.rs
+++ b/tests/testsuite/lender_parts.rs
@@ -40,8 +40,8 @@
 
 fn arrivals(random: &mut ChaCha8Rng, load: &[f64]) -> Vec<usize> {
     let chance = |rate: &f64| (rate * STEP_MS as f64 / 1_000.0).min(1.0);
-    let mut arrive = |rate| usize::from(random.random_bool(chance(rate)));
-    load.iter().map(|rate| arrive(rate)).collect()
+    let arrive = |rate: &f64| usize::from(random.random_bool(chance(rate)));
+    load.iter().map(arrive).collect()
 }
 
 fn random_fault(random: &mut ChaCha8Rng, fleet: &LenderFleet, count: usize) -> FleetFault {
