--- a/crates/front/src/instance.rs
+++ b/crates/front/src/instance.rs
@@ -27,12 +27,11 @@
 use session_core::ids::ServiceId;
 use session_core::ids::TeamId;
 use session_core::instance_rank::RankedInstance;
+use session_core::lender_roster::LenderRoster;
+use session_core::lending_right::LendingRight;
 use session_core::log_point::LogPoint;
 use session_core::monotonic_time::MonotonicTime;
 use session_core::monotonic_time::now;
-use session_core::rate_deputy::DeputyLease;
-use session_core::rate_deputy::DeputyMonitor;
-use session_core::rate_lender::LendingMode;
 use session_core::request_outcome::StatementFault;
 use session_core::units::ConnectionCount;
 use tokio::net::UdpSocket;
@@ -52,7 +51,6 @@
 use crate::instance_limits::KEY_MARGIN;
 use crate::instance_limits::LEADER_LEASE_TIME;
 use crate::instance_limits::LEADER_MARGIN;
-use crate::instance_limits::LENDING_GRACE;
 use crate::instance_limits::SCARCE_IDLE_TIME;
 use crate::instance_limits::SKEW_FACTOR;
 use crate::instance_limits::STORE_UNREACHABLE_AGE;
@@ -95,10 +93,14 @@
     pub pool: Rc<EndpointPool>,
     /// This instance's shares of the teams' rates.
     pub rates: RateExchange,
-    /// Monitors the deputy while this instance leads.
-    pub deputy_monitor: RefCell<DeputyMonitor>,
-    /// Right to lend that the leader gave this instance as its deputy.
-    pub deputy_lease: RefCell<DeputyLease>,
+    /// The lenders of the current or last period of leadership of this instance.
+    pub lender_roster: RefCell<Option<LenderRoster>>,
+    /// This instance's right to lend parts of the rates.
+    pub lending_right: RefCell<LendingRight>,
+    /// Whether a write of the lender table is under way.
+    pub writes_lenders: Cell<bool>,
+    /// When each instance last sent a request or report, by peer address.
+    pub heard_at: RefCell<HashMap<SocketAddr, MonotonicTime>>,
     /// This instance's share of the connections that endpoints accept.
     pub connection_share: RefCell<ConnectionShare>,
     /// Log positions of the primary over time, by service.
@@ -234,23 +236,47 @@
         self.leads_within(Duration::MAX)
     }
 
-    /// Sets the lending mode that applies now.
+    /// Applies this instance's right to lend. The right is given up when the process stops, and
+    /// suspended while a leader of an earlier version lends all tokens.
     pub fn update_lending(&self) {
-        self.rates.set_lending(self.lending_mode());
+        let mut right = self.lending_right.borrow_mut();
+        if self.stopping.borrow().is_some() {
+            right.give_up();
+        }
+        let ends = match self.earlier_leader() {
+            Some(_) => Default::default(),
+            None => right.ends(),
+        };
+        self.rates.set_right(ends);
     }
 
-    fn lending_mode(&self) -> Option<LendingMode> {
-        let at = now();
-        if self.leads_within(LEADER_LEASE_TIME + LENDING_GRACE) {
-            return Some(match self.deputy_monitor.borrow().is_sole_lender(at) {
-                false => LendingMode::Shared,
-                true if self.leads() => LendingMode::Alone,
-                true => LendingMode::Lapsed,
-            });
+    /// Returns the address of the leader if it is of a version that lends all tokens itself.
+    fn earlier_leader(&self) -> Option<SocketAddr> {
+        let view = self.view.borrow();
+        let leader = view.leader.as_ref().map(|leader| &leader.value);
+        leader
+            .filter(|leader| !leader.renews_rights)
+            .map(|leader| leader.address)
+    }
+
+    /// Returns whether the table names this instance as a lender.
+    pub fn is_named_lender(&self) -> bool {
+        let view = self.view.borrow();
+        let own = self.settings.peer_address;
+        let table = view.lenders.as_ref();
+        table.is_some_and(|table| !table.value.parts(own).is_empty())
+    }
+
+    /// Returns the addresses of the lenders other than this instance.
+    pub fn other_lenders(&self) -> Vec<SocketAddr> {
+        if let Some(leader) = self.earlier_leader() {
+            return vec![leader];
         }
-        let leader = self.view.borrow().leader.as_ref().map(|l| l.revision);
-        let may_lend = self.deputy_lease.borrow().may_lend(leader, at);
-        may_lend.then_some(LendingMode::Shared)
+        let view = self.view.borrow();
+        let table = view.lenders.as_ref();
+        let mut lenders = table.map_or_else(Vec::new, |table| table.value.lenders());
+        lenders.retain(|address| *address != self.settings.peer_address);
+        lenders
     }
 
     fn leads_within(&self, time: Duration) -> bool {
@@ -747,6 +773,9 @@
                 "tamaracklb_caller_connections_limit {connections}\n"
             ));
         }
+        text.push_str("# TYPE tamaracklb_lent_parts gauge\n");
+        let parts = self.rates.lent_parts();
+        text.push_str(&format!("tamaracklb_lent_parts {parts}\n"));
         text.push_str("# TYPE tamaracklb_open gauge\n");
         let sessions = self.sessions.get();
         let connections = self.pool.open_connections();
--- a/crates/front/src/main.rs
+++ b/crates/front/src/main.rs
@@ -20,6 +20,7 @@
 mod instance;
 mod instance_limits;
 mod instance_run;
+mod lender_link;
 mod line_channel;
 mod link_outbox;
 mod log_output;
