--- a/crates/front/src/instance.rs
+++ b/crates/front/src/instance.rs
@@ -46,6 +46,7 @@
 use crate::instance_limits::SKEW_FACTOR;
 use crate::instance_limits::STORE_UNREACHABLE_AGE;
 use crate::metrics::FrontMetrics;
+use crate::pace_exchange::PaceExchange;
 use crate::rate_exchange::RateExchange;
 use crate::relay_message::RelayFloor;
 use crate::store_lease::StoreLease;
@@ -84,6 +85,8 @@
     pub pool: Rc<EndpointPool>,
     /// This instance's shares of the teams' rates.
     pub rates: RateExchange,
+    /// Observed pace and failures of the endpoints, shared within the zone.
+    pub paces: PaceExchange,
     /// Monitors the deputy while this instance leads.
     pub deputy_monitor: RefCell<DeputyMonitor>,
     /// Right to lend that the leader gave this instance as its deputy.
@@ -553,6 +556,7 @@
         text.push_str(&format!(
             "tamaracklb_open{{what=\"endpoint_connections\"}} {connections}\n"
         ));
+        text.push_str(&self.paces.metrics_text(self));
         text
     }
 }
--- a/crates/front/src/instance_run.rs
+++ b/crates/front/src/instance_run.rs
@@ -3,6 +3,9 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::fmt;
+use std::hash::DefaultHasher;
+use std::hash::Hash;
+use std::hash::Hasher;
 use std::io;
 use std::rc::Rc;
 
@@ -27,6 +30,8 @@
 use crate::instance_limits::TICK_PERIOD;
 use crate::log_output::LogOutput;
 use crate::metrics::FrontMetrics;
+use crate::pace_exchange;
+use crate::pace_exchange::PaceExchange;
 use crate::peer_link;
 use crate::position_probe;
 use crate::rate_exchange::RateExchange;
@@ -100,6 +105,7 @@
         pool: Rc::default(),
         // Starting at the current time keeps the request numbers of two incarnations distinct.
         rates: RateExchange::new(now().as_nanos()),
+        paces: PaceExchange::new(choice_seed(&settings)),
         deputy_monitor: RefCell::default(),
         deputy_lease: RefCell::default(),
         connection_share: RefCell::default(),
@@ -152,6 +158,13 @@
     Ok(())
 }
 
+/// Returns a seed for the choice of endpoints that differs between instances and between lives.
+fn choice_seed(settings: &InstanceSettings) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    (&settings.instance, now().as_nanos()).hash(&mut hasher);
+    hasher.finish()
+}
+
 /// Runs the periodic tasks of all components.
 async fn run_ticks(instance: Rc<Instance>, log: LogOutput) {
     let mut interval = tokio::time::interval(TICK_PERIOD);
@@ -164,6 +177,7 @@
         instance.update_lending();
         instance.view.borrow_mut().drop_missing(now());
         peer_link::prefetch_loans(&instance, tick);
+        pace_exchange::report_reads(&instance, tick);
         if tick % IDLE_TICKS == 0 && instance.connections_are_scarce() {
             instance.pool.close_idle(SCARCE_IDLE_TIME);
         }
--- a/crates/front/src/main.rs
+++ b/crates/front/src/main.rs
@@ -14,6 +14,7 @@
 mod instance_run;
 mod log_output;
 mod metrics;
+mod pace_exchange;
 mod packed_value;
 mod peer_link;
 mod peer_message;
--- a/crates/front/src/peer_link.rs
+++ b/crates/front/src/peer_link.rs
@@ -11,6 +11,7 @@
 use crate::instance_limits::REPORT_TICKS;
 use crate::instance_limits::REQUEST_TICKS;
 use crate::instance_limits::TICK_PERIOD;
+use crate::pace_exchange;
 use crate::peer_message::MAX_DATAGRAM_BYTES;
 use crate::peer_message::PeerMessage;
 
@@ -107,6 +108,10 @@
             let mut monitor = instance.deputy_monitor.borrow_mut();
             monitor.record_answer(from, sent, stamp, now());
         }
+        PeerMessage::Observed { sent, samples } => {
+            pace_exchange::answer_report(instance, sent, &samples, from);
+        }
+        PeerMessage::Paces { sent, digest } => instance.paces.record_digest(from, sent, &digest),
     }
 }
 
@@ -226,7 +231,8 @@
     }
 }
 
-fn send(instance: &Instance, message: &PeerMessage, to: SocketAddr) {
+/// Sends a datagram; losses are not reported.
+pub(crate) fn send(instance: &Instance, message: &PeerMessage, to: SocketAddr) {
     let bytes = match postcard::to_stdvec(message) {
         Ok(bytes) => bytes,
         Err(error) => {
--- a/crates/front/src/peer_message.rs
+++ b/crates/front/src/peer_message.rs
@@ -10,6 +10,8 @@
 use session_core::ids::ServiceId;
 use session_core::ids::TeamId;
 use session_core::monotonic_time::MonotonicTime;
+use session_core::pace_digest::PaceDigest;
+use session_core::pace_sample::PaceSample;
 
 /// Maximum length of a datagram in bytes, which fits a packet without fragmentation.
 pub const MAX_DATAGRAM_BYTES: usize = 1_400;
@@ -65,4 +67,18 @@
         /// One report for each pending order.
         reports: Vec<CommitReport>,
     },
+    /// Reports the outcomes of reads to the first instance of the zone.
+    Observed {
+        /// When the message was sent, on the sender's clock.
+        sent: MonotonicTime,
+        /// The outcomes since the last report.
+        samples: Vec<PaceSample>,
+    },
+    /// Answers a report with the zone's picture of its endpoints.
+    Paces {
+        /// Time in the message that is answered.
+        sent: MonotonicTime,
+        /// The slow and failing endpoints.
+        digest: PaceDigest,
+    },
 }
--- a/crates/front/src/request_attempt.rs
+++ b/crates/front/src/request_attempt.rs
@@ -121,6 +121,10 @@
                 *reason = "endpoint_not_connected";
                 tracing::info!(event = "endpoint_not_connected", request = progress.id, endpoint = %endpoint, %error);
                 self.instance.record_connect_failure(&endpoint, &error);
+                if begun.is_none() && statement.mode == AccessMode::Read {
+                    let paces = &self.instance.paces;
+                    paces.record_connect_failure(&chosen.entry, &self.database, &error);
+                }
                 self.instance.pool.back_off(&endpoint);
                 progress.excluded.push(endpoint);
                 return AttemptOutcome::Retry(Duration::ZERO);
@@ -166,6 +170,10 @@
         let sent_at = now();
         let result = connection.run(command, route.statement_time).await;
         drop((outstanding, permit));
+        if scope == OutcomeScope::Single(AccessMode::Read) {
+            let paces = &self.instance.paces;
+            paces.record_read(&chosen, &self.database, &result);
+        }
         match result {
             Ok(answer) => {
                 let latency = now().saturating_since(answer.sent_at);
--- a/crates/front/src/request_route.rs
+++ b/crates/front/src/request_route.rs
@@ -5,12 +5,14 @@
 
 use session_core::caller_statement::AccessMode;
 use session_core::endpoint_entry::EndpointEntry;
+use session_core::endpoint_pace::PacedCandidate;
 use session_core::floor_history::FloorSample;
 use session_core::ids::EndpointId;
 use session_core::ids::TeamId;
 use session_core::log_point::LogPoint;
 use session_core::monotonic_time::MonotonicTime;
 use session_core::monotonic_time::now;
+use session_core::pace_sample::EndpointTag;
 use session_core::primary_permit::PermitRefusal;
 use session_core::serving_rules::DatabaseRoute;
 use session_core::serving_rules::ReadPolicy;
@@ -46,10 +48,21 @@
     pub floor: Option<LogPoint>,
     /// Age of the floor when the request arrived.
     pub floor_age: Option<Duration>,
+    /// Whether a read may wait there until the floor is reached, so that its time says nothing
+    /// about the endpoint's pace.
+    pub may_wait: bool,
     /// Whether it is the primary.
     pub primary: bool,
 }
 
+/// An endpoint that may run a read now.
+struct ReadCandidate<'a> {
+    entry: &'a EndpointEntry,
+    is_primary: bool,
+    may_wait: bool,
+    cost_ms: f64,
+}
+
 /// Reasons why no endpoint can serve a request now.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RouteRefusal {
@@ -102,7 +115,8 @@
         };
     };
     let floor = read_floor(instance, query, limit);
-    let mut best: Option<(f64, ChosenEndpoint)> = None;
+    let paced = instance.paces.is_current(at);
+    let mut candidates = Vec::new();
     for entry in view.group(&query.route.service) {
         let is_primary = primary.as_ref() == Ok(&entry.id);
         if query.excluded.contains(&entry.id) || (entry.draining && !is_primary) {
@@ -110,45 +124,78 @@
         }
         let same_zone = entry.zone == instance.settings.zone;
         let connected = instance.pool.has_idle(&entry.id, query.team);
-        let (failing, has_reached, cost) = instance.pool.with_load(&entry.id, |load| {
-            (
-                load.is_failing(at),
-                floor.is_some_and(|floor| load.has_reached(&floor, at)),
-                load.cost_ms(same_zone, connected, at),
-            )
-        });
+        let (failing, has_reached, may_wait, cost_ms) =
+            instance.pool.with_load(&entry.id, |load| {
+                (
+                    load.is_failing(at),
+                    floor.is_some_and(|floor| load.has_reached(&floor, at)),
+                    !floor.is_some_and(|floor| load.has_passed(&floor, at)),
+                    match paced {
+                        true => load.paced_cost_ms(same_zone, connected, at),
+                        false => load.cost_ms(same_zone, connected, at),
+                    },
+                )
+            });
         if !is_primary && !has_reached && !failing {
             position_probe::probe_replica(instance, entry);
         }
         if failing || (!is_primary && !has_reached) {
             continue;
         }
-        if best.as_ref().is_none_or(|(least, _)| cost < *least) {
-            let chosen = if is_primary {
-                primary_choice(entry)
-            } else {
-                ChosenEndpoint {
-                    entry: entry.clone(),
-                    floor: floor.map(|floor| floor.point),
-                    floor_age: floor.map(|f| query.arrived.saturating_since(f.requested_at)),
-                    primary: false,
-                }
-            };
-            best = Some((cost, chosen));
-        }
+        candidates.push(ReadCandidate {
+            entry,
+            is_primary,
+            may_wait,
+            cost_ms,
+        });
     }
+    let best = match paced {
+        true => drawn_candidate(instance, &candidates),
+        false => cheapest_candidate(&candidates),
+    };
     match (best, primary) {
-        (Some((_, chosen)), _) => Ok(chosen),
+        (Some(best), _) if best.is_primary => Ok(primary_choice(best.entry)),
+        (Some(best), _) => Ok(ChosenEndpoint {
+            entry: best.entry.clone(),
+            floor: floor.map(|floor| floor.point),
+            floor_age: floor.map(|f| query.arrived.saturating_since(f.requested_at)),
+            may_wait: best.may_wait,
+            primary: false,
+        }),
         (None, Err(refusal)) => Err(refusal),
         (None, Ok(_)) => Err(RouteRefusal::NoEndpoint),
     }
 }
 
+/// Returns the first candidate of the least cost.
+fn cheapest_candidate<'a>(candidates: &'a [ReadCandidate<'a>]) -> Option<&'a ReadCandidate<'a>> {
+    candidates
+        .iter()
+        .min_by(|a, b| a.cost_ms.total_cmp(&b.cost_ms))
+}
+
+/// Returns the candidate that is drawn by the zone's picture of the endpoints.
+fn drawn_candidate<'a>(
+    instance: &Instance,
+    candidates: &'a [ReadCandidate<'a>],
+) -> Option<&'a ReadCandidate<'a>> {
+    let paced: Vec<PacedCandidate> = candidates
+        .iter()
+        .map(|candidate| PacedCandidate {
+            endpoint: EndpointTag::of(candidate.entry),
+            cost_ms: candidate.cost_ms,
+        })
+        .collect();
+    let index = instance.paces.choose(&paced)?;
+    candidates.get(index)
+}
+
 fn primary_choice(entry: &EndpointEntry) -> ChosenEndpoint {
     ChosenEndpoint {
         entry: entry.clone(),
         floor: None,
         floor_age: None,
+        may_wait: false,
         primary: true,
     }
 }
--- a/crates/front/tests/testsuite/main.rs
+++ b/crates/front/tests/testsuite/main.rs
@@ -5,6 +5,7 @@
 
 mod acknowledged_commits;
 mod daemon_stop;
+mod degraded_endpoints;
 mod fault_soak;
 mod instance_sizes;
 mod key_withdrawal;
--- a/crates/session-core/src/endpoint_load.rs
+++ b/crates/session-core/src/endpoint_load.rs
@@ -128,6 +128,19 @@
         age > lag
     }
 
+    /// Returns whether the endpoint has reached the floor for certain, so that a read at this floor
+    /// does not wait there for its log.
+    pub fn has_passed(&self, floor: &FloorSample, now: MonotonicTime) -> bool {
+        if self.last_point.is_some_and(|point| point >= floor.point) {
+            return true;
+        }
+        let lag = match self.lag {
+            Some((at, lag)) if now.saturating_since(at) < LAG_LIFE => lag + LAG_MARGIN,
+            _ => Duration::ZERO,
+        };
+        now.saturating_since(floor.requested_at) > lag.max(ASSUMED_LAG)
+    }
+
     /// Returns the smoothed latency in milliseconds. Without answers it decays towards the initial
     /// assumption, so that an endpoint is tried again after it was slow.
     fn expected_latency_ms(&self, now: MonotonicTime) -> f64 {
@@ -148,7 +161,17 @@
 
     /// Returns the expected cost of one more request, in milliseconds.
     pub fn cost_ms(&self, same_zone: bool, connected: bool, now: MonotonicTime) -> f64 {
-        let latency = self.expected_latency_ms(now);
+        self.cost_at(self.expected_latency_ms(now), same_zone, connected, now)
+    }
+
+    /// Returns the expected cost of one more request in milliseconds if the endpoint's latency is
+    /// accounted for by the zone's digest: an instance's own few answers are of work of different
+    /// length, and would keep it from an endpoint that has recovered.
+    pub fn paced_cost_ms(&self, same_zone: bool, connected: bool, now: MonotonicTime) -> f64 {
+        self.cost_at(INITIAL_LATENCY_MS, same_zone, connected, now)
+    }
+
+    fn cost_at(&self, latency: f64, same_zone: bool, connected: bool, now: MonotonicTime) -> f64 {
         let mut cost = latency * f64::from(self.outstanding + 1);
         if !same_zone {
             cost += CROSS_ZONE_COST_MS;
--- a/crates/session-core/src/lib.rs
+++ b/crates/session-core/src/lib.rs
@@ -4,10 +4,13 @@
 //! and simulated fleets run the same code.
 
 pub mod caller_statement;
+pub mod collector_choice;
 pub mod commit_evidence;
 pub mod connection_share;
 pub mod endpoint_entry;
 pub mod endpoint_load;
+pub mod endpoint_pace;
+pub mod failure_count;
 pub mod failure_detector;
 pub mod floor_history;
 pub mod group_order;
@@ -16,6 +19,12 @@
 pub mod loan_pacer;
 pub mod log_point;
 pub mod monotonic_time;
+pub mod observed_pace;
+pub mod pace_collector;
+pub mod pace_digest;
+pub mod pace_record;
+pub mod pace_report;
+pub mod pace_sample;
 pub mod primary_permit;
 pub mod promotion_step;
 pub mod rate_deputy;
@@ -28,3 +37,4 @@
 pub mod session_values;
 pub mod statement_limiter;
 pub mod units;
+pub mod work_times;
--- a/crates/standins/src/platform/daemon_process.rs
+++ b/crates/standins/src/platform/daemon_process.rs
@@ -139,6 +139,16 @@
         std::fs::write(&self.settings, text)
     }
 
+    /// Appends lines to the settings file.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the file cannot be read or written.
+    pub fn append_settings(&self, lines: &str) -> io::Result<()> {
+        let text = std::fs::read_to_string(&self.settings)?;
+        self.change_settings(&format!("{text}{lines}"))
+    }
+
     /// Kills the process if it still runs, and starts a new one with the same settings and log files.
     ///
     /// # Errors
--- a/crates/standins/src/platform/group_state.rs
+++ b/crates/standins/src/platform/group_state.rs
@@ -47,6 +47,8 @@
     pub draining: bool,
     /// Start of its process in its registry entry.
     pub born: u64,
+    /// Time by which each read takes longer.
+    pub read_delay: Duration,
     /// Whether the registry may list it; an endpoint replicates before it is registered.
     pub registered: bool,
 }
@@ -65,6 +67,7 @@
             alive: true,
             draining: false,
             born: 1,
+            read_delay: Duration::ZERO,
             registered: true,
         }
     }
--- a/crates/standins/src/platform/line_server.rs
+++ b/crates/standins/src/platform/line_server.rs
@@ -171,7 +171,16 @@
                 Some(complete)
             }
             "COMMIT" => self.commit(id).await,
-            "READ" => self.read(id, rest),
+            "READ" => {
+                let delay = self
+                    .shared
+                    .group()
+                    .endpoints
+                    .get(&self.endpoint)?
+                    .read_delay;
+                tokio::time::sleep(delay).await;
+                self.read(id, rest)
+            }
             "WRITE" => self.write(id, rest).await,
             "EXECUTE" => {
                 let (name, arguments) = rest.split_once(' ')?;
--- a/tests/testsuite/platform_codecs.rs
+++ b/tests/testsuite/platform_codecs.rs
@@ -170,6 +170,23 @@
     assert!(parse_settings("- a list").is_err());
 }
 
+/// A deployment without the contract must be served as before, whatever other contracts it has.
+#[test]
+fn degradation_needs_its_contract() {
+    let text = "NodeName: front-1\nIp: 127.0.0.1\nZone: a\n\
+        Listen:\n  Front: 127.0.0.1:1\n  Ready: 127.0.0.1:2\nInternalPorts: [3, 4]\n\
+        Bounds:\n  RevokeMs: 5000\n  GraceS: 4\n\
+        platform:\n  Address: 127.0.0.1:5\nCloud:\n  Address: 127.0.0.1:6\n";
+    for (contracts, expected) in [
+        ("", false),
+        ("Contracts: [quota]\n", false),
+        ("Contracts: [quota, health]\n", true),
+    ] {
+        let settings = parse_settings(&format!("{text}{contracts}")).expect("settings");
+        assert_eq!(settings.endpoints_may_degrade, expected, "{contracts}");
+    }
+}
+
 proptest! {
     /// Arbitrary bytes must give the same messages when split at any position, and never panic.
     #[test]
