--- a/crates/session-core/src/pace_collector.rs
+++ b/crates/session-core/src/pace_collector.rs
@@ -99,7 +99,8 @@
         self.fresh.clear();
         self.records.clear();
         let entries = known.entries().filter(|_| known.is_current(now));
-        for entry in entries {
+        self.digest = PaceDigest(entries.copied().collect());
+        for entry in &self.digest.0 {
             let record = PaceRecord::with_admitted(entry.admitted.as_ratio());
             self.records.insert(entry.endpoint, record);
         }
--- a/crates/session-core/tests/testsuite/endpoint_paces.rs
+++ b/crates/session-core/tests/testsuite/endpoint_paces.rs
@@ -215,6 +215,7 @@
     pace.record_digest(now, former.digest());
     let mut successor = PaceCollector::default();
     successor.resume(&pace, now);
+    assert_eq!(successor.digest(), former.digest());
     successor.update(entries.iter(), now + Duration::from_millis(300));
     let admitted = successor.digest().0[0].admitted.as_ratio();
     assert!(admitted < 0.5, "{admitted}");
