--- a/crates/front/src/caller_session.rs
+++ b/crates/front/src/caller_session.rs
@@ -26,6 +26,7 @@
 use tokio::net::TcpStream;
 use tokio_util::codec::Framed;
 
+use crate::endpoint_pool::BusyEndpoint;
 use crate::endpoint_pool::PooledConnection;
 use crate::instance::Instance;
 
@@ -41,6 +42,9 @@
 /// Timeout of a rollback on an endpoint.
 const ROLLBACK_TIMEOUT: Duration = Duration::from_millis(500);
 
+/// Reason of a refusal because an endpoint is busy.
+pub(crate) const BUSY_REASON: &str = "endpoint_busy";
+
 /// Reason why a session ended, for log lines.
 pub type EndReason = &'static str;
 
@@ -73,6 +77,10 @@
     /// Position of the session's newest commit.
     pub(crate) floor: Option<LogPoint>,
     pub(crate) transaction: Option<OpenTransaction>,
+    /// The endpoint that was too busy for the present request.
+    pub(crate) busy: Option<BusyEndpoint>,
+    /// Number of requests refused by busy endpoints since the last one that was served.
+    pub(crate) busy_refusals: u32,
     served: u64,
 }
 
@@ -87,6 +95,8 @@
             values: SessionValues::default(),
             floor: None,
             transaction: None,
+            busy: None,
+            busy_refusals: 0,
             served: 0,
         }
     }
@@ -396,6 +406,8 @@
         reason: &'static str,
         arrived: MonotonicTime,
     ) {
+        let busy = self.busy.take().filter(|_| reason == BUSY_REASON);
+        self.busy_refusals += u32::from(busy.is_some());
         tracing::info!(
             event = "request_refused",
             request = id,
@@ -404,6 +416,9 @@
             database = self.database,
             version = self.version(),
             held_ms = now().saturating_since(arrived).as_millis() as u64,
+            endpoint = busy.as_ref().map(|busy| busy.endpoint.as_str()),
+            limit = busy.as_ref().map(|busy| busy.limit),
+            queue = busy.as_ref().map(|busy| busy.queue),
         );
         self.instance
             .metrics
--- a/crates/front/src/endpoint_pool.rs
+++ b/crates/front/src/endpoint_pool.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use platform::caller_codec::SessionState;
+use session_core::admission_queue::AdmissionRequest;
 use session_core::endpoint_entry::EndpointEntry;
 use session_core::endpoint_load::EndpointLoad;
 use session_core::floor_history::FloorHistory;
@@ -16,6 +17,7 @@
 use session_core::ids::TeamId;
 use session_core::monotonic_time::MonotonicTime;
 use session_core::monotonic_time::now;
+use session_core::pace_sample::WorkKind;
 use session_core::session_values::SessionValues;
 use session_core::statement_limiter::StatementLimiter;
 use tokio::sync::Notify;
@@ -53,6 +55,8 @@
 pub struct EndpointPool {
     endpoints: RefCell<HashMap<EndpointId, EndpointState>>,
     opened: Cell<u64>,
+    /// Whether new limiters queue fairly between teams and refuse early.
+    admits_fairly: bool,
 }
 
 /// Errors of acquiring a connection.
@@ -114,40 +118,80 @@
 pub struct StatementPermit {
     pool: Rc<EndpointPool>,
     endpoint: EndpointId,
+    /// Kind of the statement and when it was permitted, if it was queued.
+    work: Option<(WorkKind, MonotonicTime)>,
+}
+
+/// Why a request got no permit.
+#[derive(Debug, Clone, PartialEq)]
+pub struct BusyEndpoint {
+    /// Id of the endpoint.
+    pub endpoint: EndpointId,
+    /// Number of statements that this instance may run there at once.
+    pub limit: f64,
+    /// Number of requests that wait for it here.
+    pub queue: usize,
 }
 
 impl Drop for StatementPermit {
     fn drop(&mut self) {
-        self.pool
-            .with_limiter(&self.endpoint, |limiter| limiter.release(now()));
+        let at = now();
+        self.pool.with_limiter(&self.endpoint, |limiter| {
+            if let Some((kind, since)) = self.work {
+                limiter.record_work(kind, at.saturating_since(since), at);
+            }
+            limiter.release(at);
+        });
     }
 }
 
 impl EndpointPool {
-    /// Waits in the endpoint's queue for a permit to run a first statement. Returns `None` if that
-    /// takes longer than `wait`.
+    /// Creates an empty pool. With `admits_fairly`, requests queue fairly between teams and are
+    /// refused at once if they would wait too long.
+    pub fn new(admits_fairly: bool) -> Self {
+        Self {
+            admits_fairly,
+            ..Self::default()
+        }
+    }
+
+    /// Waits in the endpoint's queue for a permit to run a first statement.
+    ///
+    /// # Errors
+    ///
+    /// Returns the state of the queue if the request waited for its time, or would have to.
     pub async fn acquire_permit(
         self: &Rc<Self>,
         entry: &EndpointEntry,
         instances: usize,
-        priority: u8,
-        wait: Duration,
-    ) -> Option<StatementPermit> {
+        request: &AdmissionRequest,
+    ) -> Result<StatementPermit, BusyEndpoint> {
         let endpoint = &entry.id;
         self.create_limiter(entry, instances);
-        let ticket = self.with_limiter(endpoint, |limiter| limiter.enqueue(priority))?;
-        let end = now() + wait;
+        let offered = self.with_limiter(endpoint, |limiter| limiter.offer(request, now()));
+        let Some(ticket) = offered.flatten() else {
+            return Err(self.busy_endpoint(endpoint));
+        };
+        let end = now() + request.wait;
         loop {
-            if self.with_limiter(endpoint, |limiter| limiter.try_acquire(ticket, now()))? {
-                return Some(self.permit_for(endpoint));
+            let acquired =
+                self.with_limiter(endpoint, |limiter| limiter.try_acquire(ticket, now()));
+            if acquired == Some(true) {
+                let mut permit = self.permit_for(endpoint);
+                permit.work = Some((request.kind, now()));
+                return Ok(permit);
             }
             let changes = self.limiter_changes(endpoint);
             let remaining = end.saturating_since(now());
-            if remaining.is_zero() {
+            let hopeless =
+                self.with_limiter(endpoint, |limiter| limiter.is_hopeless(ticket, now()));
+            if remaining.is_zero() || hopeless != Some(false) {
+                let busy = self.busy_endpoint(endpoint);
                 self.with_limiter(endpoint, |limiter| limiter.cancel(ticket));
-                return None;
+                return Err(busy);
             }
-            let pause = self.with_limiter(endpoint, |limiter| limiter.pause(now()))?;
+            let pause = self.with_limiter(endpoint, |limiter| limiter.pause(now()));
+            let pause = pause.unwrap_or_default();
             let pause = match pause.is_zero() {
                 true => remaining,
                 false => pause.min(remaining),
@@ -178,15 +222,30 @@
     fn create_limiter(&self, entry: &EndpointEntry, instances: usize) {
         let mut endpoints = self.endpoints.borrow_mut();
         let state = endpoints.entry(entry.id.clone()).or_default();
-        state
-            .limiter
-            .get_or_insert_with(|| StatementLimiter::new(entry.slots.0, instances));
+        state.limiter.get_or_insert_with(|| {
+            let limiter = StatementLimiter::new(entry.slots.0, instances);
+            match self.admits_fairly {
+                true => limiter.with_admission(),
+                false => limiter,
+            }
+        });
+    }
+
+    fn busy_endpoint(&self, endpoint: &EndpointId) -> BusyEndpoint {
+        let state = self.with_limiter(endpoint, |limiter| (limiter.limit(), limiter.waiting()));
+        let (limit, queue) = state.unwrap_or_default();
+        BusyEndpoint {
+            endpoint: endpoint.clone(),
+            limit,
+            queue,
+        }
     }
 
     fn permit_for(self: &Rc<Self>, endpoint: &EndpointId) -> StatementPermit {
         StatementPermit {
             pool: Rc::clone(self),
             endpoint: endpoint.clone(),
+            work: None,
         }
     }
 
@@ -296,6 +355,16 @@
         u32::try_from(pairs).unwrap_or(u32::MAX)
     }
 
+    /// Returns the endpoints for which requests wait here, with their number.
+    pub fn waiting_requests(&self) -> Vec<(EndpointId, usize)> {
+        let endpoints = self.endpoints.borrow();
+        let waiting = endpoints.iter().filter_map(|(id, state)| {
+            let waiting = state.limiter.as_ref()?.waiting();
+            (waiting > 0).then(|| (id.clone(), waiting))
+        });
+        waiting.collect()
+    }
+
     /// Returns the number of connections opened since the start.
     pub fn opened_connections(&self) -> u64 {
         self.opened.get()
--- a/crates/front/src/instance.rs
+++ b/crates/front/src/instance.rs
@@ -557,6 +557,14 @@
             "tamaracklb_open{{what=\"endpoint_connections\"}} {connections}\n"
         ));
         text.push_str(&self.paces.metrics_text(self));
+        for (index, (endpoint, waiting)) in self.pool.waiting_requests().iter().enumerate() {
+            if index == 0 {
+                text.push_str("# TYPE tamaracklb_endpoint_waiting gauge\n");
+            }
+            text.push_str(&format!(
+                "tamaracklb_endpoint_waiting{{endpoint=\"{endpoint}\"}} {waiting}\n"
+            ));
+        }
         text
     }
 }
--- a/crates/front/src/instance_run.rs
+++ b/crates/front/src/instance_run.rs
@@ -22,6 +22,7 @@
 use tokio::task::LocalSet;
 
 use crate::caller_listener;
+use crate::endpoint_pool::EndpointPool;
 use crate::group_leader;
 use crate::instance::Instance;
 use crate::instance_limits::IDLE_TICKS;
@@ -102,7 +103,7 @@
         promotion_client: PromotionClient::new(settings.duty_address, calls.clone()),
         lease: StoreLease::default(),
         leader_lease: Cell::new(None),
-        pool: Rc::default(),
+        pool: Rc::new(EndpointPool::new(settings.endpoints_may_degrade)),
         // Starting at the current time keeps the request numbers of two incarnations distinct.
         rates: RateExchange::new(now().as_nanos()),
         paces: PaceExchange::new(choice_seed(&settings)),
--- a/crates/front/src/request_attempt.rs
+++ b/crates/front/src/request_attempt.rs
@@ -6,18 +6,21 @@
 use platform::caller_codec::SessionState;
 use platform::endpoint_codec::EndpointCommand;
 use platform::endpoint_codec::ForwardedStatement;
+use session_core::admission_queue::AdmissionRequest;
 use session_core::caller_statement::AccessMode;
 use session_core::caller_statement::StatementDefinition;
 use session_core::ids::EndpointId;
 use session_core::ids::TeamId;
 use session_core::monotonic_time::MonotonicTime;
 use session_core::monotonic_time::now;
+use session_core::pace_sample::WorkKind;
 use session_core::request_outcome;
 use session_core::request_outcome::EndpointRefusal;
 use session_core::request_outcome::OutcomeScope;
 use session_core::request_outcome::StatementFault;
 use session_core::serving_rules::DatabaseRoute;
 
+use crate::caller_session::BUSY_REASON;
 use crate::caller_session::CallerSession;
 use crate::endpoint_connection::EndpointAnswer;
 use crate::endpoint_pool::PoolError;
@@ -28,6 +31,7 @@
 use crate::request_route;
 use crate::request_route::ChosenEndpoint;
 use crate::request_route::RouteQuery;
+use crate::request_route::RouteRefusal;
 
 /// Pause before a retry after an endpoint's queue was full.
 const BUSY_PAUSE: Duration = Duration::from_millis(15);
@@ -58,6 +62,8 @@
     Answered(EndpointAnswer, Box<PooledConnection>, Box<ChosenEndpoint>),
     /// The request may be retried after this pause, also on another endpoint.
     Retry(Duration),
+    /// The request is refused at once, since it cannot be offered in time.
+    Refused,
     /// The statement must not be retried; the fault is reported to the caller.
     Failed(StatementFault),
 }
@@ -84,6 +90,10 @@
         };
         let chosen = match request_route::choose_endpoint(&self.instance, &query) {
             Ok(chosen) => chosen,
+            Err(RouteRefusal::NoEndpoint) if self.busy.is_some() => {
+                *reason = BUSY_REASON;
+                return AttemptOutcome::Refused;
+            }
             Err(refusal) => {
                 *reason = refusal.reason();
                 progress.excluded.clear();
@@ -91,19 +101,35 @@
             }
         };
         let endpoint = chosen.entry.id.clone();
+        // The primary is chosen again although it was busy, if only it can run the statement.
+        if self.busy.as_ref().is_some_and(|b| b.endpoint == endpoint) {
+            *reason = BUSY_REASON;
+            return AttemptOutcome::Refused;
+        }
         let outstanding = self.instance.pool.count_outstanding(&endpoint);
         let queue_end = progress.arrived + route.target_latency.mul_f64(QUEUE_FRACTION);
         let wait = queue_end.saturating_since(now()).max(MIN_WAIT);
         let limit = self.instance.connection_limit(&route.service);
         let instances = self.instance.view.borrow().members.len();
         let pool = &self.instance.pool;
-        let Some(permit) = pool
-            .acquire_permit(&chosen.entry, instances, route.priority, wait)
+        let request = AdmissionRequest {
+            team: team.cloned(),
+            kind: WorkKind::of(&self.database),
+            priority: route.priority,
+            refusals: self.busy_refusals,
+            wait,
+        };
+        let permit = match pool
+            .acquire_permit(&chosen.entry, instances, &request)
             .await
-        else {
-            *reason = "endpoint_busy";
-            progress.excluded.push(endpoint);
-            return AttemptOutcome::Retry(Duration::ZERO);
+        {
+            Ok(permit) => permit,
+            Err(busy) => {
+                *reason = BUSY_REASON;
+                self.busy = Some(busy).filter(|_| self.instance.settings.endpoints_may_degrade);
+                progress.excluded.push(endpoint);
+                return AttemptOutcome::Retry(Duration::ZERO);
+            }
         };
         let wait = queue_end.saturating_since(now()).max(MIN_WAIT);
         let acquired = pool
--- a/crates/front/src/statement_run.rs
+++ b/crates/front/src/statement_run.rs
@@ -220,6 +220,7 @@
             last_fault: None,
         };
         let mut reason = "no_endpoint";
+        self.busy = None;
         loop {
             let route = match self.access() {
                 Ok((route, current)) if current == team => route,
@@ -253,6 +254,10 @@
                     self.send_first_fault(&progress, scope, endpoint, fault);
                     return None;
                 }
+                AttemptOutcome::Refused => {
+                    self.give_up(&progress, scope, team.as_ref(), reason);
+                    return None;
+                }
                 AttemptOutcome::Retry(pause) => {
                     let fraction = match progress.first_sent_at {
                         Some(_) => RETRY_FRACTION,
@@ -260,11 +265,7 @@
                     };
                     let end = arrived + route.target_latency.mul_f64(fraction);
                     if now() + pause >= end {
-                        if let Some(team) = &team {
-                            self.instance.rates.give_back(team);
-                        }
-                        self.fail_transaction();
-                        self.refuse_unserved(&progress, scope, reason);
+                        self.give_up(&progress, scope, team.as_ref(), reason);
                         return None;
                     }
                     tokio::time::sleep(pause).await;
@@ -379,6 +380,21 @@
         self.send_answer(progress.id, scope, &endpoint, answer, progress.arrived);
     }
 
+    /// Refuses a request that is not retried any more, and returns its token.
+    fn give_up(
+        &mut self,
+        progress: &RequestProgress<'_>,
+        scope: OutcomeScope,
+        team: Option<&TeamId>,
+        reason: &'static str,
+    ) {
+        if let Some(team) = team {
+            self.instance.rates.give_back(team);
+        }
+        self.fail_transaction();
+        self.refuse_unserved(progress, scope, reason);
+    }
+
     fn refuse_unserved(
         &mut self,
         progress: &RequestProgress<'_>,
@@ -455,6 +471,7 @@
                     took_ms = held.as_millis() as u64,
                 );
                 self.count_outcome("served");
+                self.busy_refusals = 0;
                 let receipt = receipt.clone();
                 for row in answer.rows {
                     self.queue_reply(CallerReply::Row(row));
--- a/crates/front/tests/testsuite/degraded_endpoints.rs
+++ b/crates/front/tests/testsuite/degraded_endpoints.rs
@@ -12,6 +12,17 @@
 const SLOW_ENDPOINT: &str = "db-2";
 const CALLERS: usize = 4;
 
+async fn start_fleet(cpu_shares: &[f64]) -> Fleet {
+    let mut fleet = Fleet::start_sized(cpu_shares).await;
+    for instance in &mut fleet.instances {
+        let appended = instance.process.append_settings("Contracts:\n  - health\n");
+        appended.expect("write the settings");
+        instance.restart();
+    }
+    fleet.await_service().await;
+    fleet
+}
+
 fn set_delay(fleet: &Fleet, delay: Duration) {
     let mut group = fleet.platform.shared.group();
     let endpoint = group.endpoints.get_mut(SLOW_ENDPOINT).expect("an endpoint");
@@ -44,13 +55,7 @@
 /// metrics of each, and be used again after it recovered.
 #[tokio::test]
 async fn slow_replica_is_avoided() {
-    let mut fleet = Fleet::start_sized(&[0.5, 0.08]).await;
-    for instance in &mut fleet.instances {
-        let appended = instance.process.append_settings("Contracts:\n  - health\n");
-        appended.expect("write the settings");
-        instance.restart();
-    }
-    fleet.await_service().await;
+    let fleet = start_fleet(&[0.5, 0.08]).await;
     let mut readers = JoinSet::new();
     start_readers(&fleet, &mut readers);
     set_delay(&fleet, Duration::from_millis(120));
@@ -74,3 +79,49 @@
     }
     panic!("{name} is not shown");
 }
+
+/// A crowd at one endpoint must be refused with what the operators need to find the cause, and must
+/// leave nothing in the queue.
+#[tokio::test]
+async fn crowded_endpoint_is_named() {
+    let fleet = start_fleet(&[0.5]).await;
+    let primary = fleet.primary();
+    {
+        let mut group = fleet.platform.shared.group();
+        let endpoint = group.endpoints.get_mut(&primary).expect("an endpoint");
+        endpoint.read_delay = Duration::from_millis(150);
+    }
+    let mut readers = JoinSet::new();
+    for _ in 0..24 {
+        let callers = fleet.instances[0].process.callers;
+        readers.spawn(async move {
+            let mut session = LineCaller::open(callers, "linear", KEY).await;
+            for _ in 0..8 {
+                let answer = session.request("READ page").await;
+                assert!(
+                    answer.succeeded() || answer.reports_not_applied(),
+                    "{answer:?}"
+                );
+            }
+        });
+    }
+    while let Some(ended) = readers.join_next().await {
+        ended.expect("a reader failed");
+    }
+    let mut caller = fleet.caller(0, "linear").await;
+    let request = caller.next_id();
+    caller.request_until_served("READ page").await;
+    fleet.instances[0].await_log(&request).await;
+    let log = fleet.instances[0].log();
+    let refused = log
+        .lines()
+        .find(|line| line.contains("\"reason\":\"endpoint_busy\""));
+    let refused = refused.expect("a refusal");
+    for field in [
+        &format!("\"endpoint\":\"{primary}\""),
+        "\"limit\":",
+        "\"queue\":",
+    ] {
+        assert!(refused.contains(field), "{field}: {refused}");
+    }
+}
--- a/crates/session-core/src/lib.rs
+++ b/crates/session-core/src/lib.rs
@@ -3,6 +3,7 @@
 //! Every function takes its inputs and the time as arguments, so that the daemon, property tests
 //! and simulated fleets run the same code.
 
+pub mod admission_queue;
 pub mod caller_statement;
 pub mod collector_choice;
 pub mod commit_evidence;
@@ -37,4 +38,5 @@
 pub mod session_values;
 pub mod statement_limiter;
 pub mod units;
+pub mod work_pace;
 pub mod work_times;
--- a/crates/session-core/src/statement_limiter.rs
+++ b/crates/session-core/src/statement_limiter.rs
@@ -8,7 +8,11 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use crate::admission_queue::AdmissionPace;
+use crate::admission_queue::AdmissionQueue;
+use crate::admission_queue::AdmissionRequest;
 use crate::monotonic_time::MonotonicTime;
+use crate::pace_sample::WorkKind;
 
 /// Maximum number of statements that an instance runs at once on a new endpoint.
 const MAX_INITIAL_LIMIT: f64 = 3.0;
@@ -67,6 +71,8 @@
     limit: f64,
     running: usize,
     waiting: BTreeSet<QueueTicket>,
+    /// Queue that is fair between teams and refuses early; used in place of `waiting` if present.
+    admission: Option<AdmissionQueue>,
     next_number: u64,
     latency_ms: f64,
     paused_until: MonotonicTime,
@@ -82,6 +88,7 @@
             limit: even.clamp(MIN_LIMIT, MAX_INITIAL_LIMIT),
             running: 0,
             waiting: BTreeSet::new(),
+            admission: None,
             next_number: 0,
             latency_ms: INITIAL_LATENCY_MS,
             paused_until: MonotonicTime::default(),
@@ -89,6 +96,54 @@
         }
     }
 
+    /// Makes the queue fair between teams, and lets it refuse requests that would wait too long.
+    #[must_use]
+    pub fn with_admission(mut self) -> Self {
+        self.admission = Some(AdmissionQueue::default());
+        self
+    }
+
+    /// Adds a request to the queue. Returns `None` if it cannot be expected to start within its
+    /// waiting time.
+    pub fn offer(&mut self, request: &AdmissionRequest, now: MonotonicTime) -> Option<QueueTicket> {
+        let pace = self.admission_pace(now);
+        match &mut self.admission {
+            Some(queue) => Some(QueueTicket {
+                priority: request.priority,
+                number: queue.enqueue(request, pace, now)?,
+            }),
+            None => Some(self.enqueue(request.priority)),
+        }
+    }
+
+    /// Returns whether a queued request cannot be expected to start in time any more.
+    pub fn is_hopeless(&mut self, ticket: QueueTicket, now: MonotonicTime) -> bool {
+        let pace = self.admission_pace(now);
+        let queue = self.admission.as_mut();
+        queue.is_some_and(|queue| queue.is_hopeless(ticket.number, pace, now))
+    }
+
+    /// Records the time for which a statement of the queue occupied the limiter.
+    pub fn record_work(&mut self, kind: WorkKind, held: Duration, now: MonotonicTime) {
+        if let Some(queue) = &mut self.admission {
+            queue.record_work(kind, held, now);
+        }
+    }
+
+    fn admission_pace(&self, now: MonotonicTime) -> AdmissionPace {
+        AdmissionPace {
+            limit: self.limit,
+            has_capacity: self.has_capacity(now),
+            pause: self.pause(now),
+        }
+    }
+
+    /// Returns the number of statements that may run at once; below one, the fraction of the time in
+    /// which one may run.
+    pub fn limit(&self) -> f64 {
+        self.limit
+    }
+
     /// Adds a request to the queue; priority 0 is served first.
     pub fn enqueue(&mut self, priority: u8) -> QueueTicket {
         let ticket = QueueTicket {
@@ -103,9 +158,18 @@
     /// Starts the statement of a queued request if there is capacity and the request is the first
     /// in the queue. Returns whether it started.
     pub fn try_acquire(&mut self, ticket: QueueTicket, now: MonotonicTime) -> bool {
-        let allowed = self.has_capacity(now) && self.waiting.first() == Some(&ticket);
+        let is_first = match &self.admission {
+            Some(queue) => queue.first() == Some(ticket.number),
+            None => self.waiting.first() == Some(&ticket),
+        };
+        let allowed = self.has_capacity(now) && is_first;
         if allowed {
-            self.waiting.remove(&ticket);
+            match &mut self.admission {
+                Some(queue) => queue.start(ticket.number),
+                None => {
+                    self.waiting.remove(&ticket);
+                }
+            }
             self.running += 1;
         }
         allowed
@@ -118,7 +182,12 @@
 
     /// Removes a request from the queue.
     pub fn cancel(&mut self, ticket: QueueTicket) {
-        self.waiting.remove(&ticket);
+        match &mut self.admission {
+            Some(queue) => queue.cancel(ticket.number),
+            None => {
+                self.waiting.remove(&ticket);
+            }
+        }
     }
 
     /// Starts a statement without queueing, for statements inside a transaction.
@@ -158,7 +227,8 @@
 
     /// Returns the number of queued requests.
     pub fn waiting(&self) -> usize {
-        self.waiting.len()
+        let queue = self.admission.as_ref();
+        queue.map_or(self.waiting.len(), AdmissionQueue::len)
     }
 
     /// Adapts the limit to the latency of an answer.
@@ -170,7 +240,7 @@
             self.limit = (self.limit * DECREASE_FACTOR).max(MIN_LIMIT);
         } else if self.limit < 1.0 {
             self.limit *= LOW_LIMIT_INCREASE_FACTOR;
-        } else if !self.has_capacity(now) || !self.waiting.is_empty() {
+        } else if !self.has_capacity(now) || self.waiting() > 0 {
             self.limit = (self.limit + INCREASE_STEP).min(MAX_LIMIT);
         }
     }
