--- a/crates/front/src/caller_session.rs
+++ b/crates/front/src/caller_session.rs
@@ -26,6 +26,7 @@
 
 use crate::caller_memory::CloseCause;
 use crate::caller_memory::ConnectionMemory;
+use crate::endpoint_pool::BusyEndpoint;
 use crate::endpoint_pool::PooledConnection;
 use crate::instance::Instance;
 use crate::line_channel::LineChannel;
@@ -61,6 +62,9 @@
 /// Memory of a value or a prepared name in addition to its text.
 const STATE_ENTRY_BYTES: usize = 128;
 
+/// Reason of a refusal because an endpoint is busy.
+pub(crate) const BUSY_REASON: &str = "endpoint_busy";
+
 /// Reason why a session ended, for log lines.
 pub type EndReason = &'static str;
 
@@ -108,6 +112,10 @@
     state_bytes: usize,
     /// When the first byte of the message arrived that is being received.
     message_begun_at: Option<MonotonicTime>,
+    /// The endpoint that was too busy for the present request.
+    pub(crate) busy: Option<BusyEndpoint>,
+    /// Number of requests refused by busy endpoints since the last one that was served.
+    pub(crate) busy_refusals: u32,
     served: u64,
 }
 
@@ -125,6 +133,8 @@
             transaction: None,
             state_bytes: 0,
             message_begun_at: None,
+            busy: None,
+            busy_refusals: 0,
             served: 0,
         }
     }
@@ -581,6 +591,8 @@
         reason: &'static str,
         arrived: MonotonicTime,
     ) {
+        let busy = self.busy.take().filter(|_| reason == BUSY_REASON);
+        self.busy_refusals += u32::from(busy.is_some());
         tracing::info!(
             event = "request_refused",
             request = shown_id(id),
@@ -589,6 +601,9 @@
             database = self.database,
             version = self.version(),
             held_ms = now().saturating_since(arrived).as_millis() as u64,
+            endpoint = busy.as_ref().map(|busy| busy.endpoint.as_str()),
+            limit = busy.as_ref().map(|busy| busy.limit),
+            queue = busy.as_ref().map(|busy| busy.queue),
         );
         self.instance
             .metrics
--- a/crates/front/src/instance.rs
+++ b/crates/front/src/instance.rs
@@ -55,6 +55,7 @@
 use crate::instance_limits::SKEW_FACTOR;
 use crate::instance_limits::STORE_UNREACHABLE_AGE;
 use crate::metrics::FrontMetrics;
+use crate::pace_exchange::PaceExchange;
 use crate::rate_exchange::RateExchange;
 use crate::relay_message::RelayFloor;
 use crate::store_lease::StoreLease;
@@ -101,6 +102,8 @@
     pub writes_lenders: Cell<bool>,
     /// When each instance last sent a request or report, by peer address.
     pub heard_at: RefCell<HashMap<SocketAddr, MonotonicTime>>,
+    /// Observed pace and failures of the endpoints, shared within the zone.
+    pub paces: PaceExchange,
     /// This instance's share of the connections that endpoints accept.
     pub connection_share: RefCell<ConnectionShare>,
     /// Log positions of the primary over time, by service.
@@ -805,6 +808,15 @@
              tamaracklb_provided_connections_total{{opened=\"true\"}} {opened}\n\
              tamaracklb_provided_connections_total{{opened=\"false\"}} {kept}\n"
         ));
+        text.push_str(&self.paces.metrics_text(self));
+        for (index, (endpoint, waiting)) in self.pool.waiting_requests().iter().enumerate() {
+            if index == 0 {
+                text.push_str("# TYPE tamaracklb_endpoint_waiting gauge\n");
+            }
+            text.push_str(&format!(
+                "tamaracklb_endpoint_waiting{{endpoint=\"{endpoint}\"}} {waiting}\n"
+            ));
+        }
         text
     }
 }
--- a/crates/front/src/instance_run.rs
+++ b/crates/front/src/instance_run.rs
@@ -3,6 +3,9 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::fmt;
+use std::hash::DefaultHasher;
+use std::hash::Hash;
+use std::hash::Hasher;
 use std::io;
 use std::rc::Rc;
 
@@ -21,6 +24,7 @@
 
 use crate::caller_listener;
 use crate::caller_memory::CallerMemory;
+use crate::endpoint_pool::EndpointPool;
 use crate::event_limiter::EventLimiter;
 use crate::group_leader;
 use crate::host_links::HostLinks;
@@ -32,6 +36,8 @@
 use crate::lender_link;
 use crate::log_output::LogOutput;
 use crate::metrics::FrontMetrics;
+use crate::pace_exchange;
+use crate::pace_exchange::PaceExchange;
 use crate::peer_link;
 use crate::position_probe;
 use crate::rate_exchange::RateExchange;
@@ -104,13 +110,14 @@
         promotion_client: PromotionClient::new(settings.duty_address, calls.clone()),
         lease: StoreLease::default(),
         leader_lease: Cell::new(None),
-        pool: Rc::default(),
+        pool: Rc::new(EndpointPool::new(settings.endpoints_may_degrade)),
         // Starting at the current time keeps the request numbers of two incarnations distinct.
         rates: RateExchange::new(now().as_nanos()),
         lender_roster: RefCell::default(),
         lending_right: RefCell::new(LendingRight::new(now())),
         writes_lenders: Cell::new(false),
         heard_at: RefCell::default(),
+        paces: PaceExchange::new(choice_seed(&settings)),
         connection_share: RefCell::default(),
         floors: RefCell::default(),
         commits: RefCell::default(),
@@ -169,6 +176,13 @@
     Ok(())
 }
 
+/// Returns a seed for the choice of endpoints that differs between instances and between lives.
+fn choice_seed(settings: &InstanceSettings) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    (&settings.instance, now().as_nanos()).hash(&mut hasher);
+    hasher.finish()
+}
+
 /// Runs the periodic tasks of all components.
 async fn run_ticks(instance: Rc<Instance>, log: LogOutput) {
     let mut interval = tokio::time::interval(TICK_PERIOD);
@@ -183,6 +197,7 @@
         lender_link::renew_rights(&instance, tick);
         instance.view.borrow_mut().drop_missing(now());
         peer_link::prefetch_loans(&instance, tick);
+        pace_exchange::report_reads(&instance, tick);
         if tick % IDLE_TICKS == 0 && instance.connections_are_scarce() {
             instance.pool.close_idle(|id| instance.idle_time(id));
         }
--- a/crates/front/src/main.rs
+++ b/crates/front/src/main.rs
@@ -26,6 +26,7 @@
 mod log_output;
 mod message_parts;
 mod metrics;
+mod pace_exchange;
 mod packed_value;
 mod peer_link;
 mod peer_message;
--- a/crates/front/src/peer_link.rs
+++ b/crates/front/src/peer_link.rs
@@ -11,6 +11,7 @@
 use crate::instance_limits::REQUEST_TICKS;
 use crate::instance_limits::TICK_PERIOD;
 use crate::lender_link;
+use crate::pace_exchange;
 use crate::peer_message::MAX_DATAGRAM_BYTES;
 use crate::peer_message::PeerMessage;
 
@@ -114,6 +115,10 @@
         PeerMessage::RightRenewed { token, answer } => {
             lender_link::receive_answer(instance, token, answer, from);
         }
+        PeerMessage::Observed { sent, samples } => {
+            pace_exchange::answer_report(instance, sent, &samples, from);
+        }
+        PeerMessage::Paces { sent, digest } => instance.paces.record_digest(from, sent, &digest),
     }
 }
 
--- a/crates/front/src/statement_run.rs
+++ b/crates/front/src/statement_run.rs
@@ -267,6 +267,7 @@
             last_fault: None,
         };
         let mut reason = "no_endpoint";
+        self.busy = None;
         loop {
             let route = match self.access() {
                 Ok((route, current)) if current == team => route,
@@ -524,6 +525,7 @@
                     took_ms = held.as_millis() as u64,
                 );
                 self.count_outcome("served");
+                self.busy_refusals = 0;
                 let receipt = receipt.clone();
                 let bytes: usize = answer.rows.iter().map(|row| row.len() + ROW_BYTES).sum();
                 self.channel.reserve_output(bytes);
