--- a/crates/front/src/host_links.rs
+++ b/crates/front/src/host_links.rs
@@ -15,6 +15,7 @@
 use session_core::ids::EndpointId;
 use session_core::ids::InstanceId;
 use session_core::ids::TeamId;
+use session_core::ids::ZoneId;
 use session_core::monotonic_time::MonotonicTime;
 use session_core::monotonic_time::now;
 use session_core::session_values;
@@ -27,6 +28,7 @@
 use crate::endpoint_pool::PoolError;
 use crate::endpoint_pool::PooledConnection;
 use crate::fleet_keys::MemberValue;
+use crate::fleet_view::FleetView;
 use crate::host_channel::HostChannel;
 use crate::host_link::HostLink;
 use crate::host_link::LinkError;
@@ -88,15 +90,39 @@
     Pool(PoolError),
 }
 
-/// Candidates by endpoint, with the revision of the view from which they were derived.
-type CandidateCache = HashMap<EndpointId, (u64, Rc<Vec<HostCandidate>>)>;
+/// Candidates of an endpoint and the state from which they were derived.
+#[derive(Debug)]
+struct KnownCandidates {
+    zone: ZoneId,
+    /// Revision of the view.
+    revision: u64,
+    members: MembersVersion,
+    candidates: Rc<Vec<HostCandidate>>,
+}
+
+/// Number of members and newest revision of a member. Most changes of the view leave it as it is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct MembersVersion {
+    count: usize,
+    revision: u64,
+}
+
+impl MembersVersion {
+    fn of(view: &FleetView) -> Self {
+        let revisions = view.members.values().map(|member| member.revision);
+        Self {
+            count: view.members.len(),
+            revision: revisions.max().unwrap_or(0),
+        }
+    }
+}
 
 /// Links to hosts.
 #[derive(Debug, Default)]
 pub struct HostLinks {
     links: RefCell<HashMap<InstanceId, Rc<HostLink>>>,
     excluded: RefCell<HashMap<InstanceId, HostExclusion>>,
-    candidates: RefCell<CandidateCache>,
+    candidates: RefCell<HashMap<EndpointId, KnownCandidates>>,
     acquired: Cell<u64>,
 }
 
@@ -165,10 +191,19 @@
     pub fn candidates(&self, instance: &Instance, entry: &EndpointEntry) -> Rc<Vec<HostCandidate>> {
         let view = instance.view.borrow();
         let mut cache = self.candidates.borrow_mut();
-        if let Some((revision, candidates)) = cache.get(&entry.id)
-            && *revision == view.revision
+        let known = cache.get_mut(&entry.id);
+        let mut known = known.filter(|known| known.zone == entry.zone);
+        if let Some(known) = &known
+            && known.revision == view.revision
+        {
+            return Rc::clone(&known.candidates);
+        }
+        let members_version = MembersVersion::of(&view);
+        if let Some(known) = &mut known
+            && known.members == members_version
         {
-            return Rc::clone(candidates);
+            known.revision = view.revision;
+            return Rc::clone(&known.candidates);
         }
         let in_zone = |member: &MemberValue| member.zone == entry.zone;
         // The endpoints of a zone without instances have their hosts in any zone.
@@ -190,7 +225,13 @@
         cache.retain(|id, _| view.endpoints.contains_key(id));
         let mut excluded = self.excluded.borrow_mut();
         excluded.retain(|host, _| view.members.contains_key(host));
-        cache.insert(entry.id.clone(), (view.revision, Rc::clone(&candidates)));
+        let known = KnownCandidates {
+            zone: entry.zone.clone(),
+            revision: view.revision,
+            members: members_version,
+            candidates: Rc::clone(&candidates),
+        };
+        cache.insert(entry.id.clone(), known);
         candidates
     }
 
