--- a/crates/front/src/host_link.rs
+++ b/crates/front/src/host_link.rs
@@ -25,6 +25,7 @@
 use crate::host_message::HostReply;
 use crate::host_message::HostRequest;
 use crate::host_message::LINK_CHANNEL;
+use crate::host_message::LINK_VERSION;
 use crate::instance_limits::UNACKNOWLEDGED_TIMEOUT;
 use crate::link_outbox::LinkOutbox;
 use crate::link_outbox::OutboxError;
@@ -143,7 +144,8 @@
             endpoint_faults: RefCell::default(),
         });
         // The answer confirms the link, and its absence ends it.
-        let _ = link.request(LINK_CHANNEL, &HostRequest::Ping);
+        let version = LINK_VERSION;
+        let _ = link.request(LINK_CHANNEL, &HostRequest::Hello { version });
         tokio::task::spawn_local(Rc::clone(&link).run(address));
         link
     }
--- a/crates/front/src/host_links.rs
+++ b/crates/front/src/host_links.rs
@@ -39,6 +39,7 @@
 use crate::host_message::ReplyBody;
 use crate::instance::Instance;
 use crate::instance_limits::CONNECT_TIMEOUT;
+use crate::instance_limits::ROUTE_PAUSE;
 
 /// Time after the failure of a link in which a new one is not tried at once.
 const FAILURE_TIME: Duration = Duration::from_secs(1);
@@ -303,7 +304,11 @@
     let (number, reply) = match link.open_channel(&HostRequest::Acquire(request.clone())) {
         Ok(opened) => opened,
         Err(LinkError::Lost) => return Err(HostError::Unavailable),
-        Err(LinkError::Full) => return Err(HostError::Pool(PoolError::Exhausted)),
+        Err(LinkError::Full) => {
+            // The request is repeated at once if its endpoint is the only one.
+            tokio::time::sleep(ROUTE_PAUSE).await;
+            return Err(HostError::Pool(PoolError::Exhausted));
+        }
     };
     // Releases the channel if the request is given up while it waits.
     let endpoint = need.entry.id.clone();
--- a/crates/front/src/host_message.rs
+++ b/crates/front/src/host_message.rs
@@ -1,4 +1,7 @@
 //! Messages between an instance and the host of an endpoint's connections.
+//!
+//! They contain types of other modules, such as commands and refusals. A change of any of them that
+//! is not a new variant at the end needs a new [`LINK_VERSION`].
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -16,6 +19,9 @@
 
 use crate::endpoint_connection::EndpointAnswer;
 
+/// Version of the messages. Instances of different versions use no links between them.
+pub const LINK_VERSION: u32 = 1;
+
 /// Channel of messages that concern the whole link.
 pub const LINK_CHANNEL: u32 = 0;
 
@@ -41,6 +47,11 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum HostRequest {
+    /// Begins the link and requests a `Pong`. A host of another version closes the link.
+    Hello {
+        /// Version of the sender's messages.
+        version: u32,
+    },
     /// Opens the channel and acquires a connection for it.
     Acquire(ConnectionRequest),
     /// Runs commands on the channel's connection, one after another.
--- a/crates/front/src/host_server.rs
+++ b/crates/front/src/host_server.rs
@@ -32,6 +32,7 @@
 use crate::host_message::HostReply;
 use crate::host_message::HostRequest;
 use crate::host_message::LINK_CHANNEL;
+use crate::host_message::LINK_VERSION;
 use crate::host_message::ReplyBody;
 use crate::instance::Instance;
 use crate::instance_limits::TICK_PERIOD;
@@ -116,6 +117,7 @@
                 instance: Rc::clone(&instance),
                 outbox: Rc::clone(&outbox),
                 channels: HashMap::new(),
+                is_begun: false,
             };
             tokio::select! {
                 error = link.read_requests(reader) => error,
@@ -141,6 +143,8 @@
     outbox: Rc<LinkOutbox>,
     /// Senders of the requests on each channel.
     channels: HashMap<u32, mpsc::Sender<HostRequest>>,
+    /// Whether the other instance has named its version.
+    is_begun: bool,
 }
 
 impl ServedLink {
@@ -180,6 +184,12 @@
     fn handle(&mut self, channel: u32, request: HostRequest) -> io::Result<()> {
         let invalid = || io::Error::from(io::ErrorKind::InvalidData);
         match request {
+            HostRequest::Hello { version } if version == LINK_VERSION => {
+                self.is_begun = true;
+                send_reply(&self.outbox, LINK_CHANNEL, ReplyBody::Pong)
+            }
+            HostRequest::Hello { .. } => Err(io::Error::from(io::ErrorKind::Unsupported)),
+            _ if !self.is_begun => Err(invalid()),
             HostRequest::Ping => send_reply(&self.outbox, LINK_CHANNEL, ReplyBody::Pong),
             HostRequest::Acquire(request) => {
                 let is_open = self.channels.get(&channel).is_some_and(|c| !c.is_closed());
@@ -297,7 +307,8 @@
                     }
                 }
                 Some(HostRequest::Release { reusable }) => return reusable,
-                Some(HostRequest::Acquire(_) | HostRequest::Ping) | None => return false,
+                Some(HostRequest::Hello { .. } | HostRequest::Acquire(_) | HostRequest::Ping)
+                | None => return false,
             }
         }
     }
--- a/crates/front/tests/testsuite/shared_connections.rs
+++ b/crates/front/tests/testsuite/shared_connections.rs
@@ -8,6 +8,8 @@
 use session_core::instance_rank::RankedInstance;
 use session_core::units::ProcessorShare;
 use standins::platform::line_caller::LineCaller;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 
 use crate::fleet::Fleet;
 use crate::test_writers::TestWriters;
@@ -275,6 +277,35 @@
     assert_eq!(read.rows, vec!["1"]);
 }
 
+/// Bytes that are no messages, messages without an end and links that are cut must end only their own
+/// link.
+#[tokio::test]
+async fn odd_links_harm_nothing() {
+    let fleet = start().await;
+    let (host, other) = host_and_other(&fleet);
+    fleet.instances[host].await_log("links_served").await;
+    let log = fleet.instances[host].log();
+    let served = log.lines().find(|line| line.contains("links_served"));
+    let served: serde_json::Value =
+        serde_json::from_str(served.expect("links are served")).expect("the line is JSON");
+    let address = served["address"].as_str().expect("the line has an address");
+    let long = [&4_000_000_000_u32.to_be_bytes()[..], &[7; 100]].concat();
+    let part = vec![0, 0, 0, 6, 0, 0, 0, 9, 1, 0];
+    let no_hello = vec![0, 0, 0, 6, 0, 0, 0, 1, 0, 4];
+    for bytes in [vec![0; 64], vec![255; 4_096], long, part, no_hello] {
+        for _ in 0..20 {
+            let mut stream = TcpStream::connect(address).await.expect("connect");
+            // The host may close the link before it has read everything.
+            let _ = stream.write_all(&bytes).await;
+        }
+    }
+    let mut caller = fleet.caller(other, "linear").await;
+    caller.request_until_served("WRITE page 1").await;
+    let mut caller = fleet.caller(host, "linear").await;
+    let read = caller.request_until_served("READ page").await;
+    assert_eq!(read.rows, vec!["1"]);
+}
+
 /// Where link ports do not answer, as on instances of an earlier version, requests must be served over
 /// direct connections.
 #[tokio::test]
