--- a/crates/front/src/host_link.rs
+++ b/crates/front/src/host_link.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use futures_util::StreamExt;
+use session_core::host_clock::HostClock;
 use session_core::ids::EndpointId;
 use session_core::ids::InstanceId;
 use session_core::monotonic_time::MonotonicTime;
@@ -50,18 +51,6 @@
 /// Time without channels after which a link is closed.
 const LINK_IDLE_TIME: Duration = Duration::from_secs(60);
 
-/// Time within which a host must forward a short command after it was sent. It is short against the
-/// margins with which instances stop using a primary.
-const FORWARD_TIME: Duration = Duration::from_millis(150);
-
-/// Bytes a second that a link carries at least; a larger command gets the time for its bytes. The
-/// slowest links of instances carry 1.25 MB a second.
-const LINK_BYTES_PER_S: f64 = 500_000.0;
-
-/// Age at which the newest known time of the host's clock is replaced even by a worse one, since
-/// clocks drift.
-const CLOCK_AGE: Duration = Duration::from_secs(5);
-
 /// Time for which a host is passed over for an endpoint of which it reported a fault. The next host
 /// or a direct connection shows whether the fault is one of the endpoint or of the way to it.
 const FAULT_TIME: Duration = Duration::from_millis(1_000);
@@ -87,20 +76,6 @@
     }
 }
 
-/// A time of the host's clock and when this instance learned it.
-#[derive(Debug, Clone, Copy)]
-struct HostClock {
-    stamp: MonotonicTime,
-    received_at: MonotonicTime,
-}
-
-impl HostClock {
-    /// Returns a time that the host's clock had reached at `at`.
-    fn reached(self, at: MonotonicTime) -> MonotonicTime {
-        self.stamp + at.saturating_since(self.received_at)
-    }
-}
-
 /// Link to one host.
 #[derive(Debug)]
 pub struct HostLink {
@@ -192,13 +167,10 @@
     }
 
     /// Returns the time on the host's clock up to which commands of this length that are sent at `at`
-    /// may be forwarded. It is at most [`FORWARD_TIME`] and the time for the bytes after the sending,
-    /// wherever they are held up and however long the host is frozen, since it starts from a time
-    /// that the host's clock had already reached.
+    /// may be forwarded, or `None` before the host's first message.
     pub fn forward_deadline(&self, at: MonotonicTime, bytes: usize) -> Option<MonotonicTime> {
         let clock = self.clock.get()?;
-        let transfer = Duration::from_secs_f64(bytes as f64 / LINK_BYTES_PER_S);
-        Some(clock.reached(at) + FORWARD_TIME + transfer)
+        Some(clock.forward_deadline(at, bytes))
     }
 
     /// Opens a channel with its first request.
@@ -313,17 +285,8 @@
     }
 
     fn deliver(&self, channel: u32, reply: HostReply) {
-        let at = now();
-        let received = HostClock {
-            stamp: reply.stamp,
-            received_at: at,
-        };
-        let is_better = |clock: HostClock| {
-            clock.reached(at) <= reply.stamp || at.saturating_since(clock.received_at) > CLOCK_AGE
-        };
-        if self.clock.get().is_none_or(is_better) {
-            self.clock.set(Some(received));
-        }
+        let clock = HostClock::after_message(self.clock.get(), reply.stamp, now());
+        self.clock.set(Some(clock));
         if let Some(sender) = self.pending.borrow_mut().remove(&channel) {
             // The receiver has given up if this fails; its channel is released.
             let _ = sender.send(reply);
--- a/crates/session-core/src/lib.rs
+++ b/crates/session-core/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod failure_detector;
 pub mod floor_history;
 pub mod group_order;
+pub mod host_clock;
 pub mod host_exclusion;
 pub mod ids;
 pub mod instance_rank;
--- a/tests/testsuite/connection_hosts.rs
+++ b/tests/testsuite/connection_hosts.rs
@@ -4,11 +4,15 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use proptest::prop_assert;
+use proptest::proptest;
 use session_core::connection_host::DIRECT_FRACTION;
 use session_core::connection_host::MAX_CANDIDATES;
 use session_core::connection_host::connection_hosts;
 use session_core::connection_host::host_connections;
 use session_core::connection_host::may_use_another;
+use session_core::host_clock::FORWARD_TIME;
+use session_core::host_clock::HostClock;
 use session_core::host_exclusion::HostExclusion;
 use session_core::ids::EndpointId;
 use session_core::ids::InstanceId;
@@ -123,6 +127,48 @@
     }
 }
 
+proptest! {
+    /// No command may be forwarded later than the bound after it was sent, whatever the clocks of the
+    /// two instances say and however long the host's messages were held up before. Otherwise a host
+    /// that was frozen would run statements of an instance that may no longer use the primary.
+    #[test]
+    fn late_commands_are_dropped(
+        offset_ms in 0_u64..10_000_000,
+        delays_ms in proptest::collection::vec((0_u64..3_000, 0_u64..8_000), 1..20),
+        bytes in 0_usize..100_000,
+    ) {
+        let mut clock = None;
+        let mut at_ms = 1_000;
+        for (delay_ms, pause_ms) in delays_ms {
+            let stamp = MonotonicTime::from_millis(offset_ms + at_ms);
+            let received_at = MonotonicTime::from_millis(at_ms + delay_ms);
+            let known = HostClock::after_message(clock, stamp, received_at);
+            clock = Some(known);
+            at_ms += delay_ms + pause_ms;
+            let deadline = known.forward_deadline(MonotonicTime::from_millis(at_ms), bytes);
+            let host_now = MonotonicTime::from_millis(offset_ms + at_ms);
+            let bound = FORWARD_TIME + Duration::from_millis(2 * bytes as u64 / 1_000 + 1);
+            prop_assert!(deadline <= host_now + bound);
+        }
+    }
+}
+
+/// A message that was not held up must leave the whole time for the command, also after one that was.
+#[test]
+fn quick_message_gives_the_time() {
+    let at = MonotonicTime::from_millis;
+    let late = HostClock::after_message(None, at(5_000), at(2_000));
+    let quick = HostClock::after_message(Some(late), at(6_900), at(2_000));
+    assert_eq!(
+        quick.forward_deadline(at(2_100), 0),
+        at(7_000) + FORWARD_TIME
+    );
+    let late = HostClock::after_message(Some(quick), at(6_950), at(3_000));
+    assert_eq!(late, quick);
+    let drifted = HostClock::after_message(Some(quick), at(11_000), at(7_500));
+    assert_eq!(drifted.reached(at(7_500)), at(11_000));
+}
+
 /// A host that stays silent must hold up requests ever more rarely, and one that was used again must
 /// be passed over only shortly.
 #[test]
