--- a/crates/session-core/src/lib.rs
+++ b/crates/session-core/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod failure_detector;
 pub mod floor_history;
 pub mod group_order;
+pub mod host_clock;
 pub mod host_exclusion;
 pub mod ids;
 pub mod instance_rank;
