--- a/crates/front/src/caller_memory.rs
+++ b/crates/front/src/caller_memory.rs
@@ -175,6 +175,11 @@
         }
     }
 
+    /// Returns what the connection holds for a part.
+    pub fn held(&self, part: MemoryPart) -> usize {
+        self.shared.account.borrow().held(self.id, part).0 as usize
+    }
+
     /// Records what the connection is about to hold; returns `false` if there is no memory for it.
     pub fn try_set(&self, part: MemoryPart, bytes: usize) -> bool {
         let mut account = self.shared.account.borrow_mut();
--- a/crates/front/src/caller_session.rs
+++ b/crates/front/src/caller_session.rs
@@ -43,8 +43,8 @@
 /// Timeout of a rollback on an endpoint.
 const ROLLBACK_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Maximum length of a start-up message: a caller without an accepted key gets the allowance of a
-/// connection and nothing beyond it.
+/// Maximum number of bytes that are read for a start-up message: a caller without an accepted key gets
+/// the allowance of a connection and nothing beyond it.
 const MAX_STARTUP_BYTES: usize = CONNECTION_ALLOWANCE.0 as usize;
 
 /// Copies of a message that exist until it has been sent to an endpoint: the statement and the bytes
@@ -106,6 +106,8 @@
     pub(crate) transaction: Option<OpenTransaction>,
     /// Size of the values and prepared names.
     state_bytes: usize,
+    /// Size of the last answer of an endpoint, which the next one is expected to have.
+    pub(crate) answer_bytes: usize,
     /// When the first byte of the message arrived that is being received.
     message_begun_at: Option<MonotonicTime>,
     served: u64,
@@ -124,6 +126,7 @@
             floor: None,
             transaction: None,
             state_bytes: 0,
+            answer_bytes: 0,
             message_begun_at: None,
             served: 0,
         }
@@ -166,7 +169,7 @@
         if let Err(refusal) = self.access() {
             tracing::info!(
                 event = "session_refused",
-                database = self.database,
+                database = log_excerpt(&self.database),
                 reason = refusal.reason,
                 version = self.version(),
             );
@@ -269,7 +272,7 @@
         }
     }
 
-    /// Receives a message of at most `max_bytes`. Reads no further than one step beyond its end, so
+    /// Receives a message; reads at most `max_bytes` for it. Reads no further than one step beyond its end, so
     /// that a caller which sends without waiting for answers is held up. No bytes are lost if the
     /// future is dropped.
     async fn receive(&mut self, max_bytes: usize) -> Result<CallerMessage, ReceiveEnd> {
@@ -285,7 +288,7 @@
                 self.memory.set(MemoryPart::Input, left);
                 return Ok(message);
             }
-            if before > max_bytes {
+            if self.channel.input_bytes_ahead() > max_bytes {
                 return Err(ReceiveEnd::Frame(FrameError::TooLarge));
             }
             let deadline = match before {
@@ -317,7 +320,7 @@
     /// Reads more of a message that has begun, as soon as there is memory for it.
     async fn read_more(&mut self) -> std::io::Result<usize> {
         let ahead = self.channel.input_bytes_ahead();
-        let bytes = match ahead <= MAX_STARTUP_BYTES {
+        let bytes = match ahead as u64 <= CONNECTION_ALLOWANCE.0 {
             true => ahead,
             false => MESSAGE_RESERVATION_BYTES,
         };
@@ -481,7 +484,7 @@
             statement: platform::endpoint_codec::ForwardedStatement::Rollback,
         };
         if let Err(fault) = connection.run(rollback, ROLLBACK_TIMEOUT).await {
-            tracing::info!(event = "rollback_by_close", request = shown_id(id), endpoint = %connection.endpoint, ?fault);
+            tracing::info!(event = "rollback_by_close", request = log_excerpt(id), endpoint = %connection.endpoint, ?fault);
         }
     }
 
@@ -546,10 +549,10 @@
     ) {
         tracing::info!(
             event = "request_refused",
-            request = shown_id(id),
+            request = log_excerpt(id),
             ?verdict,
             reason,
-            database = self.database,
+            database = log_excerpt(&self.database),
             version = self.version(),
             held_ms = now().saturating_since(arrived).as_millis() as u64,
         );
@@ -613,7 +616,7 @@
                 cause = close.raised() => return Err(self.report_close(cause)),
                 () = tokio::time::sleep(remaining) => {
                     if !holds_connection {
-                        return Err(self.report_overdue("reader_overdue"));
+                        return Err(self.report_limit("reader_overdue"));
                     }
                     self.end_idle_transaction().await;
                 }
@@ -631,28 +634,32 @@
         match end {
             ReceiveEnd::Left => "caller_left",
             ReceiveEnd::Frame(error) => self.report_frame_error(&error).await,
-            ReceiveEnd::Overdue => self.report_overdue("message_overdue"),
+            ReceiveEnd::Overdue => self.report_limit("message_overdue"),
         }
     }
 
-    fn report_overdue(&self, reason: EndReason) -> EndReason {
+    /// Counts and logs that a limit ends the session.
+    fn report_limit(&self, reason: EndReason) -> EndReason {
         self.instance.report_closed_caller(reason);
         reason
     }
 
     fn report_close(&self, cause: CloseCause) -> EndReason {
-        self.report_overdue(cause.reason())
+        self.report_limit(cause.reason())
     }
 
     async fn report_frame_error(&mut self, error: &FrameError) -> EndReason {
         let (verdict, reason) = match error {
-            FrameError::TooLarge => (CallerVerdict::TooLarge, "message_too_large"),
+            FrameError::TooLarge => {
+                let reason = self.report_limit("message_too_large");
+                (CallerVerdict::TooLarge, reason)
+            }
             FrameError::NotText | FrameError::Unexpected(_) => {
+                tracing::info!(event = "session_refused", reason = "malformed_message", %error);
                 (CallerVerdict::Malformed, "malformed_message")
             }
             FrameError::Io(_) => return "caller_lost",
         };
-        tracing::info!(event = "session_refused", reason, %error);
         self.refuse(&SessionRefusal { verdict, reason });
         match self.flush().await {
             Ok(()) => reason,
@@ -666,9 +673,8 @@
     STATE_ENTRY_BYTES + name.len() + text.len()
 }
 
-/// Returns the beginning of an id of a caller's request, which may be as long as a message, for log
-/// lines.
-pub(crate) fn shown_id(id: &str) -> &str {
-    const MAX_SHOWN_BYTES: usize = 128;
-    &id[..id.floor_char_boundary(MAX_SHOWN_BYTES)]
+/// Returns the beginning of a text of a caller, which may be as long as a message, for log lines.
+pub(crate) fn log_excerpt(text: &str) -> &str {
+    const MAX_BYTES: usize = 128;
+    &text[..text.floor_char_boundary(MAX_BYTES)]
 }
--- a/crates/front/src/endpoint_connection.rs
+++ b/crates/front/src/endpoint_connection.rs
@@ -42,9 +42,16 @@
     pub position: String,
     /// When the statement was sent.
     pub sent_at: MonotonicTime,
+    /// Time for which the answer was not read because there was no memory for it.
+    pub held_up: Duration,
 }
 
 impl EndpointAnswer {
+    /// Returns the time that the endpoint took until `now`, the end of the answer.
+    pub fn latency(&self, now: MonotonicTime) -> Duration {
+        now.saturating_since(self.sent_at + self.held_up)
+    }
+
     /// Returns the log position, if the endpoint sent one.
     pub fn point(&self) -> Option<LogPoint> {
         endpoint_codec::parse_position(&self.position)
@@ -136,8 +143,10 @@
         let io = |error: FrameError| ConnectError::Io(io::Error::other(error.to_string()));
         connection.channel.queue(startup).map_err(io)?;
         connection.channel.flush().await.map_err(ConnectError::Io)?;
+        let mut held_up = Duration::ZERO;
         loop {
-            match connection.next_message(None, 0).await.map_err(io)? {
+            let message = connection.next_message(None, 0, &mut held_up);
+            match message.await.map_err(io)? {
                 EndpointMessage::Ready { .. } => return Ok(connection),
                 EndpointMessage::Refused { refusal, .. } => {
                     return Err(ConnectError::Refused(refusal));
@@ -147,11 +156,13 @@
         }
     }
 
-    /// Reads the next message. `held` is the size of the answer so far.
+    /// Reads the next message. `held` is the size of the answer so far. Adds the time for which there
+    /// was no memory to `held_up`.
     async fn next_message(
         &mut self,
         budget: Option<AnswerBudget<'_>>,
         held: usize,
+        held_up: &mut Duration,
     ) -> Result<EndpointMessage, FrameError> {
         loop {
             if let Some(message) = self.channel.decode()? {
@@ -159,9 +170,15 @@
             }
             if let Some(budget) = budget {
                 let bytes = held + self.channel.input_bytes_ahead();
-                match budget.waits {
-                    true => budget.memory.wait_set(MemoryPart::Output, bytes).await,
-                    false => budget.memory.set(MemoryPart::Output, bytes),
+                let memory = budget.memory;
+                if bytes <= memory.held(MemoryPart::Output) {
+                    // Reserved before the statement was sent.
+                } else if !budget.waits {
+                    memory.set(MemoryPart::Output, bytes);
+                } else if !memory.try_set(MemoryPart::Output, bytes) {
+                    let since = now();
+                    memory.wait_set(MemoryPart::Output, bytes).await;
+                    *held_up += now().saturating_since(since);
                 }
             }
             if self.channel.read_some().await? == 0 {
@@ -254,8 +271,9 @@
         let mut rows = Vec::new();
         let mut result = None;
         let mut held = 0;
+        let mut held_up = Duration::ZERO;
         loop {
-            let message = self.next_message(budget, held).await;
+            let message = self.next_message(budget, held, &mut held_up).await;
             match message.map_err(|_| StatementFault::Broken)? {
                 EndpointMessage::Row(row) => {
                     held += size_of::<String>() + row.len();
@@ -273,6 +291,7 @@
                         state,
                         position,
                         sent_at,
+                        held_up,
                     });
                 }
             }
--- a/crates/front/src/endpoint_pool.rs
+++ b/crates/front/src/endpoint_pool.rs
@@ -257,7 +257,7 @@
         history: &FloorHistory,
     ) {
         let at = now();
-        let latency = at.saturating_since(answer.sent_at);
+        let latency = answer.latency(at);
         self.with_load(endpoint, |load| {
             load.record_answer(latency, answer.point(), history, at);
         });
--- a/crates/front/src/request_attempt.rs
+++ b/crates/front/src/request_attempt.rs
@@ -19,7 +19,7 @@
 use session_core::serving_rules::DatabaseRoute;
 
 use crate::caller_session::CallerSession;
-use crate::caller_session::shown_id;
+use crate::caller_session::log_excerpt;
 use crate::endpoint_connection::EndpointAnswer;
 use crate::endpoint_pool::PoolError;
 use crate::endpoint_pool::PooledConnection;
@@ -114,13 +114,13 @@
             Ok(connection) => connection,
             Err(PoolError::Exhausted) => {
                 *reason = "connections_in_use";
-                tracing::info!(event = "connections_exhausted", request = shown_id(progress.id), endpoint = %endpoint, primary = chosen.primary, limit = limit.max_in_use);
+                tracing::info!(event = "connections_exhausted", request = log_excerpt(progress.id), endpoint = %endpoint, primary = chosen.primary, limit = limit.max_in_use);
                 progress.excluded.push(endpoint);
                 return AttemptOutcome::Retry(Duration::ZERO);
             }
             Err(PoolError::Connect(error)) => {
                 *reason = "endpoint_not_connected";
-                tracing::info!(event = "endpoint_not_connected", request = shown_id(progress.id), endpoint = %endpoint, %error);
+                tracing::info!(event = "endpoint_not_connected", request = log_excerpt(progress.id), endpoint = %endpoint, %error);
                 self.instance.record_connect_failure(&endpoint, &error);
                 self.instance.pool.back_off(&endpoint);
                 progress.excluded.push(endpoint);
@@ -173,7 +173,7 @@
         let result = result.and_then(|mut answers| answers.pop().ok_or(StatementFault::Broken));
         match result {
             Ok(answer) => {
-                let latency = now().saturating_since(answer.sent_at);
+                let latency = answer.latency(now());
                 let target = route.target_latency.mul_f64(SERVICE_TIME_FRACTION);
                 self.instance
                     .pool
@@ -237,7 +237,7 @@
         let Some((index, (refusal, text))) = refused else {
             return Ok(());
         };
-        tracing::info!(event = "preparation_refused", request = shown_id(progress.id), endpoint = %endpoint, ?refusal, text);
+        tracing::info!(event = "preparation_refused", request = log_excerpt(progress.id), endpoint = %endpoint, ?refusal, text);
         let refusal = *refusal;
         progress.last_fault = Some(StatementFault::Refused(refusal));
         if index < replayed {
@@ -263,7 +263,7 @@
                 .await
                 .is_err()
         {
-            tracing::debug!(event = "rollback_by_close", request = shown_id(progress.id), endpoint = %endpoint);
+            tracing::debug!(event = "rollback_by_close", request = log_excerpt(progress.id), endpoint = %endpoint);
         }
         let pool = &self.instance.pool;
         match refusal {
--- a/crates/front/src/statement_run.rs
+++ b/crates/front/src/statement_run.rs
@@ -4,6 +4,7 @@
 
 use platform::caller_codec::CallerReply;
 use platform::caller_codec::SessionState;
+use platform::caller_limits::CONNECTION_ALLOWANCE;
 use platform::endpoint_codec::EndpointCommand;
 use platform::endpoint_codec::ForwardedStatement;
 use session_core::caller_statement::AccessMode;
@@ -11,6 +12,7 @@
 use session_core::ids::EndpointId;
 use session_core::ids::TeamId;
 use session_core::loan_pacer::REQUEST_PAUSE;
+use session_core::memory_account::MemoryPart;
 use session_core::monotonic_time::MonotonicTime;
 use session_core::monotonic_time::now;
 use session_core::request_outcome;
@@ -24,7 +26,7 @@
 use crate::caller_session::CallerSession;
 use crate::caller_session::EndReason;
 use crate::caller_session::SessionRefusal;
-use crate::caller_session::shown_id;
+use crate::caller_session::log_excerpt;
 use crate::endpoint_connection::AnswerBudget;
 use crate::endpoint_connection::EndpointAnswer;
 use crate::endpoint_pool::PooledConnection;
@@ -211,6 +213,11 @@
         route: DatabaseRoute,
         team: Option<TeamId>,
     ) -> Option<SessionRefusal> {
+        if !self.reserve_answer(&route, arrived).await {
+            self.fail_transaction();
+            self.refuse_request(id, CallerVerdict::Busy, "memory_short", arrived);
+            return None;
+        }
         if let Some(team) = &team
             && !self.admit(team, &route, arrived).await
         {
@@ -299,6 +306,23 @@
         }
     }
 
+    /// Waits until there is memory for an answer as large as the last one, if that exceeded the
+    /// allowance. Otherwise, callers that request large answers would wait for memory while they
+    /// occupy the endpoint's connections. Returns whether the statement may run.
+    async fn reserve_answer(&mut self, route: &DatabaseRoute, arrived: MonotonicTime) -> bool {
+        if self.answer_bytes as u64 <= CONNECTION_ALLOWANCE.0 {
+            return true;
+        }
+        let end = arrived + route.target_latency.mul_f64(QUEUE_FRACTION);
+        let reserved = self.memory.wait_set(MemoryPart::Output, self.answer_bytes);
+        let reserved = tokio::time::timeout(end.saturating_since(now()), reserved).await;
+        if reserved.is_err() {
+            // The next answer may be small, so the expectation must not refuse for good.
+            self.answer_bytes /= 2;
+        }
+        reserved.is_ok()
+    }
+
     /// Takes a token of the team's rate, requesting a loan if needed. Returns whether the operation
     /// is admitted.
     async fn admit(&self, team: &TeamId, route: &DatabaseRoute, arrived: MonotonicTime) -> bool {
@@ -337,7 +361,7 @@
         if !admitted {
             tracing::info!(
                 event = "rate_exhausted",
-                database = self.database,
+                database = log_excerpt(&self.database),
                 team = %team,
                 rate_per_s = limit.rate.0,
                 burst = limit.burst.0,
@@ -371,7 +395,7 @@
         self.instance.metrics.wait.observe(wait.as_secs_f64());
         tracing::info!(
             event = "request_routed",
-            request = shown_id(progress.id),
+            request = log_excerpt(progress.id),
             endpoint = %endpoint,
             primary = chosen.primary,
             floor = chosen.floor.map(|floor| floor.to_string()),
@@ -432,7 +456,7 @@
         arrived: MonotonicTime,
     ) {
         let verdict = request_outcome::verdict(scope, fault);
-        tracing::info!(event = "request_broken", request = shown_id(id), endpoint = %endpoint, ?scope, ?fault);
+        tracing::info!(event = "request_broken", request = log_excerpt(id), endpoint = %endpoint, ?scope, ?fault);
         self.refuse_request(id, verdict, "endpoint_lost", arrived);
     }
 
@@ -455,7 +479,7 @@
                         .instance
                         .may_pass_commit(endpoint, answer.sent_at, answer.point()) =>
             {
-                tracing::info!(event = "commit_not_passed", request = shown_id(id), endpoint = %endpoint, position = answer.position);
+                tracing::info!(event = "commit_not_passed", request = log_excerpt(id), endpoint = %endpoint, position = answer.position);
                 self.refuse_request(id, CallerVerdict::Unknown, "primary_changed", arrived);
             }
             Ok(receipt) => {
@@ -464,7 +488,7 @@
                 }
                 tracing::info!(
                     event = "request_served",
-                    request = shown_id(id),
+                    request = log_excerpt(id),
                     endpoint = %endpoint,
                     ?scope,
                     position = answer.position,
@@ -474,6 +498,7 @@
                 let receipt = receipt.clone();
                 let bytes: usize = answer.rows.iter().map(|row| row.len() + ROW_BYTES).sum();
                 self.channel.reserve_output(bytes);
+                self.answer_bytes = bytes;
                 for row in answer.rows {
                     self.queue_reply(CallerReply::Row(row));
                 }
@@ -482,7 +507,7 @@
             }
             Err((refusal, text)) => {
                 let verdict = request_outcome::verdict(scope, StatementFault::Refused(*refusal));
-                tracing::info!(event = "endpoint_refused", request = shown_id(id), endpoint = %endpoint, ?scope, text);
+                tracing::info!(event = "endpoint_refused", request = log_excerpt(id), endpoint = %endpoint, ?scope, text);
                 self.refuse_request(id, verdict, "endpoint_refused", arrived);
             }
         }
--- a/crates/front/tests/caller_limits/limited_daemon.rs
+++ b/crates/front/tests/caller_limits/limited_daemon.rs
@@ -46,7 +46,7 @@
     process: DaemonProcess,
     most_descriptors: Arc<AtomicUsize>,
     sampler: JoinHandle<()>,
-    _platform: PlatformHandle,
+    platform: PlatformHandle,
     _folder: TempDir,
     _lock: MutexGuard<'static, ()>,
 }
@@ -101,7 +101,7 @@
             process,
             most_descriptors,
             sampler,
-            _platform: platform,
+            platform,
             _folder: folder,
             _lock: lock,
         };
@@ -114,6 +114,18 @@
         self.process.callers
     }
 
+    /// Returns the metrics, from the port that also answers health checks.
+    pub async fn metrics(&self) -> String {
+        self.process.status("/metrics").await.1
+    }
+
+    /// Returns how often the endpoints have run a request.
+    pub fn runs(&self, id: &str) -> usize {
+        let group = self.platform.shared.group();
+        let runs = group.executed_statements.iter();
+        runs.filter(|run| run.id == id).count()
+    }
+
     /// Returns whether the log has a text. Waits for it, since lines are written every 100 ms.
     pub async fn logs(&self, text: &str) -> bool {
         for _ in 0..SERVE_ATTEMPTS {
--- a/crates/front/tests/caller_limits/single_callers.rs
+++ b/crates/front/tests/caller_limits/single_callers.rs
@@ -6,7 +6,10 @@
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 
+use crate::caller_crowd::CROWD_SIZE;
+use crate::caller_crowd::CallerCrowd;
 use crate::caller_crowd::long_request;
+use crate::caller_crowd::read_until;
 use crate::caller_crowd::start_session;
 use crate::limited_daemon::KEY;
 use crate::limited_daemon::LimitedDaemon;
@@ -114,3 +117,92 @@
         .await
         .expect("the session goes on");
 }
+
+/// A caller that stops reading inside a transaction must give the endpoint connection back after the
+/// idle time of transactions, long before it is closed itself.
+#[tokio::test]
+async fn stalled_transaction_is_rolled_back() {
+    let daemon = LimitedDaemon::start().await;
+    daemon.write_value(LONG_BYTES).await;
+    let mut stream = start_session(daemon.address()).await.expect("a session");
+    for text in ["BEGIN", "READ page"] {
+        let line = format!("QUERY c-1 {text}\r\n");
+        let sent = stream.write_all(line.as_bytes()).await;
+        sent.expect("a request is sent");
+        let answer = read_until(&mut stream, b"READY").await;
+        assert!(answer.expect("an answer"), "{text} is refused");
+    }
+    for _ in 0..12 {
+        let sent = stream.write_all(b"QUERY c-1 READ big\r\n").await;
+        sent.expect("a request is sent");
+    }
+    assert!(daemon.logs("\"reason\":\"idle_too_long\"").await);
+    assert!(!daemon.logs_now("caller_closed"));
+}
+
+/// At the limit of connections, sessions must go on, health must be answered from the reserved
+/// descriptors, and a new caller must be refused at once and accepted when there is room again.
+#[tokio::test]
+async fn sessions_at_the_limit_go_on() {
+    let mut daemon = LimitedDaemon::start().await;
+    let mut sessions = Vec::new();
+    let refused = loop {
+        match LineCaller::try_open(daemon.address(), "linear", KEY).await {
+            Ok(session) => sessions.push(session),
+            Err(error) => break error.to_string(),
+        }
+    };
+    assert_eq!(refused, "refused: ERROR BUSY too_many_connections");
+    for session in sessions.iter_mut().step_by(20) {
+        session.request_until_served("READ page").await;
+    }
+    let metrics = daemon.metrics().await;
+    let line = format!("tamaracklb_caller_connections_limit {}\n", sessions.len());
+    assert!(metrics.contains(&line), "{line}{metrics}");
+    let line = "tamaracklb_callers_closed_total{reason=\"too_many_connections\"} 1\n";
+    assert!(metrics.contains(line), "{metrics}");
+    drop(sessions);
+    daemon.check().await;
+}
+
+/// While others exhaust the memory, the outcome of each write must be true: what is acknowledged was
+/// run once, and what is refused as not applied was not run.
+#[tokio::test]
+async fn outcomes_stay_true_without_memory() {
+    let mut daemon = LimitedDaemon::start().await;
+    daemon.write_value(LONG_BYTES).await;
+    let address = daemon.address();
+    let mut crowd = CallerCrowd::start(CROWD_SIZE, |number| async move {
+        let mut stream = start_session(address).await?;
+        for _ in 0..12 {
+            match number % 2 {
+                0 => stream.write_all(b"QUERY c-1 READ big\r\n").await?,
+                _ => stream.write_all(&long_request(LONG_BYTES)).await?,
+            }
+        }
+        Ok(stream)
+    });
+    let mut writer = LineCaller::open(address, "linear", KEY).await;
+    let mut acknowledged = Vec::new();
+    let mut refused = Vec::new();
+    for number in 0..60 {
+        let id = writer.next_id();
+        let answer = writer.request(&format!("WRITE page {number}")).await;
+        if answer.succeeded() {
+            acknowledged.push(id);
+        } else if answer.reports_not_applied() {
+            refused.push(id);
+        }
+        tokio::time::sleep(std::time::Duration::from_millis(50)).await;
+    }
+    let runs = |id: &String| daemon.runs(id);
+    assert!(!acknowledged.is_empty(), "{refused:?}");
+    for id in &acknowledged {
+        assert_eq!(runs(id), 1, "{id} was acknowledged");
+    }
+    for id in &refused {
+        assert_eq!(runs(id), 0, "{id} was refused as not applied");
+    }
+    crowd.settled().await;
+    daemon.check().await;
+}
--- a/crates/session-core/src/memory_account.rs
+++ b/crates/session-core/src/memory_account.rs
@@ -123,6 +123,12 @@
         ByteSize(self.charged)
     }
 
+    /// Returns what a connection holds for a part.
+    pub fn held(&self, id: HolderId, part: MemoryPart) -> ByteSize {
+        let holder = self.holders.get(&id);
+        ByteSize(holder.map_or(0, |holder| holder.parts[part as usize]))
+    }
+
     /// Records what a connection holds, even if that exceeds the limit. For what exists already, or
     /// what must not wait: the outcome of a statement that has run.
     pub fn set(&mut self, id: HolderId, part: MemoryPart, bytes: ByteSize) {
@@ -200,6 +206,10 @@
     /// Returns whether memory is short: more connections have waited for it than are being closed,
     /// or more is held than the limit even without these.
     fn is_short(&self, patience: Duration, now: MonotonicTime) -> bool {
+        let exceeds = |bytes: u64| self.limit.is_some_and(|limit| bytes > limit.0);
+        if self.waiting.is_empty() && !exceeds(self.charged) {
+            return false;
+        }
         let closing = self.holders.values().filter(|holder| {
             // One within its allowance releases nothing that others wait for.
             holder.closing && holder.charge(self.allowance) > 0
@@ -209,8 +219,7 @@
         });
         let waits = self.waiting.values();
         let overdue = waits.filter(|since| now.saturating_since(**since) >= patience);
-        let exceeds = |limit: ByteSize| self.charged - bytes > limit.0;
-        overdue.count() > count || self.limit.is_some_and(exceeds)
+        overdue.count() > count || exceeds(self.charged - bytes)
     }
 
     /// If memory is short, chooses the connection that holds the most among those without progress,
