--- a/crates/front/tests/caller_limits/crowd_bounds.rs
+++ b/crates/front/tests/caller_limits/crowd_bounds.rs
@@ -255,3 +255,38 @@
     crowd.settled().await;
     daemon.check().await;
 }
+
+/// Crowds of all kinds at once must not exceed together what each of them keeps alone.
+#[tokio::test]
+async fn all_kinds_at_once() {
+    let mut daemon = LimitedDaemon::start().await;
+    daemon.write_value(ANSWER_BYTES).await;
+    let address = daemon.address();
+    let mut crowd = CallerCrowd::start(2 * CROWD_SIZE, |number| async move {
+        if number % 6 == 0 {
+            let mut stream = connect(address).await?;
+            stream.write_all(b"STARTUP linear").await?;
+            return Ok(stream);
+        }
+        let mut stream = start_session(address).await?;
+        if number % 6 == 1 {
+            let message = long_request(LONG_BYTES);
+            stream.write_all(&message[..LONG_BYTES - 1_000]).await?;
+            return Ok(stream);
+        }
+        let text = "v".repeat(PIECE_BYTES);
+        for count in 0..60 {
+            let line = match number % 6 {
+                2 => format!("QUERY c-1 SET n{count} {text}\r\n").into_bytes(),
+                3 => long_request(LONG_BYTES),
+                4 => b"QUERY c-1 BEGIN\r\nQUERY c-1 READ big\r\n".to_vec(),
+                _ => b"QUERY c-1 READ big\r\n".to_vec(),
+            };
+            stream.write_all(&line).await?;
+            tokio::time::sleep(PIECE_PAUSE).await;
+        }
+        Ok(stream)
+    });
+    crowd.settled().await;
+    daemon.check().await;
+}
