--- a/tests/testsuite/caller_limits.rs
+++ b/tests/testsuite/caller_limits.rs
@@ -8,6 +8,8 @@
 use platform::instance_settings::parse_settings;
 use session_core::units::ByteSize;
 
+const PAGE: &str = include_str!("../../docs/settings.md");
+
 fn settings(sections: &str) -> Result<InstanceSettings, SettingsError> {
     let text = "NodeName: front-1\nIp: 127.0.0.1\nZone: zone-a\n\
          Listen:\n  Front: 127.0.0.1:4000\n  Ready: 127.0.0.1:4001\n\
@@ -80,3 +82,45 @@
         assert_eq!(error.to_string(), expected);
     }
 }
+
+/// The page must list each limit of the `Callers` section with the range and the default that the
+/// code has, and no other.
+#[test]
+fn page_agrees_with_code() {
+    let (_, front) = PAGE
+        .split_once("\n## Front daemon\n")
+        .expect("the page has a section on the front daemon");
+    let rows = front
+        .lines()
+        .filter_map(|line| line.strip_prefix("| `Callers."));
+    let mut names = Vec::new();
+    for row in rows {
+        let cells: Vec<&str> = row.split(" | ").collect();
+        let name = cells[0].trim_end_matches('`');
+        let (_, range) = cells[1].split_once(", ").expect("the row has a range");
+        let (least, most) = range.split_once(" to ").expect("the range has two ends");
+        let [least, most] = [least, most].map(|end| end.parse::<u64>().expect("a number"));
+        let with = |value: u64| settings(&format!("Callers:\n  {name}: {value}\n"));
+        for value in [least, most] {
+            assert!(with(value).is_ok(), "{name}: {value}");
+        }
+        for value in [least - 1, most + 1] {
+            let error = with(value).expect_err("out of range");
+            assert!(error.to_string().contains(name), "{error}");
+        }
+        if let Ok(default) = cells[2].trim_matches('`').parse() {
+            let given = with(default).expect("the default is in its range");
+            let omitted = settings("").expect("the settings are valid");
+            assert_eq!(given, omitted, "{name}");
+        }
+        names.push(name);
+    }
+    let expected = [
+        "MemoryKb",
+        "MaxConnections",
+        "SessionStateKb",
+        "MessageMs",
+        "ReaderMs",
+    ];
+    assert_eq!(names, expected);
+}
--- a/tests/testsuite/daemon_settings.rs
+++ b/tests/testsuite/daemon_settings.rs
@@ -52,10 +52,14 @@
     format!("| `{name}` | {unit} | {default} | {meaning} |")
 }
 
-/// The page must list each field of the code with its unit, default and meaning, and no other.
+/// The page must list each field of the code with its unit, default and meaning, and no other. The
+/// section on the front daemon, which has another settings file, is checked by `caller_limits`.
 #[test]
 fn page_agrees_with_code() {
-    let shown: Vec<&str> = PAGE
+    let (daemon, _) = PAGE
+        .split_once("\n## Front daemon\n")
+        .expect("the page has a section on the front daemon");
+    let shown: Vec<&str> = daemon
         .lines()
         .filter(|line| line.starts_with("| `"))
         .collect();
