--- a/crates/front/src/endpoint_connection.rs
+++ b/crates/front/src/endpoint_connection.rs
@@ -43,7 +43,8 @@
     pub position: String,
     /// When the statement was sent.
     pub sent_at: MonotonicTime,
-    /// Time that the endpoint took, as measured by the instance that is connected to it.
+    /// Time that the endpoint took, as measured by the instance that is connected to it. The time for
+    /// which the answer was not read because there was no memory for it does not count.
     pub took: Duration,
 }
 
@@ -147,8 +148,10 @@
         let io = |error: FrameError| ConnectError::Io(io::Error::other(error.to_string()));
         channel.queue(startup).map_err(io)?;
         channel.flush().await.map_err(ConnectError::Io)?;
+        let mut held_up = Duration::ZERO;
         loop {
-            match next_message(&mut channel, None, 0).await.map_err(io)? {
+            let message = next_message(&mut channel, None, 0, &mut held_up);
+            match message.await.map_err(io)? {
                 EndpointMessage::Ready { .. } => break,
                 EndpointMessage::Refused { refusal, .. } => {
                     return Err(ConnectError::Refused(refusal));
@@ -314,8 +317,9 @@
     let mut rows = Vec::new();
     let mut result = None;
     let mut held = 0;
+    let mut held_up = Duration::ZERO;
     loop {
-        let message = next_message(channel, budget, held).await;
+        let message = next_message(channel, budget, held, &mut held_up).await;
         match message.map_err(|_| StatementFault::Broken)? {
             EndpointMessage::Row(row) => {
                 held += row_bytes(&row);
@@ -333,7 +337,7 @@
                     state,
                     position,
                     sent_at,
-                    took: now().saturating_since(sent_at),
+                    took: now().saturating_since(sent_at + held_up),
                 });
             }
         }
@@ -344,11 +348,13 @@
     size_of::<String>() + row.len()
 }
 
-/// Reads the next message. `held` is the size of the answer so far.
+/// Reads the next message. `held` is the size of the answer so far. Adds the time for which there was no
+/// memory to `held_up`.
 async fn next_message(
     channel: &mut LineChannel<EndpointCodec>,
     budget: Option<AnswerBudget<'_>>,
     held: usize,
+    held_up: &mut Duration,
 ) -> Result<EndpointMessage, FrameError> {
     loop {
         if let Some(message) = channel.decode()? {
@@ -356,9 +362,15 @@
         }
         if let Some(budget) = budget {
             let bytes = held + channel.input_bytes_ahead();
-            match budget.waits {
-                true => budget.memory.wait_set(MemoryPart::Output, bytes).await,
-                false => budget.memory.set(MemoryPart::Output, bytes),
+            let memory = budget.memory;
+            if bytes <= memory.held(MemoryPart::Output) {
+                // Reserved before the statement was sent.
+            } else if !budget.waits {
+                memory.set(MemoryPart::Output, bytes);
+            } else if !memory.try_set(MemoryPart::Output, bytes) {
+                let since = now();
+                memory.wait_set(MemoryPart::Output, bytes).await;
+                *held_up += now().saturating_since(since);
             }
         }
         if channel.read_some().await? == 0 {
--- a/crates/front/src/request_attempt.rs
+++ b/crates/front/src/request_attempt.rs
@@ -22,7 +22,7 @@
 
 use crate::caller_session::BUSY_REASON;
 use crate::caller_session::CallerSession;
-use crate::caller_session::shown_id;
+use crate::caller_session::log_excerpt;
 use crate::endpoint_connection::EndpointAnswer;
 use crate::endpoint_pool::PoolError;
 use crate::endpoint_pool::PooledConnection;
@@ -150,13 +150,13 @@
             Ok(connection) => connection,
             Err(PoolError::Exhausted) => {
                 *reason = "connections_in_use";
-                tracing::info!(event = "connections_exhausted", request = shown_id(progress.id), endpoint = %endpoint, primary = chosen.primary);
+                tracing::info!(event = "connections_exhausted", request = log_excerpt(progress.id), endpoint = %endpoint, primary = chosen.primary);
                 progress.excluded.push(endpoint);
                 return AttemptOutcome::Retry(Duration::ZERO);
             }
             Err(PoolError::Connect(error)) => {
                 *reason = "endpoint_not_connected";
-                tracing::info!(event = "endpoint_not_connected", request = shown_id(progress.id), endpoint = %endpoint, %error);
+                tracing::info!(event = "endpoint_not_connected", request = log_excerpt(progress.id), endpoint = %endpoint, %error);
                 self.instance.record_connect_failure(&endpoint, &error);
                 if begun.is_none() && statement.mode == AccessMode::Read {
                     let paces = &self.instance.paces;
@@ -303,7 +303,7 @@
         let Some((index, (refusal, text))) = refused else {
             return Ok(());
         };
-        tracing::info!(event = "preparation_refused", request = shown_id(progress.id), endpoint = %endpoint, ?refusal, text);
+        tracing::info!(event = "preparation_refused", request = log_excerpt(progress.id), endpoint = %endpoint, ?refusal, text);
         let refusal = *refusal;
         progress.last_fault = Some(StatementFault::Refused(refusal));
         if index < replayed {
@@ -329,7 +329,7 @@
                 .await
                 .is_err()
         {
-            tracing::debug!(event = "rollback_by_close", request = shown_id(progress.id), endpoint = %endpoint);
+            tracing::debug!(event = "rollback_by_close", request = log_excerpt(progress.id), endpoint = %endpoint);
         }
         let pool = &self.instance.pool;
         match refusal {
