--- a/crates/front/src/fleet_view.rs
+++ b/crates/front/src/fleet_view.rs
@@ -9,6 +9,7 @@
 use platform::configuration;
 use platform::registry;
 use platform::store_client::StoreItem;
+use session_core::cold_limit::DepartedMembers;
 use session_core::commit_evidence::DepartureLog;
 use session_core::commit_evidence::InstanceLife;
 use session_core::commit_evidence::ProcessLives;
@@ -84,6 +85,12 @@
     pub renewed_at: Option<MonotonicTime>,
     /// Revision at which this instance's member key was written.
     pub registered_at: u64,
+    /// When the store had acknowledged the registration at that revision.
+    pub registered_since: Option<MonotonicTime>,
+    /// When this instance last received a complete view, which does not show who has left.
+    pub replaced_at: Option<MonotonicTime>,
+    /// Members that have left a short time ago.
+    pub departed_members: DepartedMembers,
     /// Revision at which this process registered first.
     pub first_registered_at: Option<u64>,
     /// Revision up to which changes have been applied.
@@ -91,6 +98,8 @@
     /// Draining endpoints and when their drain began, or `None` if it had already begun in the
     /// first entry that this process read.
     draining: HashMap<EndpointId, Option<MonotonicTime>>,
+    /// Cold endpoints, and when they are warm according to their last entries.
+    cold: HashMap<EndpointId, MonotonicTime>,
     /// Endpoints whose entries are missing, and since when.
     missing: HashMap<EndpointId, MonotonicTime>,
     /// Entries of endpoints that were dropped, and when. Such an endpoint may still run.
@@ -128,6 +137,7 @@
         // Instances may have joined and left since the previous revision.
         self.departures.record_gap(now());
         self.watched_since.get_or_insert_with(now);
+        self.replaced_at = Some(now());
         self.history_start = self.history_start.max(revision);
         self.revision = self.revision.max(revision);
         self.synced_at = self.synced_at.max(Some(known_at));
@@ -255,7 +265,7 @@
         match registry::parse_entry(&item.key, value) {
             Ok(entry) => {
                 let former = self.endpoints.get(&entry.id);
-                if former != Some(&entry) {
+                if former.is_none_or(|former| differs(former, &entry)) {
                     tracing::info!(
                         event = "endpoint_entry",
                         endpoint = %entry.id,
@@ -265,6 +275,7 @@
                         role = ?entry.role,
                         draining = entry.draining,
                         born = entry.born,
+                        cold_ms = entry.cold_time.as_millis() as u64,
                         restarted = former.is_some_and(|former| former.born != entry.born),
                         revision = item.revision,
                     );
@@ -275,6 +286,11 @@
                 } else {
                     self.draining.remove(&entry.id);
                 }
+                if entry.is_cold() {
+                    self.cold.insert(entry.id.clone(), now() + entry.cold_time);
+                } else {
+                    self.cold.remove(&entry.id);
+                }
                 self.missing.remove(&entry.id);
                 self.dropped.remove(&entry.id);
                 self.endpoints.insert(entry.id.clone(), entry);
@@ -294,6 +310,9 @@
                     return;
                 }
                 let is_replaced = member.is_some();
+                if member.is_none() {
+                    self.departed_members.record(name.clone(), now());
+                }
                 let former = match member {
                     Some(member) => self.members.insert(name, member),
                     None => self.members.remove(&name),
@@ -353,6 +372,7 @@
         for id in dropped.into_keys() {
             tracing::info!(event = "endpoint_gone", endpoint = %id);
             self.draining.remove(&id);
+            self.cold.remove(&id);
             if let Some(entry) = self.endpoints.remove(&id) {
                 self.dropped.insert(id, (entry, at));
             }
@@ -367,6 +387,12 @@
         self.endpoints.get(id).or(dropped)
     }
 
+    /// Returns whether an endpoint is cold. An entry arrives later than the endpoint wrote it, so the
+    /// time in the entry has not ended earlier at the endpoint.
+    pub fn is_cold(&self, id: &EndpointId, at: MonotonicTime) -> bool {
+        self.cold.get(id).is_some_and(|until| at < *until)
+    }
+
     /// Returns whether an endpoint has been gone for so long that its log counts as lost.
     pub fn is_lost(&self, id: &EndpointId, at: MonotonicTime) -> bool {
         let lost_since = |since: MonotonicTime| at.saturating_since(since) >= DROPPED_TIME;
@@ -463,6 +489,15 @@
     }
 }
 
+/// Returns whether an entry differs by more than the time for which the endpoint is still cold.
+fn differs(former: &EndpointEntry, entry: &EndpointEntry) -> bool {
+    let aligned = EndpointEntry {
+        cold_time: entry.cold_time,
+        ..former.clone()
+    };
+    aligned != *entry || former.is_cold() != entry.is_cold()
+}
+
 /// Decodes a value that the daemon wrote. A value that cannot be decoded is logged and counts as
 /// missing.
 fn decode<T: serde::de::DeserializeOwned>(item: &StoreItem) -> Option<Revised<T>> {
--- a/crates/front/src/instance.rs
+++ b/crates/front/src/instance.rs
@@ -12,6 +12,7 @@
 use platform::promotion_client::PromotionClient;
 use platform::store_client::LeaseId;
 use platform::store_client::StoreClient;
+use session_core::cold_limit::ColdLimit;
 use session_core::commit_evidence::CommitEvidence;
 use session_core::commit_evidence::CommitReport;
 use session_core::commit_evidence::ProcessLives;
@@ -94,6 +95,8 @@
     pub floors: RefCell<HashMap<ServiceId, FloorHistory>>,
     /// What is known of the acknowledged commits, by service.
     pub commits: RefCell<HashMap<ServiceId, CommitEvidence>>,
+    /// Slots of cold endpoints that this instance uses.
+    pub cold_limit: RefCell<ColdLimit>,
     /// Failure detectors of primaries.
     pub detectors: RefCell<HashMap<EndpointId, FailureDetector>>,
     /// When each instance last reported a primary as failed, by primary and peer address.
--- a/crates/front/src/instance_run.rs
+++ b/crates/front/src/instance_run.rs
@@ -19,6 +19,7 @@
 use tokio::task::LocalSet;
 
 use crate::caller_listener;
+use crate::cold_endpoints;
 use crate::group_leader;
 use crate::instance::Instance;
 use crate::instance_limits::IDLE_TICKS;
@@ -106,6 +107,7 @@
         connection_share: RefCell::default(),
         floors: RefCell::default(),
         commits: RefCell::default(),
+        cold_limit: RefCell::default(),
         detectors: RefCell::default(),
         reports: RefCell::default(),
         acknowledged: RefCell::default(),
@@ -168,6 +170,7 @@
         if tick % IDLE_TICKS == 0 && instance.connections_are_scarce() {
             instance.pool.close_idle(SCARCE_IDLE_TIME);
         }
+        cold_endpoints::forget_warm(&instance);
         let view = instance.view.borrow();
         instance.pool.retain(|id| view.endpoints.contains_key(id));
     }
--- a/crates/front/src/main.rs
+++ b/crates/front/src/main.rs
@@ -2,6 +2,7 @@
 
 mod caller_listener;
 mod caller_session;
+mod cold_endpoints;
 mod endpoint_connection;
 mod endpoint_pool;
 mod first_view;
--- a/crates/front/src/metrics.rs
+++ b/crates/front/src/metrics.rs
@@ -24,6 +24,8 @@
     pub wait: Histogram,
     /// Number of status checks sent to endpoints.
     pub status_checks: IntCounter,
+    /// Number of statements for cold endpoints by outcome: sent or refused.
+    pub cold_statements: IntCounterVec,
     /// Number of accepted sessions.
     pub sessions: IntCounter,
 }
@@ -50,6 +52,13 @@
                 "tamaracklb_status_checks_total",
                 "Status checks sent to endpoints",
             )?,
+            cold_statements: IntCounterVec::new(
+                Opts::new(
+                    "tamaracklb_cold_statements_total",
+                    "Statements for cold endpoints by outcome",
+                ),
+                &["outcome"],
+            )?,
             sessions: IntCounter::new("tamaracklb_sessions_total", "Sessions accepted")?,
             registry,
         };
@@ -63,6 +72,9 @@
         metrics
             .registry
             .register(Box::new(metrics.status_checks.clone()))?;
+        metrics
+            .registry
+            .register(Box::new(metrics.cold_statements.clone()))?;
         metrics
             .registry
             .register(Box::new(metrics.sessions.clone()))?;
--- a/crates/front/src/request_attempt.rs
+++ b/crates/front/src/request_attempt.rs
@@ -19,6 +19,7 @@
 use session_core::serving_rules::DatabaseRoute;
 
 use crate::caller_session::CallerSession;
+use crate::cold_endpoints;
 use crate::endpoint_connection::EndpointAnswer;
 use crate::endpoint_pool::PoolError;
 use crate::endpoint_pool::PooledConnection;
@@ -28,6 +29,7 @@
 use crate::request_route;
 use crate::request_route::ChosenEndpoint;
 use crate::request_route::RouteQuery;
+use crate::request_route::RouteRefusal;
 
 /// Pause before a retry after an endpoint's queue was full.
 const BUSY_PAUSE: Duration = Duration::from_millis(15);
@@ -58,6 +60,8 @@
     Answered(EndpointAnswer, Box<PooledConnection>, Box<ChosenEndpoint>),
     /// The request may be retried after this pause, also on another endpoint.
     Retry(Duration),
+    /// The request cannot be served now; it has not run.
+    Refused,
     /// The statement must not be retried; the fault is reported to the caller.
     Failed(StatementFault),
 }
@@ -84,6 +88,11 @@
         };
         let chosen = match request_route::choose_endpoint(&self.instance, &query) {
             Ok(chosen) => chosen,
+            Err(RouteRefusal::Cold) => {
+                *reason = RouteRefusal::Cold.reason();
+                tracing::info!(event = "cold_share_used", request = progress.id, service = %route.service);
+                return AttemptOutcome::Refused;
+            }
             Err(refusal) => {
                 *reason = refusal.reason();
                 progress.excluded.clear();
@@ -155,6 +164,12 @@
                 chosen.floor
             }
         };
+        // A transaction that has begun is rolled back when its connection is dropped.
+        if !cold_endpoints::admit_statement(&self.instance, &endpoint) {
+            *reason = RouteRefusal::Cold.reason();
+            progress.excluded.push(endpoint);
+            return AttemptOutcome::Retry(Duration::ZERO);
+        }
         progress.attempts += 1;
         progress.first_sent_at.get_or_insert_with(now);
         let command = EndpointCommand::Pass {
--- a/crates/front/src/request_route.rs
+++ b/crates/front/src/request_route.rs
@@ -15,6 +15,7 @@
 use session_core::serving_rules::DatabaseRoute;
 use session_core::serving_rules::ReadPolicy;
 
+use crate::cold_endpoints;
 use crate::instance::Instance;
 use crate::instance_limits::DRAIN_FRACTION;
 use crate::instance_limits::FLOOR_MARGIN;
@@ -57,6 +58,8 @@
     Primary(PermitRefusal),
     /// The primary is not in the registry, or the request has already failed on every candidate.
     NoEndpoint,
+    /// Only cold endpoints can serve the request, and this instance may send nothing to them now.
+    Cold,
     /// The primary's drain time is nearly over and it has not been replaced.
     Leaving,
 }
@@ -67,6 +70,7 @@
         match self {
             RouteRefusal::Primary(refusal) => refusal.reason(),
             RouteRefusal::NoEndpoint => "no_endpoint",
+            RouteRefusal::Cold => "endpoint_cold",
             RouteRefusal::Leaving => "primary_is_leaving",
         }
     }
@@ -97,14 +101,24 @@
     let Some(limit) = limit else {
         let id = primary?;
         return match view.endpoints.get(&id) {
-            Some(entry) => Ok(primary_choice(entry)),
+            Some(entry) if cold_endpoints::may_send(instance, &view, entry) => {
+                Ok(primary_choice(entry))
+            }
+            Some(_) => Err(RouteRefusal::Cold),
             None => Err(RouteRefusal::NoEndpoint),
         };
     };
     let floor = read_floor(instance, query, limit);
-    let mut best: Option<(f64, ChosenEndpoint)> = None;
+    let mut best: Option<((bool, f64), ChosenEndpoint)> = None;
+    let (mut any_cold, mut any_warm) = (false, false);
     for entry in view.group(&query.route.service) {
         let is_primary = primary.as_ref() == Ok(&entry.id);
+        let is_cold = cold_endpoints::is_bounded(instance, &view, entry);
+        any_cold |= is_cold;
+        any_warm |= !is_cold && (!entry.draining || is_primary);
+        if is_cold && !cold_endpoints::may_send(instance, &view, entry) {
+            continue;
+        }
         if query.excluded.contains(&entry.id) || (entry.draining && !is_primary) {
             continue;
         }
@@ -123,6 +137,8 @@
         if failing || (!is_primary && !has_reached) {
             continue;
         }
+        // A cold endpoint is slower than all others.
+        let cost = (is_cold, cost);
         if best.as_ref().is_none_or(|(least, _)| cost < *least) {
             let chosen = if is_primary {
                 primary_choice(entry)
@@ -139,6 +155,7 @@
     }
     match (best, primary) {
         (Some((_, chosen)), _) => Ok(chosen),
+        (None, _) if any_cold && !any_warm => Err(RouteRefusal::Cold),
         (None, Err(refusal)) => Err(refusal),
         (None, Ok(_)) => Err(RouteRefusal::NoEndpoint),
     }
--- a/crates/front/src/statement_run.rs
+++ b/crates/front/src/statement_run.rs
@@ -25,6 +25,7 @@
 use crate::caller_session::CallerSession;
 use crate::caller_session::EndReason;
 use crate::caller_session::SessionRefusal;
+use crate::cold_endpoints;
 use crate::endpoint_connection::EndpointAnswer;
 use crate::endpoint_pool::PooledConnection;
 use crate::instance_limits::QUEUE_FRACTION;
@@ -34,6 +35,7 @@
 use crate::request_attempt::EndpointStatement;
 use crate::request_attempt::RequestProgress;
 use crate::request_route::ChosenEndpoint;
+use crate::request_route::RouteRefusal;
 
 /// Fraction of the target latency within which a request that has been sent may be retried.
 const RETRY_FRACTION: f64 = 0.6;
@@ -159,6 +161,13 @@
             floor: None,
             statement: statement.forwarded,
         });
+        // The statements of a transaction cannot move to another endpoint.
+        if !cold_endpoints::admit_statement(&self.instance, &endpoint) {
+            self.drop_transaction(is_commit);
+            let verdict = request_outcome::verdict(scope, StatementFault::NotSent);
+            self.refuse_request(id, verdict, RouteRefusal::Cold.reason(), arrived);
+            return;
+        }
         let sent_at = now();
         let permit = self.instance.pool.acquire_unqueued(&endpoint);
         let result = connection.run_all(commands, time).await;
@@ -247,6 +256,10 @@
                     );
                     return None;
                 }
+                AttemptOutcome::Refused => {
+                    self.refuse_first(team.as_ref(), &progress, scope, reason);
+                    return None;
+                }
                 AttemptOutcome::Failed(fault) => {
                     let endpoint = progress.excluded.last().cloned();
                     self.fail_transaction();
@@ -260,11 +273,7 @@
                     };
                     let end = arrived + route.target_latency.mul_f64(fraction);
                     if now() + pause >= end {
-                        if let Some(team) = &team {
-                            self.instance.rates.give_back(team);
-                        }
-                        self.fail_transaction();
-                        self.refuse_unserved(&progress, scope, reason);
+                        self.refuse_first(team.as_ref(), &progress, scope, reason);
                         return None;
                     }
                     tokio::time::sleep(pause).await;
@@ -273,6 +282,21 @@
         }
     }
 
+    /// Refuses a request that no endpoint ran, and gives its token back.
+    fn refuse_first(
+        &mut self,
+        team: Option<&TeamId>,
+        progress: &RequestProgress<'_>,
+        scope: OutcomeScope,
+        reason: &'static str,
+    ) {
+        if let Some(team) = team {
+            self.instance.rates.give_back(team);
+        }
+        self.fail_transaction();
+        self.refuse_unserved(progress, scope, reason);
+    }
+
     /// Returns the scope of a single statement or of the first one of a transaction. A commit that
     /// comes first commits no writes.
     pub(crate) fn first_statement_scope(&self, statement: &EndpointStatement) -> OutcomeScope {
--- a/crates/front/src/store_lease.rs
+++ b/crates/front/src/store_lease.rs
@@ -107,6 +107,7 @@
         let mut view = instance.view.borrow_mut();
         view.renewed_at = Some(requested_at);
         view.registered_at = revision;
+        view.registered_since = Some(now());
         view.first_registered_at.get_or_insert(revision);
     }
     instance.notify_view_change();
--- a/crates/front/tests/testsuite/fleet.rs
+++ b/crates/front/tests/testsuite/fleet.rs
@@ -11,6 +11,7 @@
 use standins::free_ports::free_tcp;
 use standins::platform::daemon_process::DaemonPlan;
 use standins::platform::daemon_process::DaemonProcess;
+use standins::platform::group_state::DEFAULT_ZONE;
 use standins::platform::line_caller::LineCaller;
 use standins::platform::platform_handle::PlatformHandle;
 use standins::platform::sample_configuration::SampleTeam;
@@ -102,6 +103,7 @@
                 program: PathBuf::from(env!("CARGO_BIN_EXE_tamaracklb-front")),
                 folder: folder.path().to_owned(),
                 number,
+                zone: DEFAULT_ZONE.to_owned(),
                 cpu_share: *cpu_share,
                 ports: [ports[0], ports[1], ports[2]],
                 store_address,
@@ -142,6 +144,14 @@
         self.platform.configure(&accepted);
     }
 
+    /// Installs a new configuration with this bound of requests per second to cold endpoints.
+    pub fn set_cold_rate(&mut self, per_second: u32) {
+        self.version += 3;
+        let mut accepted = configuration(self.version, &[KEY], self.rate);
+        accepted["Services"][0]["ColdPerS"] = per_second.into();
+        self.platform.configure(&accepted);
+    }
+
     /// Installs a new configuration with this rate and burst of the team.
     pub fn set_rate(&mut self, rate: u32) {
         self.rate = rate;
--- a/crates/front/tests/testsuite/main.rs
+++ b/crates/front/tests/testsuite/main.rs
@@ -4,6 +4,7 @@
 mod test_writers;
 
 mod acknowledged_commits;
+mod cold_endpoints;
 mod daemon_stop;
 mod fault_soak;
 mod instance_sizes;
--- a/crates/session-core/src/endpoint_entry.rs
+++ b/crates/session-core/src/endpoint_entry.rs
@@ -1,6 +1,7 @@
 //! The entry of an endpoint in the registry.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -39,4 +40,13 @@
     pub role: GroupRole,
     /// When its process started, in Unix milliseconds; differs after each restart.
     pub born: u64,
+    /// How long it stays cold after this entry was written; zero if it is not cold.
+    pub cold_time: Duration,
+}
+
+impl EndpointEntry {
+    /// Returns whether the endpoint was cold when it wrote the entry.
+    pub fn is_cold(&self) -> bool {
+        !self.cold_time.is_zero()
+    }
 }
--- a/crates/session-core/src/lib.rs
+++ b/crates/session-core/src/lib.rs
@@ -4,6 +4,7 @@
 //! and simulated fleets run the same code.
 
 pub mod caller_statement;
+pub mod cold_limit;
 pub mod commit_evidence;
 pub mod connection_share;
 pub mod endpoint_entry;
--- a/crates/session-core/src/serving_rules.rs
+++ b/crates/session-core/src/serving_rules.rs
@@ -55,6 +55,8 @@
     pub connections: ConnectionCount,
     /// Number of replicas that hold a commit before it is acknowledged.
     pub sync_replicas: u32,
+    /// Statements per second from the whole fleet to each endpoint that is cold; 0 for no bound.
+    pub cold_rate: RequestRate,
 }
 
 /// One version of the configuration.
--- a/crates/soak/src/soak_run.rs
+++ b/crates/soak/src/soak_run.rs
@@ -17,6 +17,7 @@
 use standins::free_ports::free_tcp;
 use standins::platform::daemon_process::DaemonPlan;
 use standins::platform::daemon_process::DaemonProcess;
+use standins::platform::group_state::DEFAULT_ZONE;
 use standins::platform::line_caller::LineCaller;
 use standins::platform::platform_handle::PlatformHandle;
 use standins::platform::sample_configuration::SampleTeam;
@@ -165,6 +166,7 @@
                 program: plan.program.clone(),
                 folder: plan.folder.clone(),
                 number,
+                zone: DEFAULT_ZONE.to_owned(),
                 cpu_share: if number % 4 == 0 { 0.5 } else { 0.08 },
                 ports: [ports[0], ports[1], ports[2]],
                 store_address: link.address,
--- a/crates/standins/src/platform/daemon_process.rs
+++ b/crates/standins/src/platform/daemon_process.rs
@@ -29,6 +29,8 @@
     pub folder: PathBuf,
     /// Number of the instance, a part of its name and of its file names.
     pub number: usize,
+    /// Availability zone in the settings.
+    pub zone: String,
     /// CPU share in the settings, in cores.
     pub cpu_share: f64,
     /// Listen addresses for callers, for status requests and for other instances.
@@ -44,13 +46,13 @@
         let [callers, status, peers] = self.ports;
         let port = peers.port();
         format!(
-            "NodeName: front-{}\nIp: 127.0.0.1\nZone: zone-a\n\
+            "NodeName: front-{}\nIp: 127.0.0.1\nZone: {}\n\
              Listen:\n  Front: {callers}\n  Ready: {status}\n\
              InternalPorts:\n  - {port}\n  - {port}\n\
              Bounds:\n  RevokeMs: 5000\n  GraceS: 4\n  DrainMs: 4000\n\
              platform:\n  Address: {}\nCloud:\n  Address: {}\n\
              Limits:\n  FileDescriptors: 3000\n  CpuShare: {}\nNewField: 1\n",
-            self.number, self.store_address, self.promotion_address, self.cpu_share,
+            self.number, self.zone, self.store_address, self.promotion_address, self.cpu_share,
         )
     }
 }
--- a/crates/standins/src/platform/group_state.rs
+++ b/crates/standins/src/platform/group_state.rs
@@ -13,6 +13,9 @@
 /// Default time after its commit at which replicas apply an entry.
 const DEFAULT_LAG: Duration = Duration::from_millis(20);
 
+/// Availability zone of an endpoint or instance that is given none.
+pub const DEFAULT_ZONE: &str = "zone-a";
+
 /// One committed transaction.
 #[derive(Debug, Clone)]
 pub struct LoggedCommit {
@@ -47,6 +50,10 @@
     pub draining: bool,
     /// Start of its process in its registry entry.
     pub born: u64,
+    /// Availability zone in its registry entry.
+    pub zone: String,
+    /// Time for which it is cold in its registry entry, in milliseconds; 0 if it is not cold.
+    pub cold_ms: u64,
     /// Whether the registry may list it; an endpoint replicates before it is registered.
     pub registered: bool,
 }
@@ -65,6 +72,8 @@
             alive: true,
             draining: false,
             born: 1,
+            zone: DEFAULT_ZONE.to_owned(),
+            cold_ms: 0,
             registered: true,
         }
     }
@@ -363,11 +372,11 @@
         Some(serde_json::json!({
             "Service": self.service,
             "Address": endpoint.address.to_string(),
-            "Zone": "zone-a",
+            "Zone": endpoint.zone,
             "Version": "v1",
             "Slots": 4,
             "State": if endpoint.draining { "draining" } else { "ready" },
-            "ColdRemainingMs": 0,
+            "ColdRemainingMs": endpoint.cold_ms,
             "DatabaseRole": if endpoint.primary { "primary" } else { "replica" },
             "Sequence": 1,
             "born": endpoint.born,
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -15,6 +15,7 @@
 mod caller_standins;
 mod caller_startup;
 mod caller_state;
+mod cold_limits;
 mod commit_reports;
 mod daemon_program;
 mod daemon_settings;
--- a/tests/testsuite/platform_codecs.rs
+++ b/tests/testsuite/platform_codecs.rs
@@ -24,6 +24,7 @@
 use session_core::log_point::LogPoint;
 use session_core::request_outcome::EndpointRefusal;
 use session_core::serving_rules::ReadPolicy;
+use session_core::units::RequestRate;
 use tokio_util::codec::Decoder;
 use tokio_util::codec::Encoder;
 
@@ -162,6 +163,46 @@
     assert!(parse_report("observer 3 3.1209 0 12 2 17").is_none());
 }
 
+/// Fields about cold endpoints must be read, and be optional: without them there is no bound.
+#[test]
+fn cold_fields_are_optional() {
+    let settings = |bounds: &str| {
+        let text = format!(
+            "NodeName: front-1\nIp: 127.0.0.1\nZone: z\n\
+             Listen:\n  Front: 127.0.0.1:1\n  Ready: 127.0.0.1:2\nInternalPorts: [3, 4]\n\
+             Bounds:\n  RevokeMs: 5000\n  GraceS: 4\n{bounds}\
+             platform:\n  Address: 127.0.0.1:5\nCloud:\n  Address: 127.0.0.1:6\n"
+        );
+        parse_settings(&text).expect("the settings are valid")
+    };
+    let allowance = settings("").cold_allowance;
+    assert_eq!(allowance.slots(RequestRate(4.0)), Some(11));
+    let allowance = settings("  ColdOverage: 2\n  ColdSlack: 1\n").cold_allowance;
+    assert_eq!(allowance.slots(RequestRate(4.0)), Some(9));
+    let rate = |field: &str| {
+        let text = format!(r#"{{"Version":7,"Services":[{{"Name":"s"{field}}}]}}"#);
+        let rules = parse_configuration(text.as_bytes()).expect("the configuration is valid");
+        rules
+            .services
+            .values()
+            .next()
+            .expect("the service exists")
+            .cold_rate
+    };
+    assert_eq!(rate(""), RequestRate(0.0));
+    assert_eq!(rate(r#","ColdPerS":2.5"#), RequestRate(2.5));
+    let cold = |field: &str| {
+        let text = format!(
+            r#"{{"Service":"s","Address":"10.128.0.9:8080","Zone":"z","Slots":3,"State":"ready","DatabaseRole":"replica"{field}}}"#
+        );
+        let entry = parse_entry("servers/i-1", text.as_bytes()).expect("the entry is valid");
+        entry.cold_time.as_millis()
+    };
+    assert_eq!(cold(""), 0);
+    assert_eq!(cold(r#","ColdRemainingMs":1200"#), 1_200);
+    assert_eq!(cold(r#","ColdRemainingMs":-3.5"#), 0);
+}
+
 /// Settings with a missing or wrong field must be refused with the reason.
 #[test]
 fn bad_settings_are_refused() {
--- a/tests/testsuite/primary_permits.rs
+++ b/tests/testsuite/primary_permits.rs
@@ -41,6 +41,7 @@
         slots: SlotCount(3),
         draining: false,
         role,
+        cold_time: std::time::Duration::ZERO,
         born: 1,
     }
 }
