--- a/crates/front/tests/testsuite/fleet.rs
+++ b/crates/front/tests/testsuite/fleet.rs
@@ -104,6 +104,7 @@
                 folder: folder.path().to_owned(),
                 number,
                 zone: DEFAULT_ZONE.to_owned(),
+                evacuation_ms: None,
                 cpu_share: *cpu_share,
                 ports: [ports[0], ports[1], ports[2]],
                 store_address,
--- a/crates/soak/src/fault_schedule.rs
+++ b/crates/soak/src/fault_schedule.rs
@@ -29,6 +29,19 @@
 /// Time between the starts of two faults beside releases in place, which last longer.
 const RELEASE_INTERVAL_MS: std::ops::Range<u64> = 200..1_800;
 
+/// Time between the starts of two faults of a run with evacuations.
+const EVACUATION_INTERVAL_MS: std::ops::Range<u64> = 300..2_500;
+
+/// Time for which an availability zone is evacuated. It may end before the zone had to be left.
+const EVACUATION_MS: std::ops::Range<u64> = 200..12_000;
+
+/// Time for which an availability zone is lost: shorter than the time after which the log of a
+/// missing endpoint counts as lost.
+const ZONE_LOSS_MS: std::ops::Range<u64> = 500..7_000;
+
+/// Number of availability zones of a run with evacuations.
+const ZONE_COUNT: usize = 3;
+
 /// Time for which an endpoint drains before it is replaced in place: the drain time of the daemons'
 /// settings and a little longer.
 const RELEASE_DRAIN_MS: std::ops::Range<u64> = 4_100..5_500;
@@ -77,6 +90,8 @@
     /// Endpoints that are released in place, one after the other, with faults of replication, leaders
     /// and the store.
     Releases,
+    /// Availability zones that are evacuated and lost, with faults of leaders and processes.
+    Evacuations,
 }
 
 impl fmt::Display for ScheduleKind {
@@ -86,10 +101,20 @@
             ScheduleKind::Planned => "planned work",
             ScheduleKind::Changes => "changes",
             ScheduleKind::Releases => "releases",
+            ScheduleKind::Evacuations => "evacuations",
         })
     }
 }
 
+/// How an availability zone is lost.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ZoneLoss {
+    /// Its processes and endpoints are suspended and resumed later.
+    Paused,
+    /// Its processes reach the store no more, and nobody reaches its endpoints.
+    Cut,
+}
+
 /// Which endpoint a fault affects.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum EndpointChoice {
@@ -158,6 +183,10 @@
     KeyWithdrawn,
     /// A new version of the configuration is accepted.
     Configuration,
+    /// The availability zone with this number is evacuated.
+    ZoneEvacuated(usize),
+    /// All processes and endpoints of the zone with this number are lost and come back.
+    ZoneLost(usize, ZoneLoss),
 }
 
 /// A fault with its start and duration.
@@ -212,6 +241,19 @@
                 let fault = draw_beside_release(&mut random, instances, endpoints);
                 faults.push(schedule(&mut random, starts_after, fault));
             }
+            ScheduleKind::Evacuations => {
+                let fault = draw_evacuation(&mut random, instances);
+                let mut fault = schedule(&mut random, starts_after, fault);
+                let range = match fault.fault {
+                    SoakFault::ZoneEvacuated(_) => Some(EVACUATION_MS),
+                    SoakFault::ZoneLost(..) => Some(ZONE_LOSS_MS),
+                    _ => None,
+                };
+                if let Some(range) = range {
+                    fault.duration = Duration::from_millis(random.random_range(range));
+                }
+                faults.push(fault);
+            }
             ScheduleKind::Changes => {
                 for (delay, fault) in draw_changes(&mut random, instances, endpoints) {
                     faults.push(schedule(&mut random, starts_after + delay, fault));
@@ -221,6 +263,7 @@
         let interval = match kind {
             ScheduleKind::Changes => CHANGE_INTERVAL_MS,
             ScheduleKind::Releases => RELEASE_INTERVAL_MS,
+            ScheduleKind::Evacuations => EVACUATION_INTERVAL_MS,
             ScheduleKind::Faults | ScheduleKind::Planned => FAULT_INTERVAL_MS,
         };
         starts_after += Duration::from_millis(random.random_range(interval));
@@ -271,6 +314,19 @@
     }
 }
 
+fn draw_evacuation(random: &mut ChaCha8Rng, instances: usize) -> SoakFault {
+    let instance = random.random_range(0..instances);
+    let zone = random.random_range(0..ZONE_COUNT);
+    match random.random_range(0..12) {
+        0..=5 => SoakFault::ZoneEvacuated(zone),
+        6 | 7 => SoakFault::ZoneLost(zone, ZoneLoss::Paused),
+        8 => SoakFault::ZoneLost(zone, ZoneLoss::Cut),
+        9 => SoakFault::LeaderKilled,
+        10 => SoakFault::Process(instance, ProcessFault::Kill),
+        _ => SoakFault::KillAll,
+    }
+}
+
 /// Draws a fault, or several that follow each other closely, with the delay of each.
 fn draw_changes(
     random: &mut ChaCha8Rng,
--- a/crates/soak/src/guarantee_checks.rs
+++ b/crates/soak/src/guarantee_checks.rs
@@ -31,6 +31,16 @@
 /// Number of requests that a window may have beyond that fraction.
 const RATE_SLACK: f64 = 20.0;
 
+/// Time in which an evacuated availability zone must be left, from the users' platform.
+const EVACUATION_TIME: Duration = Duration::from_millis(5_000);
+
+/// Requests per second to a cold endpoint in the configuration of runs that have any.
+pub const COLD_RATE: u32 = 20;
+
+/// Statements that a cold endpoint may receive in any second, by the rules of the users' platform: 1.5
+/// times the rate, and 5.
+pub const COLD_BOUND: usize = 35;
+
 /// A violated guarantee.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct GuaranteeViolation {
@@ -66,6 +76,8 @@
     check_writes(history, group, &mut report);
     check_statements(history, group, &mut report);
     check_rates(&group.executed_statements, rates, &mut report);
+    check_evacuations(history, group, &mut report);
+    check_cold_spells(history, group, &mut report);
     check_promotions(group, &mut report);
     violations
 }
@@ -195,6 +207,53 @@
     }
 }
 
+/// Reports the last statement that arrived too late in each evacuation, and how many there were.
+fn check_evacuations(
+    history: &ObservedHistory,
+    group: &GroupState,
+    report: &mut impl FnMut(&'static str, String),
+) {
+    for evacuation in &history.evacuations {
+        let left_by = evacuation.from + EVACUATION_TIME;
+        let late = group.received_statements.iter().filter(|statement| {
+            statement.zone == evacuation.zone
+                && statement.received_at > left_by
+                && evacuation.to.is_none_or(|to| statement.received_at < to)
+        });
+        let late: Vec<_> = late.collect();
+        if let Some(last) = late.last() {
+            let (count, after) = (late.len(), last.received_at - evacuation.from);
+            let observed = format!("{count} statements, the last one after {after:?}: {last:?}");
+            report("evacuated zones are left", observed);
+        }
+    }
+}
+
+fn check_cold_spells(
+    history: &ObservedHistory,
+    group: &GroupState,
+    report: &mut impl FnMut(&'static str, String),
+) {
+    for spell in &history.cold_spells {
+        let times: Vec<Instant> = group
+            .received_statements
+            .iter()
+            .filter(|statement| statement.endpoint == spell.endpoint)
+            .map(|statement| statement.received_at)
+            .filter(|at| (spell.from..spell.to).contains(at))
+            .collect();
+        let in_second = |first: usize| {
+            let end = times[first] + Duration::from_secs(1);
+            times[first..].iter().take_while(|at| **at < end).count()
+        };
+        let most = (0..times.len()).map(in_second).max().unwrap_or(0);
+        if most > COLD_BOUND {
+            let observed = format!("{most} in a second at {}", spell.endpoint);
+            report("cold endpoints are spared", observed);
+        }
+    }
+}
+
 fn check_promotions(group: &GroupState, report: &mut impl FnMut(&'static str, String)) {
     let mut previous: Option<(u64, &str)> = None;
     for (target, holder, token) in &group.promotions {
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -42,6 +42,9 @@
     /// replace endpoints in place, one after the other, beside faults that lose no log
     #[argh(switch)]
     releases: bool,
+    /// evacuate and lose availability zones, beside dead leaders and processes
+    #[argh(switch)]
+    evacuations: bool,
     /// number of callers of each kind
     #[argh(option, default = "6")]
     callers: usize,
@@ -50,10 +53,11 @@
 /// Runs one seed, prints its verdict and returns whether all guarantees held.
 fn check_seed(args: &SoakArgs, seed: u64) -> io::Result<bool> {
     let folder = tempfile::tempdir()?;
-    let kind = match (args.releases, args.changes) {
-        (true, _) => ScheduleKind::Releases,
-        (false, true) => ScheduleKind::Changes,
-        (false, false) => fault_schedule::kind_of(seed),
+    let kind = match (args.releases, args.changes, args.evacuations) {
+        (true, _, _) => ScheduleKind::Releases,
+        (false, true, _) => ScheduleKind::Changes,
+        (false, false, true) => ScheduleKind::Evacuations,
+        (false, false, false) => fault_schedule::kind_of(seed),
     };
     let plan = SoakPlan {
         program: args.program.clone(),
--- a/crates/soak/src/observed_history.rs
+++ b/crates/soak/src/observed_history.rs
@@ -48,6 +48,28 @@
     pub to: Option<Instant>,
 }
 
+/// A period in which an availability zone was evacuated.
+#[derive(Debug, Clone)]
+pub struct ZoneEvacuation {
+    /// The zone.
+    pub zone: String,
+    /// When the store had accepted the key.
+    pub from: Instant,
+    /// When the key was about to be removed; `None` until then.
+    pub to: Option<Instant>,
+}
+
+/// A period in which an endpoint was cold and every instance that may use it knew that.
+#[derive(Debug, Clone)]
+pub struct ColdSpell {
+    /// The endpoint.
+    pub endpoint: String,
+    /// Time after which no instance takes the endpoint for warm.
+    pub from: Instant,
+    /// When the endpoint became warm.
+    pub to: Instant,
+}
+
 /// Everything that the callers of a run observed.
 #[derive(Debug, Default)]
 pub struct ObservedHistory {
@@ -57,6 +79,10 @@
     pub writes: Vec<ObservedWrite>,
     /// Periods in which keys were withdrawn.
     pub key_gaps: Vec<KeyGap>,
+    /// Periods in which availability zones were evacuated.
+    pub evacuations: Vec<ZoneEvacuation>,
+    /// Periods in which endpoints were cold.
+    pub cold_spells: Vec<ColdSpell>,
     /// Ids of requests whose connections ended during planned work, with the time from sending the
     /// request to the end of its connection.
     pub unanswered: Vec<(String, Duration)>,
--- a/crates/soak/src/soak_faults.rs
+++ b/crates/soak/src/soak_faults.rs
@@ -14,8 +14,12 @@
 use crate::fault_schedule::ScheduleKind;
 use crate::fault_schedule::ScheduledFault;
 use crate::fault_schedule::SoakFault;
+use crate::fault_schedule::ZoneLoss;
 use crate::link_proxy::LinkFault;
+use crate::link_proxy::LinkProxy;
 use crate::soak_run::SoakFleet;
+use crate::soak_run::ZONES;
+use crate::soak_run::instance_zone;
 
 /// Time within which a process must exit after SIGTERM: its grace time and a margin.
 const EXIT_TIMEOUT: Duration = Duration::from_millis(5_000);
@@ -46,6 +50,9 @@
 /// Time within which a promotion request is awaited.
 const CHANGE_TIMEOUT: Duration = Duration::from_millis(5_000);
 
+/// Time in which a reset of links takes effect.
+const RESET_TIME: Duration = Duration::from_millis(50);
+
 /// Replication delay of replicas without a lag fault.
 pub const DEFAULT_LAG: Duration = Duration::from_millis(20);
 
@@ -115,7 +122,9 @@
                 let _guard = self.endpoint_silence.lock().await;
                 let duration = match self.kind {
                     ScheduleKind::Changes | ScheduleKind::Releases => duration.min(SHORT_SILENCE),
-                    ScheduleKind::Faults | ScheduleKind::Planned => duration,
+                    ScheduleKind::Faults | ScheduleKind::Planned | ScheduleKind::Evacuations => {
+                        duration
+                    }
                 };
                 let id = &self.endpoint_link(endpoint).0;
                 self.platform.change_group(|group| {
@@ -219,7 +228,86 @@
                 self.configure(true);
                 Ok(())
             }
+            SoakFault::ZoneEvacuated(zone) => {
+                self.evacuate_zone(zone, duration).await;
+                Ok(())
+            }
+            SoakFault::ZoneLost(zone, loss) => self.lose_zone(zone, loss, duration).await,
+        }
+    }
+
+    /// Loses all processes and endpoints of a zone for some time.
+    async fn lose_zone(&self, zone: usize, loss: ZoneLoss, duration: Duration) -> io::Result<()> {
+        let _cold_guard = self.zone_losses[zone].lock().await;
+        let endpoints = self.zone_endpoints(zone);
+        {
+            // One zone at a time: two of three may hold the only copies of a commit.
+            let _guard = self.endpoint_silence.lock().await;
+            let numbers: Vec<usize> = (0..self.processes.len())
+                .filter(|number| instance_zone(self.kind, *number) == ZONES[zone])
+                .collect();
+            match loss {
+                ZoneLoss::Paused => self.pause_zone(&numbers, &endpoints, duration).await?,
+                ZoneLoss::Cut => self.cut_zone(&numbers, &endpoints, duration).await,
+            }
+        }
+        let ids: Vec<String> = endpoints.into_iter().map(|(id, _)| id).collect();
+        self.chill(&ids).await;
+        Ok(())
+    }
+
+    async fn cut_zone(
+        &self,
+        numbers: &[usize],
+        endpoints: &[(String, LinkProxy)],
+        duration: Duration,
+    ) {
+        let stores = numbers.iter().map(|number| &self.store_links[*number]);
+        let links: Vec<_> = stores.chain(endpoints.iter().map(|(_, l)| l)).collect();
+        for link in &links {
+            link.set_fault(LinkFault::Silent);
+        }
+        tokio::time::sleep(duration).await;
+        // Statements that the link held back must not arrive after it is back.
+        for (_, link) in endpoints {
+            link.reset();
+        }
+        tokio::time::sleep(RESET_TIME).await;
+        for link in &links {
+            link.set_fault(LinkFault::None);
+        }
+    }
+
+    async fn pause_zone(
+        &self,
+        numbers: &[usize],
+        endpoints: &[(String, LinkProxy)],
+        duration: Duration,
+    ) -> io::Result<()> {
+        let mut processes = Vec::new();
+        for number in numbers {
+            processes.push(self.processes[*number].lock().await);
+        }
+        for process in &processes {
+            process.signal("STOP")?;
+        }
+        self.platform.change_group(|group| {
+            for (id, _) in endpoints {
+                if let Some(endpoint) = group.endpoints.get_mut(id) {
+                    endpoint.alive = false;
+                }
+            }
+        });
+        tokio::time::sleep(duration).await;
+        self.platform.change_group(|group| {
+            for (id, _) in endpoints {
+                group.revive(id);
+            }
+        });
+        for process in &processes {
+            process.signal("CONT")?;
         }
+        Ok(())
     }
 
     /// Returns the ids of the replicas, sorted.
--- a/crates/soak/src/soak_run.rs
+++ b/crates/soak/src/soak_run.rs
@@ -28,11 +28,14 @@
 
 use crate::fault_schedule;
 use crate::fault_schedule::ScheduleKind;
+use crate::guarantee_checks::COLD_RATE;
 use crate::guarantee_checks::GuaranteeViolation;
 use crate::guarantee_checks::check_guarantees;
 use crate::link_proxy::LinkProxy;
+use crate::observed_history::ColdSpell;
 use crate::observed_history::KeyGap;
 use crate::observed_history::ObservedHistory;
+use crate::observed_history::ZoneEvacuation;
 use crate::soak_callers::CallerKind;
 use crate::soak_callers::SoakCaller;
 use crate::soak_callers::lock;
@@ -40,6 +43,12 @@
 
 const SERVICE: &str = "orders";
 
+/// Availability zones of a run with evacuations.
+pub(crate) const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
+
+/// Time in which the settings require an evacuated zone to be left, in milliseconds.
+const EVACUATION_MS: u64 = 5_000;
+
 /// Name, key and rate per second of the team that most callers use.
 const DEFAULT_TEAM: (&str, &str, u32) = ("studio", "k-studio", 4_000);
 
@@ -67,6 +76,13 @@
 /// Number in the id of the first endpoint that joins during a run.
 const FIRST_JOINING_ENDPOINT: usize = 4;
 
+/// Time for which endpoints of a lost zone are cold once it is back.
+const COLD_TIME: Duration = Duration::from_millis(8_000);
+
+/// Time after which every instance that uses an endpoint knows that it is cold: the maximum age of a
+/// view, and a margin for statements in transit.
+const COLD_KNOWN_TIME: Duration = Duration::from_millis(4_300);
+
 /// Pause between two checks of whether an instance serves.
 const PROBE_PAUSE: Duration = Duration::from_millis(50);
 
@@ -127,6 +143,10 @@
     endpoint_links: StdMutex<Vec<(String, LinkProxy)>>,
     /// Held during a fault that silences an endpoint, so that these faults do not overlap.
     pub endpoint_silence: Mutex<()>,
+    /// Held while an availability zone is evacuated, by the number of the zone.
+    pub evacuations: [Mutex<()>; ZONES.len()],
+    /// Held while a zone is lost and until its endpoints are warm again, by the number of the zone.
+    pub zone_losses: [Mutex<()>; ZONES.len()],
     /// Held while an endpoint is replaced.
     pub releases: Mutex<()>,
     /// Number in the id of the next endpoint that joins.
@@ -157,6 +177,9 @@
             endpoint_links.push((id, link));
         }
         endpoint_links.sort_by(|(one, _), (other, _)| one.cmp(other));
+        if plan.kind == ScheduleKind::Evacuations {
+            platform.spread_over_zones(&ZONES);
+        }
         let mut store_links = Vec::new();
         let mut processes = Vec::new();
         for number in 0..plan.instances {
@@ -166,7 +189,8 @@
                 program: plan.program.clone(),
                 folder: plan.folder.clone(),
                 number,
-                zone: DEFAULT_ZONE.to_owned(),
+                zone: instance_zone(plan.kind, number).to_owned(),
+                evacuation_ms: (plan.kind == ScheduleKind::Evacuations).then_some(EVACUATION_MS),
                 cpu_share: if number % 4 == 0 { 0.5 } else { 0.08 },
                 ports: [ports[0], ports[1], ports[2]],
                 store_address: link.address,
@@ -189,6 +213,8 @@
             store_links,
             endpoint_links: StdMutex::new(endpoint_links),
             endpoint_silence: Mutex::default(),
+            evacuations: Default::default(),
+            zone_losses: Default::default(),
             releases: Mutex::default(),
             next_endpoint: AtomicUsize::new(FIRST_JOINING_ENDPOINT),
             key_withdrawal: Mutex::default(),
@@ -216,8 +242,11 @@
         let present = with_key && !withdrawn;
         let teams = [team(DEFAULT_TEAM, true), team(LIMITED_TEAM, present)];
         configuration.0 = version + 1;
-        self.platform
-            .configure(&sample_configuration(version + 1, SERVICE, &teams));
+        let mut accepted = sample_configuration(version + 1, SERVICE, &teams);
+        if self.kind == ScheduleKind::Evacuations {
+            accepted["Services"][0]["ColdPerS"] = COLD_RATE.into();
+        }
+        self.platform.configure(&accepted);
     }
 
     /// Withdraws the key of the limited team for twice `duration`.
@@ -245,6 +274,67 @@
         self.configure(true);
     }
 
+    /// Evacuates an availability zone for some time.
+    pub async fn evacuate_zone(&self, number: usize, duration: Duration) {
+        let _guard = self.evacuations[number].lock().await;
+        let zone = ZONES[number];
+        self.platform.evacuate_zone(zone);
+        let evacuation = ZoneEvacuation {
+            zone: zone.to_owned(),
+            from: Instant::now(),
+            to: None,
+        };
+        lock(&self.history).evacuations.push(evacuation);
+        tokio::time::sleep(duration).await;
+        let removed_at = Instant::now();
+        for evacuation in &mut lock(&self.history).evacuations {
+            if evacuation.zone == zone {
+                evacuation.to.get_or_insert(removed_at);
+            }
+        }
+        self.platform.end_evacuation(zone);
+    }
+
+    /// Lets endpoints be cold, as after a start, and waits until they are warm.
+    pub async fn chill(&self, ids: &[String]) {
+        let set = |time: Duration| {
+            self.platform.change_group(|group| {
+                for id in ids {
+                    if let Some(endpoint) = group.endpoints.get_mut(id) {
+                        endpoint.cold_ms = time.as_millis() as u64;
+                    }
+                }
+            });
+        };
+        set(COLD_TIME);
+        let known_at = Instant::now() + COLD_KNOWN_TIME;
+        tokio::time::sleep(COLD_TIME).await;
+        let warm_at = Instant::now();
+        set(Duration::ZERO);
+        for id in ids {
+            lock(&self.history).cold_spells.push(ColdSpell {
+                endpoint: id.clone(),
+                from: known_at,
+                to: warm_at,
+            });
+        }
+    }
+
+    /// Returns the ids and the links of the endpoints of an availability zone.
+    pub fn zone_endpoints(&self, number: usize) -> Vec<(String, LinkProxy)> {
+        let group = self.platform.shared.group();
+        let is_inside = |id: &str| {
+            let endpoint = group.endpoints.get(id);
+            endpoint.is_some_and(|endpoint| endpoint.zone == ZONES[number])
+        };
+        let links = self.links();
+        links
+            .iter()
+            .filter(|(id, _)| is_inside(id))
+            .cloned()
+            .collect()
+    }
+
     fn links(&self) -> MutexGuard<'_, Vec<(String, LinkProxy)>> {
         let links = self.endpoint_links.lock();
         links.unwrap_or_else(PoisonError::into_inner)
@@ -345,6 +435,14 @@
     }
 }
 
+/// Returns the availability zone of an instance.
+pub(crate) fn instance_zone(kind: ScheduleKind, number: usize) -> &'static str {
+    match kind {
+        ScheduleKind::Evacuations => ZONES[number % ZONES.len()],
+        _ => DEFAULT_ZONE,
+    }
+}
+
 /// Returns whether an instance serves one write and one read.
 async fn is_serving(address: SocketAddr, history: &StdMutex<ObservedHistory>) -> bool {
     for (database, text) in [("linear", "WRITE probe 1"), ("bounded", "READ probe")] {
--- a/crates/standins/src/platform/daemon_process.rs
+++ b/crates/standins/src/platform/daemon_process.rs
@@ -31,6 +31,9 @@
     pub number: usize,
     /// Availability zone in the settings.
     pub zone: String,
+    /// Time in which an evacuated zone must be left, in milliseconds; `None` leaves it out of the
+    /// settings.
+    pub evacuation_ms: Option<u64>,
     /// CPU share in the settings, in cores.
     pub cpu_share: f64,
     /// Listen addresses for callers, for status requests and for other instances.
@@ -45,11 +48,14 @@
     fn settings_text(&self) -> String {
         let [callers, status, peers] = self.ports;
         let port = peers.port();
+        let evacuation = self
+            .evacuation_ms
+            .map_or_else(String::new, |time| format!("  EvacuationMs: {time}\n"));
         format!(
             "NodeName: front-{}\nIp: 127.0.0.1\nZone: {}\n\
              Listen:\n  Front: {callers}\n  Ready: {status}\n\
              InternalPorts:\n  - {port}\n  - {port}\n\
-             Bounds:\n  RevokeMs: 5000\n  GraceS: 4\n  DrainMs: 4000\n\
+             Bounds:\n  RevokeMs: 5000\n  GraceS: 4\n  DrainMs: 4000\n{evacuation}\
              platform:\n  Address: {}\nCloud:\n  Address: {}\n\
              Limits:\n  FileDescriptors: 3000\n  CpuShare: {}\nNewField: 1\n",
             self.number, self.zone, self.store_address, self.promotion_address, self.cpu_share,
--- a/crates/standins/src/platform/group_state.rs
+++ b/crates/standins/src/platform/group_state.rs
@@ -96,6 +96,19 @@
     pub executed_at: Instant,
 }
 
+/// A read, write or commit that arrived at an endpoint, whether or not it was executed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ReceivedStatement {
+    /// Id of the request.
+    pub id: String,
+    /// Id of the endpoint.
+    pub endpoint: String,
+    /// Availability zone of the endpoint.
+    pub zone: String,
+    /// Time of the arrival.
+    pub received_at: Instant,
+}
+
 /// Replication state of a commit.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CommitState {
@@ -132,6 +145,8 @@
     pub lose_answers: u32,
     /// Statements that were executed, in order.
     pub executed_statements: Vec<ExecutedStatement>,
+    /// Statements that arrived at an endpoint that answers, in order.
+    pub received_statements: Vec<ReceivedStatement>,
     /// Accepted promotion requests: target, `Duty-Holder` and `Fencing-Token`.
     pub promotions: Vec<(String, String, u64)>,
     /// Promotions that took effect, in order.
@@ -153,6 +168,7 @@
             resume_delay: Duration::ZERO,
             lose_answers: 0,
             executed_statements: Vec::new(),
+            received_statements: Vec::new(),
             promotions: Vec::new(),
             effects: Vec::new(),
         }
--- a/crates/standins/src/platform/line_server.rs
+++ b/crates/standins/src/platform/line_server.rs
@@ -14,6 +14,7 @@
 
 use crate::platform::group_state::CommitState;
 use crate::platform::group_state::ExecutedStatement;
+use crate::platform::group_state::ReceivedStatement;
 use crate::platform::platform_handle::PlatformShared;
 
 /// Pause between checks whether a replica has received a commit or applied a floor.
@@ -140,6 +141,9 @@
             return Some(self.refuse("MALFORMED"));
         }
         let (word, rest) = text.split_once(' ').unwrap_or((text, ""));
+        if matches!(word, "READ" | "WRITE" | "EXECUTE" | "COMMIT") {
+            self.record_arrival(id);
+        }
         let complete = "COMPLETE -\r\n".to_owned();
         match word {
             "SET" => {
@@ -233,6 +237,18 @@
             });
     }
 
+    fn record_arrival(&self, id: &str) {
+        let mut group = self.shared.group();
+        let endpoint = group.endpoints.get(&self.endpoint);
+        let zone = endpoint.map_or_else(String::new, |endpoint| endpoint.zone.clone());
+        group.received_statements.push(ReceivedStatement {
+            id: id.to_owned(),
+            endpoint: self.endpoint.clone(),
+            zone,
+            received_at: Instant::now(),
+        });
+    }
+
     fn receipt(&self, id: &str) -> String {
         format!("COMPLETE {}.{id}\r\n", self.endpoint)
     }
--- a/crates/standins/src/platform/platform_handle.rs
+++ b/crates/standins/src/platform/platform_handle.rs
@@ -17,6 +17,9 @@
 use crate::platform::store_server;
 use crate::platform::store_state::StoreState;
 
+/// Prefix of the keys with which operators evacuate availability zones.
+const EVACUATION_PREFIX: &str = "op/evacuate/";
+
 /// The state that the servers of the stand-in share.
 #[derive(Debug)]
 pub struct PlatformShared {
@@ -112,6 +115,31 @@
         self.shared.store().put("op/config", value, 0);
     }
 
+    /// Puts the key with which operators evacuate an availability zone.
+    pub fn evacuate_zone(&self, zone: &str) {
+        let key = format!("{EVACUATION_PREFIX}{zone}");
+        self.shared.store().put(&key, b"{}".to_vec(), 0);
+    }
+
+    /// Removes the key that evacuates an availability zone.
+    pub fn end_evacuation(&self, zone: &str) {
+        let key = format!("{EVACUATION_PREFIX}{zone}");
+        self.shared.store().remove(&key);
+    }
+
+    /// Moves endpoints to availability zones, in the order of their ids and of the zones.
+    pub fn spread_over_zones(&self, zones: &[&str]) {
+        self.change_group(|group| {
+            let mut ids: Vec<String> = group.endpoints.keys().cloned().collect();
+            ids.sort();
+            for (id, zone) in ids.iter().zip(zones.iter().cycle()) {
+                if let Some(endpoint) = group.endpoints.get_mut(id) {
+                    endpoint.zone = (*zone).to_owned();
+                }
+            }
+        });
+    }
+
     /// Returns the number of the instance that leads, from its name `front-NUMBER` in the store.
     pub fn leader(&self) -> Option<usize> {
         let store = self.shared.store();
--- a/tests/testsuite/soak_checks.rs
+++ b/tests/testsuite/soak_checks.rs
@@ -8,14 +8,18 @@
 use soak::fault_schedule::ScheduleKind;
 use soak::fault_schedule::draw_faults;
 use soak::fault_schedule::is_planned;
+use soak::guarantee_checks::COLD_BOUND;
 use soak::guarantee_checks::check_guarantees;
+use soak::observed_history::ColdSpell;
 use soak::observed_history::KeyGap;
 use soak::observed_history::ObservedHistory;
 use soak::observed_history::WriteOutcome;
+use soak::observed_history::ZoneEvacuation;
 use standins::platform::group_state::EndpointState;
 use standins::platform::group_state::ExecutedStatement;
 use standins::platform::group_state::GroupState;
 use standins::platform::group_state::LoggedCommit;
+use standins::platform::group_state::ReceivedStatement;
 
 const RATE_PER_S: u32 = 10;
 
@@ -47,6 +51,15 @@
     }
 }
 
+fn received_statement(zone: &str, received_at: Instant) -> ReceivedStatement {
+    ReceivedStatement {
+        id: "a-1".to_owned(),
+        endpoint: "db-1".to_owned(),
+        zone: zone.to_owned(),
+        received_at,
+    }
+}
+
 fn violated_guarantees(history: &ObservedHistory, group: &GroupState) -> Vec<&'static str> {
     let rates = HashMap::from([("press".to_owned(), RATE_PER_S)]);
     let violations = check_guarantees(history, group, &rates);
@@ -72,6 +85,62 @@
     assert_eq!(history.newest_acknowledged("page", Duration::ZERO), 1);
 }
 
+/// Guards against accepting a statement that reaches an evacuated zone after 5 s, and against reporting
+/// one before that time, after the end of the evacuation or in another zone.
+#[test]
+fn statement_in_evacuated_zone_is_noticed() {
+    let second = Duration::from_secs(1);
+    let start = Instant::now();
+    let evacuation = |to| ZoneEvacuation {
+        zone: "zone-b".to_owned(),
+        from: start,
+        to,
+    };
+    let check = |zone: &str, seconds: u32, to: Option<u32>| {
+        let mut history = ObservedHistory::default();
+        let to = to.map(|to| start + second * to);
+        history.evacuations.push(evacuation(to));
+        let mut group = group(&[]);
+        let received = received_statement(zone, start + second * seconds);
+        group.received_statements.push(received);
+        violated_guarantees(&history, &group)
+    };
+    let violated = vec!["evacuated zones are left"];
+    assert_eq!(check("zone-b", 6, None), violated);
+    assert_eq!(check("zone-b", 6, Some(8)), violated);
+    assert!(check("zone-b", 4, None).is_empty());
+    assert!(check("zone-b", 6, Some(5)).is_empty());
+    assert!(check("zone-a", 6, None).is_empty());
+}
+
+/// Guards against accepting more statements in a second than a cold endpoint may receive, and against
+/// reporting the same number after the cold time.
+#[test]
+fn crowd_at_cold_endpoint_is_noticed() {
+    let start = Instant::now();
+    let mut history = ObservedHistory::default();
+    history.cold_spells.push(ColdSpell {
+        endpoint: "db-1".to_owned(),
+        from: start,
+        to: start + Duration::from_secs(2),
+    });
+    let mut group = group(&[]);
+    let mut add = |after: Duration, count: usize| {
+        let received = received_statement("zone-a", start + after);
+        let statements = &mut group.received_statements;
+        statements.extend(std::iter::repeat_n(received, count));
+    };
+    add(Duration::from_millis(500), COLD_BOUND);
+    add(Duration::from_millis(2_100), 2 * COLD_BOUND);
+    assert!(violated_guarantees(&history, &group).is_empty());
+    let one_more = received_statement("zone-a", start + Duration::from_millis(1_400));
+    group.received_statements.insert(COLD_BOUND, one_more);
+    assert_eq!(
+        violated_guarantees(&history, &group),
+        vec!["cold endpoints are spared"]
+    );
+}
+
 /// Guards against accepting a stale value. The value of a write with unknown outcome is allowed, as the write may have
 /// taken effect late.
 #[test]
