--- a/crates/front/tests/testsuite/fleet.rs
+++ b/crates/front/tests/testsuite/fleet.rs
@@ -17,6 +17,7 @@
 use standins::platform::sample_configuration::SampleTeam;
 use standins::platform::sample_configuration::add_routes;
 use standins::platform::sample_configuration::sample_configuration;
+use standins::platform::sample_configuration::set_cold_rate;
 use tempfile::TempDir;
 
 /// API key of the team.
@@ -149,7 +150,7 @@
     pub fn set_cold_rate(&mut self, per_second: u32) {
         self.version += 3;
         let mut accepted = configuration(self.version, &[KEY], self.rate);
-        accepted["Services"][0]["ColdPerS"] = per_second.into();
+        set_cold_rate(&mut accepted, per_second);
         self.platform.configure(&accepted);
     }
 
--- a/crates/session-core/src/cold_limit.rs
+++ b/crates/session-core/src/cold_limit.rs
@@ -33,7 +33,7 @@
 pub const DEPARTURE_HOLD: Duration = Duration::from_millis(1_500);
 
 /// Time after its registration for which an instance uses no slot: [`PERMIT_TIME`], [`SLOT_WINDOW`]
-/// and [`OWNERSHIP_TIME`], with a margin.
+/// and the 0.1 s for which it keeps its owned slots, with a margin.
 pub const SETTLE_TIME: Duration = Duration::from_millis(5_500);
 
 /// Time for which an instance relies on the owned slots that it determined from its view.
--- a/crates/soak/src/soak_run.rs
+++ b/crates/soak/src/soak_run.rs
@@ -22,6 +22,7 @@
 use standins::platform::platform_handle::PlatformHandle;
 use standins::platform::sample_configuration::SampleTeam;
 use standins::platform::sample_configuration::sample_configuration;
+use standins::platform::sample_configuration::set_cold_rate;
 use tokio::sync::Mutex;
 use tokio::sync::watch;
 use tokio::task::JoinSet;
@@ -244,7 +245,7 @@
         configuration.0 = version + 1;
         let mut accepted = sample_configuration(version + 1, SERVICE, &teams);
         if self.kind == ScheduleKind::Evacuations {
-            accepted["Services"][0]["ColdPerS"] = COLD_RATE.into();
+            set_cold_rate(&mut accepted, COLD_RATE);
         }
         self.platform.configure(&accepted);
     }
--- a/crates/standins/src/platform/sample_configuration.rs
+++ b/crates/standins/src/platform/sample_configuration.rs
@@ -35,6 +35,14 @@
     }));
 }
 
+/// Sets the bound of requests per second to cold endpoints of all services.
+pub fn set_cold_rate(configuration: &mut Value, per_second: u32) {
+    let services = configuration["Services"].as_array_mut();
+    for service in services.into_iter().flatten() {
+        service["ColdPerS"] = per_second.into();
+    }
+}
+
 /// Returns a configuration with one service and a route of each kind to it: `linear` reads from the
 /// primary, `bounded` with bounded staleness, `own` with read-your-writes, and `open` from the primary
 /// without a key.
