--- a/crates/front/src/instance_run.rs
+++ b/crates/front/src/instance_run.rs
@@ -24,6 +24,7 @@
 
 use crate::caller_listener;
 use crate::caller_memory::CallerMemory;
+use crate::cold_endpoints;
 use crate::endpoint_pool::EndpointPool;
 use crate::event_limiter::EventLimiter;
 use crate::group_leader;
@@ -121,6 +122,7 @@
         connection_share: RefCell::default(),
         floors: RefCell::default(),
         commits: RefCell::default(),
+        cold_limit: RefCell::default(),
         detectors: RefCell::default(),
         reports: RefCell::default(),
         acknowledged: RefCell::default(),
@@ -201,6 +203,7 @@
         if tick % IDLE_TICKS == 0 && instance.connections_are_scarce() {
             instance.pool.close_idle(|id| instance.idle_time(id));
         }
+        cold_endpoints::forget_warm(&instance);
         instance.close_unused_connections();
     }
 }
--- a/crates/front/src/main.rs
+++ b/crates/front/src/main.rs
@@ -3,6 +3,7 @@
 mod caller_listener;
 mod caller_memory;
 mod caller_session;
+mod cold_endpoints;
 mod endpoint_connection;
 mod endpoint_pool;
 mod event_limiter;
--- a/crates/front/src/request_attempt.rs
+++ b/crates/front/src/request_attempt.rs
@@ -23,6 +23,7 @@
 use crate::caller_session::BUSY_REASON;
 use crate::caller_session::CallerSession;
 use crate::caller_session::log_excerpt;
+use crate::cold_endpoints;
 use crate::endpoint_connection::EndpointAnswer;
 use crate::endpoint_pool::PoolError;
 use crate::endpoint_pool::PooledConnection;
@@ -97,6 +98,11 @@
                 *reason = BUSY_REASON;
                 return AttemptOutcome::Refused;
             }
+            Err(RouteRefusal::Cold) => {
+                *reason = RouteRefusal::Cold.reason();
+                tracing::info!(event = "cold_share_used", request = log_excerpt(progress.id), service = %route.service);
+                return AttemptOutcome::Refused;
+            }
             Err(refusal) => {
                 *reason = refusal.reason();
                 if refusal.is_final() {
@@ -206,6 +212,12 @@
             *reason = RouteRefusal::Evacuated.reason();
             return AttemptOutcome::Retry(ROUTE_PAUSE);
         }
+        // A transaction that has begun is rolled back when its connection is dropped.
+        if !cold_endpoints::admit_statement(&self.instance, &endpoint) {
+            *reason = RouteRefusal::Cold.reason();
+            progress.excluded.push(endpoint);
+            return AttemptOutcome::Retry(Duration::ZERO);
+        }
         progress.attempts += 1;
         progress.first_sent_at.get_or_insert_with(now);
         let command = EndpointCommand::Pass {
--- a/crates/front/src/request_route.rs
+++ b/crates/front/src/request_route.rs
@@ -17,6 +17,8 @@
 use session_core::serving_rules::DatabaseRoute;
 use session_core::serving_rules::ReadPolicy;
 
+use crate::cold_endpoints;
+use crate::fleet_view::FleetView;
 use crate::instance::Instance;
 use crate::instance_limits::DRAIN_FRACTION;
 use crate::instance_limits::FLOOR_MARGIN;
@@ -59,6 +61,7 @@
 struct ReadCandidate<'a> {
     entry: &'a EndpointEntry,
     is_primary: bool,
+    is_cold: bool,
     may_wait: bool,
     cost_ms: f64,
 }
@@ -70,6 +73,8 @@
     Primary(PermitRefusal),
     /// The primary is not in the registry, or the request has already failed on every candidate.
     NoEndpoint,
+    /// Only cold endpoints can serve the request, and this instance may send nothing to them now.
+    Cold,
     /// The primary's drain time is nearly over and it has not been replaced.
     Leaving,
     /// The primary's availability zone is evacuated and it has not been replaced in time.
@@ -82,6 +87,7 @@
         match self {
             RouteRefusal::Primary(refusal) => refusal.reason(),
             RouteRefusal::NoEndpoint => "no_endpoint",
+            RouteRefusal::Cold => "endpoint_cold",
             RouteRefusal::Leaving => "primary_is_leaving",
             RouteRefusal::Evacuated => "zone_evacuated",
         }
@@ -120,17 +126,24 @@
     let Some(limit) = limit else {
         let id = primary?;
         return match view.endpoints.get(&id) {
-            Some(entry) => Ok(primary_choice(entry)),
+            Some(entry) if cold_endpoints::may_send(instance, &view, entry) => {
+                Ok(primary_choice(entry))
+            }
+            Some(_) => Err(RouteRefusal::Cold),
             None => Err(RouteRefusal::NoEndpoint),
         };
     };
     let floor = read_floor(instance, query, limit);
     let paced = instance.paces.is_current(at);
     let mut candidates = Vec::new();
+    let mut any_cold = false;
     for entry in view.group(&query.route.service) {
         let is_primary = primary.as_ref() == Ok(&entry.id);
         let leaves = entry.draining || instance.is_evacuated(entry);
-        if query.excluded.contains(&entry.id) || (leaves && !is_primary) {
+        let is_cold = cold_endpoints::is_bounded(instance, &view, entry);
+        any_cold |= is_cold;
+        let may_send = !is_cold || cold_endpoints::may_send(instance, &view, entry);
+        if query.excluded.contains(&entry.id) || (leaves && !is_primary) || !may_send {
             continue;
         }
         let same_zone = entry.zone == instance.settings.zone;
@@ -156,10 +169,16 @@
         candidates.push(ReadCandidate {
             entry,
             is_primary,
+            is_cold,
             may_wait,
             cost_ms,
         });
     }
+    // A cold endpoint is slower than all others.
+    if candidates.iter().any(|candidate| !candidate.is_cold) {
+        candidates.retain(|candidate| !candidate.is_cold);
+    }
+    let only_cold = any_cold && !has_warm(instance, &view, query, &primary);
     let best = match paced {
         true => drawn_candidate(instance, &candidates),
         false => cheapest_candidate(&candidates),
@@ -173,11 +192,25 @@
             may_wait: best.may_wait,
             primary: false,
         }),
+        (None, _) if only_cold => Err(RouteRefusal::Cold),
         (None, Err(refusal)) => Err(refusal),
         (None, Ok(_)) => Err(RouteRefusal::NoEndpoint),
     }
 }
 
+/// Returns whether the group has an endpoint that is not cold, although it cannot run the request now.
+fn has_warm(
+    instance: &Instance,
+    view: &FleetView,
+    query: &RouteQuery<'_>,
+    primary: &Result<EndpointId, RouteRefusal>,
+) -> bool {
+    view.group(&query.route.service).any(|entry| {
+        let is_primary = primary.as_ref() == Ok(&entry.id);
+        !cold_endpoints::is_bounded(instance, view, entry) && (!entry.draining || is_primary)
+    })
+}
+
 /// Returns the first candidate of the least cost.
 fn cheapest_candidate<'a>(candidates: &'a [ReadCandidate<'a>]) -> Option<&'a ReadCandidate<'a>> {
     candidates
--- a/crates/front/src/statement_run.rs
+++ b/crates/front/src/statement_run.rs
@@ -28,6 +28,7 @@
 use crate::caller_session::EndReason;
 use crate::caller_session::SessionRefusal;
 use crate::caller_session::log_excerpt;
+use crate::cold_endpoints;
 use crate::endpoint_connection::AnswerBudget;
 use crate::endpoint_connection::EndpointAnswer;
 use crate::endpoint_pool::PooledConnection;
@@ -38,6 +39,7 @@
 use crate::request_attempt::EndpointStatement;
 use crate::request_attempt::RequestProgress;
 use crate::request_route::ChosenEndpoint;
+use crate::request_route::RouteRefusal;
 
 /// What a row on the wire has in addition to its text, at most.
 const ROW_BYTES: usize = 16;
@@ -200,6 +202,13 @@
             floor: None,
             statement: statement.forwarded,
         });
+        // The statements of a transaction cannot move to another endpoint.
+        if !cold_endpoints::admit_statement(&self.instance, &endpoint) {
+            self.drop_transaction(is_commit);
+            let verdict = request_outcome::verdict(scope, StatementFault::NotSent);
+            self.refuse_request(id, verdict, RouteRefusal::Cold.reason(), arrived);
+            return;
+        }
         let sent_at = now();
         let permit = self.instance.pool.acquire_unqueued(&endpoint);
         let budget = AnswerBudget {
--- a/crates/front/tests/caller_limits/limited_daemon.rs
+++ b/crates/front/tests/caller_limits/limited_daemon.rs
@@ -11,6 +11,7 @@
 use standins::platform::daemon_process::DaemonPlan;
 use standins::platform::daemon_process::DaemonProcess;
 use standins::platform::daemon_process::MachineLimits;
+use standins::platform::group_state::DEFAULT_ZONE;
 use standins::platform::line_caller::LineCaller;
 use standins::platform::platform_handle::PlatformHandle;
 use standins::platform::sample_configuration::SampleTeam;
@@ -78,6 +79,8 @@
         let folder = tempfile::tempdir().expect("create a temporary folder");
         let ports = free_tcp(3);
         let plan = DaemonPlan {
+            zone: DEFAULT_ZONE.to_owned(),
+            evacuation_ms: None,
             program: PathBuf::from(env!("CARGO_BIN_EXE_tamaracklb-front")),
             folder: folder.path().to_owned(),
             number: 0,
--- a/crates/front/tests/testsuite/fleet.rs
+++ b/crates/front/tests/testsuite/fleet.rs
@@ -14,11 +14,13 @@
 use standins::platform::daemon_process::DaemonPlan;
 use standins::platform::daemon_process::DaemonProcess;
 use standins::platform::daemon_process::MachineLimits;
+use standins::platform::group_state::DEFAULT_ZONE;
 use standins::platform::line_caller::LineCaller;
 use standins::platform::platform_handle::PlatformHandle;
 use standins::platform::sample_configuration::SampleTeam;
 use standins::platform::sample_configuration::add_routes;
 use standins::platform::sample_configuration::sample_configuration;
+use standins::platform::sample_configuration::set_cold_rate;
 use tempfile::TempDir;
 
 /// API key of the team.
@@ -127,6 +129,8 @@
                 program: PathBuf::from(env!("CARGO_BIN_EXE_tamaracklb-front")),
                 folder: folder.path().to_owned(),
                 number,
+                zone: DEFAULT_ZONE.to_owned(),
+                evacuation_ms: None,
                 cpu_share: *cpu_share,
                 ports: [ports[0], ports[1], peers],
                 store_address,
@@ -169,6 +173,14 @@
         self.platform.configure(&accepted);
     }
 
+    /// Installs a new configuration with this bound of requests per second to cold endpoints.
+    pub fn set_cold_rate(&mut self, per_second: u32) {
+        self.version += 3;
+        let mut accepted = configuration(self.version, &[KEY], self.rate);
+        set_cold_rate(&mut accepted, per_second);
+        self.platform.configure(&accepted);
+    }
+
     /// Installs a new configuration with this rate and burst of the team.
     pub fn set_rate(&mut self, rate: u32) {
         self.rate = rate;
--- a/crates/front/tests/testsuite/main.rs
+++ b/crates/front/tests/testsuite/main.rs
@@ -4,6 +4,7 @@
 mod test_writers;
 
 mod acknowledged_commits;
+mod cold_endpoints;
 mod daemon_stop;
 mod degraded_endpoints;
 mod earlier_versions;
@@ -20,3 +21,4 @@
 mod shared_connections;
 mod silent_leader;
 mod store_faults;
+mod zone_evacuations;
--- a/crates/session-core/src/lib.rs
+++ b/crates/session-core/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod admission_queue;
 pub mod caller_statement;
+pub mod cold_limit;
 pub mod collector_choice;
 pub mod commit_evidence;
 pub mod connection_host;
--- a/crates/session-core/tests/testsuite/paced_fleet.rs
+++ b/crates/session-core/tests/testsuite/paced_fleet.rs
@@ -103,6 +103,7 @@
         draining: false,
         role: GroupRole::Replica,
         born: 1,
+        cold_time: Duration::ZERO,
     }
 }
 
--- a/crates/standins/src/platform/group_state.rs
+++ b/crates/standins/src/platform/group_state.rs
@@ -13,6 +13,9 @@
 /// Default time after its commit at which replicas apply an entry.
 const DEFAULT_LAG: Duration = Duration::from_millis(20);
 
+/// Availability zone of an endpoint or instance that is given none.
+pub const DEFAULT_ZONE: &str = "zone-a";
+
 /// One committed transaction.
 #[derive(Debug, Clone)]
 pub struct LoggedCommit {
@@ -49,6 +52,10 @@
     pub born: u64,
     /// Time by which each read takes longer.
     pub read_delay: Duration,
+    /// Availability zone in its registry entry.
+    pub zone: String,
+    /// Time for which it is cold in its registry entry, in milliseconds; 0 if it is not cold.
+    pub cold_ms: u64,
     /// Whether the registry may list it; an endpoint replicates before it is registered.
     pub registered: bool,
 }
@@ -68,6 +75,8 @@
             draining: false,
             born: 1,
             read_delay: Duration::ZERO,
+            zone: DEFAULT_ZONE.to_owned(),
+            cold_ms: 0,
             registered: true,
         }
     }
@@ -90,6 +99,19 @@
     pub executed_at: Instant,
 }
 
+/// A read, write or commit that arrived at an endpoint, whether or not it was executed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ReceivedStatement {
+    /// Id of the request.
+    pub id: String,
+    /// Id of the endpoint.
+    pub endpoint: String,
+    /// Availability zone of the endpoint.
+    pub zone: String,
+    /// Time of the arrival.
+    pub received_at: Instant,
+}
+
 /// Replication state of a commit.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CommitState {
@@ -167,6 +189,8 @@
     pub max_connections: Option<usize>,
     /// Connections to endpoints.
     pub connections: ConnectionLog,
+    /// Statements that arrived at an endpoint that answers, in order.
+    pub received_statements: Vec<ReceivedStatement>,
     /// Accepted promotion requests: target, `Duty-Holder` and `Fencing-Token`.
     pub promotions: Vec<(String, String, u64)>,
     /// Promotions that took effect, in order.
@@ -190,6 +214,7 @@
             executed_statements: Vec::new(),
             max_connections: None,
             connections: ConnectionLog::default(),
+            received_statements: Vec::new(),
             promotions: Vec::new(),
             effects: Vec::new(),
         }
@@ -409,11 +434,11 @@
         Some(serde_json::json!({
             "Service": self.service,
             "Address": endpoint.address.to_string(),
-            "Zone": "zone-a",
+            "Zone": endpoint.zone,
             "Version": "v1",
             "Slots": 4,
             "State": if endpoint.draining { "draining" } else { "ready" },
-            "ColdRemainingMs": 0,
+            "ColdRemainingMs": endpoint.cold_ms,
             "DatabaseRole": if endpoint.primary { "primary" } else { "replica" },
             "Sequence": 1,
             "born": endpoint.born,
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -17,6 +17,7 @@
 mod caller_startup;
 mod caller_state;
 mod codec_bounds;
+mod cold_limits;
 mod commit_reports;
 mod connection_hosts;
 mod daemon_program;
