--- a/crates/front/src/caller_session.rs
+++ b/crates/front/src/caller_session.rs
@@ -272,13 +272,16 @@
         }
     }
 
-    /// Receives a message; reads at most `max_bytes` for it. Reads no further than one step beyond its end, so
-    /// that a caller which sends without waiting for answers is held up. No bytes are lost if the
-    /// future is dropped.
+    /// Receives a message; reads at most `max_bytes` for it, and no further than one step beyond its
+    /// end, so that a caller which sends without waiting for answers is held up. No bytes are lost
+    /// if the future is dropped.
     async fn receive(&mut self, max_bytes: usize) -> Result<CallerMessage, ReceiveEnd> {
         let limit = self.instance.settings.callers.message_time;
         let mut unreported = 0;
         loop {
+            // Statements that are answered without an endpoint would otherwise keep the only thread
+            // from other tasks while there are complete messages.
+            tokio::task::consume_budget().await;
             let before = self.channel.input_bytes();
             if let Some(message) = self.channel.decode().map_err(ReceiveEnd::Frame)? {
                 let left = self.channel.input_bytes();
--- a/crates/front/src/line_channel.rs
+++ b/crates/front/src/line_channel.rs
@@ -111,6 +111,8 @@
     ///
     /// Fails if the connection failed.
     pub async fn read_some(&mut self) -> io::Result<usize> {
+        // A stream that always has bytes would otherwise keep the only thread from other tasks.
+        tokio::task::consume_budget().await;
         loop {
             // An idle connection has no buffer: memory is allocated once there is something to read.
             self.stream.readable().await?;
--- a/crates/front/src/statement_run.rs
+++ b/crates/front/src/statement_run.rs
@@ -213,7 +213,7 @@
         route: DatabaseRoute,
         team: Option<TeamId>,
     ) -> Option<SessionRefusal> {
-        if !self.reserve_answer(&route, arrived).await {
+        if !self.reserve_answer(&statement, &route, arrived).await {
             self.fail_transaction();
             self.refuse_request(id, CallerVerdict::Busy, "memory_short", arrived);
             return None;
@@ -306,11 +306,19 @@
         }
     }
 
-    /// Waits until there is memory for an answer as large as the last one, if that exceeded the
-    /// allowance. Otherwise, callers that request large answers would wait for memory while they
-    /// occupy the endpoint's connections. Returns whether the statement may run.
-    async fn reserve_answer(&mut self, route: &DatabaseRoute, arrived: MonotonicTime) -> bool {
-        if self.answer_bytes as u64 <= CONNECTION_ALLOWANCE.0 {
+    /// Waits until there is memory for an answer as large as that to the last read, if that exceeded
+    /// the allowance. Otherwise, callers that request large answers would wait for memory while they
+    /// occupy the endpoint's connections. Returns whether the statement may run; writes always may,
+    /// as their answers are short.
+    async fn reserve_answer(
+        &mut self,
+        statement: &EndpointStatement,
+        route: &DatabaseRoute,
+        arrived: MonotonicTime,
+    ) -> bool {
+        let reads =
+            statement.mode == AccessMode::Read && statement.forwarded != ForwardedStatement::Commit;
+        if !reads || self.answer_bytes as u64 <= CONNECTION_ALLOWANCE.0 {
             return true;
         }
         let end = arrived + route.target_latency.mul_f64(QUEUE_FRACTION);
--- a/crates/front/tests/caller_limits/crowd_bounds.rs
+++ b/crates/front/tests/caller_limits/crowd_bounds.rs
@@ -290,3 +290,25 @@
     crowd.settled().await;
     daemon.check().await;
 }
+
+/// Statements that are answered without an endpoint must not keep the only thread from others, however
+/// fast they are sent and their answers taken.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn floods_of_local_statements() {
+    let mut daemon = LimitedDaemon::start().await;
+    let address = daemon.address();
+    let mut floods = tokio::task::JoinSet::new();
+    for _ in 0..3 {
+        let stream = start_session(address).await.expect("a session");
+        let (mut reader, mut writer) = stream.into_split();
+        let statements = "QUERY c-1 SET a b\r\n".repeat(4_000);
+        floods.spawn(async move { while writer.write_all(statements.as_bytes()).await.is_ok() {} });
+        floods.spawn(async move {
+            let mut part = vec![0; 256 * 1024];
+            while reader.read(&mut part).await.is_ok_and(|size| size > 0) {}
+        });
+    }
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    daemon.check().await;
+    floods.shutdown().await;
+}
