--- a/crates/standins/src/free_ports.rs
+++ b/crates/standins/src/free_ports.rs
@@ -25,6 +25,8 @@
 /// makes many.
 const MAX_RESERVATIONS: usize = 256;
 
+const TCP_TABLE: &str = "/proc/net/tcp";
+
 static NEXT_OFFSET: AtomicU32 = AtomicU32::new(0);
 static RESERVATIONS: Mutex<VecDeque<TcpListener>> = Mutex::new(VecDeque::new());
 
@@ -43,18 +45,21 @@
 
 /// Returns `count` free TCP addresses on the loopback interface.
 pub fn free_tcp(count: usize) -> Vec<SocketAddr> {
-    find_free(count, "/proc/net/tcp")
+    find_free(count, TCP_TABLE)
 }
 
 /// Returns two free TCP addresses with successive ports on the loopback interface.
 pub fn free_tcp_pair() -> [SocketAddr; 2] {
-    let mut last = free_tcp(1)[0];
+    // Both ports are taken in one step: threads that took one at a time would each get every other one.
     loop {
-        let next = free_tcp(1)[0];
-        if last.port().checked_add(1) == Some(next.port()) {
-            return [last, next];
+        let first = next_address(2);
+        let second = SocketAddr::new(first.ip(), first.port() + 1);
+        if [first, second]
+            .iter()
+            .all(|address| is_usable(*address, TCP_TABLE))
+        {
+            return [first, second];
         }
-        last = next;
     }
 }
 
@@ -80,14 +85,21 @@
 }
 
 fn find_free(count: usize, table: &str) -> Vec<SocketAddr> {
-    let start = std::process::id().wrapping_mul(PROCESS_STRIDE);
-    let next = || {
-        let offset = start.wrapping_add(NEXT_OFFSET.fetch_add(1, Ordering::Relaxed)) % PORT_COUNT;
-        let port = u16::try_from(FIRST_PORT + offset).expect("the range ends below 65536");
-        SocketAddr::from((Ipv4Addr::LOCALHOST, port))
-    };
-    std::iter::repeat_with(next)
-        .filter(|address| reserve(address.port()) && is_free(address.port(), table))
+    std::iter::repeat_with(|| next_address(1))
+        .filter(|address| is_usable(*address, table))
         .take(count)
         .collect()
 }
+
+/// Returns the next address of the range, with the first of `count` successive ports.
+fn next_address(count: u32) -> SocketAddr {
+    let start = std::process::id().wrapping_mul(PROCESS_STRIDE);
+    let next = NEXT_OFFSET.fetch_add(count, Ordering::Relaxed);
+    let offset = start.wrapping_add(next) % PORT_COUNT;
+    let port = u16::try_from(FIRST_PORT + offset).expect("the range ends below 65536");
+    SocketAddr::from((Ipv4Addr::LOCALHOST, port))
+}
+
+fn is_usable(address: SocketAddr, table: &str) -> bool {
+    reserve(address.port()) && is_free(address.port(), table)
+}
--- a/tests/testsuite/free_ports.rs
+++ b/tests/testsuite/free_ports.rs
@@ -6,6 +6,7 @@
 use std::sync::atomic::Ordering;
 
 use standins::free_ports::free_tcp;
+use standins::free_ports::free_tcp_pair;
 
 const SPAWNERS: usize = 4;
 const PORTS: usize = 1_000;
@@ -34,3 +35,21 @@
     });
     assert_eq!(taken, 0, "of {PORTS} ports");
 }
+
+/// Threads that look for successive ports at the same time must each find some: six of them spun for
+/// minutes, since each was given every sixth port.
+#[test]
+fn threads_find_successive_ports() {
+    const THREADS: usize = 6;
+    const PAIRS: usize = 20;
+    std::thread::scope(|scope| {
+        for _ in 0..THREADS {
+            scope.spawn(|| {
+                for _ in 0..PAIRS {
+                    let [first, second] = free_tcp_pair();
+                    assert_eq!(first.port() + 1, second.port());
+                }
+            });
+        }
+    });
+}
