--- a/crates/front/src/instance_run.rs
+++ b/crates/front/src/instance_run.rs
@@ -34,6 +34,7 @@
 use crate::instance_limits::IDLE_TICKS;
 use crate::instance_limits::STORE_TIMEOUT;
 use crate::instance_limits::TICK_PERIOD;
+use crate::instance_metrics;
 use crate::lender_link;
 use crate::log_output::LogOutput;
 use crate::metrics::FrontMetrics;
@@ -158,7 +159,7 @@
     let metrics = Rc::clone(&instance);
     let ports = StatusPorts {
         ready: Box::new(move || ready.is_ready()),
-        metrics: Box::new(move || metrics.metrics_text()),
+        metrics: Box::new(move || instance_metrics::metrics_text(&metrics)),
     };
     tokio::task::spawn_local(status_server::serve_status(status, Rc::new(ports)));
     tokio::task::spawn_local(run_ticks(Rc::clone(&instance), log));
--- a/crates/front/src/main.rs
+++ b/crates/front/src/main.rs
@@ -20,6 +20,7 @@
 mod host_server;
 mod instance;
 mod instance_limits;
+mod instance_metrics;
 mod instance_run;
 mod lender_link;
 mod line_channel;
