--- a/src/connection/caller_session.rs
+++ b/src/connection/caller_session.rs
@@ -6,6 +6,7 @@
 use std::time::Instant;
 
 use bytes::BytesMut;
+use session_core::memory_account::MemoryPart;
 use tokio::sync::watch;
 
 use crate::connection::caller_identity::CallerIdentity;
@@ -85,8 +86,15 @@
         };
         self.cancel.set_target(None);
         self.lease = None;
-        if let CallerFault::Frame(error) = &fault {
-            self.send_frame_error(error);
+        match &fault {
+            CallerFault::Frame(error) => self.send_frame_error(error),
+            CallerFault::Overdue => {
+                let _ = self.send_fatal(&CallerError::new("57P05", fault.to_string()));
+            }
+            CallerFault::MemoryShort => {
+                let _ = self.send_fatal(&CallerError::new("53200", fault.to_string()));
+            }
+            CallerFault::Disconnected | CallerFault::Reported => {}
         }
         if fault != CallerFault::Disconnected {
             let closing = self.caller.close();
@@ -118,11 +126,11 @@
                     frames: vec![frame],
                     complete: true,
                 };
-                Box::pin(self.serve_request(batch)).await
+                self.serve_batch(batch).await
             }
             b'P' | b'B' | b'D' | b'E' | b'C' | b'H' | b'S' => {
                 let batch = self.read_batch(frame).await?;
-                Box::pin(self.serve_request(batch)).await
+                self.serve_batch(batch).await
             }
             b'X' => Err(CallerFault::Disconnected),
             // After a failed copy the caller may still send rows; they are ignored.
@@ -135,6 +143,15 @@
         }
     }
 
+    async fn serve_batch(&mut self, batch: RequestBatch) -> Result<(), CallerFault> {
+        self.caller.memory().set_busy(true);
+        let served = Box::pin(self.serve_request(batch)).await;
+        let memory = self.caller.memory();
+        memory.set_busy(false);
+        memory.set(MemoryPart::Request, 0);
+        served
+    }
+
     /// Waits for the next message of the caller while no request is running.
     async fn next_frame(&mut self) -> Result<WireFrame, CallerFault> {
         loop {
@@ -231,6 +248,7 @@
             let kind = frame.kind();
             bytes += frame.bytes().len();
             frames.push(frame);
+            self.caller.memory().hand_over(bytes);
             let complete = kind == b'S';
             if complete || kind == b'H' || bytes >= self.state.config.limits.batch_bytes {
                 return Ok(RequestBatch { frames, complete });
@@ -256,6 +274,8 @@
         error.encode(ErrorScope::Request, &mut out);
         self.caller.write_all(&mut out)?;
         if !complete {
+            // Nothing runs any more whose outcome must reach the caller.
+            self.caller.memory().set_busy(false);
             while self.next_frame().await?.kind() != b'S' {}
         }
         self.send_ready(self.status())
--- a/src/connection/listener.rs
+++ b/src/connection/listener.rs
@@ -16,6 +16,7 @@
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 
+use crate::connection::caller_memory::CallerMemory;
 use crate::connection::cancel_registry::CancelRegistry;
 use crate::connection::endpoint_pool::EndpointPool;
 use crate::connection::listener_config::ListenerConfig;
@@ -29,6 +30,9 @@
 const VIEW_REFRESH_PERIOD: Duration = Duration::from_millis(100);
 const SERVICE_NAME: &str = "callers";
 
+/// Minimum time between two log lines about connections that are closed for their memory.
+const CLOSED_LOG_PERIOD: Duration = Duration::from_secs(10);
+
 /// The state of the process that every connection observes for changes.
 #[derive(Debug, Clone)]
 pub struct ListenerView {
@@ -48,6 +52,8 @@
     pub ports: Arc<RequestPorts>,
     /// The pool of endpoint connections.
     pub pool: EndpointPool,
+    /// The memory that callers' connections hold.
+    pub memory: Arc<CallerMemory>,
     /// The cancel keys of the callers.
     pub cancels: Arc<CancelRegistry>,
     /// The latest view; connections subscribe to it.
@@ -105,6 +111,11 @@
         self.state.pool.open_count()
     }
 
+    /// Returns the memory that callers' connections hold.
+    pub fn memory(&self) -> Arc<CallerMemory> {
+        self.state.memory.clone()
+    }
+
     /// Stops the listener and waits for its end.
     ///
     /// Running requests and open transactions may go on for the drain time; idle callers are
@@ -156,6 +167,7 @@
     let state = Arc::new(ListenerState {
         sessions: AtomicUsize::new(0),
         pool: EndpointPool::new(config.clone()),
+        memory: Arc::new(CallerMemory::new(config.limits.memory_bytes)),
         config,
         ports,
         cancels: Arc::new(CancelRegistry::default()),
@@ -257,6 +269,7 @@
 async fn refresh_until_stopped(state: &ListenerState, mut stopped: oneshot::Receiver<()>) {
     let mut interval = tokio::time::interval(VIEW_REFRESH_PERIOD);
     let mut stop_deadline = None;
+    let mut logged: (u64, Option<Instant>) = (0, None);
     loop {
         tokio::select! {
             _ = &mut stopped, if stop_deadline.is_none() => {
@@ -266,6 +279,8 @@
         }
         state.refresh_view();
         state.pool.close_unused();
+        state.memory.close_stalled();
+        log_closed(&state.memory, &mut logged);
         let ended = state.sessions.load(Ordering::Relaxed) == 0;
         if stop_deadline.is_some_and(|end| ended || Instant::now() >= end) {
             return;
@@ -276,3 +291,18 @@
 fn millis(duration: Duration) -> u32 {
     u32::try_from(duration.as_millis()).unwrap_or(u32::MAX)
 }
+
+/// Logs connections that were closed for their memory, at most once in the log period.
+fn log_closed(memory: &CallerMemory, (count, at): &mut (u64, Option<Instant>)) {
+    let closed = memory.closed();
+    if closed == *count || at.is_some_and(|at| at.elapsed() < CLOSED_LOG_PERIOD) {
+        return;
+    }
+    tracing::warn!(
+        event = "callers_closed_for_memory",
+        count = closed - *count,
+        charged_bytes = memory.charged(),
+        limit_bytes = memory.limit(),
+    );
+    (*count, *at) = (closed, Some(Instant::now()));
+}
--- a/src/connection/listener_config.rs
+++ b/src/connection/listener_config.rs
@@ -19,6 +19,11 @@
     pub startup_timeout: Duration,
     /// Maximum length of a message from a caller or endpoint, in bytes.
     pub max_message_bytes: usize,
+    /// Maximum time for the rest of a message that has begun, while no request runs.
+    pub message_timeout: Duration,
+    /// Maximum memory of all callers together beyond a small allowance each, in bytes; `None`
+    /// for no limit.
+    pub memory_bytes: Option<usize>,
     /// Bytes of a batch that are buffered before an endpoint is chosen even if the batch is
     /// incomplete.
     pub batch_bytes: usize,
@@ -53,6 +58,8 @@
             max_startup_bytes: 10_000,
             startup_timeout: Duration::from_secs(10),
             max_message_bytes: 64 * 1024 * 1024,
+            message_timeout: Duration::from_secs(30),
+            memory_bytes: None,
             batch_bytes: 256 * 1024,
             max_prepared_bytes: 4 * 1024 * 1024,
             max_unsent_bytes: 256 * 1024,
--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -1,6 +1,7 @@
 //! Connections from callers and to endpoints.
 
 pub mod caller_identity;
+pub mod caller_memory;
 pub mod caller_session;
 pub mod caller_stream;
 pub mod cancel_registry;
--- a/src/connection/session_request.rs
+++ b/src/connection/session_request.rs
@@ -5,6 +5,8 @@
 use std::sync::Arc;
 use std::time::Instant;
 
+use session_core::memory_account::MemoryPart;
+
 use crate::connection::caller_session::CallerSession;
 use crate::connection::caller_stream::CallerFault;
 use crate::connection::endpoint_lease::EndpointLease;
@@ -50,14 +52,17 @@
             return self.answer_error(&error, batch.complete).await;
         }
         if plan.local {
-            return self.answer_local(&batch, &plan).await;
+            self.answer_local(&batch, &plan).await?;
+            return self.check_prepared_size();
         }
         self.run_attempts(&batch, &plan, arrived).await?;
         self.check_prepared_size()
     }
 
     fn check_prepared_size(&self) -> Result<(), CallerFault> {
-        let size: usize = self.prepared.values().map(|found| found.size()).sum();
+        let sizes = self.prepared.iter();
+        let size: usize = sizes.map(|(name, found)| name.len() + found.size()).sum();
+        self.caller.memory().set(MemoryPart::State, size);
         if size > self.state.config.limits.max_prepared_bytes {
             let error = CallerError::new("54000", "the session keeps too many prepared statements");
             return Err(self.send_fatal(&error));
--- a/src/connection/startup.rs
+++ b/src/connection/startup.rs
@@ -177,7 +177,9 @@
             return None;
         }
     };
-    let caller = CallerStream::new(stream, state.config.limits.max_startup_bytes);
+    let limits = &state.config.limits;
+    let memory = state.memory.open();
+    let caller = CallerStream::new(stream, limits, memory);
     match packet {
         StartupPacket::Start { minor, parameters } => {
             if let Err(error) = check_connection(&state, encrypted) {
--- a/src/process/daemon.rs
+++ b/src/process/daemon.rs
@@ -24,6 +24,7 @@
 use crate::process::group_watcher::WATCHER_TICK_PERIOD;
 use crate::process::http_server::HttpServerHandle;
 use crate::process::journal_decision::JournalDecision;
+use crate::process::machine_memory;
 use crate::process::peers::fleet_links::HEARTBEAT_PERIOD;
 use crate::process::peers::membership_view::MemberRecord;
 use crate::process::peers::peer_identity::PeerIdentity;
@@ -278,6 +279,10 @@
             tls_required: settings.caller_tls_required,
             startup_timeout: settings.startup_timeout,
             max_message_bytes: settings.max_message_bytes,
+            message_timeout: settings.message_timeout,
+            memory_bytes: settings
+                .caller_memory_bytes
+                .or_else(machine_memory::caller_memory_bytes),
             queue_timeout: settings.queue_timeout,
             connect_timeout: settings.connect_timeout,
             confirm_timeout: settings.confirm_timeout,
@@ -286,10 +291,10 @@
             ..CallerLimits::default()
         },
     };
-    Ok(listener::serve(
-        config,
-        Arc::new(request_ports(settings, components)),
-    )?)
+    let ports = Arc::new(request_ports(settings, components));
+    let listener = listener::serve(config, ports)?;
+    let _ = components.caller_memory.set(listener.memory());
+    Ok(listener)
 }
 
 /// Derives the secret for the salts sent to unknown teams; it must be the same on all instances.
--- a/src/process/daemon_components.rs
+++ b/src/process/daemon_components.rs
@@ -14,6 +14,7 @@
 use tracing::debug;
 use tracing::info;
 
+use crate::connection::caller_memory::CallerMemory;
 use crate::process::bundle_intake::BundleIntake;
 use crate::process::bundle_intake::BundleSource;
 use crate::process::burn_report::BurnReport;
@@ -101,6 +102,8 @@
     pub drain_request: watch::Sender<bool>,
     /// The live instances that were last applied to the services.
     live: Mutex<Vec<MemberRecord>>,
+    /// The memory of callers' connections, once the listener has started.
+    pub caller_memory: OnceLock<Arc<CallerMemory>>,
     /// The QUIC endpoint, once it is open.
     pub mesh: Arc<OnceLock<Arc<PeerMesh>>>,
 }
@@ -161,6 +164,7 @@
             open_transactions: Arc::new(AtomicU64::new(0)),
             drain_request: watch::Sender::new(false),
             live: Mutex::default(),
+            caller_memory: OnceLock::new(),
             mesh,
         })
     }
--- a/src/process/daemon_http.rs
+++ b/src/process/daemon_http.rs
@@ -52,6 +52,13 @@
     let status = instance_status(components);
     metrics.record_bundles(&components.bundles);
     metrics.record_journal(&components.journal);
+    if let Some(memory) = components.caller_memory.get() {
+        let number = |value: u64| i64::try_from(value).unwrap_or(i64::MAX);
+        metrics.caller_memory.set(number(memory.charged()));
+        let limit = memory.limit().unwrap_or(0) as u64;
+        metrics.caller_memory_limit.set(number(limit));
+        metrics.callers_closed.set(number(memory.closed()));
+    }
     metrics.live_peers.set(i64::from(status.live_peers));
     metrics.isolated.set(i64::from(status.isolated));
     metrics.draining.set(i64::from(status.draining));
--- a/src/process/metrics.rs
+++ b/src/process/metrics.rs
@@ -75,6 +75,12 @@
     budget_left: GaugeVec,
     /// Open connections of callers.
     pub caller_connections: IntGauge,
+    /// What callers hold beyond their allowances, in bytes.
+    pub caller_memory: IntGauge,
+    /// The limit of what callers hold beyond their allowances, in bytes; 0 without a limit.
+    pub caller_memory_limit: IntGauge,
+    /// Connections that were closed because memory was short.
+    pub callers_closed: IntGauge,
     /// Open connections to endpoints, by service and endpoint.
     pub endpoint_connections: IntGaugeVec,
     /// 1 if the service has a primary, else 0, by service.
@@ -146,6 +152,21 @@
                 "tamaracklb_caller_connections",
                 "Open connections of callers.",
             )?,
+            caller_memory: int_gauge(
+                &registry,
+                "tamaracklb_caller_memory_bytes",
+                "What callers hold beyond their allowances.",
+            )?,
+            caller_memory_limit: int_gauge(
+                &registry,
+                "tamaracklb_caller_memory_limit_bytes",
+                "The limit of what callers hold beyond their allowances; 0 without a limit.",
+            )?,
+            callers_closed: int_gauge(
+                &registry,
+                "tamaracklb_callers_closed_for_memory",
+                "Connections closed since the start because memory was short.",
+            )?,
             endpoint_connections: int_gauges(
                 &registry,
                 "tamaracklb_endpoint_connections",
--- a/src/process/mod.rs
+++ b/src/process/mod.rs
@@ -23,6 +23,7 @@
 pub mod instance_status;
 pub mod journal_decision;
 pub mod log_setup;
+pub mod machine_memory;
 pub mod metrics;
 pub mod peers;
 pub mod service_runtime;
--- a/src/process/setting_fields.rs
+++ b/src/process/setting_fields.rs
@@ -223,6 +223,17 @@
         "16777216",
         "The largest message that a caller may send.",
     ),
+    value(
+        "message_timeout_ms",
+        "milliseconds",
+        "30000",
+        "The longest time for the rest of a message that a caller has begun.",
+    ),
+    absent(
+        "caller_memory_bytes",
+        "bytes",
+        "How much all callers may hold together beyond 64 KiB each; without it, a quarter of the machine's memory.",
+    ),
     value(
         "log_format",
         "`text` or `json`",
--- a/src/process/settings.rs
+++ b/src/process/settings.rs
@@ -100,6 +100,10 @@
     pub max_caller_connections: usize,
     /// Maximum size of a caller's message, in bytes.
     pub max_message_bytes: usize,
+    /// Maximum time for the rest of a message that a caller has begun.
+    pub message_timeout: Duration,
+    /// Maximum memory of all callers together beyond their allowances, in bytes.
+    pub caller_memory_bytes: Option<usize>,
     /// The format of log lines.
     pub log_format: LogFormat,
     /// The least severe level that is logged.
--- a/src/process/settings_parser.rs
+++ b/src/process/settings_parser.rs
@@ -27,6 +27,7 @@
 const MAX_TIMEOUT_MS: u64 = 3_600_000;
 const MAX_CONNECTIONS: u64 = 1_000_000;
 const MESSAGE_BYTES: (u64, u64) = (1024, 1 << 30);
+const CALLER_MEMORY_BYTES: (u64, u64) = (1 << 20, 1 << 40);
 const MAX_SIGNERS: u64 = 100;
 
 /// Reads a file to which the settings refer.
@@ -99,6 +100,8 @@
         let connections = self.integer("max_caller_connections", 1, MAX_CONNECTIONS, "connections");
         let (low, high) = MESSAGE_BYTES;
         let message_bytes = self.integer("max_message_bytes", low, high, "bytes");
+        let message_timeout = self.milliseconds("message_timeout_ms");
+        let caller_memory_bytes = self.caller_memory_bytes();
         let log_format = self.choice("log_format", "text, json");
         let log_level = self.choice("log_level", "error, warn, info, debug, trace");
         let timeouts = timeouts?;
@@ -132,6 +135,8 @@
             drain_timeout: timeouts.drain,
             max_caller_connections: usize::try_from(connections?).ok()?,
             max_message_bytes: usize::try_from(message_bytes?).ok()?,
+            message_timeout: message_timeout?,
+            caller_memory_bytes: caller_memory_bytes?,
             log_format: log_format?,
             log_level: log_level?,
         })
@@ -170,6 +175,18 @@
         self.field(name)?.integer(low, high, unit, &mut self.faults)
     }
 
+    /// Returns the field in bytes; `Some(None)` if it is absent.
+    fn caller_memory_bytes(&mut self) -> Option<Option<usize>> {
+        let (low, high) = CALLER_MEMORY_BYTES;
+        match self.given.optional("caller_memory_bytes") {
+            Some(node) => {
+                let bytes = node.integer(low, high, "bytes", &mut self.faults)?;
+                usize::try_from(bytes).ok().map(Some)
+            }
+            None => Some(None),
+        }
+    }
+
     fn milliseconds(&mut self, name: &'static str) -> Option<Duration> {
         self.integer(name, 1, MAX_TIMEOUT_MS, "ms")
             .map(Duration::from_millis)
--- a/tests/hostile_clients/bounded_daemon.rs
+++ b/tests/hostile_clients/bounded_daemon.rs
@@ -22,7 +22,8 @@
 const FILE_DESCRIPTORS: usize = 700;
 
 /// Settings that lower the limits of the daemon.
-const LIMITS: &str = "max_message_bytes: 8388608\nmax_caller_connections: 300\n";
+const LIMITS: &str = "max_message_bytes: 8388608\nmax_caller_connections: 300\n\
+    caller_memory_bytes: 50331648\n";
 
 /// Maximum wait for an ordinary request; longer than the time limits of the daemon together.
 const SERVE_TIMEOUT: Duration = Duration::from_secs(60);
