--- a/src/process/http_server.rs
+++ b/src/process/http_server.rs
@@ -1,5 +1,6 @@
 //! The HTTP port of an instance, for operators and the platform.
 
+use std::convert::Infallible;
 use std::fmt;
 use std::io;
 use std::net::IpAddr;
@@ -7,7 +8,9 @@
 use std::sync::Arc;
 use std::sync::mpsc;
 use std::thread;
+use std::time::Duration;
 
+use ntex::http::Payload;
 use ntex::http::StatusCode;
 use ntex::http::header;
 use ntex::rt::DefaultRuntime;
@@ -16,6 +19,7 @@
 use ntex::time::Seconds;
 use ntex::web;
 use ntex::web::App;
+use ntex::web::FromRequest;
 use ntex::web::HttpRequest;
 use ntex::web::HttpResponse;
 use ntex::web::HttpServer;
@@ -33,7 +37,14 @@
 
 /// Maximum time, in seconds, for which open HTTP requests delay the server's stop.
 const SHUTDOWN_S: u16 = 2;
-const MAX_CONNECTIONS: usize = 256;
+
+/// Maximum number of connections; each may hold unsent answers until its time is over.
+const MAX_CONNECTIONS: usize = 64;
+
+/// Maximum time for which a connection stays open after a request, whether or not its client reads
+/// the answer. Without it, clients that pipeline requests and never read hold all connections,
+/// and health checks get no answer.
+const CONNECTION_TIME: Duration = Duration::from_secs(5);
 
 /// The functions through which the HTTP port reads and controls the process.
 pub struct HttpPorts {
@@ -156,6 +167,7 @@
             .service(web::resource("/journal").route(web::get().to(get_journal)))
             .service(web::resource("/report").route(web::get().to(get_report)))
             .service(web::resource("/drain").route(web::post().to(post_drain)))
+            .default_service(web::route().to(get_unknown))
     });
     let server = server
         .workers(1)
@@ -166,6 +178,23 @@
     Ok(server.run())
 }
 
+/// Closes the connection of a request after its time.
+struct ConnectionDeadline;
+
+impl<E> FromRequest<E> for ConnectionDeadline {
+    type Error = Infallible;
+
+    async fn from_request(request: &HttpRequest, _: &mut Payload) -> Result<Self, Infallible> {
+        if let Some(io) = request.io().cloned() {
+            ntex::rt::spawn(async move {
+                ntex::time::sleep(CONNECTION_TIME).await;
+                io.terminate();
+            });
+        }
+        Ok(Self)
+    }
+}
+
 #[derive(Debug, Deserialize)]
 #[serde(deny_unknown_fields, rename_all = "snake_case")]
 struct JournalQuery {
@@ -173,7 +202,7 @@
     after: Option<u64>,
 }
 
-async fn get_metrics(ports: State<Arc<HttpPorts>>) -> HttpResponse {
+async fn get_metrics(ports: State<Arc<HttpPorts>>, _: ConnectionDeadline) -> HttpResponse {
     match (ports.metrics)() {
         Ok(text) => HttpResponse::Ok()
             .content_type("text/plain; version=0.0.4")
@@ -182,11 +211,15 @@
     }
 }
 
-async fn get_health() -> HttpResponse {
+async fn get_health(_: ConnectionDeadline) -> HttpResponse {
     HttpResponse::Ok().body("ok\n")
 }
 
-async fn get_ready(ports: State<Arc<HttpPorts>>) -> HttpResponse {
+async fn get_unknown(_: ConnectionDeadline) -> HttpResponse {
+    HttpResponse::NotFound().finish()
+}
+
+async fn get_ready(ports: State<Arc<HttpPorts>>, _: ConnectionDeadline) -> HttpResponse {
     let reasons = (ports.status)().unready_reasons();
     let ready = reasons.is_empty();
     let status = if ready {
@@ -197,22 +230,27 @@
     HttpResponse::build(status).json(&ReadyAnswer { ready, reasons })
 }
 
-async fn get_status(ports: State<Arc<HttpPorts>>) -> HttpResponse {
+async fn get_status(ports: State<Arc<HttpPorts>>, _: ConnectionDeadline) -> HttpResponse {
     HttpResponse::Ok().json(&(ports.status)())
 }
 
 async fn get_journal(
     ports: State<Arc<HttpPorts>>,
     query: web::types::Query<JournalQuery>,
+    _: ConnectionDeadline,
 ) -> HttpResponse {
     HttpResponse::Ok().json(&(ports.journal)(query.after))
 }
 
-async fn get_report(ports: State<Arc<HttpPorts>>) -> HttpResponse {
+async fn get_report(ports: State<Arc<HttpPorts>>, _: ConnectionDeadline) -> HttpResponse {
     HttpResponse::Ok().json(&(ports.report)())
 }
 
-async fn post_drain(ports: State<Arc<HttpPorts>>, request: HttpRequest) -> HttpResponse {
+async fn post_drain(
+    ports: State<Arc<HttpPorts>>,
+    request: HttpRequest,
+    _: ConnectionDeadline,
+) -> HttpResponse {
     let authorization = request
         .headers()
         .get(header::AUTHORIZATION)
