--- a/crates/front/src/fleet_keys.rs
+++ b/crates/front/src/fleet_keys.rs
@@ -10,15 +10,11 @@
 use session_core::instance_rank::RankedInstance;
 use session_core::units::ProcessorShare;
 
-/// Key of the leader, which changes primaries and renews the rights of the lenders.
+/// Key of the leader, which changes primaries and lends rates.
 pub const LEADER_KEY: &str = "tamaracklb/leader";
 
 /// Prefix of the keys of all instances.
 pub const MEMBER_PREFIX: &str = "tamaracklb/member/";
-
-/// Key of the table that names the lender of each part of the rates.
-pub const LENDERS_KEY: &str = "tamaracklb/lenders";
-
 const ORDER_PREFIX: &str = "tamaracklb/order/";
 
 /// Value of a member key: an instance that may use primaries. The key is removed when the
@@ -53,10 +49,6 @@
     pub instance: InstanceId,
     /// Address for datagrams of other instances.
     pub address: SocketAddr,
-    /// Whether the leader renews the rights of lenders. Leaders of earlier versions lend all tokens
-    /// themselves.
-    #[serde(default)]
-    pub renews_rights: bool,
 }
 
 /// A parsed key of the daemon.
@@ -66,8 +58,6 @@
     Leader,
     /// Key of an instance.
     Member(InstanceId),
-    /// Key of the lender table.
-    Lenders,
     /// Key of the order that names a group's primary.
     Order(ServiceId),
 }
@@ -92,9 +82,6 @@
     if key == LEADER_KEY {
         return Some(FleetKey::Leader);
     }
-    if key == LENDERS_KEY {
-        return Some(FleetKey::Lenders);
-    }
     if let Some(path) = key.strip_prefix(MEMBER_PREFIX) {
         // Earlier versions wrote the name without its zone.
         let name = path.rsplit('/').next()?;
--- a/crates/front/src/fleet_view.rs
+++ b/crates/front/src/fleet_view.rs
@@ -22,7 +22,6 @@
 use session_core::ids::InstanceId;
 use session_core::ids::ServiceId;
 use session_core::ids::ZoneId;
-use session_core::lender_table::LenderTable;
 use session_core::monotonic_time::MonotonicTime;
 use session_core::monotonic_time::now;
 use session_core::primary_permit;
@@ -87,8 +86,6 @@
     pub evacuated: EvacuatedZones,
     /// The current leader.
     pub leader: Option<Revised<LeaderValue>>,
-    /// The lenders of the parts of the rates.
-    pub lenders: Option<Revised<LenderTable>>,
     /// Time up to which the view holds every change that the store accepted.
     pub synced_at: Option<MonotonicTime>,
     /// When the last successful renewal of this instance's lease was sent.
@@ -359,7 +356,6 @@
     fn apply_fleet_key(&mut self, key: FleetKey, item: &StoreItem) {
         match key {
             FleetKey::Leader => self.leader = decode(item),
-            FleetKey::Lenders => self.lenders = decode(item),
             FleetKey::Member(name) => {
                 let member = decode::<MemberValue>(item);
                 if member.is_none() && self.has_member_key(&name) {
--- a/crates/front/src/group_leader.rs
+++ b/crates/front/src/group_leader.rs
@@ -13,14 +13,11 @@
 use session_core::group_order::OrderPhase;
 use session_core::ids::EndpointId;
 use session_core::ids::ServiceId;
-use session_core::lender_roster::LenderRoster;
-use session_core::lender_table::LenderTable;
 use session_core::monotonic_time::MonotonicTime;
 use session_core::monotonic_time::now;
 use session_core::primary_permit;
 
 use crate::fleet_keys::LEADER_KEY;
-use crate::fleet_keys::LENDERS_KEY;
 use crate::fleet_keys::LeaderValue;
 use crate::fleet_keys::MemberValue;
 use crate::fleet_view::FleetView;
@@ -36,7 +33,6 @@
 use crate::instance_limits::STORE_PAUSE;
 use crate::instance_limits::STORE_TIMEOUT;
 use crate::instance_limits::TICK_PERIOD;
-use crate::lender_link;
 use crate::position_probe;
 use crate::store_lease;
 
@@ -216,22 +212,15 @@
         return;
     }
     let former = instance.view.borrow().leader.as_ref().map(|l| l.revision);
-    // The election confirms the table that this instance knows, since its rights are renewed by it.
-    let table = instance.view.borrow().lenders.clone();
-    let known_lenders = instance.view.borrow().key_revision(LENDERS_KEY);
     let value = LeaderValue {
         instance: instance.settings.instance.clone(),
         address: instance.settings.peer_address,
-        renews_rights: true,
     };
     let Ok(value) = store_lease::encode(&value) else {
         return;
     };
     let change = StoreChange {
-        conditions: vec![
-            (LEADER_KEY.to_owned(), former.unwrap_or(0)),
-            (LENDERS_KEY.to_owned(), known_lenders),
-        ],
+        conditions: vec![(LEADER_KEY.to_owned(), former.unwrap_or(0))],
         puts: vec![(LEADER_KEY.to_owned(), value.clone(), Some(lease))],
         removals: Vec::new(),
     };
@@ -243,15 +232,10 @@
                 renewed_at: requested_at,
             }));
             instance.leader_lease.set(Some(lease));
-            let roster = |table: Revised<LenderTable>| {
-                LenderRoster::new(token, table.value, table.revision, now())
-            };
-            instance.lender_roster.replace(table.map(roster));
             instance
                 .view
                 .borrow_mut()
                 .apply_written(LEADER_KEY, value, token);
-            lender_link::renew_rights(instance, 0);
             instance.notify_view_change();
             tokio::task::spawn_local(renew_lead(Rc::clone(instance), lease, token));
         }
--- a/crates/front/src/instance.rs
+++ b/crates/front/src/instance.rs
@@ -28,11 +28,12 @@
 use session_core::ids::ServiceId;
 use session_core::ids::TeamId;
 use session_core::instance_rank::RankedInstance;
-use session_core::lender_roster::LenderRoster;
-use session_core::lending_right::LendingRight;
 use session_core::log_point::LogPoint;
 use session_core::monotonic_time::MonotonicTime;
 use session_core::monotonic_time::now;
+use session_core::rate_deputy::DeputyLease;
+use session_core::rate_deputy::DeputyMonitor;
+use session_core::rate_lender::LendingMode;
 use session_core::request_outcome::StatementFault;
 use session_core::units::ConnectionCount;
 use tokio::net::UdpSocket;
@@ -52,6 +53,7 @@
 use crate::instance_limits::KEY_MARGIN;
 use crate::instance_limits::LEADER_LEASE_TIME;
 use crate::instance_limits::LEADER_MARGIN;
+use crate::instance_limits::LENDING_GRACE;
 use crate::instance_limits::SCARCE_IDLE_TIME;
 use crate::instance_limits::SKEW_FACTOR;
 use crate::instance_limits::STORE_UNREACHABLE_AGE;
@@ -95,14 +97,10 @@
     pub pool: Rc<EndpointPool>,
     /// This instance's shares of the teams' rates.
     pub rates: RateExchange,
-    /// The lenders of the current or last period of leadership of this instance.
-    pub lender_roster: RefCell<Option<LenderRoster>>,
-    /// This instance's right to lend parts of the rates.
-    pub lending_right: RefCell<LendingRight>,
-    /// Whether a write of the lender table is under way.
-    pub writes_lenders: Cell<bool>,
-    /// When each instance last sent a request or report, by peer address.
-    pub heard_at: RefCell<HashMap<SocketAddr, MonotonicTime>>,
+    /// Monitors the deputy while this instance leads.
+    pub deputy_monitor: RefCell<DeputyMonitor>,
+    /// Right to lend that the leader gave this instance as its deputy.
+    pub deputy_lease: RefCell<DeputyLease>,
     /// Observed pace and failures of the endpoints, shared within the zone.
     pub paces: PaceExchange,
     /// This instance's share of the connections that endpoints accept.
@@ -242,47 +240,23 @@
         self.leads_within(Duration::MAX)
     }
 
-    /// Applies this instance's right to lend. The right is given up when the process stops, and
-    /// suspended while a leader of an earlier version lends all tokens.
+    /// Sets the lending mode that applies now.
     pub fn update_lending(&self) {
-        let mut right = self.lending_right.borrow_mut();
-        if self.stopping.borrow().is_some() {
-            right.give_up();
-        }
-        let ends = match self.earlier_leader() {
-            Some(_) => Default::default(),
-            None => right.ends(),
-        };
-        self.rates.set_right(ends);
-    }
-
-    /// Returns the address of the leader if it is of a version that lends all tokens itself.
-    fn earlier_leader(&self) -> Option<SocketAddr> {
-        let view = self.view.borrow();
-        let leader = view.leader.as_ref().map(|leader| &leader.value);
-        leader
-            .filter(|leader| !leader.renews_rights)
-            .map(|leader| leader.address)
+        self.rates.set_lending(self.lending_mode());
     }
 
-    /// Returns whether the table names this instance as a lender.
-    pub fn is_named_lender(&self) -> bool {
-        let view = self.view.borrow();
-        let own = self.settings.peer_address;
-        let table = view.lenders.as_ref();
-        table.is_some_and(|table| !table.value.parts(own).is_empty())
-    }
-
-    /// Returns the addresses of the lenders other than this instance.
-    pub fn other_lenders(&self) -> Vec<SocketAddr> {
-        if let Some(leader) = self.earlier_leader() {
-            return vec![leader];
+    fn lending_mode(&self) -> Option<LendingMode> {
+        let at = now();
+        if self.leads_within(LEADER_LEASE_TIME + LENDING_GRACE) {
+            return Some(match self.deputy_monitor.borrow().is_sole_lender(at) {
+                false => LendingMode::Shared,
+                true if self.leads() => LendingMode::Alone,
+                true => LendingMode::Lapsed,
+            });
         }
-        let view = self.view.borrow();
-        let table = view.lenders.as_ref();
-        let mut lenders = table.map_or_else(Vec::new, |table| table.value.lenders());
-        lenders.retain(|address| *address != self.settings.peer_address);
-        lenders
+        let leader = self.view.borrow().leader.as_ref().map(|l| l.revision);
+        let may_lend = self.deputy_lease.borrow().may_lend(leader, at);
+        may_lend.then_some(LendingMode::Shared)
     }
 
     fn leads_within(&self, time: Duration) -> bool {
--- a/crates/front/src/instance_limits.rs
+++ b/crates/front/src/instance_limits.rs
@@ -57,6 +57,10 @@
 /// Time before the end of its lease at which the leader stops acting.
 pub const LEADER_MARGIN: Duration = Duration::from_millis(400);
 
+/// Time after the end of its lease for which a leader lends tokens, provided that it knows of no
+/// newer leader.
+pub const LENDING_GRACE: Duration = Duration::from_millis(1_800);
+
 /// Period of an instance's periodic tasks.
 pub const TICK_PERIOD: Duration = Duration::from_millis(100);
 
@@ -105,20 +109,12 @@
 /// Pause before the choice of an endpoint is retried.
 pub const ROUTE_PAUSE: Duration = Duration::from_millis(10);
 
-/// Maximum time that a request waits for loaned tokens: a round trip between zones to several lenders,
-/// with queueing.
+/// Maximum time that a request waits for loaned tokens: a round trip between zones, with queueing.
 pub const TOKEN_WAIT: Duration = Duration::from_millis(40);
 
 /// Ticks between requests of loans in advance.
 pub const REQUEST_TICKS: u64 = 2;
 
-/// Ticks between renewals of the lenders' rights.
-pub const RIGHT_TICKS: u64 = 2;
-
-/// Time since an instance's last message after which the leader does not choose it as a lender; two
-/// reports of the demand for connections.
-pub const CANDIDATE_TIME: Duration = Duration::from_millis(2_500);
-
 /// Ticks between reports of the demand for connections to the leader.
 pub const REPORT_TICKS: u64 = 10;
 
--- a/crates/front/src/instance_metrics.rs
+++ b/crates/front/src/instance_metrics.rs
@@ -86,7 +86,6 @@
             "tamaracklb_caller_connections_limit",
             instance.settings.callers.connections,
         ),
-        MetricFamily::gauge("tamaracklb_lent_parts").sample(instance.rates.lent_parts()),
         open_objects(instance),
         MetricFamily::counter("tamaracklb_acquired_from_hosts_total")
             .sample(instance.host_links.acquired()),
--- a/crates/front/src/instance_run.rs
+++ b/crates/front/src/instance_run.rs
@@ -15,7 +15,6 @@
 use platform::status_server;
 use platform::status_server::StatusPorts;
 use platform::store_client::StoreClient;
-use session_core::lending_right::LendingRight;
 use session_core::monotonic_time::now;
 use tokio::net::TcpListener;
 use tokio::net::UdpSocket;
@@ -35,7 +34,6 @@
 use crate::instance_limits::STORE_TIMEOUT;
 use crate::instance_limits::TICK_PERIOD;
 use crate::instance_metrics;
-use crate::lender_link;
 use crate::log_output::LogOutput;
 use crate::metrics::FrontMetrics;
 use crate::pace_exchange;
@@ -115,10 +113,8 @@
         pool: Rc::new(EndpointPool::new(settings.endpoints_may_degrade)),
         // Starting at the current time keeps the request numbers of two incarnations distinct.
         rates: RateExchange::new(now().as_nanos()),
-        lender_roster: RefCell::default(),
-        lending_right: RefCell::new(LendingRight::new(now())),
-        writes_lenders: Cell::new(false),
-        heard_at: RefCell::default(),
+        deputy_monitor: RefCell::default(),
+        deputy_lease: RefCell::default(),
         paces: PaceExchange::new(choice_seed(&settings)),
         connection_share: RefCell::default(),
         floors: RefCell::default(),
@@ -197,7 +193,6 @@
         log.flush();
         instance.callers.close_stalled();
         instance.update_lending();
-        lender_link::renew_rights(&instance, tick);
         instance.view.borrow_mut().drop_missing(now());
         peer_link::prefetch_loans(&instance, tick);
         pace_exchange::report_reads(&instance, tick);
--- a/crates/front/src/main.rs
+++ b/crates/front/src/main.rs
@@ -22,7 +22,6 @@
 mod instance_limits;
 mod instance_metrics;
 mod instance_run;
-mod lender_link;
 mod line_channel;
 mod link_outbox;
 mod log_output;
--- a/crates/front/src/peer_link.rs
+++ b/crates/front/src/peer_link.rs
@@ -3,14 +3,14 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
-use session_core::ids::TeamId;
+use session_core::instance_rank::ranked_order;
 use session_core::monotonic_time::now;
 
+use crate::fleet_keys::LEADER_KEY;
 use crate::instance::Instance;
 use crate::instance_limits::REPORT_TICKS;
 use crate::instance_limits::REQUEST_TICKS;
 use crate::instance_limits::TICK_PERIOD;
-use crate::lender_link;
 use crate::pace_exchange;
 use crate::peer_message::MAX_DATAGRAM_BYTES;
 use crate::peer_message::PeerMessage;
@@ -48,50 +48,34 @@
                 instance.record_peer_failure(&endpoint, from);
             }
             if instance.leads() {
-                instance.heard_at.borrow_mut().insert(from, now());
                 instance.record_acknowledgements(from, seen);
             }
             let Some(rules) = instance.view.borrow().rules.clone() else {
                 return;
             };
-            // The lender answers a request that was forwarded.
-            let (number, lent) = match forward_request(instance, from, number, &wanted) {
-                true => (0, Vec::new()),
-                false => (number, instance.rates.answer(&wanted, &rules.teams)),
+            instance.update_lending();
+            let Some(lent) = instance.rates.answer(&wanted, &rules.teams) else {
+                return;
             };
-            let part = instance.is_latest_leader().then(|| {
+            let is_leader = instance.is_latest_leader();
+            let part = is_leader.then(|| {
                 let mut share = instance.connection_share.borrow_mut();
                 share.record_demand(from, demand, now()) as f32
             });
+            let deputy = instance.deputy_monitor.borrow().deputy();
             let message = PeerMessage::Lend {
                 number,
                 lent,
                 part,
-                deputy: None,
+                deputy: deputy.filter(|_| is_leader),
             };
             send(instance, &message, from);
         }
-        PeerMessage::AskFor {
-            borrower,
-            number,
-            wanted,
-        } => {
-            let Some(rules) = instance.view.borrow().rules.clone() else {
-                return;
-            };
-            let message = PeerMessage::Lend {
-                number,
-                lent: instance.rates.answer(&wanted, &rules.teams),
-                part: None,
-                deputy: None,
-            };
-            send(instance, &message, borrower);
-        }
         PeerMessage::Lend {
             number,
             lent,
             part,
-            deputy: _,
+            deputy,
         } => {
             if let Some(part) = part {
                 let fraction = f64::from(part);
@@ -99,21 +83,30 @@
                     .connection_share
                     .borrow_mut()
                     .record_grant(fraction, now());
+                let own = instance.settings.peer_address;
+                instance.rates.set_deputy(deputy.filter(|a| *a != own));
+            }
+            instance.rates.record_grant(number, &lent);
+        }
+        PeerMessage::Watch {
+            token,
+            sent,
+            confirmed,
+        } => {
+            let stamp = now();
+            let mut lease = instance.deputy_lease.borrow_mut();
+            if lease.record_message(token, confirmed, stamp) {
+                send(instance, &PeerMessage::Watched { sent, stamp }, from);
             }
-            let lenders = instance.other_lenders().len();
-            instance.rates.record_grant(number, &lent, lenders);
         }
-        PeerMessage::Watch { .. } | PeerMessage::Watched { .. } => {}
         PeerMessage::Passed { process, reports } => {
             if instance.leads() {
                 instance.record_commit_reports(from, process, &reports);
             }
         }
-        PeerMessage::RenewRight(renewal) => {
-            lender_link::receive_renewal(instance, &renewal, from);
-        }
-        PeerMessage::RightRenewed { token, answer } => {
-            lender_link::receive_answer(instance, token, answer, from);
+        PeerMessage::Watched { sent, stamp } => {
+            let mut monitor = instance.deputy_monitor.borrow_mut();
+            monitor.record_answer(from, sent, stamp, now());
         }
         PeerMessage::Observed { sent, samples } => {
             pace_exchange::answer_report(instance, sent, &samples, from);
@@ -122,77 +115,86 @@
     }
 }
 
-/// Forwards a request for tokens to a lender if this instance is none, and returns whether it did.
-/// Only instances of earlier versions send such requests to the leader.
-fn forward_request(
-    instance: &Instance,
-    borrower: SocketAddr,
-    number: u64,
-    wanted: &[(TeamId, u32)],
-) -> bool {
-    let lenders = instance.other_lenders();
-    let is_lender = instance.is_named_lender();
-    if wanted.is_empty() || lenders.is_empty() || is_lender || !instance.is_latest_leader() {
-        return false;
-    }
-    let lender = lenders[number as usize % lenders.len()];
-    let message = PeerMessage::AskFor {
-        borrower,
-        number,
-        wanted: wanted.to_vec(),
+/// Sends the leader, and the deputy if the leader seems to be silent, a request for tokens with the
+/// failing primaries, pending orders and demand. Sends nothing if there is nothing to request or
+/// report and no report is due.
+pub fn request_loans(instance: &Instance, report_due: bool) {
+    let leader = match &instance.view.borrow().leader {
+        Some(leader) if leader.value.instance == instance.settings.instance => return,
+        Some(leader) => Some(leader.value.address),
+        None => None,
     };
-    send(instance, &message, lender);
-    true
-}
-
-/// Sends requests for the tokens that are wanted now.
-pub fn request_loans(instance: &Instance) {
-    let lenders = instance.other_lenders();
-    let requests = instance.rates.create_requests(&lenders);
-    if requests.is_empty() {
+    let deputy = instance.rates.fallback_lender(leader.is_some());
+    if leader.is_none() && deputy.is_none() {
         return;
     }
-    let demand = instance.pool.demand(now());
-    for request in requests {
-        let message = PeerMessage::Ask {
-            number: request.number,
-            wanted: request.wanted,
-            failing: Vec::new(),
-            demand,
-            seen: Vec::new(),
-        };
-        send(instance, &message, request.lender);
-    }
-}
-
-/// Sends the leader the failing primaries, the pending orders and the demand for connections. Sends
-/// nothing if there is nothing to report and no report is due.
-pub fn report_to_leader(instance: &Instance, report_due: bool) {
-    let leader = match &instance.view.borrow().leader {
-        Some(leader) if leader.value.instance != instance.settings.instance => leader.value.address,
-        _ => return,
-    };
+    let (number, wanted) = instance.rates.create_request();
     let failing = instance.failing_primaries();
     let seen = instance.pending_orders();
-    if failing.is_empty() && seen.is_empty() && !report_due {
+    if wanted.is_empty() && failing.is_empty() && seen.is_empty() && !report_due {
         return;
     }
-    let process = instance.view.borrow().process_lives();
-    for reports in instance.commit_reports().chunks(MAX_REPORTS) {
-        let message = PeerMessage::Passed {
-            process,
-            reports: reports.to_vec(),
-        };
-        send(instance, &message, leader);
+    if let Some(leader) = leader {
+        let process = instance.view.borrow().process_lives();
+        for reports in instance.commit_reports().chunks(MAX_REPORTS) {
+            let message = PeerMessage::Passed {
+                process,
+                reports: reports.to_vec(),
+            };
+            send(instance, &message, leader);
+        }
     }
     let message = PeerMessage::Ask {
-        number: instance.rates.next_number(),
-        wanted: Vec::new(),
+        number,
+        wanted,
         failing,
         demand: instance.pool.demand(now()),
         seen,
     };
-    send(instance, &message, leader);
+    for address in leader.into_iter().chain(deputy) {
+        send(instance, &message, address);
+    }
+}
+
+/// Sends the deputy its lease, after choosing a new deputy if there is none.
+fn monitor_deputy(instance: &Instance) {
+    let Some(token) = instance.fencing_token() else {
+        return;
+    };
+    let at = now();
+    let mut monitor = instance.deputy_monitor.borrow_mut();
+    let former = monitor.deputy();
+    let candidates = std::iter::once_with(|| deputy_candidates(instance)).flatten();
+    let chosen = monitor.choose(candidates, at);
+    if chosen != former {
+        tracing::info!(event = "deputy_chosen", ?former, ?chosen, token);
+    }
+    if let Some(address) = chosen {
+        let message = PeerMessage::Watch {
+            token,
+            sent: at,
+            confirmed: monitor.confirmed(),
+        };
+        send(instance, &message, address);
+    }
+}
+
+/// Returns the addresses of the other instances by rank, those of other availability zones first.
+fn deputy_candidates(instance: &Instance) -> Vec<SocketAddr> {
+    let view = instance.view.borrow();
+    let members = view.members.iter();
+    let ranked = ranked_order(
+        &LEADER_KEY,
+        members.map(|(name, member)| member.value.ranked(name)),
+    );
+    let others = ranked
+        .iter()
+        .filter(|other| *other.name != instance.settings.instance);
+    let values = others.filter_map(|other| view.members.get(other.name));
+    let (near, far): (Vec<_>, Vec<_>) =
+        values.partition(|member| member.value.zone == instance.settings.zone);
+    let ordered = far.into_iter().chain(near);
+    ordered.map(|member| member.value.address).collect()
 }
 
 /// Acknowledges pending orders to the leader as soon as this instance knows them.
@@ -203,16 +205,17 @@
         let pending = instance.pending_orders();
         if pending != former && !pending.is_empty() {
             tracing::info!(event = "orders_acknowledged", orders = ?pending);
-            report_to_leader(&instance, true);
+            request_loans(&instance, true);
         }
         former = pending;
     }
 }
 
 /// Requests loans in advance and reports the demand for connections every few ticks; the leader
-/// renews its own connection share instead of reporting.
+/// renews its deputy's lease and its own connection share instead.
 pub fn prefetch_loans(instance: &Instance, tick: u64) {
     if instance.is_latest_leader() {
+        monitor_deputy(instance);
         let demand = instance.pool.demand(now());
         let own = instance.settings.peer_address;
         let fraction = instance
@@ -224,10 +227,7 @@
             .borrow_mut()
             .record_grant(fraction, now());
     } else if tick.is_multiple_of(REQUEST_TICKS) {
-        report_to_leader(instance, tick.is_multiple_of(REPORT_TICKS));
-    }
-    if tick.is_multiple_of(REQUEST_TICKS) {
-        request_loans(instance);
+        request_loans(instance, tick.is_multiple_of(REPORT_TICKS));
     }
 }
 
--- a/crates/front/src/peer_message.rs
+++ b/crates/front/src/peer_message.rs
@@ -9,8 +9,6 @@
 use session_core::ids::EndpointId;
 use session_core::ids::ServiceId;
 use session_core::ids::TeamId;
-use session_core::lending_right::RightAnswer;
-use session_core::lending_right::RightRenewal;
 use session_core::monotonic_time::MonotonicTime;
 use session_core::pace_digest::PaceDigest;
 use session_core::pace_sample::PaceSample;
@@ -22,7 +20,7 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum PeerMessage {
-    /// Requests tokens of a lender, or reports to the leader.
+    /// Requests tokens of the lender and reports failing primaries.
     Ask {
         /// Number of the request, repeated in the answer.
         number: u64,
@@ -43,10 +41,10 @@
         lent: Vec<(TeamId, u32)>,
         /// The instance's fraction of the connections to each endpoint, if the leader answers.
         part: Option<f32>,
-        /// Unused; earlier versions sent the address of their second lender.
+        /// Address of the deputy, which lends while the leader is silent.
         deputy: Option<SocketAddr>,
     },
-    /// Sent by the leader of earlier versions to its second lender, and ignored.
+    /// Grants or renews the deputy lease.
     Watch {
         /// Fencing token of the leader.
         token: u64,
@@ -55,7 +53,7 @@
         /// Newest time on the deputy's clock in its answers so far.
         confirmed: Option<MonotonicTime>,
     },
-    /// Answer of earlier versions to `Watch`, and ignored.
+    /// Confirms a deputy lease.
     Watched {
         /// Time in the message that is answered.
         sent: MonotonicTime,
@@ -69,25 +67,6 @@
         /// One report for each pending order.
         reports: Vec<CommitReport>,
     },
-    /// Forwards a request for tokens of an instance of an earlier version, which knows no lender but
-    /// the leader. The answer goes to that instance.
-    AskFor {
-        /// Address of the instance.
-        borrower: SocketAddr,
-        /// Number of the request.
-        number: u64,
-        /// Number of tokens by team.
-        wanted: Vec<(TeamId, u32)>,
-    },
-    /// Renews the right of a lender.
-    RenewRight(RightRenewal),
-    /// Answers a renewal.
-    RightRenewed {
-        /// Fencing token in the renewal.
-        token: u64,
-        /// The answer.
-        answer: RightAnswer,
-    },
     /// Reports the outcomes of reads to the first instance of the zone.
     Observed {
         /// When the message was sent, on the sender's clock.
--- a/crates/front/src/statement_run.rs
+++ b/crates/front/src/statement_run.rs
@@ -15,7 +15,6 @@
 use session_core::memory_account::MemoryPart;
 use session_core::monotonic_time::MonotonicTime;
 use session_core::monotonic_time::now;
-use session_core::rate_lender::TOKEN_USE_TIME;
 use session_core::request_outcome;
 use session_core::request_outcome::CallerVerdict;
 use session_core::request_outcome::OutcomeScope;
@@ -47,35 +46,6 @@
 /// Fraction of the target latency within which a request that has been sent may be retried.
 const RETRY_FRACTION: f64 = 0.6;
 
-/// Admission of an operation by its team's rate.
-#[derive(Debug, Clone, Copy)]
-struct Admission {
-    /// When the token was taken and when it expires; `None` without a limit.
-    taken_at: MonotonicTime,
-    expires_at: Option<MonotonicTime>,
-}
-
-impl Admission {
-    fn new(expires_at: MonotonicTime) -> Self {
-        Self {
-            taken_at: now(),
-            expires_at: Some(expires_at),
-        }
-    }
-
-    fn unlimited() -> Self {
-        Self {
-            taken_at: now(),
-            expires_at: None,
-        }
-    }
-
-    /// Returns whether the operation may not be sent any more without another token.
-    fn is_outdated(&self, at: MonotonicTime) -> bool {
-        self.expires_at.is_some() && at.saturating_since(self.taken_at) >= TOKEN_USE_TIME
-    }
-}
-
 impl CallerSession {
     pub(crate) async fn serve_statement(
         &mut self,
@@ -265,14 +235,13 @@
             self.refuse_request(id, CallerVerdict::Busy, "memory_short", arrived);
             return None;
         }
-        let mut admission = match self.admit(team.as_ref(), &route, arrived).await {
-            Some(admission) => admission,
-            None => {
-                self.fail_transaction();
-                self.refuse_request(id, CallerVerdict::Busy, "team_rate_exceeded", arrived);
-                return None;
-            }
-        };
+        if let Some(team) = &team
+            && !self.admit(team, &route, arrived).await
+        {
+            self.fail_transaction();
+            self.refuse_request(id, CallerVerdict::Busy, "team_rate_exceeded", arrived);
+            return None;
+        }
         let scope = self.first_statement_scope(&statement);
         let mut progress = RequestProgress {
             id,
@@ -295,16 +264,6 @@
                 }
                 Err(refusal) => return Some(refusal),
             };
-            if admission.is_outdated(now()) {
-                match self.admit(team.as_ref(), &route, now()).await {
-                    Some(renewed) => admission = renewed,
-                    None => {
-                        self.fail_transaction();
-                        self.refuse_unserved(&progress, scope, "team_rate_exceeded");
-                        return None;
-                    }
-                }
-            }
             let outcome = self
                 .attempt(
                     &statement,
@@ -340,8 +299,8 @@
                 }
                 AttemptOutcome::Refused => {}
             }
-            if let (Some(team), Some(expires_at)) = (&team, admission.expires_at) {
-                self.instance.rates.give_back(team, expires_at);
+            if let Some(team) = &team {
+                self.instance.rates.give_back(team);
             }
             self.fail_transaction();
             self.refuse_unserved(&progress, scope, reason);
@@ -392,22 +351,18 @@
         reserved.is_ok()
     }
 
-    /// Takes a token of the team's rate, requesting a loan if needed. Returns `None` if there is
-    /// none.
-    async fn admit(
-        &self,
-        team: Option<&TeamId>,
-        route: &DatabaseRoute,
-        arrived: MonotonicTime,
-    ) -> Option<Admission> {
-        let limited = team.and_then(|team| Some((team, self.team_limit(team)?)));
-        let Some((team, limit)) = limited else {
-            return Some(Admission::unlimited());
+    /// Takes a token of the team's rate, requesting a loan if needed. Returns whether the operation
+    /// is admitted.
+    async fn admit(&self, team: &TeamId, route: &DatabaseRoute, arrived: MonotonicTime) -> bool {
+        let Some(limit) = self.team_limit(team) else {
+            return true;
         };
         let rates = &self.instance.rates;
+        self.instance.update_lending();
         rates.record_demand(team);
-        if let Some(expires_at) = rates.take(team, &limit) {
-            return Some(Admission::new(expires_at));
+        let instances = self.instance.view.borrow().members.len();
+        if rates.take(team, &limit, instances) {
+            return true;
         }
         // Without a leader, waits for the full queue time, in which one may be elected.
         let queue_time = route.target_latency.mul_f64(QUEUE_FRACTION);
@@ -418,29 +373,31 @@
         let end = arrived + wait;
         let mut lent = rates.subscribe();
         rates.begin_wait(team);
-        let mut taken = None;
-        while taken.is_none() && now() < end {
-            peer_link::request_loans(&self.instance);
+        let mut admitted = false;
+        while !admitted && now() < end {
+            if rates.may_request() {
+                peer_link::request_loans(&self.instance, false);
+            }
             let pause = end.saturating_since(now()).min(REQUEST_PAUSE);
             let changed = tokio::time::timeout(pause, lent.changed()).await;
             if matches!(changed, Ok(Err(_))) {
                 break;
             }
-            taken = rates.take(team, &limit);
+            admitted = rates.take(team, &limit, instances);
         }
         rates.end_wait(team);
-        if taken.is_none() {
+        if !admitted {
             tracing::info!(
                 event = "rate_exhausted",
                 database = log_excerpt(&self.database),
                 team = %team,
                 rate_per_s = limit.rate.0,
                 burst = limit.burst.0,
-                lenders = self.instance.other_lenders().len(),
+                instances,
                 leads = self.instance.leads(),
             );
         }
-        taken.map(Admission::new)
+        admitted
     }
 
     fn team_limit(&self, team: &TeamId) -> Option<TeamLimit> {
--- a/crates/session-core/src/loan_pacer.rs
+++ b/crates/session-core/src/loan_pacer.rs
@@ -1,4 +1,4 @@
-//! Paces the loan requests that an instance sends to a lender.
+//! Paces the loan requests that an instance sends to the lender.
 
 use std::time::Duration;
 
@@ -12,14 +12,14 @@
 /// second.
 const MAX_DOUBLINGS: u32 = 3;
 
-/// Number of unanswered requests after which other lenders are preferred.
+/// Number of unanswered requests after which the deputy is sent requests as well.
 const SUSPICION_COUNT: u32 = 2;
 
-/// How long other lenders are preferred, counted from the last request that was sent with
+/// How long requests go to both, counted from the last request that was sent with
 /// [`SUSPICION_COUNT`] or more unanswered.
 const SUSPICION_TIME: Duration = Duration::from_millis(500);
 
-/// The loan requests of one instance to one lender.
+/// The loan requests of one instance.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct LoanPacer {
     requested_at: Option<MonotonicTime>,
@@ -50,7 +50,7 @@
         self.unanswered = 0;
     }
 
-    /// Returns whether other lenders are preferred, since this one left requests unanswered.
+    /// Returns whether requests go to the deputy as well, since the lender left some unanswered.
     pub fn suspects_lender(&self, now: MonotonicTime) -> bool {
         self.suspected_at
             .is_some_and(|at| now.saturating_since(at) < SUSPICION_TIME)
--- a/crates/session-core/src/rate_share.rs
+++ b/crates/session-core/src/rate_share.rs
@@ -1,9 +1,13 @@
-//! Admits the operations of a team at one instance, with borrowed tokens.
+//! Admits the operations of a team at one instance, with tokens of a fixed base share and borrowed
+//! tokens.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use crate::monotonic_time::MonotonicTime;
+use crate::rate_lender::LENT_FRACTION;
 use crate::rate_lender::LOAN_TIME;
+use crate::serving_rules::TeamLimit;
 
 /// The span of expected demand for which an instance borrows tokens in advance. Where the demand in
 /// this span is below one token, tokens are borrowed only when needed, since unused tokens are lost
@@ -13,7 +17,7 @@
 /// Time constant of the demand's moving average.
 const DEMAND_AVERAGE_TIME: Duration = Duration::from_millis(1_500);
 
-/// Pause before the next request after no lender had tokens: the time in which a team with a
+/// Pause before the next request after the lender had no tokens: the time in which a team with a
 /// rate of 20 operations per second earns one.
 const EXHAUSTED_PAUSE: Duration = Duration::from_millis(50);
 
@@ -26,10 +30,11 @@
 /// The share of one team at this instance.
 #[derive(Debug, Clone)]
 pub struct RateShare {
-    loans: Vec<TokenLoan>,
+    base: f64,
+    filled_at: MonotonicTime,
+    loans: VecDeque<TokenLoan>,
     demand: f64,
     demand_at: MonotonicTime,
-    exhausted_lenders: usize,
     exhausted_until: MonotonicTime,
 }
 
@@ -37,35 +42,28 @@
     /// Creates a share without tokens.
     pub fn new(now: MonotonicTime) -> Self {
         Self {
-            loans: Vec::new(),
+            base: 0.0,
+            filled_at: now,
+            loans: VecDeque::new(),
             demand: 0.0,
             demand_at: now,
-            exhausted_lenders: 0,
             exhausted_until: MonotonicTime::default(),
         }
     }
 
     /// Adds borrowed tokens that were requested at `requested_at`.
     pub fn borrow(&mut self, tokens: f64, requested_at: MonotonicTime) {
-        if tokens >= 1.0 {
-            self.exhausted_lenders = 0;
-            self.add_loan(tokens, requested_at + LOAN_TIME);
+        if tokens > 0.0 {
+            self.loans.push_back(TokenLoan {
+                tokens,
+                expires_at: requested_at + LOAN_TIME,
+            });
         }
     }
 
-    /// Adds a token that was taken and not used. It expires when it would have expired before, so
-    /// that tokens cannot be saved up.
-    pub fn give_back(&mut self, expires_at: MonotonicTime) {
-        self.add_loan(1.0, expires_at);
-    }
-
-    /// Records the answer of one of `lenders` lenders that it has no tokens now.
-    pub fn record_exhausted(&mut self, lenders: usize, now: MonotonicTime) {
-        self.exhausted_lenders += 1;
-        if self.exhausted_lenders >= lenders {
-            self.exhausted_lenders = 0;
-            self.exhausted_until = now + EXHAUSTED_PAUSE;
-        }
+    /// Records the answer that the lender has no tokens now.
+    pub fn record_exhausted(&mut self, now: MonotonicTime) {
+        self.exhausted_until = now + EXHAUSTED_PAUSE;
     }
 
     /// Counts an operation that is to be admitted.
@@ -74,16 +72,26 @@
         self.demand += 1.0;
     }
 
-    /// Takes the token that expires first and returns when it expires, or `None` if there is none.
-    pub fn take(&mut self, now: MonotonicTime) -> Option<MonotonicTime> {
+    /// Takes one token; returns `false` if there is none.
+    pub fn take(&mut self, limit: &TeamLimit, instances: usize, now: MonotonicTime) -> bool {
         self.drop_expired(now);
-        let loan = self.loans.first_mut()?;
-        let expires_at = loan.expires_at;
-        loan.tokens -= 1.0;
-        if loan.tokens < 1.0 {
-            self.loans.remove(0);
+        if let Some(loan) = self.loans.front_mut() {
+            loan.tokens -= 1.0;
+            if loan.tokens < 1.0 {
+                self.loans.pop_front();
+            }
+            return true;
+        }
+        let fraction = (1.0 - LENT_FRACTION) / instances.max(1) as f64;
+        let elapsed = now.saturating_since(self.filled_at).as_secs_f64();
+        let cap = (limit.burst.0 * fraction).max(1.0);
+        self.base = (self.base + elapsed * limit.rate.0 * fraction).min(cap);
+        self.filled_at = now;
+        if self.base >= 1.0 {
+            self.base -= 1.0;
+            return true;
         }
-        Some(expires_at)
+        false
     }
 
     /// Returns the number of tokens to request for the expected demand and the `waiting`
@@ -106,13 +114,13 @@
         self.demand_at = now;
     }
 
-    fn add_loan(&mut self, tokens: f64, expires_at: MonotonicTime) {
-        let later = self.loans.iter().position(|l| l.expires_at > expires_at);
-        let index = later.unwrap_or(self.loans.len());
-        self.loans.insert(index, TokenLoan { tokens, expires_at });
-    }
-
     fn drop_expired(&mut self, now: MonotonicTime) {
-        self.loans.retain(|loan| now < loan.expires_at);
+        while self
+            .loans
+            .front()
+            .is_some_and(|loan| now >= loan.expires_at)
+        {
+            self.loans.pop_front();
+        }
     }
 }
