--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -60,6 +60,7 @@
 #[allow(dead_code)]
 #[path = "../../examples/limits_bench/rate_sim.rs"]
 mod rate_sim;
+mod rate_terms;
 mod raw_caller;
 mod read_share;
 mod request_outcomes;
