Report answers that do not belong to the awaited statement

The operators saw answers that were not the caller's own, and kept no logs. Nothing that the daemon logged would have told a copy of an earlier answer from rows that were split or from answers that a host exchanged.

Each answer is now compared with what its statement must get: a receipt that the connection has not given before, or none; rows; the transaction state. A mismatch is logged with the number of the connection and counted by fault (tamaracklb_unexpected_answers_total). The log lines of a statement name its connection, its receipt and the prepared name at the endpoint. What is done with an answer does not change yet. The exchange moves into a module of its own, and the transaction state into session-core, where the check is.

--- a/crates/front/src/caller_session.rs
+++ b/crates/front/src/caller_session.rs
@@ -6,7 +6,6 @@
 use platform::caller_codec::CallerCodec;
 use platform::caller_codec::CallerMessage;
 use platform::caller_codec::CallerReply;
-use platform::caller_codec::SessionState;
 use platform::caller_limits::CONNECTION_ALLOWANCE;
 use platform::caller_limits::CallerLimits;
 use platform::line_frame::FrameError;
@@ -21,6 +20,7 @@
 use session_core::secret_text::SecretText;
 use session_core::serving_rules::AccessRefusal;
 use session_core::serving_rules::DatabaseRoute;
+use session_core::session_state::SessionState;
 use session_core::session_values::SessionValues;
 use tokio::net::TcpStream;
 
--- /dev/null
+++ b/crates/front/src/endpoint_channel.rs
@@ -0,0 +1,214 @@
+//! Exchanges statements and answers with an endpoint, and checks that each answer belongs to its
+//! statement.
+
+use std::io;
+use std::time::Duration;
+
+use platform::endpoint_codec;
+use platform::endpoint_codec::EndpointCodec;
+use platform::endpoint_codec::EndpointCommand;
+use platform::endpoint_codec::EndpointMessage;
+use platform::line_frame::FrameError;
+use session_core::answer_check::AnswerCheck;
+use session_core::answer_check::AnswerFault;
+use session_core::answer_check::AnswerParts;
+use session_core::answer_check::ExpectedAnswer;
+use session_core::endpoint_entry::EndpointEntry;
+use session_core::ids::TeamId;
+use session_core::memory_account::MemoryPart;
+use session_core::monotonic_time::MonotonicTime;
+use session_core::monotonic_time::now;
+use session_core::request_outcome::StatementFault;
+use session_core::session_state::SessionState;
+use socket2::SockRef;
+use tokio::net::TcpStream;
+
+use crate::answer_reporter::AnswerReporter;
+use crate::endpoint_connection::AnswerBudget;
+use crate::endpoint_connection::ConnectError;
+use crate::endpoint_connection::EndpointAnswer;
+use crate::instance_limits::UNACKNOWLEDGED_TIMEOUT;
+use crate::line_channel::LineChannel;
+
+/// A connection of this instance to an endpoint.
+#[derive(Debug)]
+pub struct EndpointChannel {
+    line: LineChannel<EndpointCodec>,
+    check: AnswerCheck,
+    /// Reports unexpected answers.
+    pub reporter: AnswerReporter,
+}
+
+impl EndpointChannel {
+    /// Connects to an endpoint and starts a session for a team.
+    ///
+    /// # Errors
+    ///
+    /// See [`ConnectError`].
+    pub async fn open(
+        entry: &EndpointEntry,
+        team: Option<TeamId>,
+        reporter: AnswerReporter,
+    ) -> Result<Self, ConnectError> {
+        let stream = TcpStream::connect(entry.address)
+            .await
+            .map_err(ConnectError::Io)?;
+        stream.set_nodelay(true).map_err(ConnectError::Io)?;
+        SockRef::from(&stream)
+            .set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))
+            .map_err(ConnectError::Io)?;
+        let mut channel = Self {
+            line: LineChannel::new(stream, EndpointCodec::default()),
+            check: AnswerCheck::default(),
+            reporter,
+        };
+        let startup = EndpointCommand::Startup {
+            service: entry.service.clone(),
+            team,
+            endpoint: entry.id.clone(),
+        };
+        let io = |error: FrameError| ConnectError::Io(io::Error::other(error.to_string()));
+        channel.line.queue(startup).map_err(io)?;
+        channel.line.flush().await.map_err(ConnectError::Io)?;
+        let mut held_up = Duration::ZERO;
+        loop {
+            let message = channel.next_message(None, 0, &mut held_up);
+            match message.await.map_err(io)? {
+                EndpointMessage::Ready { .. } => return Ok(channel),
+                EndpointMessage::Refused { refusal, .. } => {
+                    return Err(ConnectError::Refused(refusal));
+                }
+                EndpointMessage::Row(_) | EndpointMessage::Done(_) => {}
+            }
+        }
+    }
+
+    /// Returns whether the endpoint closed the connection or sent data while it was idle.
+    pub fn is_stale(&self) -> bool {
+        self.line.has_unread()
+    }
+
+    /// Sends several statements at once and returns their answers in order. `state` is the transaction
+    /// state before them.
+    ///
+    /// # Errors
+    ///
+    /// Returns how far the last statement may have got; the connection must not be used again.
+    pub async fn exchange(
+        &mut self,
+        commands: Vec<EndpointCommand>,
+        mut state: SessionState,
+        budget: Option<AnswerBudget<'_>>,
+    ) -> Result<Vec<EndpointAnswer>, StatementFault> {
+        if self.line.has_unread() {
+            self.reporter.report_bytes(AnswerFault::Unrequested);
+        }
+        let sent_at = now();
+        let mut expected = Vec::with_capacity(commands.len());
+        for command in commands {
+            if let Some(answer) = command.expected_answer(state) {
+                state = answer.state;
+                expected.push(answer);
+            }
+            self.line
+                .queue(command)
+                .map_err(|_| StatementFault::Broken)?;
+        }
+        self.line
+            .flush()
+            .await
+            .map_err(|_| StatementFault::Broken)?;
+        let mut answers = Vec::with_capacity(expected.len());
+        for expected in expected {
+            let answer = self.read_answer(sent_at, budget).await?;
+            self.check_answer(expected, &answer);
+            answers.push(answer);
+        }
+        Ok(answers)
+    }
+
+    fn check_answer(&mut self, expected: ExpectedAnswer, answer: &EndpointAnswer) {
+        let Ok(receipt) = &answer.result else {
+            return;
+        };
+        let parts = AnswerParts {
+            rows: answer.rows.len(),
+            receipt: endpoint_codec::parse_receipt(receipt),
+            state: answer.state,
+        };
+        if let Err(fault) = self.check.accept(expected, parts) {
+            self.reporter.report_answer(fault, expected, answer);
+        }
+    }
+
+    async fn read_answer(
+        &mut self,
+        sent_at: MonotonicTime,
+        budget: Option<AnswerBudget<'_>>,
+    ) -> Result<EndpointAnswer, StatementFault> {
+        let mut rows = Vec::new();
+        let mut result = None;
+        let mut held = 0;
+        let mut held_up = Duration::ZERO;
+        loop {
+            let message = self.next_message(budget, held, &mut held_up).await;
+            match message.map_err(|_| StatementFault::Broken)? {
+                EndpointMessage::Row(row) => {
+                    held += row_bytes(&row);
+                    rows.push(row);
+                }
+                EndpointMessage::Done(receipt) => result = Some(Ok(receipt)),
+                EndpointMessage::Refused { refusal, text } => {
+                    result = Some(Err((refusal, text)));
+                }
+                EndpointMessage::Ready { state, position } => {
+                    let result = result.ok_or(StatementFault::Broken)?;
+                    return Ok(EndpointAnswer {
+                        rows,
+                        result,
+                        state,
+                        position,
+                        sent_at,
+                        took: now().saturating_since(sent_at + held_up),
+                    });
+                }
+            }
+        }
+    }
+
+    /// Reads the next message. `held` is the size of the answer so far. Adds the time for which there was no
+    /// memory to `held_up`.
+    async fn next_message(
+        &mut self,
+        budget: Option<AnswerBudget<'_>>,
+        held: usize,
+        held_up: &mut Duration,
+    ) -> Result<EndpointMessage, FrameError> {
+        loop {
+            if let Some(message) = self.line.decode()? {
+                return Ok(message);
+            }
+            if let Some(budget) = budget {
+                let bytes = held + self.line.input_bytes_ahead();
+                let memory = budget.memory;
+                if bytes <= memory.held(MemoryPart::Output) {
+                    // Reserved before the statement was sent.
+                } else if !budget.waits {
+                    memory.set(MemoryPart::Output, bytes);
+                } else if !memory.try_set(MemoryPart::Output, bytes) {
+                    let since = now();
+                    memory.wait_set(MemoryPart::Output, bytes).await;
+                    *held_up += now().saturating_since(since);
+                }
+            }
+            if self.line.read_some().await? == 0 {
+                return Err(FrameError::Io(io::ErrorKind::UnexpectedEof.into()));
+            }
+        }
+    }
+}
+
+/// Returns what a row of an answer takes in memory.
+pub fn row_bytes(row: &str) -> usize {
+    size_of::<String>() + row.len()
+}
--- a/crates/front/src/endpoint_connection.rs
+++ b/crates/front/src/endpoint_connection.rs
@@ -4,31 +4,27 @@
 use std::io;
 use std::time::Duration;
 
-use platform::caller_codec::SessionState;
 use platform::endpoint_codec;
-use platform::endpoint_codec::EndpointCodec;
 use platform::endpoint_codec::EndpointCommand;
-use platform::endpoint_codec::EndpointMessage;
-use platform::line_frame::FrameError;
+use prometheus::IntCounterVec;
 use session_core::endpoint_entry::EndpointEntry;
 use session_core::ids::EndpointId;
 use session_core::ids::TeamId;
 use session_core::log_point::LogPoint;
 use session_core::memory_account::MemoryPart;
 use session_core::monotonic_time::MonotonicTime;
-use session_core::monotonic_time::now;
 use session_core::request_outcome::EndpointRefusal;
 use session_core::request_outcome::StatementFault;
+use session_core::session_state::SessionState;
 use session_core::session_values::ConnectionValues;
-use socket2::SockRef;
-use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use crate::answer_reporter::AnswerReporter;
 use crate::caller_memory::ConnectionMemory;
+use crate::endpoint_channel;
+use crate::endpoint_channel::EndpointChannel;
 use crate::host_channel::HostChannel;
 use crate::instance_limits::CONNECT_TIMEOUT;
-use crate::instance_limits::UNACKNOWLEDGED_TIMEOUT;
-use crate::line_channel::LineChannel;
 
 /// The answer of an endpoint to one statement.
 #[derive(Debug, Clone)]
@@ -95,7 +91,7 @@
 #[derive(Debug)]
 enum ConnectionTransport {
     /// A connection of this instance.
-    Direct(Box<LineChannel<EndpointCodec>>),
+    Direct(Box<EndpointChannel>),
     /// A connection that the endpoint's host keeps.
     Shared(HostChannel),
 }
@@ -119,46 +115,30 @@
 }
 
 impl EndpointConnection {
-    /// Opens a connection to an endpoint for a team.
+    /// Opens a connection to an endpoint for a team. Unexpected answers on it are counted by fault in
+    /// `counter`.
     ///
     /// # Errors
     ///
     /// See [`ConnectError`].
-    pub async fn open(entry: &EndpointEntry, team: Option<TeamId>) -> Result<Self, ConnectError> {
-        match timeout(CONNECT_TIMEOUT, Self::start(entry, team)).await {
+    pub async fn open(
+        entry: &EndpointEntry,
+        team: Option<TeamId>,
+        counter: &IntCounterVec,
+    ) -> Result<Self, ConnectError> {
+        let reporter = AnswerReporter::new(counter, &entry.id);
+        match timeout(CONNECT_TIMEOUT, Self::start(entry, team, reporter)).await {
             Ok(opened) => opened,
             Err(_) => Err(ConnectError::Overdue),
         }
     }
 
-    async fn start(entry: &EndpointEntry, team: Option<TeamId>) -> Result<Self, ConnectError> {
-        let stream = TcpStream::connect(entry.address)
-            .await
-            .map_err(ConnectError::Io)?;
-        stream.set_nodelay(true).map_err(ConnectError::Io)?;
-        SockRef::from(&stream)
-            .set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))
-            .map_err(ConnectError::Io)?;
-        let mut channel = LineChannel::new(stream, EndpointCodec::default());
-        let startup = EndpointCommand::Startup {
-            service: entry.service.clone(),
-            team: team.clone(),
-            endpoint: entry.id.clone(),
-        };
-        let io = |error: FrameError| ConnectError::Io(io::Error::other(error.to_string()));
-        channel.queue(startup).map_err(io)?;
-        channel.flush().await.map_err(ConnectError::Io)?;
-        let mut held_up = Duration::ZERO;
-        loop {
-            let message = next_message(&mut channel, None, 0, &mut held_up);
-            match message.await.map_err(io)? {
-                EndpointMessage::Ready { .. } => break,
-                EndpointMessage::Refused { refusal, .. } => {
-                    return Err(ConnectError::Refused(refusal));
-                }
-                EndpointMessage::Row(_) | EndpointMessage::Done(_) => {}
-            }
-        }
+    async fn start(
+        entry: &EndpointEntry,
+        team: Option<TeamId>,
+        reporter: AnswerReporter,
+    ) -> Result<Self, ConnectError> {
+        let channel = EndpointChannel::open(entry, team.clone(), reporter).await?;
         Ok(Self {
             transport: ConnectionTransport::Direct(Box::new(channel)),
             endpoint: entry.id.clone(),
@@ -229,13 +209,18 @@
 
     /// Returns whether the endpoint closed the connection or sent data while it was idle.
     pub fn is_stale(&self) -> bool {
-        let channel = match &self.transport {
-            ConnectionTransport::Direct(channel) => channel,
-            ConnectionTransport::Shared(channel) => return channel.is_lost(),
-        };
-        let mut byte = [0];
-        let read = channel.stream().try_read(&mut byte);
-        !matches!(read, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
+        match &self.transport {
+            ConnectionTransport::Direct(channel) => channel.is_stale(),
+            ConnectionTransport::Shared(channel) => channel.is_lost(),
+        }
+    }
+
+    /// Returns the number of the connection in log lines, if it is one of this instance.
+    pub fn number(&self) -> Option<u64> {
+        match &self.transport {
+            ConnectionTransport::Direct(channel) => Some(channel.reporter.connection),
+            ConnectionTransport::Shared(_) => None,
+        }
     }
 
     /// Runs one statement.
@@ -267,7 +252,7 @@
         self.broken = true;
         let answers = match &mut self.transport {
             ConnectionTransport::Direct(channel) => {
-                let answered = timeout(time, exchange(channel, commands, budget)).await;
+                let answered = timeout(time, channel.exchange(commands, self.state, budget)).await;
                 answered.unwrap_or(Err(StatementFault::Overdue))?
             }
             ConnectionTransport::Shared(channel) => {
@@ -276,7 +261,7 @@
                     let bytes = answers
                         .iter()
                         .flat_map(|a| &a.rows)
-                        .map(|row| row_bytes(row))
+                        .map(|row| endpoint_channel::row_bytes(row))
                         .sum();
                     budget.memory.set(MemoryPart::Output, bytes);
                 }
@@ -290,91 +275,3 @@
         Ok(answers)
     }
 }
-
-async fn exchange(
-    channel: &mut LineChannel<EndpointCodec>,
-    commands: Vec<EndpointCommand>,
-    budget: Option<AnswerBudget<'_>>,
-) -> Result<Vec<EndpointAnswer>, StatementFault> {
-    let sent_at = now();
-    let count = commands.len();
-    for command in commands {
-        channel.queue(command).map_err(|_| StatementFault::Broken)?;
-    }
-    channel.flush().await.map_err(|_| StatementFault::Broken)?;
-    let mut answers = Vec::with_capacity(count);
-    for _ in 0..count {
-        answers.push(read_answer(channel, sent_at, budget).await?);
-    }
-    Ok(answers)
-}
-
-async fn read_answer(
-    channel: &mut LineChannel<EndpointCodec>,
-    sent_at: MonotonicTime,
-    budget: Option<AnswerBudget<'_>>,
-) -> Result<EndpointAnswer, StatementFault> {
-    let mut rows = Vec::new();
-    let mut result = None;
-    let mut held = 0;
-    let mut held_up = Duration::ZERO;
-    loop {
-        let message = next_message(channel, budget, held, &mut held_up).await;
-        match message.map_err(|_| StatementFault::Broken)? {
-            EndpointMessage::Row(row) => {
-                held += row_bytes(&row);
-                rows.push(row);
-            }
-            EndpointMessage::Done(receipt) => result = Some(Ok(receipt)),
-            EndpointMessage::Refused { refusal, text } => {
-                result = Some(Err((refusal, text)));
-            }
-            EndpointMessage::Ready { state, position } => {
-                let result = result.ok_or(StatementFault::Broken)?;
-                return Ok(EndpointAnswer {
-                    rows,
-                    result,
-                    state,
-                    position,
-                    sent_at,
-                    took: now().saturating_since(sent_at + held_up),
-                });
-            }
-        }
-    }
-}
-
-fn row_bytes(row: &str) -> usize {
-    size_of::<String>() + row.len()
-}
-
-/// Reads the next message. `held` is the size of the answer so far. Adds the time for which there was no
-/// memory to `held_up`.
-async fn next_message(
-    channel: &mut LineChannel<EndpointCodec>,
-    budget: Option<AnswerBudget<'_>>,
-    held: usize,
-    held_up: &mut Duration,
-) -> Result<EndpointMessage, FrameError> {
-    loop {
-        if let Some(message) = channel.decode()? {
-            return Ok(message);
-        }
-        if let Some(budget) = budget {
-            let bytes = held + channel.input_bytes_ahead();
-            let memory = budget.memory;
-            if bytes <= memory.held(MemoryPart::Output) {
-                // Reserved before the statement was sent.
-            } else if !budget.waits {
-                memory.set(MemoryPart::Output, bytes);
-            } else if !memory.try_set(MemoryPart::Output, bytes) {
-                let since = now();
-                memory.wait_set(MemoryPart::Output, bytes).await;
-                *held_up += now().saturating_since(since);
-            }
-        }
-        if channel.read_some().await? == 0 {
-            return Err(FrameError::Io(io::ErrorKind::UnexpectedEof.into()));
-        }
-    }
-}
--- a/crates/front/src/endpoint_pool.rs
+++ b/crates/front/src/endpoint_pool.rs
@@ -8,6 +8,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use prometheus::IntCounterVec;
 use session_core::admission_queue::AdmissionRequest;
 use session_core::connection_host;
 use session_core::endpoint_entry::EndpointEntry;
@@ -116,12 +117,13 @@
 }
 
 /// Connections, load and statement limiter of each endpoint.
-#[derive(Default)]
 pub struct EndpointPool {
     endpoints: RefCell<HashMap<EndpointId, EndpointState>>,
     opened: Cell<u64>,
     /// Whether new limiters queue fairly between teams and refuse early.
     admits_fairly: bool,
+    /// Number of unexpected answers by fault.
+    unexpected_answers: IntCounterVec,
 }
 
 /// Errors of acquiring a connection.
@@ -225,11 +227,14 @@
 
 impl EndpointPool {
     /// Creates an empty pool. With `admits_fairly`, requests queue fairly between teams and are
-    /// refused at once if they would wait too long.
-    pub fn new(admits_fairly: bool) -> Self {
+    /// refused at once if they would wait too long. Unexpected answers of endpoints are counted by
+    /// fault in `unexpected_answers`.
+    pub fn new(admits_fairly: bool, unexpected_answers: IntCounterVec) -> Self {
         Self {
+            endpoints: RefCell::default(),
+            opened: Cell::default(),
             admits_fairly,
-            ..Self::default()
+            unexpected_answers,
         }
     }
 
@@ -490,7 +495,7 @@
         };
         if pooled.connection.is_none() {
             self.evict(&entry.id, limit);
-            match EndpointConnection::open(entry, team.cloned()).await {
+            match EndpointConnection::open(entry, team.cloned(), &self.unexpected_answers).await {
                 Ok(connection) => {
                     self.opened.set(self.opened.get() + 1);
                     pooled.connection = Some(connection);
--- a/crates/front/src/group_survey.rs
+++ b/crates/front/src/group_survey.rs
@@ -86,7 +86,9 @@
 ) -> (Option<EndpointConnection>, Option<EndpointReport>) {
     let mut connection = match kept {
         Some(connection) => connection,
-        None => match EndpointConnection::open(entry, None).await {
+        None => match EndpointConnection::open(entry, None, &instance.metrics.unexpected_answers)
+            .await
+        {
             Ok(connection) => connection,
             Err(error) => {
                 tracing::info!(event = "endpoint_not_connected", endpoint = %entry.id, %error);
--- a/crates/front/src/host_message.rs
+++ b/crates/front/src/host_message.rs
@@ -6,7 +6,6 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use platform::caller_codec::SessionState;
 use platform::endpoint_codec::EndpointCommand;
 use serde::Deserialize;
 use serde::Serialize;
@@ -16,6 +15,7 @@
 use session_core::monotonic_time::MonotonicTime;
 use session_core::request_outcome::EndpointRefusal;
 use session_core::request_outcome::StatementFault;
+use session_core::session_state::SessionState;
 
 use crate::endpoint_connection::EndpointAnswer;
 
--- a/crates/front/src/instance_run.rs
+++ b/crates/front/src/instance_run.rs
@@ -99,6 +99,7 @@
         callers = %settings.caller_address,
         store = %settings.store_address,
     );
+    let metrics = FrontMetrics::new().map_err(InstanceError::Metrics)?;
     let instance = Rc::new(Instance {
         view: RefCell::default(),
         changes: watch::Sender::new(0),
@@ -110,7 +111,10 @@
         promotion_client: PromotionClient::new(settings.duty_address, calls.clone()),
         lease: StoreLease::default(),
         leader_lease: Cell::new(None),
-        pool: Rc::new(EndpointPool::new(settings.endpoints_may_degrade)),
+        pool: Rc::new(EndpointPool::new(
+            settings.endpoints_may_degrade,
+            metrics.unexpected_answers.clone(),
+        )),
         // Starting at the current time keeps the request numbers of two incarnations distinct.
         rates: RateExchange::new(now().as_nanos()),
         deputy_monitor: RefCell::default(),
@@ -129,7 +133,7 @@
         callers: Rc::new(CallerMemory::new(&settings.callers)),
         closed_callers: EventLimiter::default(),
         sessions: Cell::new(0),
-        metrics: FrontMetrics::new().map_err(InstanceError::Metrics)?,
+        metrics,
         calls,
         session_ends: watch::Sender::new(0),
         host_links: HostLinks::default(),
--- a/crates/front/src/line_channel.rs
+++ b/crates/front/src/line_channel.rs
@@ -2,13 +2,16 @@
 //! are empty.
 
 use std::io;
+use std::mem::MaybeUninit;
 
 use bytes::Buf;
 use bytes::BufMut;
 use bytes::BytesMut;
 use platform::line_frame::FrameError;
 use platform::line_frame::MAX_MESSAGE_BYTES;
+use socket2::SockRef;
 use tokio::io::AsyncWriteExt;
+use tokio::io::Interest;
 use tokio::net::TcpStream;
 use tokio_util::codec::Decoder;
 use tokio_util::codec::Encoder;
@@ -52,9 +55,13 @@
         }
     }
 
-    /// Returns the stream.
-    pub fn stream(&self) -> &TcpStream {
-        &self.stream
+    /// Returns whether bytes are known to have arrived that were not decoded, or the stream has ended.
+    /// Bytes that arrive meanwhile may be missed.
+    pub fn has_unread(&self) -> bool {
+        let peek = || SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]);
+        let arrived = self.stream.try_io(Interest::READABLE, peek);
+        !self.input.is_empty()
+            || !matches!(arrived, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
     }
 
     /// Returns the number of bytes that were read and not decoded.
--- a/crates/front/src/main.rs
+++ b/crates/front/src/main.rs
@@ -1,9 +1,11 @@
 //! Database proxy daemon for the front instances of the users' platform.
 
+mod answer_reporter;
 mod caller_listener;
 mod caller_memory;
 mod caller_session;
 mod cold_endpoints;
+mod endpoint_channel;
 mod endpoint_connection;
 mod endpoint_pool;
 mod event_limiter;
--- a/crates/front/src/metrics.rs
+++ b/crates/front/src/metrics.rs
@@ -30,6 +30,8 @@
     pub sessions: IntCounter,
     /// Number of callers' connections that a limit closed or refused, by reason.
     pub closed_callers: IntCounterVec,
+    /// Number of answers of endpoints that did not belong to the awaited statement, by fault.
+    pub unexpected_answers: IntCounterVec,
 }
 
 impl FrontMetrics {
@@ -69,6 +71,13 @@
                 ),
                 &["reason"],
             )?,
+            unexpected_answers: IntCounterVec::new(
+                Opts::new(
+                    "tamaracklb_unexpected_answers_total",
+                    "Answers of endpoints that did not belong to the awaited statement",
+                ),
+                &["fault"],
+            )?,
             registry,
         };
         metrics
@@ -90,6 +99,9 @@
         metrics
             .registry
             .register(Box::new(metrics.closed_callers.clone()))?;
+        metrics
+            .registry
+            .register(Box::new(metrics.unexpected_answers.clone()))?;
         Ok(metrics)
     }
 
--- a/crates/front/src/request_attempt.rs
+++ b/crates/front/src/request_attempt.rs
@@ -3,7 +3,6 @@
 
 use std::time::Duration;
 
-use platform::caller_codec::SessionState;
 use platform::endpoint_codec::EndpointCommand;
 use platform::endpoint_codec::ForwardedStatement;
 use session_core::admission_queue::AdmissionRequest;
@@ -19,6 +18,7 @@
 use session_core::request_outcome::OutcomeScope;
 use session_core::request_outcome::StatementFault;
 use session_core::serving_rules::DatabaseRoute;
+use session_core::session_state::SessionState;
 
 use crate::caller_session::BUSY_REASON;
 use crate::caller_session::CallerSession;
--- a/crates/front/src/statement_run.rs
+++ b/crates/front/src/statement_run.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use platform::caller_codec::CallerReply;
-use platform::caller_codec::SessionState;
 use platform::caller_limits::CONNECTION_ALLOWANCE;
 use platform::endpoint_codec::EndpointCommand;
 use platform::endpoint_codec::ForwardedStatement;
@@ -21,6 +20,7 @@
 use session_core::request_outcome::StatementFault;
 use session_core::serving_rules::DatabaseRoute;
 use session_core::serving_rules::TeamLimit;
+use session_core::session_state::SessionState;
 use session_core::session_values;
 
 use crate::caller_session::CallerSession;
@@ -186,6 +186,7 @@
             waits: !scope.commits_writes(),
         };
         let result = connection.run_all(commands, time, Some(budget)).await;
+        let number = connection.number();
         let is_host_fault = connection.has_host_fault();
         drop(permit);
         let answer = result.and_then(|mut answers| answers.pop().ok_or(StatementFault::Broken));
@@ -197,7 +198,7 @@
                 } else if answer.state == SessionState::Failed {
                     self.fail_transaction();
                 }
-                self.send_answer(id, scope, &endpoint, answer, arrived);
+                self.send_answer(id, scope, &endpoint, number, answer, arrived);
             }
             Err(fault) => {
                 if !is_host_fault {
@@ -417,6 +418,7 @@
         progress: &RequestProgress<'_>,
     ) {
         let endpoint = connection.endpoint.clone();
+        let number = connection.number();
         let wait = progress
             .first_sent_at
             .map_or(Duration::ZERO, |at| at.saturating_since(progress.arrived));
@@ -425,6 +427,8 @@
             event = "request_routed",
             request = log_excerpt(progress.id),
             endpoint = %endpoint,
+            connection = number,
+            prepared = statement.forwarded.prepared_name().map(log_excerpt),
             primary = chosen.primary,
             floor = chosen.floor.map(|floor| floor.to_string()),
             floor_age_ms = chosen.floor_age.map(|age| age.as_millis() as u64),
@@ -444,7 +448,14 @@
                 }
             }
         }
-        self.send_answer(progress.id, scope, &endpoint, answer, progress.arrived);
+        self.send_answer(
+            progress.id,
+            scope,
+            &endpoint,
+            number,
+            answer,
+            progress.arrived,
+        );
     }
 
     fn refuse_unserved(
@@ -488,12 +499,13 @@
         self.refuse_request(id, verdict, "endpoint_lost", arrived);
     }
 
-    /// Sends an endpoint's answer to the caller.
+    /// Sends an endpoint's answer to the caller. `connection` is its number in log lines.
     fn send_answer(
         &mut self,
         id: &str,
         scope: OutcomeScope,
         endpoint: &EndpointId,
+        connection: Option<u64>,
         answer: EndpointAnswer,
         arrived: MonotonicTime,
     ) {
@@ -518,6 +530,8 @@
                     event = "request_served",
                     request = log_excerpt(id),
                     endpoint = %endpoint,
+                    connection,
+                    receipt = log_excerpt(receipt),
                     ?scope,
                     position = answer.position,
                     took_ms = held.as_millis() as u64,
--- /dev/null
+++ b/crates/session-core/src/answer_check.rs
@@ -0,0 +1,145 @@
+//! Recognizes the answers of an endpoint that belong to another statement than the one that is awaited.
+//!
+//! Answers on a connection carry no id of their statement. An endpoint may send an answer twice, the
+//! second time at any later moment, and each such copy would shift all later answers by one.
+
+use std::collections::HashSet;
+use std::fmt;
+use std::hash::BuildHasher;
+use std::hash::RandomState;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::session_state::SessionState;
+
+/// What the successful answer to a statement consists of.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum AnswerKind {
+    /// A receipt of its own, and any rows: a read, a write or a commit.
+    Receipt,
+    /// Neither rows nor a receipt: a statement about the session.
+    Acknowledgement,
+    /// One row without a receipt: a report of the endpoint on itself.
+    Report,
+}
+
+/// The successful answer that a statement must get.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ExpectedAnswer {
+    /// What it consists of.
+    pub kind: AnswerKind,
+    /// The transaction state that it names.
+    pub state: SessionState,
+}
+
+/// The parts of an answer by which its statement is recognized.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AnswerParts<'a> {
+    /// Number of rows.
+    pub rows: usize,
+    /// The receipt, `None` if there is none.
+    pub receipt: Option<&'a str>,
+    /// The transaction state.
+    pub state: SessionState,
+}
+
+/// Why an answer is not that of the awaited statement.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum AnswerFault {
+    /// Bytes arrived while no answer was awaited.
+    Unrequested,
+    /// An earlier answer on the connection had the same receipt.
+    RepeatedReceipt,
+    /// The statement has a receipt, the answer none.
+    MissingReceipt,
+    /// The statement has no receipt, the answer one.
+    UnexpectedReceipt,
+    /// The answer has too many or too few rows.
+    UnexpectedRows,
+    /// The answer names a transaction state that the statement does not lead to.
+    UnexpectedState,
+    /// The messages of the answer are in the wrong order.
+    MessageOrder,
+    /// After a refusal, another answer than that of the following statement arrived.
+    UnconfirmedRefusal,
+}
+
+impl AnswerFault {
+    /// Returns whether the answer is certainly a copy of an earlier one, so that the awaited one is still
+    /// to come.
+    pub fn is_copy(self) -> bool {
+        // Only statements with a receipt are awaited where one is missing.
+        matches!(
+            self,
+            AnswerFault::RepeatedReceipt | AnswerFault::MissingReceipt
+        )
+    }
+}
+
+impl fmt::Display for AnswerFault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            AnswerFault::Unrequested => "unrequested",
+            AnswerFault::RepeatedReceipt => "repeated_receipt",
+            AnswerFault::MissingReceipt => "missing_receipt",
+            AnswerFault::UnexpectedReceipt => "unexpected_receipt",
+            AnswerFault::UnexpectedRows => "unexpected_rows",
+            AnswerFault::UnexpectedState => "unexpected_state",
+            AnswerFault::MessageOrder => "message_order",
+            AnswerFault::UnconfirmedRefusal => "unconfirmed_refusal",
+        })
+    }
+}
+
+/// The receipts that an endpoint has given on one connection.
+#[derive(Debug, Default)]
+pub struct AnswerCheck {
+    /// Hashes of the receipts.
+    receipts: HashSet<u64>,
+    hasher: RandomState,
+}
+
+impl AnswerCheck {
+    /// Number of receipts after which the connection must be replaced, as a copy of any earlier answer
+    /// may still arrive. Bounds the memory of a connection to about 64 KiB.
+    pub const MAX_RECEIPTS: usize = 4_096;
+
+    /// Returns whether the connection has given so many receipts that it must be replaced.
+    pub fn is_full(&self) -> bool {
+        self.receipts.len() >= Self::MAX_RECEIPTS
+    }
+
+    /// Checks a successful answer and records its receipt.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the answer is not that of the awaited statement.
+    pub fn accept(
+        &mut self,
+        expected: ExpectedAnswer,
+        answer: AnswerParts<'_>,
+    ) -> Result<(), AnswerFault> {
+        let is_new = answer
+            .receipt
+            .is_none_or(|receipt| self.receipts.insert(self.hasher.hash_one(receipt)));
+        if !is_new {
+            return Err(AnswerFault::RepeatedReceipt);
+        }
+        let rows = match (expected.kind, answer.receipt) {
+            (AnswerKind::Receipt, None) => return Err(AnswerFault::MissingReceipt),
+            (AnswerKind::Receipt, Some(_)) => answer.rows,
+            (_, Some(_)) => return Err(AnswerFault::UnexpectedReceipt),
+            (AnswerKind::Acknowledgement, None) => 0,
+            (AnswerKind::Report, None) => 1,
+        };
+        if answer.rows != rows {
+            return Err(AnswerFault::UnexpectedRows);
+        }
+        if answer.state != expected.state {
+            return Err(AnswerFault::UnexpectedState);
+        }
+        Ok(())
+    }
+}
--- a/crates/session-core/src/lib.rs
+++ b/crates/session-core/src/lib.rs
@@ -4,6 +4,7 @@
 //! and simulated fleets run the same code.
 
 pub mod admission_queue;
+pub mod answer_check;
 pub mod caller_statement;
 pub mod cold_limit;
 pub mod collector_choice;
@@ -41,6 +42,7 @@
 pub mod request_outcome;
 pub mod secret_text;
 pub mod serving_rules;
+pub mod session_state;
 pub mod session_values;
 pub mod statement_limiter;
 pub mod units;
