Show copied answers and prepared names with blanks in tests

The stand-in's endpoint sends answers twice, the second time after any delay, and records the text and the definition of each statement that it ran.

- Callers get the receipt and the rows of other statements, also of other callers, as endpoints' answers are matched to statements by their number.
A copied BUSY lets a write run twice.
- A definition with blanks stands in the prepared name, which ends at the first blank: the endpoint runs `EXECUTE r_q1 READ frcbi item three`, the form of the report.
The definition of one session replaces that of another, and an acknowledged write does not happen.

--- a/crates/standins/src/platform/group_state.rs
+++ b/crates/standins/src/platform/group_state.rs
@@ -52,6 +52,8 @@
     pub born: u64,
     /// Time by which each read takes longer.
     pub read_delay: Duration,
+    /// Time by which each write takes longer.
+    pub write_delay: Duration,
     /// Availability zone in its registry entry.
     pub zone: String,
     /// Time for which it is cold in its registry entry, in milliseconds; 0 if it is not cold.
@@ -75,6 +77,7 @@
             draining: false,
             born: 1,
             read_delay: Duration::ZERO,
+            write_delay: Duration::ZERO,
             zone: DEFAULT_ZONE.to_owned(),
             cold_ms: 0,
             registered: true,
@@ -91,6 +94,10 @@
     pub endpoint: String,
     /// Team for which the connection was opened.
     pub team: String,
+    /// The text as it arrived, without a preceding `WAITFOR`.
+    pub text: String,
+    /// Mode and text of the prepared statement that it ran, if it was one.
+    pub definition: Option<String>,
     /// Whether it was a write.
     pub wrote: bool,
     /// Values that `SET` had left on the connection.
@@ -112,6 +119,17 @@
     pub received_at: Instant,
 }
 
+/// Answers that endpoints send twice.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct AnswerRepeat {
+    /// First words of the statements whose answers are repeated.
+    pub words: Vec<String>,
+    /// Time between an answer and its copy.
+    pub delay: Duration,
+    /// Number of answers that are still to be repeated.
+    pub count: u64,
+}
+
 /// Replication state of a commit.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum CommitState {
@@ -183,6 +201,10 @@
     pub resume_delay: Duration,
     /// Number of next reads that are executed but not answered.
     pub lose_answers: u32,
+    /// Number of next reads, writes and transactions that are refused because the queue is full.
+    pub busy_statements: u32,
+    /// Answers that are sent twice.
+    pub repeat: Option<AnswerRepeat>,
     /// Statements that were executed, in order.
     pub executed_statements: Vec<ExecutedStatement>,
     /// Maximum number of open connections to each endpoint.
@@ -198,6 +220,17 @@
 }
 
 impl GroupState {
+    /// Returns after which time the answer to a statement with this first word is sent again, and
+    /// counts the copy.
+    pub fn take_repeat(&mut self, word: &str) -> Option<Duration> {
+        let repeat = self.repeat.as_mut()?;
+        if repeat.count == 0 || !repeat.words.iter().any(|repeated| repeated == word) {
+            return None;
+        }
+        repeat.count -= 1;
+        Some(repeat.delay)
+    }
+
     /// Creates a group without faults.
     pub fn new(service: &str, endpoints: HashMap<String, EndpointState>) -> Self {
         Self {
@@ -211,6 +244,8 @@
             promotion_time: PROMOTION_TIME,
             resume_delay: Duration::ZERO,
             lose_answers: 0,
+            busy_statements: 0,
+            repeat: None,
             executed_statements: Vec::new(),
             max_connections: None,
             connections: ConnectionLog::default(),
--- a/crates/standins/src/platform/line_server.rs
+++ b/crates/standins/src/platform/line_server.rs
@@ -11,6 +11,7 @@
 use tokio::io::BufReader;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::sync::Mutex;
 
 use crate::platform::group_state::CommitState;
 use crate::platform::group_state::ExecutedStatement;
@@ -62,10 +63,21 @@
     }
 }
 
+/// Returns the first word of the statement in a message, without a preceding `WAITFOR`.
+fn statement_word(line: &str) -> &str {
+    let text = line.splitn(3, ' ').nth(2).unwrap_or_default();
+    let mut words = text.split(' ');
+    match words.next() {
+        Some("WAITFOR") => words.nth(1).unwrap_or_default(),
+        word => word.unwrap_or_default(),
+    }
+}
+
 impl LineSession {
     async fn run(mut self, stream: TcpStream) -> io::Result<()> {
         stream.set_nodelay(true)?;
-        let (reader, mut writer) = stream.into_split();
+        let (reader, writer) = stream.into_split();
+        let writer = Arc::new(Mutex::new(writer));
         let mut lines = BufReader::new(reader).lines();
         while let Some(line) = lines.next_line().await? {
             let answer = self.answer(line.trim_end()).await;
@@ -78,7 +90,19 @@
             if answer.is_empty() {
                 return Ok(());
             }
-            writer.write_all(answer.as_bytes()).await?;
+            let copy_delay = self.shared.group().take_repeat(statement_word(&line));
+            let mut bytes = answer.clone();
+            if copy_delay == Some(Duration::ZERO) {
+                bytes.push_str(&answer);
+            }
+            writer.lock().await.write_all(bytes.as_bytes()).await?;
+            if let Some(delay) = copy_delay.filter(|delay| !delay.is_zero()) {
+                let writer = Arc::clone(&writer);
+                tokio::spawn(async move {
+                    tokio::time::sleep(delay).await;
+                    writer.lock().await.write_all(answer.as_bytes()).await.ok()
+                });
+            }
         }
         Ok(())
     }
@@ -169,6 +193,9 @@
         if matches!(word, "READ" | "WRITE" | "EXECUTE" | "COMMIT") {
             self.record_arrival(id);
         }
+        if matches!(word, "READ" | "WRITE" | "EXECUTE" | "BEGIN") && self.take_busy() {
+            return Some(self.refuse("BUSY"));
+        }
         let complete = "COMPLETE -\r\n".to_owned();
         match word {
             "SET" => {
@@ -208,14 +235,14 @@
                     .get(&self.endpoint)?
                     .read_delay;
                 tokio::time::sleep(delay).await;
-                self.read(id, rest)
+                self.read(id, text, rest)
             }
-            "WRITE" => self.write(id, rest).await,
+            "WRITE" => self.write(id, text, rest).await,
             "EXECUTE" => {
                 let (name, arguments) = rest.split_once(' ')?;
                 match self.prepared.get(name).map(|(writes, _)| *writes) {
-                    Some(true) => self.write(id, arguments).await,
-                    Some(false) => self.read(id, arguments),
+                    Some(true) => self.write(id, text, arguments).await,
+                    Some(false) => self.read(id, text, arguments),
                     None => Some(self.refuse("UNDEFINED")),
                 }
             }
@@ -228,6 +255,14 @@
         }
     }
 
+    /// Returns whether the statement is refused because the queue is full.
+    fn take_busy(&self) -> bool {
+        let mut group = self.shared.group();
+        let is_busy = group.busy_statements > 0;
+        group.busy_statements -= u32::from(is_busy);
+        is_busy
+    }
+
     fn is_primary(&self) -> bool {
         let group = self.shared.group();
         group
@@ -256,7 +291,14 @@
         }
     }
 
-    fn record_statement(&self, id: &str, wrote: bool) {
+    fn record_statement(&self, id: &str, text: &str, wrote: bool) {
+        let name = text.strip_prefix("EXECUTE ");
+        let name = name.and_then(|rest| rest.split(' ').next());
+        let definition = name.and_then(|name| self.prepared.get(name));
+        let definition = definition.map(|(writes, text)| {
+            let mode = if *writes { "WRITE" } else { "READ" };
+            format!("{mode} {text}")
+        });
         let values = self.values.clone().into_iter().collect();
         self.shared
             .group()
@@ -265,6 +307,8 @@
                 id: id.to_owned(),
                 endpoint: self.endpoint.clone(),
                 team: self.team.clone(),
+                text: text.to_owned(),
+                definition,
                 wrote,
                 values,
                 executed_at: Instant::now(),
@@ -287,8 +331,8 @@
         format!("COMPLETE {}.{id}\r\n", self.endpoint)
     }
 
-    fn read(&mut self, id: &str, item: &str) -> Option<String> {
-        self.record_statement(id, false);
+    fn read(&mut self, id: &str, text: &str, item: &str) -> Option<String> {
+        self.record_statement(id, text, false);
         let mut group = self.shared.group();
         if group.lose_answers > 0 {
             group.lose_answers -= 1;
@@ -300,21 +344,28 @@
         Some(format!("DATAROW {value}\r\n{}", self.receipt(id)))
     }
 
-    async fn write(&mut self, id: &str, arguments: &str) -> Option<String> {
+    async fn write(&mut self, id: &str, text: &str, arguments: &str) -> Option<String> {
         if !self.is_primary() {
             return Some(self.refuse("READONLY"));
         }
+        let delay = self
+            .shared
+            .group()
+            .endpoints
+            .get(&self.endpoint)?
+            .write_delay;
+        tokio::time::sleep(delay).await;
         let (item, value) = arguments.split_once(' ').unwrap_or((arguments, ""));
         let write = (item.to_owned(), value.to_owned());
         match &mut self.transaction {
             Some((true, writes)) => {
                 writes.push(write);
-                self.record_statement(id, true);
+                self.record_statement(id, text, true);
                 Some(self.receipt(id))
             }
             Some((false, _)) => Some(self.refuse("READONLY")),
             None => {
-                self.record_statement(id, true);
+                self.record_statement(id, text, true);
                 self.replicate_commit(vec![write]).await?;
                 Some(self.receipt(id))
             }
--- a/tests/testsuite/soak_checks.rs
+++ b/tests/testsuite/soak_checks.rs
@@ -45,6 +45,8 @@
         id: id.to_owned(),
         endpoint: "db-1".to_owned(),
         team: team.to_owned(),
+        text: "READ page".to_owned(),
+        definition: None,
         wrote: false,
         values: values.iter().map(pair).collect(),
         executed_at: Instant::now(),
