Recognize answers by their receipts, not by their number

What callers saw: rows and receipts of other statements, also of other callers, where an endpoint sends an answer twice; an acknowledgement of a step in place of the answer to a write; a write that ran twice after a copied BUSY.

Cause: an answer carries no id of its statement, and the first answer after a statement was taken for its own. A copy shifts all later answers on the connection by one. Only bytes that lay in the socket of an idle connection were noticed, not those in the channel's own buffer.

A statement with a receipt now gets an answer only with a receipt that the connection has not given before; anything else is passed over. Answers come in the order of their statements, so the awaited one is still to come then. A receipt belongs to the run of one statement, so a new one can only be its own; the property test checks this with any number of copies at any position. A refusal has no receipt, so a connection runs no statement with a receipt after one. Positions and reports of endpoints have none either: they are queried between two statements whose answers have another shape, and anything unexpected breaks the connection. The parts of an answer must come in order. After an unexpected answer, or 4,096 receipts, a connection serves no other session.

Ruled out: confirming a refusal with further statements instead of replacing the connection.

Hosts of shared connections check answers the same way; the version of the links is raised, as instances rely on it. The stand-in's receipts are unique now also if a caller uses an id again.

--- a/crates/front/src/endpoint_channel.rs
+++ b/crates/front/src/endpoint_channel.rs
@@ -11,8 +11,11 @@
 use platform::line_frame::FrameError;
 use session_core::answer_check::AnswerCheck;
 use session_core::answer_check::AnswerFault;
+use session_core::answer_check::AnswerKind;
 use session_core::answer_check::AnswerParts;
+use session_core::answer_check::AnswerVerdict;
 use session_core::answer_check::ExpectedAnswer;
+use session_core::answer_matching::AnswerMatching;
 use session_core::endpoint_entry::EndpointEntry;
 use session_core::ids::TeamId;
 use session_core::memory_account::MemoryPart;
@@ -29,6 +32,7 @@
 use crate::endpoint_connection::EndpointAnswer;
 use crate::instance_limits::UNACKNOWLEDGED_TIMEOUT;
 use crate::line_channel::LineChannel;
+use crate::line_channel::UnreadInput;
 
 /// A connection of this instance to an endpoint.
 #[derive(Debug)]
@@ -85,7 +89,16 @@
 
     /// Returns whether the endpoint closed the connection or sent data while it was idle.
     pub fn is_stale(&self) -> bool {
-        self.line.has_unread()
+        let unread = self.line.unread();
+        if unread == UnreadInput::Bytes {
+            self.reporter.report_bytes(AnswerFault::Unrequested);
+        }
+        unread != UnreadInput::Nothing
+    }
+
+    /// Returns whether the connection must be replaced after its present use.
+    pub fn is_worn(&self) -> bool {
+        self.check.is_worn()
     }
 
     /// Sends several statements at once and returns their answers in order. `state` is the transaction
@@ -98,18 +111,22 @@
         &mut self,
         commands: Vec<EndpointCommand>,
         mut state: SessionState,
+        matching: AnswerMatching,
         budget: Option<AnswerBudget<'_>>,
     ) -> Result<Vec<EndpointAnswer>, StatementFault> {
-        if self.line.has_unread() {
-            self.reporter.report_bytes(AnswerFault::Unrequested);
-        }
-        let sent_at = now();
         let mut expected = Vec::with_capacity(commands.len());
-        for command in commands {
+        for command in &commands {
             if let Some(answer) = command.expected_answer(state) {
                 state = answer.state;
                 expected.push(answer);
             }
+        }
+        let has_receipt = |answer: &ExpectedAnswer| answer.kind == AnswerKind::Receipt;
+        if !self.check.admits_receipts() && expected.iter().any(has_receipt) {
+            return Err(StatementFault::NotSent);
+        }
+        let sent_at = now();
+        for command in commands {
             self.line
                 .queue(command)
                 .map_err(|_| StatementFault::Broken)?;
@@ -120,24 +137,40 @@
             .map_err(|_| StatementFault::Broken)?;
         let mut answers = Vec::with_capacity(expected.len());
         for expected in expected {
-            let answer = self.read_answer(sent_at, budget).await?;
-            self.check_answer(expected, &answer);
-            answers.push(answer);
+            let answer = self.read_own_answer(expected, sent_at, matching, budget);
+            answers.push(answer.await?);
         }
         Ok(answers)
     }
 
-    fn check_answer(&mut self, expected: ExpectedAnswer, answer: &EndpointAnswer) {
-        let Ok(receipt) = &answer.result else {
-            return;
-        };
-        let parts = AnswerParts {
-            rows: answer.rows.len(),
-            receipt: endpoint_codec::parse_receipt(receipt),
-            state: answer.state,
-        };
-        if let Err(fault) = self.check.accept(expected, parts) {
-            self.reporter.report_answer(fault, expected, answer);
+    /// Reads the answer to a statement, and passes over those that belong to another one.
+    async fn read_own_answer(
+        &mut self,
+        expected: ExpectedAnswer,
+        sent_at: MonotonicTime,
+        matching: AnswerMatching,
+        budget: Option<AnswerBudget<'_>>,
+    ) -> Result<EndpointAnswer, StatementFault> {
+        loop {
+            let answer = self.read_answer(sent_at, budget).await?;
+            let result = match &answer.result {
+                Ok(receipt) => Ok(endpoint_codec::parse_receipt(receipt)),
+                Err(_) => Err(()),
+            };
+            let parts = AnswerParts {
+                rows: answer.rows.len(),
+                result,
+                state: answer.state,
+            };
+            let verdict = self.check.judge(expected, matching, parts);
+            let fault = match verdict {
+                AnswerVerdict::Own => return Ok(answer),
+                AnswerVerdict::PassedOver(fault) | AnswerVerdict::Broken(fault) => fault,
+            };
+            self.reporter.report_answer(fault, expected, &answer);
+            if matches!(verdict, AnswerVerdict::Broken(_)) {
+                return Err(StatementFault::Broken);
+            }
         }
     }
 
@@ -152,17 +185,16 @@
         let mut held_up = Duration::ZERO;
         loop {
             let message = self.next_message(budget, held, &mut held_up).await;
-            match message.map_err(|_| StatementFault::Broken)? {
-                EndpointMessage::Row(row) => {
+            match (message.map_err(|_| StatementFault::Broken)?, result.take()) {
+                (EndpointMessage::Row(row), None) => {
                     held += row_bytes(&row);
                     rows.push(row);
                 }
-                EndpointMessage::Done(receipt) => result = Some(Ok(receipt)),
-                EndpointMessage::Refused { refusal, text } => {
+                (EndpointMessage::Done(receipt), None) => result = Some(Ok(receipt)),
+                (EndpointMessage::Refused { refusal, text }, None) => {
                     result = Some(Err((refusal, text)));
                 }
-                EndpointMessage::Ready { state, position } => {
-                    let result = result.ok_or(StatementFault::Broken)?;
+                (EndpointMessage::Ready { state, position }, Some(result)) => {
                     return Ok(EndpointAnswer {
                         rows,
                         result,
@@ -172,6 +204,11 @@
                         took: now().saturating_since(sent_at + held_up),
                     });
                 }
+                // Rows or a result after the result, or none at all: parts of two answers.
+                _ => {
+                    self.reporter.report_bytes(AnswerFault::MessageOrder);
+                    return Err(StatementFault::Broken);
+                }
             }
         }
     }
--- a/crates/front/src/endpoint_connection.rs
+++ b/crates/front/src/endpoint_connection.rs
@@ -7,6 +7,8 @@
 use platform::endpoint_codec;
 use platform::endpoint_codec::EndpointCommand;
 use prometheus::IntCounterVec;
+use session_core::answer_matching::AnswerMatching;
+use session_core::caller_statement::AccessMode;
 use session_core::endpoint_entry::EndpointEntry;
 use session_core::ids::EndpointId;
 use session_core::ids::TeamId;
@@ -17,6 +19,7 @@
 use session_core::request_outcome::StatementFault;
 use session_core::session_state::SessionState;
 use session_core::session_values::ConnectionValues;
+use session_core::session_values::ReplayStep;
 use tokio::time::timeout;
 
 use crate::answer_reporter::AnswerReporter;
@@ -170,7 +173,12 @@
 
     /// Returns whether another session may use the connection.
     pub fn is_reusable(&self) -> bool {
-        !self.broken && !self.uncertain && self.state == SessionState::Idle
+        let is_worn = match &self.transport {
+            ConnectionTransport::Direct(channel) => channel.is_worn(),
+            // Its host decides.
+            ConnectionTransport::Shared(_) => false,
+        };
+        !self.broken && !self.uncertain && !is_worn && self.state == SessionState::Idle
     }
 
     /// Returns whether the last fault says nothing about the endpoint, because the way to the host
@@ -197,11 +205,6 @@
         }
     }
 
-    /// Returns whether the connection must not be used again.
-    pub fn is_broken(&self) -> bool {
-        self.broken
-    }
-
     /// Marks the connection as unusable, for example when its session values are uncertain.
     pub fn mark_broken(&mut self) {
         self.broken = true;
@@ -248,11 +251,23 @@
         commands: Vec<EndpointCommand>,
         time: Duration,
         budget: Option<AnswerBudget<'_>>,
+    ) -> Result<Vec<EndpointAnswer>, StatementFault> {
+        self.run_matching(commands, time, AnswerMatching::Lenient, budget)
+            .await
+    }
+
+    async fn run_matching(
+        &mut self,
+        commands: Vec<EndpointCommand>,
+        time: Duration,
+        matching: AnswerMatching,
+        budget: Option<AnswerBudget<'_>>,
     ) -> Result<Vec<EndpointAnswer>, StatementFault> {
         self.broken = true;
         let answers = match &mut self.transport {
             ConnectionTransport::Direct(channel) => {
-                let answered = timeout(time, channel.exchange(commands, self.state, budget)).await;
+                let exchange = channel.exchange(commands, self.state, matching, budget);
+                let answered = timeout(time, exchange).await;
                 answered.unwrap_or(Err(StatementFault::Overdue))?
             }
             ConnectionTransport::Shared(channel) => {
@@ -274,4 +289,58 @@
         }
         Ok(answers)
     }
+
+    /// Runs a statement whose answer has no receipt between two others, whose answers have another
+    /// shape. A copy of an earlier answer would otherwise be taken for the present one.
+    async fn run_between(
+        &mut self,
+        first: Option<EndpointCommand>,
+        command: EndpointCommand,
+        last: EndpointCommand,
+        time: Duration,
+    ) -> Result<EndpointAnswer, StatementFault> {
+        let index = usize::from(first.is_some());
+        let commands = first.into_iter().chain([command, last]).collect();
+        let answers = self.run_matching(commands, time, AnswerMatching::Strict, None);
+        Ok(answers.await?.swap_remove(index))
+    }
+
+    /// Queries the endpoint for its log position, without a slot. The values of the connection stay.
+    ///
+    /// # Errors
+    ///
+    /// Returns how far the query may have got, or the refusal.
+    pub async fn query_position(
+        &mut self,
+        time: Duration,
+    ) -> Result<EndpointAnswer, StatementFault> {
+        let begin = EndpointCommand::Begin {
+            mode: AccessMode::Read,
+            floor: None,
+        };
+        let answer = self
+            .run_between(None, begin, EndpointCommand::Rollback, time)
+            .await?;
+        match &answer.result {
+            Ok(_) => Ok(answer),
+            Err((refusal, _)) => Err(StatementFault::Refused(*refusal)),
+        }
+    }
+
+    /// Sends a command that the endpoint answers with a report on itself. Drops the values of the
+    /// connection.
+    ///
+    /// # Errors
+    ///
+    /// Returns how far the command may have got; the connection is then broken.
+    pub async fn request_report(
+        &mut self,
+        command: EndpointCommand,
+        time: Duration,
+    ) -> Result<EndpointAnswer, StatementFault> {
+        self.values = ConnectionValues::default();
+        let reset = EndpointCommand::Replay(ReplayStep::Reset);
+        self.run_between(Some(reset.clone()), command, reset, time)
+            .await
+    }
 }
--- a/crates/front/src/group_survey.rs
+++ b/crates/front/src/group_survey.rs
@@ -100,7 +100,10 @@
         if command == EndpointCommand::Status {
             instance.metrics.status_checks.inc();
         }
-        match connection.run(command.clone(), REPORT_TIMEOUT).await {
+        match connection
+            .request_report(command.clone(), REPORT_TIMEOUT)
+            .await
+        {
             Ok(answer) => match (&answer.result, answer.rows.first()) {
                 (Ok(_), Some(row)) => {
                     let report = endpoint_codec::parse_report(row);
--- a/crates/front/src/host_message.rs
+++ b/crates/front/src/host_message.rs
@@ -20,7 +20,7 @@
 use crate::endpoint_connection::EndpointAnswer;
 
 /// Version of the messages. Instances of different versions use no links between them.
-pub const LINK_VERSION: u32 = 1;
+pub const LINK_VERSION: u32 = 2;
 
 /// Channel of messages that concern the whole link.
 pub const LINK_CHANNEL: u32 = 0;
--- a/crates/front/src/line_channel.rs
+++ b/crates/front/src/line_channel.rs
@@ -29,6 +29,17 @@
 /// Maximum capacity of the input buffer.
 pub const MAX_INPUT_BYTES: usize = MAX_MESSAGE_BYTES + LARGE_STEP_BYTES;
 
+/// What has arrived on a stream and was not decoded.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum UnreadInput {
+    /// Nothing.
+    Nothing,
+    /// Some bytes.
+    Bytes,
+    /// The end of the stream.
+    End,
+}
+
 /// A stream with its codec and buffers.
 #[derive(Debug)]
 pub struct LineChannel<C> {
@@ -55,13 +66,18 @@
         }
     }
 
-    /// Returns whether bytes are known to have arrived that were not decoded, or the stream has ended.
-    /// Bytes that arrive meanwhile may be missed.
-    pub fn has_unread(&self) -> bool {
+    /// Returns what is known to have arrived and was not decoded. Bytes that arrive meanwhile may be
+    /// missed.
+    pub fn unread(&self) -> UnreadInput {
+        if !self.input.is_empty() {
+            return UnreadInput::Bytes;
+        }
         let peek = || SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]);
-        let arrived = self.stream.try_io(Interest::READABLE, peek);
-        !self.input.is_empty()
-            || !matches!(arrived, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
+        match self.stream.try_io(Interest::READABLE, peek) {
+            Ok(1..) => UnreadInput::Bytes,
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => UnreadInput::Nothing,
+            Ok(0) | Err(_) => UnreadInput::End,
+        }
     }
 
     /// Returns the number of bytes that were read and not decoded.
--- a/crates/front/src/position_probe.rs
+++ b/crates/front/src/position_probe.rs
@@ -1,18 +1,16 @@
 //! Queries endpoints for their log positions without running a statement on them.
 //!
-//! Every answer of an endpoint ends with its position, and a reset needs no slot.
+//! Every answer of an endpoint ends with its position, and the beginning of a transaction needs no slot.
 
 use std::rc::Rc;
 use std::time::Duration;
 
-use platform::endpoint_codec::EndpointCommand;
 use session_core::endpoint_entry::EndpointEntry;
 use session_core::floor_history::FloorHistory;
 use session_core::ids::ServiceId;
 use session_core::monotonic_time::now;
 use session_core::relay_tree;
 use session_core::session_values::ConnectionValues;
-use session_core::session_values::ReplayStep;
 
 use crate::endpoint_pool::PoolError;
 use crate::instance::Instance;
@@ -21,7 +19,7 @@
 use crate::view_follower;
 use crate::view_follower::RelayExclusions;
 
-/// Timeout of a replica's answer; a reset needs no slot and is answered at once.
+/// Timeout of a replica's answer, which comes at once as the query needs no slot.
 const REPLICA_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Queries the position of a lagging replica on an idle connection, unless it was probed a moment
@@ -39,9 +37,7 @@
     };
     let instance = Rc::clone(instance);
     tokio::task::spawn_local(async move {
-        connection.values = ConnectionValues::default();
-        let reset = EndpointCommand::Replay(ReplayStep::Reset);
-        match connection.run(reset, REPLICA_TIMEOUT).await {
+        match connection.query_position(REPLICA_TIMEOUT).await {
             Ok(answer) => {
                 instance.record_position(&connection.endpoint, &answer);
             }
@@ -119,7 +115,7 @@
 pub async fn query_position(instance: &Rc<Instance>, entry: &EndpointEntry) {
     let tried_at = now();
     let limit = instance.connection_limit(entry);
-    // A reset removes whatever values the connection holds.
+    // The query leaves the values of the connection as they are.
     let preference = |_: &ConnectionValues| 0;
     let acquired = instance
         .pool
@@ -134,10 +130,7 @@
         }
         Err(PoolError::Exhausted) => return,
     };
-    // Callers without a team use the same connections.
-    connection.values = ConnectionValues::default();
-    let reset = EndpointCommand::Replay(ReplayStep::Reset);
-    match connection.run(reset, PROBE_TIMEOUT).await {
+    match connection.query_position(PROBE_TIMEOUT).await {
         Ok(answer) => instance.record_answer(&entry.id, &answer, false),
         Err(fault) => {
             tracing::info!(event = "probe_failed", endpoint = %entry.id, ?fault);
--- a/crates/front/src/request_attempt.rs
+++ b/crates/front/src/request_attempt.rs
@@ -18,7 +18,6 @@
 use session_core::request_outcome::OutcomeScope;
 use session_core::request_outcome::StatementFault;
 use session_core::serving_rules::DatabaseRoute;
-use session_core::session_state::SessionState;
 
 use crate::caller_session::BUSY_REASON;
 use crate::caller_session::CallerSession;
@@ -249,7 +248,6 @@
                         progress.last_fault = Some(StatementFault::Refused(*refusal));
                         *reason = "endpoint_refused";
                         self.retry_refused(&mut connection, &endpoint, *refusal, progress)
-                            .await
                     }
                     _ => AttemptOutcome::Answered(answer, Box::new(connection), Box::new(chosen)),
                 }
@@ -321,28 +319,17 @@
         if index < replayed {
             connection.mark_broken();
         }
-        Err(self
-            .retry_refused(connection, &endpoint, refusal, progress)
-            .await)
+        Err(self.retry_refused(connection, &endpoint, refusal, progress))
     }
 
     /// Decides how to retry a statement that the endpoint refused.
-    async fn retry_refused(
+    fn retry_refused(
         &self,
         connection: &mut PooledConnection,
         endpoint: &EndpointId,
         refusal: EndpointRefusal,
         progress: &mut RequestProgress<'_>,
     ) -> AttemptOutcome {
-        if connection.state != SessionState::Idle
-            && !connection.is_broken()
-            && connection
-                .run(EndpointCommand::Rollback, BUSY_PAUSE * 4)
-                .await
-                .is_err()
-        {
-            tracing::debug!(event = "rollback_by_close", request = log_excerpt(progress.id), endpoint = %endpoint);
-        }
         let pool = &self.instance.pool;
         match refusal {
             EndpointRefusal::Lagging => {
--- a/crates/front/src/statement_run.rs
+++ b/crates/front/src/statement_run.rs
@@ -195,8 +195,8 @@
                 self.record_answer(&endpoint, &answer, scope);
                 if answer.state == SessionState::Idle {
                     self.transaction = None;
-                } else if answer.state == SessionState::Failed {
-                    self.fail_transaction();
+                } else if answer.result.is_err() {
+                    self.drop_transaction(false);
                 }
                 self.send_answer(id, scope, &endpoint, number, answer, arrived);
             }
@@ -441,10 +441,9 @@
             transaction.statement_time = route.statement_time;
             match answer.state {
                 SessionState::Idle => self.transaction = None,
-                SessionState::Open => transaction.connection = Some(*connection),
-                SessionState::Failed => {
+                _ if answer.result.is_err() => transaction.failed = true,
+                SessionState::Open | SessionState::Failed => {
                     transaction.connection = Some(*connection);
-                    transaction.failed = true;
                 }
             }
         }
--- a/crates/front/tests/testsuite/repeated_answers.rs
+++ b/crates/front/tests/testsuite/repeated_answers.rs
@@ -13,6 +13,11 @@
 const CALLERS: usize = 6;
 const ROUNDS: usize = 40;
 
+/// Number of instances, and of connections that each endpoint accepts: too few for each instance to keep
+/// one.
+const HOST_INSTANCES: usize = 4;
+const HOST_CONNECTIONS: u32 = 5;
+
 /// Delays of the copies: with the answer, while the next statement runs, and later than that.
 const COPY_DELAYS: [Duration; 3] = [
     Duration::ZERO,
@@ -139,6 +144,23 @@
     check_copies(&words).await;
 }
 
+/// The host of shared connections must keep answers apart for the instances that use them.
+#[tokio::test]
+async fn copies_at_hosts_stay_apart() {
+    let fleet = Fleet::start_scarce(HOST_INSTANCES, HOST_CONNECTIONS, false).await;
+    let words = [
+        "READ", "EXECUTE", "WRITE", "COMMIT", "SET", "PREPARE", "BEGIN",
+    ];
+    repeat_answers(&fleet, &words, COPY_DELAYS[1]);
+    let mut callers = JoinSet::new();
+    for number in 0..HOST_INSTANCES {
+        let mut caller = fleet.caller(number, "linear").await;
+        callers.spawn(async move { run_caller(&mut caller, number).await });
+    }
+    let served: usize = callers.join_all().await.into_iter().sum();
+    assert!(served > 0);
+}
+
 /// A copy of a refusal must not be taken for the refusal of a later write that runs: it would be sent
 /// again, or its caller would be told that it was not run.
 #[tokio::test]
--- a/crates/session-core/src/answer_check.rs
+++ b/crates/session-core/src/answer_check.rs
@@ -11,6 +11,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::answer_matching::AnswerMatching;
 use crate::session_state::SessionState;
 
 /// What the successful answer to a statement consists of.
@@ -39,12 +40,23 @@
 pub struct AnswerParts<'a> {
     /// Number of rows.
     pub rows: usize,
-    /// The receipt, `None` if there is none.
-    pub receipt: Option<&'a str>,
+    /// The receipt, `None` if there is none. A refusal has the empty error.
+    pub result: Result<Option<&'a str>, ()>,
     /// The transaction state.
     pub state: SessionState,
 }
 
+/// What an answer is to the awaited statement.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AnswerVerdict {
+    /// Its own.
+    Own,
+    /// One to an earlier statement, which is passed over.
+    PassedOver(AnswerFault),
+    /// One to another statement, after which the connection must not be used.
+    Broken(AnswerFault),
+}
+
 /// Why an answer is not that of the awaited statement.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum AnswerFault {
@@ -62,20 +74,6 @@
     UnexpectedState,
     /// The messages of the answer are in the wrong order.
     MessageOrder,
-    /// After a refusal, another answer than that of the following statement arrived.
-    UnconfirmedRefusal,
-}
-
-impl AnswerFault {
-    /// Returns whether the answer is certainly a copy of an earlier one, so that the awaited one is still
-    /// to come.
-    pub fn is_copy(self) -> bool {
-        // Only statements with a receipt are awaited where one is missing.
-        matches!(
-            self,
-            AnswerFault::RepeatedReceipt | AnswerFault::MissingReceipt
-        )
-    }
 }
 
 impl fmt::Display for AnswerFault {
@@ -88,17 +86,20 @@
             AnswerFault::UnexpectedRows => "unexpected_rows",
             AnswerFault::UnexpectedState => "unexpected_state",
             AnswerFault::MessageOrder => "message_order",
-            AnswerFault::UnconfirmedRefusal => "unconfirmed_refusal",
         })
     }
 }
 
-/// The receipts that an endpoint has given on one connection.
+/// What an endpoint has answered on one connection.
 #[derive(Debug, Default)]
 pub struct AnswerCheck {
     /// Hashes of the receipts.
     receipts: HashSet<u64>,
     hasher: RandomState,
+    /// Whether a statement was refused.
+    refused: bool,
+    /// Whether an answer arrived that was not that of the awaited statement.
+    repeats: bool,
 }
 
 impl AnswerCheck {
@@ -106,28 +107,51 @@
     /// may still arrive. Bounds the memory of a connection to about 64 KiB.
     pub const MAX_RECEIPTS: usize = 4_096;
 
-    /// Returns whether the connection has given so many receipts that it must be replaced.
-    pub fn is_full(&self) -> bool {
-        self.receipts.len() >= Self::MAX_RECEIPTS
+    /// Returns whether a statement with a receipt may run on the connection. After a refusal it may not,
+    /// as a copy of the refusal could not be told from a later one.
+    pub fn admits_receipts(&self) -> bool {
+        !self.refused
+    }
+
+    /// Returns whether the connection must not serve another session: nothing tells later answers from
+    /// copies of earlier ones, or copies have already arrived.
+    pub fn is_worn(&self) -> bool {
+        self.refused || self.repeats || self.receipts.len() >= Self::MAX_RECEIPTS
+    }
+
+    /// Returns what an answer is to the awaited statement, and records its receipt.
+    pub fn judge(
+        &mut self,
+        expected: ExpectedAnswer,
+        matching: AnswerMatching,
+        answer: AnswerParts<'_>,
+    ) -> AnswerVerdict {
+        let Ok(receipt) = answer.result else {
+            self.refused = true;
+            return AnswerVerdict::Own;
+        };
+        let Err(fault) = self.check_success(expected, receipt, answer) else {
+            return AnswerVerdict::Own;
+        };
+        self.repeats = true;
+        match matching {
+            AnswerMatching::Lenient => AnswerVerdict::PassedOver(fault),
+            AnswerMatching::Strict => AnswerVerdict::Broken(fault),
+        }
     }
 
-    /// Checks a successful answer and records its receipt.
-    ///
-    /// # Errors
-    ///
-    /// Returns why the answer is not that of the awaited statement.
-    pub fn accept(
+    fn check_success(
         &mut self,
         expected: ExpectedAnswer,
+        receipt: Option<&str>,
         answer: AnswerParts<'_>,
     ) -> Result<(), AnswerFault> {
-        let is_new = answer
-            .receipt
-            .is_none_or(|receipt| self.receipts.insert(self.hasher.hash_one(receipt)));
+        let is_new =
+            receipt.is_none_or(|receipt| self.receipts.insert(self.hasher.hash_one(receipt)));
         if !is_new {
             return Err(AnswerFault::RepeatedReceipt);
         }
-        let rows = match (expected.kind, answer.receipt) {
+        let rows = match (expected.kind, receipt) {
             (AnswerKind::Receipt, None) => return Err(AnswerFault::MissingReceipt),
             (AnswerKind::Receipt, Some(_)) => answer.rows,
             (_, Some(_)) => return Err(AnswerFault::UnexpectedReceipt),
--- a/crates/session-core/src/lib.rs
+++ b/crates/session-core/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod admission_queue;
 pub mod answer_check;
+pub mod answer_matching;
 pub mod caller_statement;
 pub mod cold_limit;
 pub mod collector_choice;
--- /dev/null
+++ b/crates/session-core/tests/testsuite/answer_checks.rs
@@ -0,0 +1,257 @@
+//! Guards against an answer of an endpoint that is taken for that of another statement. A model endpoint
+//! answers the statements of a connection in order and sends copies of earlier answers at any moment.
+
+use std::collections::VecDeque;
+
+use proptest::prelude::*;
+use session_core::answer_check::AnswerCheck;
+use session_core::answer_check::AnswerKind;
+use session_core::answer_check::AnswerParts;
+use session_core::answer_check::AnswerVerdict;
+use session_core::answer_check::ExpectedAnswer;
+use session_core::answer_matching::AnswerMatching;
+use session_core::session_state::SessionState;
+
+/// Statements that the model connection runs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ModelStatement {
+    /// A read or write.
+    Run,
+    /// A read or write that the endpoint refuses.
+    Refused,
+    /// A statement about the session.
+    Step,
+    /// A transaction with this many statements, and its commit.
+    Transaction(usize),
+    /// A query of the endpoint's position.
+    Position,
+    /// A query of the endpoint's report.
+    Report,
+}
+
+/// An answer of the model endpoint.
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct ModelAnswer {
+    /// Number of the statement that it answers.
+    statement: usize,
+    rows: usize,
+    result: Result<Option<String>, ()>,
+    state: SessionState,
+}
+
+/// Endpoint that sends copies.
+struct ModelEndpoint {
+    sent: Vec<ModelAnswer>,
+    /// For each position in the sequence of answers: which earlier answers are sent again before it.
+    copies: VecDeque<Vec<prop::sample::Index>>,
+    output: VecDeque<ModelAnswer>,
+    /// Number of copies that were sent.
+    copied: usize,
+}
+
+impl ModelEndpoint {
+    fn answer(&mut self, answer: ModelAnswer) {
+        for index in self.copies.pop_front().unwrap_or_default() {
+            if !self.sent.is_empty() {
+                self.output.push_back(index.get(&self.sent).clone());
+                self.copied += 1;
+            }
+        }
+        self.sent.push(answer.clone());
+        self.output.push_back(answer);
+    }
+}
+
+/// What the model connection expects of a statement, and how the endpoint answers it.
+struct SentStatement {
+    expected: ExpectedAnswer,
+    refused: bool,
+}
+
+struct ModelConnection {
+    endpoint: ModelEndpoint,
+    check: AnswerCheck,
+    statements: usize,
+    state: SessionState,
+}
+
+/// The connection must not be used again.
+struct Broken;
+
+impl ModelConnection {
+    fn new(copies: Vec<Vec<prop::sample::Index>>) -> Self {
+        Self {
+            endpoint: ModelEndpoint {
+                sent: Vec::new(),
+                copies: copies.into(),
+                output: VecDeque::new(),
+                copied: 0,
+            },
+            check: AnswerCheck::default(),
+            statements: 0,
+            state: SessionState::Idle,
+        }
+    }
+
+    fn expect(&self, kind: AnswerKind, state: SessionState) -> SentStatement {
+        SentStatement {
+            expected: ExpectedAnswer { kind, state },
+            refused: false,
+        }
+    }
+
+    /// Sends statements at once and returns the number of each with the answer that it got.
+    fn exchange(
+        &mut self,
+        statements: &[SentStatement],
+        matching: AnswerMatching,
+    ) -> Result<Vec<(usize, ModelAnswer)>, Broken> {
+        let first = self.statements;
+        for sent in statements {
+            let number = self.statements;
+            self.statements += 1;
+            let result = match (sent.refused, sent.expected.kind) {
+                (true, _) => Err(()),
+                (false, AnswerKind::Receipt) => Ok(Some(format!("r{number}"))),
+                (false, _) => Ok(None),
+            };
+            self.endpoint.answer(ModelAnswer {
+                statement: number,
+                rows: usize::from(sent.expected.kind == AnswerKind::Report && !sent.refused),
+                result,
+                state: sent.expected.state,
+            });
+        }
+        let mut answers = Vec::new();
+        for (index, sent) in statements.iter().enumerate() {
+            answers.push((first + index, self.read(sent.expected, matching)?));
+        }
+        Ok(answers)
+    }
+
+    fn read(
+        &mut self,
+        expected: ExpectedAnswer,
+        matching: AnswerMatching,
+    ) -> Result<ModelAnswer, Broken> {
+        loop {
+            // An answer that does not come breaks the connection after a time.
+            let answer = self.endpoint.output.pop_front().ok_or(Broken)?;
+            let result = match &answer.result {
+                Ok(receipt) => Ok(receipt.as_deref()),
+                Err(()) => Err(()),
+            };
+            let parts = AnswerParts {
+                rows: answer.rows,
+                result,
+                state: answer.state,
+            };
+            match self.check.judge(expected, matching, parts) {
+                AnswerVerdict::Own => return Ok(answer),
+                AnswerVerdict::PassedOver(_) => {}
+                AnswerVerdict::Broken(_) => return Err(Broken),
+            }
+        }
+    }
+
+    /// Runs one statement with a receipt and checks that the answer is its own.
+    fn run(&mut self, refused: bool) -> Result<(), Broken> {
+        let mut sent = self.expect(AnswerKind::Receipt, self.state);
+        sent.refused = refused;
+        let answers = self.exchange(&[sent], AnswerMatching::Lenient)?;
+        let (number, answer) = &answers[0];
+        assert_eq!(answer.statement, *number, "{answer:?}");
+        // The connection is replaced after a refusal.
+        match self.check.admits_receipts() {
+            true => Ok(()),
+            false => Err(Broken),
+        }
+    }
+
+    fn run_model(&mut self, statement: ModelStatement) -> Result<(), Broken> {
+        match statement {
+            ModelStatement::Run => self.run(false),
+            ModelStatement::Refused => self.run(true),
+            ModelStatement::Step => {
+                let step = self.expect(AnswerKind::Acknowledgement, self.state);
+                self.exchange(&[step], AnswerMatching::Lenient).map(drop)
+            }
+            ModelStatement::Transaction(count) => {
+                let begin = self.expect(AnswerKind::Acknowledgement, SessionState::Open);
+                self.exchange(&[begin], AnswerMatching::Lenient)?;
+                self.state = SessionState::Open;
+                for _ in 0..count {
+                    self.run(false)?;
+                }
+                self.state = SessionState::Idle;
+                self.run(false)
+            }
+            ModelStatement::Position => {
+                let copied = self.copies_before();
+                let begin = self.expect(AnswerKind::Acknowledgement, SessionState::Open);
+                let end = self.expect(AnswerKind::Acknowledgement, SessionState::Idle);
+                let answers = self.exchange(&[begin, end], AnswerMatching::Strict)?;
+                self.assert_current(&answers[0], copied);
+                Ok(())
+            }
+            ModelStatement::Report => {
+                let copied = self.copies_before();
+                let report = self.expect(AnswerKind::Report, SessionState::Idle);
+                let before = self.expect(AnswerKind::Acknowledgement, SessionState::Idle);
+                let after = self.expect(AnswerKind::Acknowledgement, SessionState::Idle);
+                let answers = self.exchange(&[before, report, after], AnswerMatching::Strict)?;
+                self.assert_current(&answers[1], copied);
+                Ok(())
+            }
+        }
+    }
+
+    /// Returns the number of copies that were sent and read before the next exchange.
+    fn copies_before(&self) -> usize {
+        self.endpoint
+            .copied
+            .saturating_sub(self.endpoint.output.len())
+    }
+
+    /// Checks an answer without a receipt. Two copies in one exchange can replace one.
+    fn assert_current(&self, (number, answer): &(usize, ModelAnswer), copied: usize) {
+        let is_certain = self.endpoint.copied - copied <= 1;
+        assert!(!is_certain || answer.statement == *number, "{answer:?}");
+    }
+}
+
+fn model_statement() -> impl Strategy<Value = ModelStatement> {
+    prop_oneof![
+        4 => Just(ModelStatement::Run),
+        2 => Just(ModelStatement::Refused),
+        2 => Just(ModelStatement::Step),
+        2 => (0..3_usize).prop_map(ModelStatement::Transaction),
+        1 => Just(ModelStatement::Position),
+        1 => Just(ModelStatement::Report),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(20_000))]
+
+    /// Whatever copies an endpoint sends, a statement with a receipt gets its own answer or refusal, or
+    /// none. A position or a report is current, unless more than one copy arrives in its exchange.
+    #[test]
+    fn answers_belong_to_their_statements(
+        statements in prop::collection::vec(model_statement(), 1..12),
+        copies in prop::collection::vec(
+            prop_oneof![
+                6 => Just(Vec::new()),
+                2 => prop::collection::vec(any::<prop::sample::Index>(), 1..4),
+            ],
+            0..40,
+        ),
+    ) {
+        let mut connection = ModelConnection::new(copies);
+        for statement in statements {
+            if connection.run_model(statement).is_err() {
+                break;
+            }
+        }
+    }
+}
--- a/crates/session-core/tests/testsuite/main.rs
+++ b/crates/session-core/tests/testsuite/main.rs
@@ -4,4 +4,5 @@
 mod paced_fleet;
 
 mod admission_queues;
+mod answer_checks;
 mod endpoint_paces;
--- a/crates/standins/src/platform/line_server.rs
+++ b/crates/standins/src/platform/line_server.rs
@@ -327,8 +327,11 @@
         });
     }
 
+    /// Returns the receipt of a run. No two runs have the same, even if a caller uses an id again.
     fn receipt(&self, id: &str) -> String {
-        format!("COMPLETE {}.{id}\r\n", self.endpoint)
+        let mut group = self.shared.group();
+        group.receipts += 1;
+        format!("COMPLETE {}.{}.{id}\r\n", self.endpoint, group.receipts)
     }
 
     fn read(&mut self, id: &str, text: &str, item: &str) -> Option<String> {
