Read lines in the stand-in of the platform up to CR LF

Cause: The stand-in's endpoint and caller ended lines at a bare LF and dropped trailing whitespace, while the protocol ends a line at CR LF and the last field at the end of the line. Tests could not see a text or a row that was cut or split, and a definition "q1 " arrived as "q1".

Change: Both read with one function that ends a line at CR LF only and keeps everything before it. The endpoint also records the text of a statement as it arrived.

--- a/crates/standins/src/platform/group_state.rs
+++ b/crates/standins/src/platform/group_state.rs
@@ -111,6 +111,8 @@
 pub struct ReceivedStatement {
     /// Id of the request.
     pub id: String,
+    /// The text as it arrived, with a preceding `WAITFOR`.
+    pub text: String,
     /// Id of the endpoint.
     pub endpoint: String,
     /// Availability zone of the endpoint.
--- a/crates/standins/src/platform/line_caller.rs
+++ b/crates/standins/src/platform/line_caller.rs
@@ -11,6 +11,8 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
+use crate::platform::line_reader::read_line;
+
 /// Time limit for an answer, longer than any answer may take.
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(10);
 
@@ -203,10 +205,9 @@
     }
 
     async fn line(&mut self) -> Result<String, CallerError> {
-        let mut line = String::new();
-        match timeout(ANSWER_TIMEOUT, self.stream.read_line(&mut line)).await {
-            Ok(Ok(0)) => Err(io::Error::from(io::ErrorKind::UnexpectedEof).into()),
-            Ok(Ok(_)) => Ok(line.trim_end().to_owned()),
+        match timeout(ANSWER_TIMEOUT, read_line(&mut self.stream)).await {
+            Ok(Ok(None)) => Err(io::Error::from(io::ErrorKind::UnexpectedEof).into()),
+            Ok(Ok(Some(line))) => Ok(line),
             Ok(Err(error)) => Err(error.into()),
             Err(_) => Err(CallerError::Silent),
         }
--- a/crates/standins/src/platform/line_server.rs
+++ b/crates/standins/src/platform/line_server.rs
@@ -6,7 +6,6 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use tokio::io::AsyncBufReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::io::BufReader;
 use tokio::net::TcpListener;
@@ -16,6 +15,7 @@
 use crate::platform::group_state::CommitState;
 use crate::platform::group_state::ExecutedStatement;
 use crate::platform::group_state::ReceivedStatement;
+use crate::platform::line_reader::read_line;
 use crate::platform::platform_handle::PlatformShared;
 
 /// Pause between checks whether a replica has received a commit or applied a floor.
@@ -78,9 +78,9 @@
         stream.set_nodelay(true)?;
         let (reader, writer) = stream.into_split();
         let writer = Arc::new(Mutex::new(writer));
-        let mut lines = BufReader::new(reader).lines();
-        while let Some(line) = lines.next_line().await? {
-            let answer = self.answer(line.trim_end()).await;
+        let mut reader = BufReader::new(reader);
+        while let Some(line) = read_line(&mut reader).await? {
+            let answer = self.answer(&line).await;
             let ended = self.shared.group().successors.contains_key(&self.endpoint);
             let Some(answer) = answer.or(ended.then(String::new)) else {
                 // A silent endpoint keeps its connections open without answers.
@@ -178,6 +178,7 @@
     }
 
     async fn run_statement(&mut self, id: &str, text: &str) -> Option<String> {
+        let arrived = text;
         let mut text = text;
         if let Some(rest) = text.strip_prefix("WAITFOR ") {
             let (floor, rest) = rest.split_once(' ')?;
@@ -191,7 +192,7 @@
         }
         let (word, rest) = text.split_once(' ').unwrap_or((text, ""));
         if matches!(word, "READ" | "WRITE" | "EXECUTE" | "COMMIT") {
-            self.record_arrival(id);
+            self.record_arrival(id, arrived);
         }
         if matches!(word, "READ" | "WRITE" | "EXECUTE" | "BEGIN") && self.take_busy() {
             return Some(self.refuse("BUSY"));
@@ -315,12 +316,13 @@
             });
     }
 
-    fn record_arrival(&self, id: &str) {
+    fn record_arrival(&self, id: &str, text: &str) {
         let mut group = self.shared.group();
         let endpoint = group.endpoints.get(&self.endpoint);
         let zone = endpoint.map_or_else(String::new, |endpoint| endpoint.zone.clone());
         group.received_statements.push(ReceivedStatement {
             id: id.to_owned(),
+            text: text.to_owned(),
             endpoint: self.endpoint.clone(),
             zone,
             received_at: Instant::now(),
--- a/crates/standins/src/platform/mod.rs
+++ b/crates/standins/src/platform/mod.rs
@@ -4,6 +4,7 @@
 pub mod daemon_process;
 pub mod group_state;
 pub mod line_caller;
+mod line_reader;
 mod line_server;
 pub mod platform_handle;
 pub mod promotion_effect;
--- a/tests/testsuite/soak_checks.rs
+++ b/tests/testsuite/soak_checks.rs
@@ -56,6 +56,7 @@
 fn received_statement(zone: &str, received_at: Instant) -> ReceivedStatement {
     ReceivedStatement {
         id: "a-1".to_owned(),
+        text: String::new(),
         endpoint: "db-1".to_owned(),
         zone: zone.to_owned(),
         received_at,
