Name prepared statements at endpoints by text that is one field

Cause: The name under which a statement is prepared at endpoints contained the raw text of its definition. That text is the last field of the caller's PREPARE and may contain blanks; the name is a middle field of EXECUTE and PREPARE. An endpoint ran `EXECUTE w_q READ frcbi item three`, and a definition with blanks replaced that of another session.

LINK_VERSION is 2, as hosts of version 1 would prepare other names. The length limit of the name in requests to hosts is gone, as names are at most 67 bytes long.

--- a/crates/front/src/host_links.rs
+++ b/crates/front/src/host_links.rs
@@ -18,7 +18,7 @@
 use session_core::ids::ZoneId;
 use session_core::monotonic_time::MonotonicTime;
 use session_core::monotonic_time::now;
-use session_core::session_values;
+use session_core::prepared_name::PreparedName;
 use session_core::session_values::ConnectionValues;
 use session_core::session_values::SessionValues;
 use tokio::sync::oneshot;
@@ -50,7 +50,7 @@
 /// Pause between two checks whether a host is silent.
 const SILENCE_PAUSE: Duration = Duration::from_millis(50);
 
-/// Maximum length of the values and the prepared name that are sent to choose a connection.
+/// Maximum length of the values that are sent to choose a connection.
 const MAX_HINT_BYTES: usize = 4 * 1024;
 
 /// Maximum length of a first statement that is sent to a host. A longer one takes so long on a slow
@@ -278,7 +278,8 @@
     }
     let limit = instance.connection_limit(need.entry);
     let wait = end.saturating_since(now());
-    let is_preferred = |values: &ConnectionValues| values.preference(need.session, need.definition);
+    let name = need.definition.map(PreparedName::new);
+    let is_preferred = |values: &ConnectionValues| values.preference(need.session, name.as_ref());
     let pool = &instance.pool;
     pool.acquire_connection(need.entry, need.team, is_preferred, limit, wait)
         .await
@@ -391,7 +392,6 @@
         .iter()
         .map(|(name, value)| name.len() + value.len())
         .sum();
-    let prepared = need.definition.map(session_values::shared_name);
     ConnectionRequest {
         service: need.entry.service.clone(),
         endpoint: need.entry.id.clone(),
@@ -400,7 +400,7 @@
             true => values.clone(),
             false => Default::default(),
         },
-        prepared: prepared.filter(|name| name.len() <= MAX_HINT_BYTES),
+        prepared: need.definition.map(PreparedName::new),
         wait,
     }
 }
--- a/crates/front/src/host_message.rs
+++ b/crates/front/src/host_message.rs
@@ -13,6 +13,7 @@
 use session_core::ids::ServiceId;
 use session_core::ids::TeamId;
 use session_core::monotonic_time::MonotonicTime;
+use session_core::prepared_name::PreparedName;
 use session_core::request_outcome::EndpointRefusal;
 use session_core::request_outcome::StatementFault;
 use session_core::session_state::SessionState;
@@ -20,7 +21,7 @@
 use crate::endpoint_connection::EndpointAnswer;
 
 /// Version of the messages. Instances of different versions use no links between them.
-pub const LINK_VERSION: u32 = 1;
+pub const LINK_VERSION: u32 = 2;
 
 /// Channel of messages that concern the whole link.
 pub const LINK_CHANNEL: u32 = 0;
@@ -38,7 +39,7 @@
     /// Values of the session.
     pub values: BTreeMap<String, String>,
     /// Name at the endpoint of the prepared statement to run, if there is one.
-    pub prepared: Option<String>,
+    pub prepared: Option<PreparedName>,
     /// Maximum time to wait while all connections are in use.
     pub wait: Duration,
 }
--- a/crates/front/src/statement_run.rs
+++ b/crates/front/src/statement_run.rs
@@ -14,6 +14,7 @@
 use session_core::memory_account::MemoryPart;
 use session_core::monotonic_time::MonotonicTime;
 use session_core::monotonic_time::now;
+use session_core::prepared_name::PreparedName;
 use session_core::request_outcome;
 use session_core::request_outcome::CallerVerdict;
 use session_core::request_outcome::OutcomeScope;
@@ -21,7 +22,6 @@
 use session_core::serving_rules::DatabaseRoute;
 use session_core::serving_rules::TeamLimit;
 use session_core::session_state::SessionState;
-use session_core::session_values;
 
 use crate::caller_session::CallerSession;
 use crate::caller_session::EndReason;
@@ -114,7 +114,7 @@
                 Some(EndpointStatement {
                     mode: definition.mode,
                     forwarded: ForwardedStatement::Execute {
-                        name: session_values::shared_name(&definition),
+                        name: PreparedName::new(&definition),
                         arguments,
                     },
                     definition: Some(definition),
@@ -428,7 +428,7 @@
             request = log_excerpt(progress.id),
             endpoint = %endpoint,
             connection = number,
-            prepared = statement.forwarded.prepared_name().map(log_excerpt),
+            prepared = statement.forwarded.prepared_name().map(PreparedName::as_str),
             primary = chosen.primary,
             floor = chosen.floor.map(|floor| floor.to_string()),
             floor_age_ms = chosen.floor_age.map(|age| age.as_millis() as u64),
--- a/crates/session-core/src/lib.rs
+++ b/crates/session-core/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod pace_record;
 pub mod pace_report;
 pub mod pace_sample;
+pub mod prepared_name;
 pub mod primary_permit;
 pub mod promotion_step;
 pub mod rate_deputy;
--- a/crates/session-core/src/session_values.rs
+++ b/crates/session-core/src/session_values.rs
@@ -6,8 +6,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::caller_statement::AccessMode;
 use crate::caller_statement::StatementDefinition;
+use crate::prepared_name::PreparedName;
 
 /// The state of a session that outlives its transactions.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
@@ -24,7 +24,7 @@
     /// Values by name.
     pub values: BTreeMap<String, String>,
     /// Names of prepared statements at the endpoint.
-    pub prepared: BTreeSet<String>,
+    pub prepared: BTreeSet<PreparedName>,
 }
 
 /// A statement that restores part of a session's state on a connection.
@@ -43,27 +43,19 @@
     /// Prepares a statement under the name that all sessions share.
     Prepare {
         /// The name at the endpoint.
-        name: String,
+        name: PreparedName,
         /// The statement to prepare.
         definition: StatementDefinition,
     },
 }
 
-/// Returns the name under which a statement is prepared at endpoints; all sessions share it.
-pub fn shared_name(definition: &StatementDefinition) -> String {
-    let mode = match definition.mode {
-        AccessMode::Read => 'r',
-        AccessMode::Write => 'w',
-    };
-    format!("{mode}_{}", definition.text)
-}
-
 impl ConnectionValues {
     /// Returns the size of the values and names in bytes.
     pub fn bytes(&self) -> usize {
         let values = self.values.iter();
         let values = values.map(|(name, value)| name.len() + value.len());
-        values.chain(self.prepared.iter().map(String::len)).sum()
+        let names = self.prepared.iter().map(|name| name.as_str().len());
+        values.chain(names).sum()
     }
 
     /// Returns whether the connection's values equal the session's, so that they need no replay.
@@ -71,15 +63,10 @@
         self.values == session.values
     }
 
-    /// Returns how well the connection suits a session that runs this prepared statement, if it is
-    /// one; higher is better.
-    pub fn preference(
-        &self,
-        session: &SessionValues,
-        definition: Option<&StatementDefinition>,
-    ) -> u8 {
-        let name = definition.map(shared_name);
-        let holds_name = name.is_none_or(|name| self.prepared.contains(&name));
+    /// Returns how well the connection suits a session that runs the prepared statement of this name,
+    /// if it is one; higher is better.
+    pub fn preference(&self, session: &SessionValues, name: Option<&PreparedName>) -> u8 {
+        let holds_name = name.is_none_or(|name| self.prepared.contains(name));
         2 * u8::from(self.matches(session)) + u8::from(holds_name)
     }
 
@@ -108,7 +95,7 @@
             }
         }
         if let Some(definition) = definition {
-            let name = shared_name(definition);
+            let name = PreparedName::new(definition);
             if self.prepared.insert(name.clone()) {
                 steps.push(ReplayStep::Prepare {
                     name,
