Build and take apart lines by one set of rules

Cause: Lines were built with format! from unchecked text, and ended at a bare LF, though the protocol ends them at CR LF and the last field at the end of the line. A caller's text with a bare LF was two requests for the instance, a row with a bare LF two messages, and a bare CR, NUL or non-ASCII whitespace reached endpoints in ids and texts. The id "-" of the instance's own statements, and "COMMIT " with a blank that was not forwarded, were accepted. A SET or PREPARE could be acknowledged although the line that restores it is too long. A reply that could not be encoded was left out of the answer.

A field of one word has no whitespace and no control characters, a last field towards endpoints no character at which a loose reader could end a line, a row everything but CR LF, and the line with its end at most 1 MiB. Otherwise BadField or TooLarge is returned and nothing is appended. A channel on which a message could not be encoded writes nothing more; at an endpoint the statement then counts as not sent. Lines are taken apart at CR LF only. What can never be forwarded or restored is refused with TOOLARGE when it arrives.

--- a/crates/front/src/caller_session.rs
+++ b/crates/front/src/caller_session.rs
@@ -8,6 +8,7 @@
 use platform::caller_codec::CallerReply;
 use platform::caller_limits::CONNECTION_ALLOWANCE;
 use platform::caller_limits::CallerLimits;
+use platform::endpoint_codec;
 use platform::line_frame::FrameError;
 use session_core::caller_statement::AccessMode;
 use session_core::caller_statement::CallerStatement;
@@ -416,7 +417,9 @@
             CallerStatement::Set { name, value } => {
                 let former = self.values.values.get(&name);
                 let former = former.map_or(0, |former| entry_bytes(&name, former));
-                if self.grow_state(&id, former, entry_bytes(&name, &value), arrived) {
+                if let Err(error) = endpoint_codec::check_value(&name, &value) {
+                    self.refuse_unsendable(&id, &error, arrived);
+                } else if self.grow_state(&id, former, entry_bytes(&name, &value), arrived) {
                     self.values.values.insert(name, value);
                     self.answer_local();
                 }
@@ -425,7 +428,9 @@
                 let former = self.values.prepared.get(&name);
                 let former = former.map_or(0, |former| entry_bytes(&name, &former.text));
                 let added = entry_bytes(&name, &definition.text);
-                if self.grow_state(&id, former, added, arrived) {
+                if let Err(error) = endpoint_codec::check_definition(&definition) {
+                    self.refuse_unsendable(&id, &error, arrived);
+                } else if self.grow_state(&id, former, added, arrived) {
                     self.values.prepared.insert(name, definition);
                     self.answer_local();
                 }
@@ -463,6 +468,20 @@
         Ok(())
     }
 
+    /// Refuses a request whose text can never be sent to an endpoint.
+    pub(crate) fn refuse_unsendable(
+        &mut self,
+        id: &str,
+        error: &FrameError,
+        arrived: MonotonicTime,
+    ) {
+        let (verdict, reason) = match error {
+            FrameError::TooLarge => (CallerVerdict::TooLarge, "statement_too_large"),
+            _ => (CallerVerdict::Malformed, "malformed_statement"),
+        };
+        self.refuse_request(id, verdict, reason, arrived);
+    }
+
     /// Accounts for a value or a prepared name that replaces one of `former` bytes. If it exceeds
     /// the limit or there is no memory for it, refuses the request and returns `false`.
     fn grow_state(
@@ -636,8 +655,9 @@
     }
 
     pub(crate) fn queue_reply(&mut self, reply: CallerReply) {
+        // The channel then writes nothing more, so that the caller never gets a part of an answer.
         if let Err(error) = self.channel.queue(reply) {
-            tracing::debug!(event = "caller_lost", %error);
+            tracing::warn!(event = "reply_not_encoded", %error);
         }
     }
 
@@ -709,7 +729,10 @@
                 let reason = self.report_limit("message_too_large");
                 (CallerVerdict::TooLarge, reason)
             }
-            FrameError::NotText | FrameError::Unexpected(_) => {
+            FrameError::NotText
+            | FrameError::BareFeed
+            | FrameError::BadField { .. }
+            | FrameError::Unexpected(_) => {
                 tracing::info!(event = "session_refused", reason = "malformed_message", %error);
                 (CallerVerdict::Malformed, "malformed_message")
             }
--- a/crates/front/src/endpoint_channel.rs
+++ b/crates/front/src/endpoint_channel.rs
@@ -110,9 +110,10 @@
                 state = answer.state;
                 expected.push(answer);
             }
+            // Nothing of the commands was written, and nothing of them is left to be written.
             self.line
                 .queue(command)
-                .map_err(|_| StatementFault::Broken)?;
+                .map_err(|_| StatementFault::NotSent)?;
         }
         self.line
             .flush()
--- a/crates/front/src/line_channel.rs
+++ b/crates/front/src/line_channel.rs
@@ -40,6 +40,9 @@
     output: BytesMut,
     /// Size of the output before any of it was written; its buffer is released as a whole.
     output_held: usize,
+    /// Whether a message could not be encoded. What precedes and follows it would be read as belonging
+    /// together, so that nothing more is written.
+    is_incomplete: bool,
 }
 
 impl<C> LineChannel<C> {
@@ -52,6 +55,7 @@
             is_large: false,
             output: BytesMut::new(),
             output_held: 0,
+            is_incomplete: false,
         }
     }
 
@@ -143,12 +147,17 @@
     ///
     /// # Errors
     ///
-    /// Fails if the message cannot be encoded.
+    /// Fails if the message cannot be encoded. The output that was not written is then dropped, and
+    /// nothing more can be written.
     pub fn queue<T>(&mut self, message: T) -> Result<(), FrameError>
     where
         C: Encoder<T, Error = FrameError>,
     {
-        self.codec.encode(message, &mut self.output)?;
+        if let Err(error) = self.codec.encode(message, &mut self.output) {
+            self.output = BytesMut::new();
+            self.is_incomplete = true;
+            return Err(error);
+        }
         self.output_held = self.output_held.max(self.output.len());
         Ok(())
     }
@@ -162,8 +171,11 @@
     ///
     /// # Errors
     ///
-    /// Fails if the connection failed.
+    /// Fails if the connection failed, or a message could not be encoded.
     pub fn try_write(&mut self) -> io::Result<usize> {
+        if self.is_incomplete {
+            return Err(io::ErrorKind::InvalidData.into());
+        }
         let mut written = 0;
         while !self.output.is_empty() {
             match self.stream.try_write(&self.output) {
--- a/crates/front/src/statement_run.rs
+++ b/crates/front/src/statement_run.rs
@@ -4,6 +4,7 @@
 
 use platform::caller_codec::CallerReply;
 use platform::caller_limits::CONNECTION_ALLOWANCE;
+use platform::endpoint_codec;
 use platform::endpoint_codec::EndpointCommand;
 use platform::endpoint_codec::ForwardedStatement;
 use session_core::caller_statement::AccessMode;
@@ -63,6 +64,11 @@
             self.fail_transaction();
             return Ok(());
         };
+        if let Err(error) = endpoint_codec::check_statement(id, &statement.forwarded) {
+            self.fail_transaction();
+            self.refuse_unsendable(id, &error, arrived);
+            return Ok(());
+        }
         let (route, team) = match self.access() {
             Ok(access) => access,
             Err(refusal) => return self.refuse_access(id, &refusal, arrived).await,
--- a/crates/front/tests/testsuite/main.rs
+++ b/crates/front/tests/testsuite/main.rs
@@ -11,6 +11,7 @@
 mod instance_sizes;
 mod key_withdrawal;
 mod large_configuration;
+mod line_borders;
 mod log_volume;
 mod member_keys;
 mod odd_entries;
