End SQL comments and continued strings where endpoints end them

Cause: The scanner ended a line comment at LF only, while endpoints also end it at CR, and it read the continued parts of a string with escapes as strings without escapes. A write behind either was taken for a part of a read: `SELECT 1 -- one<CR>; DELETE FROM kv` was one read.

Change: A comment ends at CR or LF. A string with escapes continues, with escapes, after whitespace and line comments with a line break among them.

Compared with PostgreSQL's documented grammar, not with a server.

--- a/src/request/sql_token.rs
+++ b/src/request/sql_token.rs
@@ -54,6 +54,9 @@
     words
 }
 
+/// Characters that end a line comment at endpoints.
+const LINE_BREAKS: [char; 2] = ['\n', '\r'];
+
 struct TokenScanner<'a> {
     text: &'a str,
     index: usize,
@@ -90,7 +93,7 @@
             let blank = rest.len() - rest.trim_start().len();
             self.index += blank;
             if self.rest().starts_with("--") {
-                let end = self.rest().find('\n').unwrap_or(self.rest().len());
+                let end = self.rest().find(LINE_BREAKS).unwrap_or(self.rest().len());
                 self.index += end;
             } else if self.rest().starts_with("/*") {
                 self.skip_block_comment();
@@ -122,7 +125,38 @@
         }
     }
 
+    /// Takes a quoted text with the parts that continue it. Only for a text with escapes must these be
+    /// known, as they have escapes too; other parts are tokens of their own.
     fn take_quoted(&mut self, quote: char, escapes: bool) -> String {
+        let mut content = self.take_quoted_part(quote, escapes);
+        while escapes && self.skip_continuation(quote) {
+            content.push_str(&self.take_quoted_part(quote, escapes));
+        }
+        content
+    }
+
+    /// Skips to the next part of a string: one that follows whitespace and line comments with a line
+    /// break among them. Returns whether there is one.
+    fn skip_continuation(&mut self, quote: char) -> bool {
+        let mut rest = self.rest();
+        let mut has_break = false;
+        loop {
+            let next = rest.trim_start_matches([' ', '\t', '\n', '\r', '\u{b}', '\u{c}']);
+            has_break |= rest[..rest.len() - next.len()].contains(LINE_BREAKS);
+            rest = next;
+            let Some(comment) = rest.strip_prefix("--") else {
+                break;
+            };
+            rest = &comment[comment.find(LINE_BREAKS).unwrap_or(comment.len())..];
+        }
+        let continues = has_break && rest.starts_with(quote);
+        if continues {
+            self.index = self.text.len() - rest.len();
+        }
+        continues
+    }
+
+    fn take_quoted_part(&mut self, quote: char, escapes: bool) -> String {
         self.index += 1;
         let mut content = String::new();
         let mut characters = self.text[self.index..].char_indices().peekable();
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -73,6 +73,7 @@
 #[path = "../../examples/limits_bench/slot_sim.rs"]
 mod slot_sim;
 mod soak_checks;
+mod sql_tokens;
 mod standin_endpoint;
 mod standin_faults;
 mod standin_fixture;
