--- a/crates/front/src/endpoint_channel.rs
+++ b/crates/front/src/endpoint_channel.rs
@@ -127,9 +127,10 @@
         }
         let sent_at = now();
         for command in commands {
+            // Nothing of the commands was written, and nothing of them is left to be written.
             self.line
                 .queue(command)
-                .map_err(|_| StatementFault::Broken)?;
+                .map_err(|_| StatementFault::NotSent)?;
         }
         self.line
             .flush()
--- a/crates/front/src/statement_run.rs
+++ b/crates/front/src/statement_run.rs
@@ -4,6 +4,7 @@
 
 use platform::caller_codec::CallerReply;
 use platform::caller_limits::CONNECTION_ALLOWANCE;
+use platform::endpoint_codec;
 use platform::endpoint_codec::EndpointCommand;
 use platform::endpoint_codec::ForwardedStatement;
 use session_core::caller_statement::AccessMode;
@@ -14,6 +15,7 @@
 use session_core::memory_account::MemoryPart;
 use session_core::monotonic_time::MonotonicTime;
 use session_core::monotonic_time::now;
+use session_core::prepared_name::PreparedName;
 use session_core::request_outcome;
 use session_core::request_outcome::CallerVerdict;
 use session_core::request_outcome::OutcomeScope;
@@ -21,7 +23,6 @@
 use session_core::serving_rules::DatabaseRoute;
 use session_core::serving_rules::TeamLimit;
 use session_core::session_state::SessionState;
-use session_core::session_values;
 
 use crate::caller_session::CallerSession;
 use crate::caller_session::EndReason;
@@ -63,6 +64,11 @@
             self.fail_transaction();
             return Ok(());
         };
+        if let Err(error) = endpoint_codec::check_statement(id, &statement.forwarded) {
+            self.fail_transaction();
+            self.refuse_unsendable(id, &error, arrived);
+            return Ok(());
+        }
         let (route, team) = match self.access() {
             Ok(access) => access,
             Err(refusal) => return self.refuse_access(id, &refusal, arrived).await,
@@ -114,7 +120,7 @@
                 Some(EndpointStatement {
                     mode: definition.mode,
                     forwarded: ForwardedStatement::Execute {
-                        name: session_values::shared_name(&definition),
+                        name: PreparedName::new(&definition),
                         arguments,
                     },
                     definition: Some(definition),
@@ -428,7 +434,7 @@
             request = log_excerpt(progress.id),
             endpoint = %endpoint,
             connection = number,
-            prepared = statement.forwarded.prepared_name().map(log_excerpt),
+            prepared = statement.forwarded.prepared_name().map(PreparedName::as_str),
             primary = chosen.primary,
             floor = chosen.floor.map(|floor| floor.to_string()),
             floor_age_ms = chosen.floor_age.map(|age| age.as_millis() as u64),
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -40,6 +40,7 @@
 mod isolation_evidence;
 mod key_verifiers;
 mod key_withdrawal;
+mod line_fields;
 mod linear_history;
 mod loan_pacing;
 mod log_points;
@@ -72,6 +73,7 @@
 #[path = "../../examples/limits_bench/slot_sim.rs"]
 mod slot_sim;
 mod soak_checks;
+mod sql_tokens;
 mod standin_endpoint;
 mod standin_faults;
 mod standin_fixture;
