Show answers of the store that are taken for those of other calls

A server may send an answer twice, the second time late. The clients of the store and of promotions match answers to calls by their order on a kept connection. The tests range over copies that arrive before the next call, while it is under way and at its start, and over a client that is idle or busy between its calls.

A refused transaction returns the revision of the one before it, a renewal of an ended lease succeeds, a watch misses a change, and a refused promotion counts as accepted. Copies that arrive while the client is idle are noticed, as the connection is closed by then; those that arrive while its thread is busy are not.

cut_request_stays_alone passes: a request that is given up half-written already ends its connection.

--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -77,6 +77,7 @@
 mod standin_fixture;
 mod statement_limiters;
 mod store_adapter;
+mod store_answers;
 mod store_commands;
 mod support;
 mod whole_system;
