Send one store request of the PostgreSQL daemon on each connection

Seen: a request to the store got the answer of the request before it, where the store sends an answer twice. Before this change, store_answers::copied_swap_writes_nothing and copied_renew_prolongs_nothing failed in 4 of 9 cases: with the copy during the next request, and at its start after no pause, an idle or a busy one. The first returned "Written { revision: 7 }" for a write that the store had refused.

Cause: the client of ntex keeps connections and takes the first bytes after a request for its answer. It checks only that nothing was read before.

Requests now close their connection. An answer on a connection can only be that of its one request, whenever a copy arrives.

Opening is serialised by ntex's pool: while one connection attempt hangs, other requests wait for it, each up to its own time-out.

--- a/src/process/store_transport.rs
+++ b/src/process/store_transport.rs
@@ -123,7 +123,9 @@
     request: StoreRequest,
 ) -> Result<StoreReply, StoreError> {
     let url = format!("http://{address}{}", request.path);
-    let outgoing = client.request(request.method, url);
+    // Answers are matched to requests by their order on a connection alone. On one that is kept, a
+    // late copy of an answer would be taken for that of the next request.
+    let outgoing = client.request(request.method, url).force_close();
     let response = match request.body {
         Some(body) => {
             let outgoing = outgoing.content_type("application/json");
