Show a report's answer that is taken for that of a loan request

An instance numbers its loan requests, and the lender repeats the number. A message that wants no tokens (a report of failing primaries, pending orders or demand, at least one a second) has the number of the next request, and is answered with an empty loan. If that request is sent before this answer arrives, the answer counts as its own, and the loan that follows is ignored: the lender has deducted the tokens, and the caller waits for the next request.

--- a/crates/front/src/rate_exchange.rs
+++ b/crates/front/src/rate_exchange.rs
@@ -2,15 +2,13 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
-use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
 use session_core::ids::TeamId;
 use session_core::loan_pacer::LoanPacer;
-use session_core::monotonic_time::MonotonicTime;
+use session_core::loan_requests::LoanRequests;
 use session_core::monotonic_time::now;
-use session_core::rate_lender::LOAN_TIME;
 use session_core::rate_lender::LendingMode;
 use session_core::rate_lender::RateLender;
 use session_core::rate_share::RateShare;
@@ -27,8 +25,7 @@
 #[derive(Debug)]
 pub struct RateExchange {
     teams: RefCell<HashMap<TeamId, TeamShare>>,
-    requests: RefCell<BTreeMap<u64, MonotonicTime>>,
-    next_number: Cell<u64>,
+    requests: RefCell<LoanRequests>,
     pacer: Cell<LoanPacer>,
     /// Address of the deputy, which lends while the leader is silent.
     deputy: Cell<Option<SocketAddr>>,
@@ -42,8 +39,7 @@
     pub fn new(first_number: u64) -> Self {
         Self {
             teams: RefCell::default(),
-            requests: RefCell::default(),
-            next_number: Cell::new(first_number),
+            requests: RefCell::new(LoanRequests::new(first_number)),
             pacer: Cell::default(),
             deputy: Cell::default(),
             lender: RefCell::default(),
@@ -137,14 +133,11 @@
                 wanted.push((team.clone(), tokens as u32));
             }
         }
-        let number = self.next_number.get();
-        if !wanted.is_empty() {
-            self.next_number.set(number + 1);
+        let wants_tokens = !wanted.is_empty();
+        if wants_tokens {
             self.change_pacer(|pacer| pacer.record_request(at));
-            let mut requests = self.requests.borrow_mut();
-            requests.retain(|_, requested_at| at.saturating_since(*requested_at) < LOAN_TIME);
-            requests.insert(number, at);
         }
+        let number = self.requests.borrow_mut().create(wants_tokens, at);
         (number, wanted)
     }
 
@@ -167,7 +160,7 @@
 
     /// Adds loaned tokens to the shares. An answer is accepted only once.
     pub fn record_grant(&self, number: u64, lent: &[(TeamId, u32)]) {
-        let Some(requested_at) = self.requests.borrow_mut().remove(&number) else {
+        let Some(requested_at) = self.requests.borrow_mut().accept_answer(number) else {
             return;
         };
         self.change_pacer(LoanPacer::record_answer);
--- a/crates/session-core/src/lib.rs
+++ b/crates/session-core/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod ids;
 pub mod instance_rank;
 pub mod loan_pacer;
+pub mod loan_requests;
 pub mod log_point;
 pub mod memory_account;
 pub mod monotonic_time;
--- a/tests/testsuite/loan_pacing.rs
+++ b/tests/testsuite/loan_pacing.rs
@@ -1,9 +1,11 @@
-//! Guards against loan requests that keep an overloaded lender overloaded.
+//! Guards against loan requests that keep an overloaded lender overloaded, and against answers that are
+//! taken for those to other requests.
 
 use std::time::Duration;
 
 use session_core::loan_pacer::LoanPacer;
 use session_core::loan_pacer::REQUEST_PAUSE;
+use session_core::loan_requests::LoanRequests;
 use session_core::monotonic_time::MonotonicTime;
 use session_core::rate_share::RateShare;
 
@@ -43,3 +45,19 @@
     assert!(share.wanted(3, start + Duration::from_millis(20)) < 1.0);
     assert!(share.wanted(3, start + Duration::from_millis(60)) >= 3.0);
 }
+
+/// The answer to a report that wants no tokens lends none. Taken for the answer to the request after it,
+/// it would lose the tokens that the lender has deducted for that one.
+#[test]
+fn report_answers_no_request() {
+    let start = MonotonicTime::from_millis(1_000);
+    let mut requests = LoanRequests::new(7);
+    let report = requests.create(false, start);
+    let requested_at = start + Duration::from_millis(1);
+    let request = requests.create(true, requested_at);
+    let later_report = requests.create(false, start + Duration::from_millis(2));
+    assert_eq!(requests.accept_answer(report), None);
+    assert_eq!(requests.accept_answer(later_report), None);
+    assert_eq!(requests.accept_answer(request), Some(requested_at));
+    assert_eq!(requests.accept_answer(request), None);
+}
