Give each message to the lender a number of its own

Seen: the answer to a report without wanted tokens was accepted as the answer to the loan request after it, as both had one number. Before this change, loan_pacing::report_answers_no_request failed with "left: Some(MonotonicTime), right: None".

Cause: the number increased only with requests that want tokens.

Each message now takes a number. A number names one message of one incarnation for good, and its answer is accepted once, within the time of a loan and only if the message wanted tokens. An answer that is repeated, late or crossed therefore lends nothing. The tokens were lost, never lent twice, so that the bound on rates does not change. No message or byte is added.

--- a/crates/session-core/src/loan_requests.rs
+++ b/crates/session-core/src/loan_requests.rs
@@ -23,11 +23,12 @@
     }
 
     /// Returns the number of a request that is sent now. The answer to one that wants no tokens is
-    /// not awaited.
+    /// not awaited, but it has a number of its own: its answer lends nothing, and would otherwise be
+    /// taken for that to the next request.
     pub fn create(&mut self, wants_tokens: bool, now: MonotonicTime) -> u64 {
         let number = self.next_number;
+        self.next_number += 1;
         if wants_tokens {
-            self.next_number += 1;
             self.open
                 .retain(|_, requested_at| now.saturating_since(*requested_at) < LOAN_TIME);
             self.open.insert(number, now);
