Show copied answers of PostgreSQL endpoints in tests

Endpoints may send an answer twice, the second time at any later moment. Messages on a connection carry no id of their statement, so tamaracklbd matches them by order.

The scripted endpoint can send an answer, or its messages of one type, a second time: in the same write, before or after the answer to a later statement, or while the connection is idle. The tests cover reads, writes, transactions, errors, status reports, prepared statements, replayed settings and control calls.

Examples: - INSERT was answered with the row of the SELECT before it, and acknowledged. - A write that ran was answered with SQLSTATE 22012 of another statement. - A write that reached position 1 was acknowledged on a report of position 0. - The status calls for terms 2 and 3 returned those of terms 1 and 2. - A read from the pool got the rows of another session, as a connection with unread bytes passed the idle check before the reactor had seen them.

--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -40,6 +40,7 @@
 mod isolation_evidence;
 mod key_verifiers;
 mod key_withdrawal;
+mod late_answers;
 mod linear_history;
 mod loan_pacing;
 mod log_points;
--- a/tests/testsuite/scripted_endpoint.rs
+++ b/tests/testsuite/scripted_endpoint.rs
@@ -12,16 +12,58 @@
 use tamaracklb::connection::wire_frame;
 use tamaracklb::connection::wire_frame::WireFrame;
 use tamaracklb::connection::wire_reply;
+use tamaracklb::process::endpoint_status;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 
+/// Time after which a connection counts as idle.
+const IDLE_DELAY: std::time::Duration = std::time::Duration::from_millis(20);
+/// Time by which a copy precedes an answer.
+const EARLY_TIME: std::time::Duration = std::time::Duration::from_millis(2);
 const FRAME_LIMIT: usize = 64 * 1024 * 1024;
 
+/// The messages of an answer that an endpoint sends a second time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RepeatedPart {
+    /// All of them, up to ReadyForQuery.
+    Whole,
+    /// Those of this type.
+    Kind(u8),
+}
+
+/// When an endpoint sends an answer the second time.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RepeatTime {
+    /// In the same write.
+    AtOnce,
+    /// Before the answer to the next simple query, of a caller or of the instance.
+    BeforeAny,
+    /// Before the answer to the next statement of a caller.
+    BeforeNext,
+    /// After the answer to the next statement of a caller, before what follows it.
+    AfterNext,
+    /// While the connection is idle.
+    Idle,
+}
+
+/// An answer that an endpoint sends a second time.
+#[derive(Debug, Clone)]
+pub struct AnswerRepeat {
+    /// Text that the statement of the answer contains.
+    pub statement: String,
+    /// What is sent again.
+    pub part: RepeatedPart,
+    /// When it is sent again.
+    pub time: RepeatTime,
+}
+
 /// Behavior of a scripted endpoint and what it received.
 #[derive(Default)]
 pub struct EndpointScript {
+    /// The next answer to repeat; repeated once.
+    pub repeat: Mutex<Option<AnswerRepeat>>,
     /// Statements in order of arrival, each with the number of its connection.
     pub received: Mutex<Vec<(u64, String)>>,
     /// Number of bytes in copied rows.
@@ -77,6 +119,11 @@
             .collect()
     }
 
+    /// Sets the term that status reports name.
+    pub fn set_term(&self, term: u64) {
+        self.term.store(term, Ordering::Relaxed);
+    }
+
     /// Returns the number of connections opened so far.
     pub fn connections(&self) -> u64 {
         self.connections.load(Ordering::Relaxed)
@@ -94,6 +141,9 @@
             portals: HashMap::new(),
             failed: false,
             copying: None,
+            last_query: String::new(),
+            answer: BytesMut::new(),
+            copy: None,
         };
         // A connection error ends the session, as on a real endpoint.
         let _ = session.run().await;
@@ -112,6 +162,12 @@
     failed: bool,
     /// Kind of the message that started the current copy: Query or Execute.
     copying: Option<u8>,
+    /// The statement that ran last.
+    last_query: String,
+    /// The present answer so far.
+    answer: BytesMut,
+    /// A copy of an earlier answer that is still to be sent.
+    copy: Option<(RepeatTime, BytesMut)>,
 }
 
 fn read_text(bytes: &[u8]) -> (String, &[u8]) {
@@ -139,13 +195,14 @@
                 if let Some(frame) = found.expect("frame") {
                     break frame;
                 }
-                if self.stream.read_buf(&mut self.input).await? == 0 {
+                if self.read_input().await? == 0 {
                     return Ok(());
                 }
             };
             if !self.answer(&frame).await? {
                 return Ok(());
             }
+            self.repeat_answer(&frame).await?;
         }
     }
 
@@ -262,6 +319,82 @@
         Ok(true)
     }
 
+    /// Adds a due copy of an earlier answer to the output, and makes one of this answer if asked.
+    async fn repeat_answer(&mut self, frame: &WireFrame) -> std::io::Result<()> {
+        let is_end = matches!(frame.kind(), b'Q' | b'S');
+        let is_callers = match frame.kind() {
+            b'Q' => {
+                let (query, _) = read_text(frame.body());
+                !query.contains("platform_") && !query.contains("tamaracklb.")
+            }
+            b'E' => true,
+            _ => false,
+        };
+        if frame.kind() == b'Q'
+            && let Some((_, copy)) = self.copy.take_if(|copy| copy.0 == RepeatTime::BeforeAny)
+        {
+            self.write_early(copy).await?;
+        }
+        if is_callers {
+            match self.copy.take() {
+                Some((RepeatTime::BeforeNext, copy)) => {
+                    self.write_early(copy).await?;
+                }
+                Some((RepeatTime::AfterNext, copy)) => {
+                    let mut out = std::mem::take(&mut self.out);
+                    out.extend_from_slice(&copy);
+                    self.write_early(out).await?;
+                }
+                other => self.copy = other,
+            }
+        }
+        self.answer.extend_from_slice(&self.out);
+        if !is_end {
+            return Ok(());
+        }
+        let mut answer = std::mem::take(&mut self.answer);
+        let mut repeat = self.script.repeat.lock().expect("lock");
+        let is_wanted = |repeat: &mut AnswerRepeat| self.last_query.contains(&repeat.statement);
+        let Some(repeat) = repeat.take_if(is_wanted) else {
+            return Ok(());
+        };
+        let mut copy = BytesMut::new();
+        while let Ok(Some(frame)) = WireFrame::split_first(&mut answer, FRAME_LIMIT) {
+            if matches!(repeat.part, RepeatedPart::Whole)
+                || repeat.part == RepeatedPart::Kind(frame.kind())
+            {
+                copy.extend_from_slice(frame.bytes());
+            }
+        }
+        if repeat.time == RepeatTime::AtOnce {
+            self.out.extend_from_slice(&copy);
+        } else {
+            self.copy = Some((repeat.time, copy));
+        }
+        Ok(())
+    }
+
+    /// Sends bytes so that they arrive alone, before what follows.
+    async fn write_early(&mut self, mut copy: BytesMut) -> std::io::Result<()> {
+        self.stream.write_all_buf(&mut copy).await?;
+        tokio::time::sleep(EARLY_TIME).await;
+        Ok(())
+    }
+
+    /// Waits for input; sends a copy that is due while the connection is idle.
+    async fn read_input(&mut self) -> std::io::Result<usize> {
+        if let Some((RepeatTime::Idle, copy)) = &mut self.copy {
+            tokio::select! {
+                biased;
+                read = self.stream.read_buf(&mut self.input) => return read,
+                () = tokio::time::sleep(IDLE_DELAY) => {}
+            }
+            self.stream.write_all_buf(copy).await?;
+            self.copy = None;
+        }
+        self.stream.read_buf(&mut self.input).await
+    }
+
     fn ready(&mut self) {
         wire_reply::put_ready(self.status, &mut self.out);
     }
@@ -286,6 +419,7 @@
     /// Runs one statement; returns whether the connection stays open.
     async fn run_statement(&mut self, query: &str, kind: u8) -> std::io::Result<bool> {
         let received = (self.connection_number, query.trim().to_owned());
+        self.last_query = received.1.clone();
         self.script.received.lock().expect("lock").push(received);
         let script = self.script.clone();
         if query.contains("die now") {
@@ -364,7 +498,11 @@
         } else {
             1
         };
-        let value = format!("connection {}", self.connection_number);
+        let value = if query.contains("echo") {
+            query.trim().to_owned()
+        } else {
+            format!("connection {}", self.connection_number)
+        };
         for _ in 0..rows {
             wire_reply::put_text_row(&value, &mut self.out);
             if self.out.len() > 64 * 1024 {
@@ -375,6 +513,18 @@
         Ok(true)
     }
 
+    /// Adds the description of columns with the type text.
+    fn put_columns(&mut self, names: &[&str]) {
+        let mut body = vec![0, u8::try_from(names.len()).expect("count")];
+        for name in names {
+            body.extend_from_slice(name.as_bytes());
+            // No table, type 25 of any length, text format.
+            body.extend_from_slice(&[0, 0, 0, 0, 0, 0, 0, 0, 0, 0, 25]);
+            body.extend_from_slice(&[255, 255, 255, 255, 255, 255, 0, 0]);
+        }
+        self.put(b'T', &body);
+    }
+
     fn put_status(&mut self) {
         let script = &self.script;
         let role = if script.replica.load(Ordering::Relaxed) {
@@ -389,7 +539,9 @@
             row.extend_from_slice(&u32::try_from(value.len()).expect("length").to_be_bytes());
             row.extend_from_slice(value.as_bytes());
         }
-        wire_reply::put_text_column("role", &mut self.out);
+        let names = endpoint_status::STATUS_COLUMNS.iter().copied();
+        let names: Vec<&str> = names.collect();
+        self.put_columns(&names);
         self.put(b'D', &row);
         wire_reply::put_complete("SELECT 1", &mut self.out);
     }
