Recognize answers of PostgreSQL endpoints by a marker

Callers of tamaracklbd got rows, tags and errors of other statements when an endpoint sent an answer twice. The daemon matched messages by order: the first message of a suitable type after a statement was taken as its answer, and completions of a simple query were not counted. The idle check of the pool does not see bytes that the reactor has not reported yet. A status report of an earlier transaction proved a later commit.

In a failed transaction a reference to an absent prepared statement with the nonce as its name follows, one round trip later. The endpoint answers in order, so everything before the nonce includes the whole answer; copies can only add messages, and these violate the order of messages, the number of completions or the number of rows in the tag. The connection is then closed.

An error after the completion of all statements, as of a deferred constraint at Sync, can no longer be told from a copy and becomes 40003.

Unexpected answers are counted by fault in tamaracklb_unexpected_answers_total and logged with the connection number.

No round trip is added, except after an error inside a transaction.

--- a/crates/session-core/src/answer_check.rs
+++ b/crates/session-core/src/answer_check.rs
@@ -64,6 +64,8 @@
     MessageOrder,
     /// After a refusal, another answer than that of the following statement arrived.
     UnconfirmedRefusal,
+    /// The statement that the daemon sent to mark the end of the answer has another answer than its own.
+    WrongMarker,
 }
 
 impl AnswerFault {
@@ -89,6 +91,7 @@
             AnswerFault::UnexpectedState => "unexpected_state",
             AnswerFault::MessageOrder => "message_order",
             AnswerFault::UnconfirmedRefusal => "unconfirmed_refusal",
+            AnswerFault::WrongMarker => "wrong_marker",
         })
     }
 }
--- a/crates/standins/src/endpoint/parser.rs
+++ b/crates/standins/src/endpoint/parser.rs
@@ -176,9 +176,16 @@
         return select_values(cursor);
     }
     if cursor.take_symbol('*') {
+        let mut extra = Vec::new();
+        while cursor.take_symbol(',') {
+            let value = cursor.value(ColumnType::Text)?;
+            cursor.expect_word("as")?;
+            extra.push((cursor.name()?, value));
+        }
         cursor.expect_word("from")?;
-        return match tokens.get(2) {
-            Some(SqlToken::Word(name)) if name.starts_with("platform_") => platform(cursor),
+        return match cursor.rest().first() {
+            Some(SqlToken::Word(name)) if name.starts_with("platform_") => platform(cursor, extra),
+            _ if !extra.is_empty() => Err(SqlError::syntax("unexpected columns after *")),
             _ => select_table(
                 cursor,
                 TableColumns::Named(vec!["key".to_owned(), "value".to_owned()]),
@@ -293,7 +300,10 @@
     Ok(values)
 }
 
-fn platform(cursor: &mut TokenCursor<'_>) -> Result<SqlStatement, SqlError> {
+fn platform(
+    cursor: &mut TokenCursor<'_>,
+    extra: Vec<(String, SqlValue)>,
+) -> Result<SqlStatement, SqlError> {
     let number = ColumnType::Int8;
     let name = match cursor.rest().first() {
         Some(SqlToken::Word(name)) => name.clone(),
@@ -314,7 +324,7 @@
         ("platform_promote", Some(term), Some(by), None) => PlatformCall::Promote(term, by),
         _ => PlatformCall::Status,
     };
-    Ok(SqlStatement::Platform(call))
+    Ok(SqlStatement::Platform { call, extra })
 }
 
 fn copy(cursor: &mut TokenCursor<'_>) -> Result<SqlStatement, SqlError> {
--- a/crates/standins/src/endpoint/run.rs
+++ b/crates/standins/src/endpoint/run.rs
@@ -158,11 +158,11 @@
             remaining: number(value(rows))?,
             bytes: number(value(bytes))?,
         })),
-        SqlStatement::Platform(call) => {
+        SqlStatement::Platform { call, extra } => {
             let report = run_platform_call(shared, call, value).await?;
-            Ok(StatementOutcome::Rows(RowSource::list(vec![report_row(
-                report,
-            )])))
+            let mut row = report_row(report);
+            row.extend(extra.iter().map(|(_, extra)| value(extra)));
+            Ok(StatementOutcome::Rows(RowSource::list(vec![row])))
         }
         SqlStatement::CopyIn => Ok(StatementOutcome::CopyIn),
         SqlStatement::CopyOut => Ok(StatementOutcome::CopyOut(
--- a/crates/standins/src/endpoint/session.rs
+++ b/crates/standins/src/endpoint/session.rs
@@ -347,10 +347,10 @@
     }
 
     fn statement(&self, name: &str) -> Result<Option<Arc<ParsedStatement>>, SqlError> {
-        self.statements
-            .get(name)
-            .cloned()
-            .ok_or_else(|| SqlError::new("26000", "prepared statement does not exist"))
+        self.statements.get(name).cloned().ok_or_else(|| {
+            let message = format!("prepared statement \"{name}\" does not exist");
+            SqlError::new("26000", message)
+        })
     }
 
     fn bind(&mut self, bind: &Bind) -> Result<(), SessionError> {
--- a/crates/standins/src/endpoint/statement.rs
+++ b/crates/standins/src/endpoint/statement.rs
@@ -94,7 +94,11 @@
     /// `SELECT repeat_rows(n, bytes)`
     RepeatRows { rows: SqlValue, bytes: SqlValue },
     /// `SELECT * FROM platform_...`
-    Platform(PlatformCall),
+    Platform {
+        call: PlatformCall,
+        /// Values that the row returns after the columns of the function, with their names.
+        extra: Vec<(String, SqlValue)>,
+    },
     /// `COPY kv FROM STDIN`
     CopyIn,
     /// `COPY kv TO STDOUT`
@@ -147,7 +151,11 @@
             SqlStatement::RepeatRows { .. } => {
                 vec![ReplyColumn::new("repeat_rows", ColumnType::Text)]
             }
-            SqlStatement::Platform(_) => platform_columns(),
+            SqlStatement::Platform { extra, .. } => {
+                let extra = extra.iter();
+                let extra = extra.map(|(name, value)| ReplyColumn::new(name, value.kind()));
+                platform_columns().into_iter().chain(extra).collect()
+            }
             _ => Vec::new(),
         }
     }
--- a/src/connection/caller_session.rs
+++ b/src/connection/caller_session.rs
@@ -6,14 +6,17 @@
 use std::time::Instant;
 
 use bytes::BytesMut;
+use session_core::answer_check::AnswerFault;
 use session_core::memory_account::MemoryPart;
 use tokio::sync::watch;
 
+use crate::connection::answer_reporter::report_unexpected;
 use crate::connection::caller_identity::CallerIdentity;
 use crate::connection::caller_stream::CallerFault;
 use crate::connection::caller_stream::CallerStream;
 use crate::connection::cancel_registry::CancelEntry;
 use crate::connection::endpoint_lease::EndpointLease;
+use crate::connection::endpoint_link;
 use crate::connection::endpoint_link::LinkError;
 use crate::connection::listener::ListenerState;
 use crate::connection::listener::ListenerView;
@@ -223,7 +226,11 @@
             pumped.clone()?;
             while let Some(frame) = lease.link.next_frame()? {
                 if !matches!(frame.kind(), b'N' | b'S' | b'A') {
-                    return Err(LinkError::Protocol);
+                    if endpoint_link::is_fatal(&frame) {
+                        return Err(LinkError::from_error(&frame));
+                    }
+                    let fault = AnswerFault::Unrequested;
+                    return Err(LinkError::Unexpected { fault });
                 }
                 self.caller
                     .write(frame.bytes())
@@ -231,7 +238,10 @@
             }
             Ok(())
         };
-        if let Err(error) = read() {
+        let received = read();
+        if let Err(error) = received {
+            let (endpoint, connection) = (&lease.endpoint, lease.link.number);
+            report_unexpected(&self.state.ports, endpoint, connection, &error);
             tracing::debug!("caller: endpoint connection of an open session ended: {error}");
             let message = "the endpoint connection of the session was lost";
             return Err(self.send_fatal(&CallerError::new("40003", message)));
--- a/src/connection/endpoint_link.rs
+++ b/src/connection/endpoint_link.rs
@@ -10,6 +10,8 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::pin::pin;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::task::Context;
 use std::task::Poll;
 use std::task::Waker;
@@ -21,12 +23,14 @@
 use pgwire::messages::startup::SASLInitialResponse;
 use pgwire::messages::startup::SASLResponse;
 use pgwire::messages::startup::Startup;
-use tokio::io::AsyncRead;
+use session_core::answer_check::AnswerFault;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWrite;
-use tokio::io::ReadBuf;
 use tokio::net::TcpStream;
 
+use crate::connection::answer_marker::AnswerMarker;
+use crate::connection::answer_marker::MarkerKind;
+use crate::connection::answer_marker::MarkerOutcome;
 use crate::connection::listener_config::ListenerConfig;
 use crate::connection::prepared_statement::StatementHash;
 use crate::connection::scram;
@@ -36,9 +40,11 @@
 use crate::connection::wire_frame::WireFrame;
 use crate::connection::wire_reply;
 use crate::process::endpoint_status::EndpointStatus;
-use crate::process::endpoint_status::STATUS_QUERY;
 use crate::request::log_point::LogTerm;
 
+/// Number of connections opened so far.
+static CONNECTIONS: AtomicU64 = AtomicU64::new(0);
+
 const READ_CHUNK_BYTES: usize = 8 * 1024;
 const MAX_IDLE_BUFFER_BYTES: usize = 64 * 1024;
 
@@ -61,6 +67,11 @@
     },
     /// A message of the endpoint violates the protocol.
     Protocol,
+    /// A message of the endpoint does not belong to the awaited answer.
+    Unexpected {
+        /// How that was recognized.
+        fault: AnswerFault,
+    },
     /// The endpoint may no longer serve the request, for example after a promotion.
     Superseded,
 }
@@ -75,6 +86,7 @@
                 write!(f, "endpoint answered with SQLSTATE {sqlstate}")
             }
             LinkError::Protocol => f.write_str("endpoint message violates the protocol"),
+            LinkError::Unexpected { fault } => write!(f, "unexpected answer of endpoint: {fault}"),
             LinkError::Superseded => f.write_str("endpoint may no longer serve the request"),
         }
     }
@@ -122,6 +134,8 @@
 
 /// One connection to an endpoint, with the session state that the endpoint holds for it.
 pub struct EndpointLink {
+    /// Number of the connection in log lines.
+    pub number: u64,
     stream: TcpStream,
     input: BytesMut,
     /// Bytes that are not written yet.
@@ -204,6 +218,7 @@
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
         let mut link = Self {
+            number: CONNECTIONS.fetch_add(1, Ordering::Relaxed) + 1,
             stream,
             input: BytesMut::new(),
             output: BytesMut::new(),
@@ -350,16 +365,45 @@
         Ok(wrote)
     }
 
-    /// Returns whether an idle connection is still open and has no pending input or output.
-    pub fn is_clean(&mut self) -> bool {
-        if !self.input.is_empty() || !self.output.is_empty() {
-            return false;
+    /// Checks that an idle connection of the pool is open and has neither input nor output.
+    pub fn check_idle(&mut self) -> Result<(), LinkError> {
+        self.check_requested()?;
+        if self.input.is_empty() && self.output.is_empty() {
+            Ok(())
+        } else {
+            Err(LinkError::Protocol)
         }
-        let mut byte = [0];
-        let mut buffer = ReadBuf::new(&mut byte);
+    }
+
+    /// Checks that no answer arrived since the last statement was answered.
+    ///
+    /// An endpoint may send notices, parameters and notifications at any time, and a fatal error
+    /// before it closes the connection.
+    pub fn check_requested(&mut self) -> Result<(), LinkError> {
         let mut context = Context::from_waker(Waker::noop());
-        let reading = Pin::new(&mut self.stream).poll_read(&mut context, &mut buffer);
-        reading.is_pending()
+        loop {
+            self.input.reserve(READ_CHUNK_BYTES);
+            let reading = pin!(self.stream.read_buf(&mut self.input));
+            match reading.poll(&mut context)? {
+                Poll::Ready(0) => return Err(io::Error::from(io::ErrorKind::UnexpectedEof).into()),
+                Poll::Ready(_) => {}
+                Poll::Pending => break,
+            }
+        }
+        let mut rest = &self.input[..];
+        while let Some(kind) = rest.first() {
+            let frame = WireFrame::copy_first(rest, self.max_message_bytes)?;
+            if let Some((frame, _)) = frame.filter(|(frame, _)| is_fatal(frame)) {
+                return Err(LinkError::from_error(&frame));
+            }
+            if !matches!(kind, b'N' | b'S' | b'A') {
+                let fault = AnswerFault::Unrequested;
+                return Err(LinkError::Unexpected { fault });
+            }
+            let size = WireFrame::peek_size(rest, self.max_message_bytes)?;
+            rest = size.and_then(|size| rest.get(size..)).unwrap_or_default();
+        }
+        Ok(())
     }
 
     /// Registers the connection with the reactor of the calling thread.
@@ -377,43 +421,62 @@
         }
     }
 
-    /// Runs SQL text of the instance, discards any rows, and waits for completion within `limit`.
+    /// Runs SQL text of the instance without rows, and waits for completion within `limit`.
     pub async fn run_text(&mut self, text: &str, limit: Duration) -> Result<(), LinkError> {
-        self.run_query(text, limit).await.map(|_| ())
-    }
-
-    /// Queries the status of the endpoint and records its term; fails after the time `limit`.
-    pub async fn read_status(&mut self, limit: Duration) -> Result<EndpointStatus, LinkError> {
-        let row = self.run_query(STATUS_QUERY, limit).await?;
-        let status = parse_status(&row.ok_or(LinkError::Protocol)?)?;
-        self.term = Some(status.point.term);
-        Ok(status)
-    }
-
-    async fn run_query(
-        &mut self,
-        text: &str,
-        limit: Duration,
-    ) -> Result<Option<WireFrame>, LinkError> {
+        self.check_requested()?;
         self.put_query(text);
+        let mut marker = AnswerMarker::new(MarkerKind::Setting);
+        marker.put(&mut self.output);
         let running = async {
-            let mut row = None;
             let mut refusal = None;
             loop {
                 let frame = self.read_frame().await?;
                 match frame.kind() {
-                    b'D' => row = Some(frame),
-                    b'E' => refusal = Some(LinkError::from_error(&frame)),
-                    b'Z' => return refusal.map_or(Ok(row), Err),
-                    _ => {}
+                    b'N' | b'S' | b'A' => {}
+                    b'C' if refusal.is_none() => {}
+                    b'E' if refusal.is_none() => refusal = Some(LinkError::from_error(&frame)),
+                    b'Z' => break,
+                    _ => {
+                        let fault = AnswerFault::MessageOrder;
+                        return Err(LinkError::Unexpected { fault });
+                    }
                 }
             }
+            self.await_marker(&mut marker).await?;
+            refusal.map_or(Ok(()), Err)
         };
         tokio::time::timeout(limit, running)
             .await
             .map_err(|_| LinkError::Deadline)?
     }
 
+    /// Queries the status of the endpoint and records its term; fails after the time `limit`.
+    pub async fn read_status(&mut self, limit: Duration) -> Result<EndpointStatus, LinkError> {
+        self.check_requested()?;
+        let mut marker = AnswerMarker::new(MarkerKind::Status);
+        marker.put(&mut self.output);
+        let status = tokio::time::timeout(limit, self.await_marker(&mut marker))
+            .await
+            .map_err(|_| LinkError::Deadline)??
+            .ok_or(LinkError::Protocol)?;
+        self.term = Some(status.point.term);
+        Ok(status)
+    }
+
+    async fn await_marker(
+        &mut self,
+        marker: &mut AnswerMarker,
+    ) -> Result<Option<EndpointStatus>, LinkError> {
+        loop {
+            let frame = self.read_frame().await?;
+            match marker.receive(&frame)? {
+                Some(MarkerOutcome::Matched(status)) => return Ok(status),
+                Some(MarkerOutcome::Refused) => return Err(LinkError::Protocol),
+                None => {}
+            }
+        }
+    }
+
     /// Adds a simple query to the output.
     pub fn put_query(&mut self, text: &str) {
         let mut body = Vec::with_capacity(text.len() + 1);
@@ -424,12 +487,6 @@
     }
 }
 
-/// Parses the row of a status query.
-pub fn parse_status(row: &WireFrame) -> Result<EndpointStatus, LinkError> {
-    let columns = wire_frame::read_row(row.body())?;
-    EndpointStatus::from_text_row(&columns).map_err(|_| LinkError::Protocol)
-}
-
 /// Returns the SQLSTATE of an ErrorResponse, if it has one.
 pub fn read_sqlstate(frame: &WireFrame) -> Option<&str> {
     read_field(frame, b'C')
@@ -437,6 +494,9 @@
 
 /// Returns whether an ErrorResponse ends its connection.
 pub fn is_fatal(frame: &WireFrame) -> bool {
+    if frame.kind() != b'E' {
+        return false;
+    }
     let severity = read_field(frame, b'V').or_else(|| read_field(frame, b'S'));
     matches!(severity, Some("FATAL" | "PANIC"))
 }
--- a/src/connection/endpoint_pool.rs
+++ b/src/connection/endpoint_pool.rs
@@ -14,9 +14,11 @@
 
 use tokio::sync::Notify;
 
+use crate::connection::answer_reporter::report_unexpected;
 use crate::connection::endpoint_link::EndpointLink;
 use crate::connection::endpoint_link::LinkError;
 use crate::connection::listener_config::ListenerConfig;
+use crate::request::ports::RequestPorts;
 use crate::version::ids::EndpointId;
 use crate::version::ids::ServiceId;
 
@@ -29,6 +31,7 @@
     shards: Vec<Mutex<HashMap<PoolKey, Arc<LinkPool>>>>,
     hasher: RandomState,
     config: Arc<ListenerConfig>,
+    ports: Arc<RequestPorts>,
 }
 
 /// The pooled connections to one endpoint.
@@ -77,11 +80,12 @@
 
 impl EndpointPool {
     /// Creates an empty pool.
-    pub fn new(config: Arc<ListenerConfig>) -> Self {
+    pub fn new(config: Arc<ListenerConfig>, ports: Arc<RequestPorts>) -> Self {
         Self {
             shards: (0..SHARD_COUNT).map(|_| Mutex::default()).collect(),
             hasher: RandomState::new(),
             config,
+            ports,
         }
     }
 
@@ -103,8 +107,9 @@
             tokio::pin!(freed);
             freed.as_mut().enable();
             while let Some(mut link) = pool.take_idle(settings) {
-                if link.is_clean() {
-                    return Ok(link);
+                match link.check_idle() {
+                    Ok(()) => return Ok(link),
+                    Err(error) => report_unexpected(&self.ports, &key.1, link.number, &error),
                 }
             }
             if let Some(reserved) = pool.reserve(limit.max(1)) {
--- a/src/connection/exchange.rs
+++ b/src/connection/exchange.rs
@@ -5,8 +5,12 @@
 use std::time::Duration;
 
 use bytes::BytesMut;
+use session_core::answer_check::AnswerFault;
 use tokio::time::Instant;
 
+use crate::connection::answer_marker::AnswerMarker;
+use crate::connection::answer_marker::MarkerKind;
+use crate::connection::answer_marker::MarkerOutcome;
 use crate::connection::caller_stream::CallerFault;
 use crate::connection::caller_stream::CallerStream;
 use crate::connection::endpoint_lease::EndpointLease;
@@ -19,12 +23,12 @@
 use crate::connection::request_batch::BatchPlan;
 use crate::connection::request_batch::PreparedMap;
 use crate::connection::request_batch::RequestBatch;
+use crate::connection::statement_answer::StatementAnswer;
 use crate::connection::wire_frame;
 use crate::connection::wire_frame::WireFrame;
 use crate::connection::wire_reply::CallerError;
 use crate::process::endpoint_status::EndpointRole;
 use crate::process::endpoint_status::EndpointStatus;
-use crate::process::endpoint_status::STATUS_QUERY;
 use crate::request::ports::RequestClass;
 use crate::request::statement::StatementKind;
 
@@ -32,6 +36,9 @@
 const MAX_PREPARED_STATEMENTS: usize = 256;
 /// Interval at which a waiting request checks its deadlines, its key and its permit.
 const CHECK_PERIOD: Duration = Duration::from_millis(100);
+/// Maximum number of markers that an endpoint may refuse, for example in a failed transaction or because
+/// a cancel request of the caller arrived late.
+const MAX_REFUSED_MARKERS: usize = 2;
 
 /// How a request on an endpoint connection ended.
 #[derive(Debug)]
@@ -100,9 +107,13 @@
         internal: bool,
     },
     Describe,
-    Execute(Option<Arc<PreparedStatement>>),
+    Execute {
+        statement: Option<Arc<PreparedStatement>>,
+        /// Number of rows after which the endpoint suspends the portal; 0 means none.
+        limit: u64,
+    },
     Sync,
-    Status,
+    Marker(AnswerMarker),
     /// An answer that the instance gives itself, sent in order with those of the endpoint.
     Local(WireFrame),
 }
@@ -141,12 +152,15 @@
     /// Whether the endpoint has answered a commit whose answer is still held back.
     pub commit_held: bool,
     expected: VecDeque<ExpectedAnswer>,
+    /// The answer to the present statement.
+    answer: StatementAnswer,
+    refused_markers: usize,
     /// Prepared names that the request changed, with their previous statements.
     replaced: Vec<(Vec<u8>, Option<Arc<PreparedStatement>>)>,
     input: InputMode,
     /// Whether the completion of a statement that may end its transaction is held back.
     completion_held: bool,
-    /// Whether the answer is held back because the request may still be retried.
+    /// Whether the answer is held back until its marker is answered.
     buffering: bool,
     failed: bool,
     /// Whether the endpoint refused to write before the request had any effect.
@@ -170,6 +184,8 @@
         Self {
             caller,
             buffering: false,
+            answer: StatementAnswer::default(),
+            refused_markers: 0,
             lease,
             prepared,
             plan,
@@ -194,7 +210,8 @@
     /// Runs the request up to ReadyForQuery, and the status query after a transaction.
     pub async fn run(&mut self, batch: &RequestBatch) -> Result<ExchangeOutcome, ExchangeFault> {
         // A caller that sends Flush waits for the answer, so it must not be held back.
-        self.buffering = batch.complete && !self.lease.in_progress;
+        self.buffering = batch.complete;
+        self.lease.link.check_requested()?;
         if !self.plan.simple {
             self.input = InputMode::Batch;
         }
@@ -268,7 +285,7 @@
                 self.expected.push_back(ExpectedAnswer::Query);
                 self.complete = true;
                 if !self.plan.copies {
-                    self.query_status();
+                    self.put_marker();
                 }
             }
             (InputMode::Copy, b'd') => self.forward(frame),
@@ -280,7 +297,7 @@
                     InputMode::Batch
                 };
                 if self.plan.simple && self.plan.statements.len() == 1 {
-                    self.query_status();
+                    self.put_marker();
                 }
             }
             (InputMode::Copy, b'H' | b'S') => {}
@@ -289,12 +306,18 @@
             (InputMode::Batch, b'D') => self.send_describe(frame)?,
             (InputMode::Batch, b'C') => self.send_close(frame)?,
             (InputMode::Batch, b'E') => {
-                let (portal, _) = wire_frame::split_text(frame.body())?;
+                let (portal, rest) = wire_frame::split_text(frame.body())?;
+                let limit = rest
+                    .first_chunk()
+                    .map_or(0, |limit| i32::from_be_bytes(*limit));
                 let statement = self.lease.portals.get(portal).cloned().flatten();
                 let info = statement.as_ref().and_then(|found| found.info.as_ref());
                 self.lease.pinned |= info.is_some_and(|info| info.pins);
                 self.forward(frame);
-                self.expected.push_back(ExpectedAnswer::Execute(statement));
+                self.expected.push_back(ExpectedAnswer::Execute {
+                    statement,
+                    limit: u64::try_from(limit).unwrap_or(0),
+                });
             }
             (InputMode::Batch, b'H') => self.forward(frame),
             (InputMode::Batch, b'S') => {
@@ -303,7 +326,7 @@
                 self.input = InputMode::Closed;
                 self.complete = true;
                 if !self.plan.copies {
-                    self.query_status();
+                    self.put_marker();
                 }
             }
             (InputMode::Batch, b'd' | b'c' | b'f') => {}
@@ -320,17 +343,24 @@
         self.lease.link.output.extend_from_slice(frame.bytes());
     }
 
-    /// Adds a status query after the request if the request ends a transaction.
-    fn query_status(&mut self) {
+    /// Adds a marker after the request: a status query if the request ends a transaction.
+    fn put_marker(&mut self) {
         let ends = if self.lease.in_transaction() {
             self.plan.ends
         } else {
             !self.plan.opens || self.plan.ends
         };
-        if ends && self.needs_status() {
-            self.lease.link.put_query(STATUS_QUERY);
-            self.expected.push_back(ExpectedAnswer::Status);
-        }
+        self.put_marker_of(if ends && self.needs_status() {
+            MarkerKind::Status
+        } else {
+            MarkerKind::Setting
+        });
+    }
+
+    fn put_marker_of(&mut self, kind: MarkerKind) {
+        let marker = AnswerMarker::new(kind);
+        marker.put(&mut self.lease.link.output);
+        self.expected.push_back(ExpectedAnswer::Marker(marker));
     }
 
     fn needs_status(&self) -> bool {
@@ -448,16 +478,14 @@
     /// Handles a message from the endpoint.
     fn receive(&mut self, frame: &WireFrame) -> Result<(), ExchangeFault> {
         self.deliver_local_answers()?;
-        if matches!(self.expected.front(), Some(ExpectedAnswer::Status)) {
-            return self.receive_status(frame);
+        if matches!(self.expected.front(), Some(ExpectedAnswer::Marker(_))) {
+            return self.receive_marker(frame);
+        }
+        if self.failed && !matches!(frame.kind(), b'N' | b'S' | b'A' | b'Z') {
+            return Err(unexpected(AnswerFault::MessageOrder));
         }
         match (frame.kind(), self.expected.front()) {
-            // An endpoint may send parameters and notices after the completion of a transaction.
-            (b'N' | b'S' | b'A', _) if self.completion_held => {
-                self.held.extend_from_slice(frame.bytes());
-                Ok(())
-            }
-            (b'N' | b'S' | b'A', _) => self.hold_or_deliver(frame),
+            (b'N' | b'S' | b'A', _) => self.receive_notice(frame),
             (b'E', _) => self.receive_error(frame),
             (b'Z', Some(ExpectedAnswer::Query | ExpectedAnswer::Sync)) => self.receive_ready(frame),
             (b'1', Some(ExpectedAnswer::Parse { .. })) => {
@@ -484,23 +512,47 @@
                 self.expected.pop_front();
                 self.hold_or_deliver(frame)
             }
-            (b'T', Some(ExpectedAnswer::Query)) => self.hold_or_deliver(frame),
-            (b'D' | b'd', Some(ExpectedAnswer::Query | ExpectedAnswer::Execute(_))) => {
-                self.deliver(frame)
-            }
-            (b'H' | b'c', Some(ExpectedAnswer::Query | ExpectedAnswer::Execute(_))) => {
-                self.deliver(frame)
-            }
-            (b'G', Some(ExpectedAnswer::Query | ExpectedAnswer::Execute(_))) => {
-                self.receive_copy_in(frame)
+            (
+                b'T' | b'D' | b'd' | b'H' | b'c' | b'G',
+                Some(ExpectedAnswer::Query | ExpectedAnswer::Execute { .. }),
+            ) => self.receive_part(frame),
+            (b'C' | b'I' | b's', Some(ExpectedAnswer::Query | ExpectedAnswer::Execute { .. })) => {
+                self.receive_complete(frame)
             }
-            (b'C' | b'I' | b's', Some(ExpectedAnswer::Query)) => self.receive_complete(frame),
-            (b'C' | b'I' | b's', Some(ExpectedAnswer::Execute(_))) => self.receive_complete(frame),
-            _ => Err(LinkError::Protocol.into()),
+            _ => Err(unexpected(AnswerFault::MessageOrder)),
         }?;
         self.deliver_local_answers()
     }
 
+    /// Forwards a notice, a parameter or a notification, which are part of no answer.
+    fn receive_notice(&mut self, frame: &WireFrame) -> Result<(), ExchangeFault> {
+        // An endpoint may send them after the completion of a transaction.
+        if self.completion_held {
+            self.held.extend_from_slice(frame.bytes());
+            return Ok(());
+        }
+        self.hold_or_deliver(frame)
+    }
+
+    /// Handles a message that precedes the completion of a statement.
+    fn receive_part(&mut self, frame: &WireFrame) -> Result<(), ExchangeFault> {
+        let is_simple = matches!(self.expected.front(), Some(ExpectedAnswer::Query));
+        if is_simple && self.completed >= self.max_completions() {
+            return Err(unexpected(AnswerFault::MessageOrder));
+        }
+        let checked = self.answer.receive(frame.kind(), !is_simple);
+        checked.map_err(unexpected)?;
+        if frame.kind() == b'G' {
+            return self.receive_copy_in(frame);
+        }
+        self.hold_or_deliver(frame)
+    }
+
+    /// Returns the maximum number of statements that a simple query can complete.
+    fn max_completions(&self) -> usize {
+        self.plan.statements.len().max(1)
+    }
+
     fn deliver_local_answers(&mut self) -> Result<(), ExchangeFault> {
         while let Some(ExpectedAnswer::Local(_)) = self.expected.front() {
             if let Some(ExpectedAnswer::Local(answer)) = self.expected.pop_front() {
@@ -556,6 +608,17 @@
         if endpoint_link::is_fatal(frame) {
             return Err(LinkError::from_error(frame).into());
         }
+        // An error can follow the completion of every statement only at a Sync that commits. A copy of an
+        // earlier error cannot be told from it, and the commit may have succeeded.
+        let may_fail = match self.expected.front() {
+            Some(ExpectedAnswer::Query) => self.completed < self.max_completions(),
+            Some(ExpectedAnswer::Sync) => false,
+            front => front.is_some(),
+        };
+        if !may_fail {
+            return Err(unexpected(AnswerFault::UnconfirmedRefusal));
+        }
+        self.answer = StatementAnswer::default();
         let read_only = endpoint_link::read_sqlstate(frame) == Some("25006");
         self.read_only =
             read_only && self.buffering && !self.lease.in_progress && !self.answer_started;
@@ -574,14 +637,14 @@
             self.held.extend_from_slice(frame.bytes());
             return Ok(());
         }
-        self.deliver(frame)
+        self.hold_or_deliver(frame)
     }
 
     /// Drops the expected answers up to Sync, which the endpoint does not send after an error, and
     /// the statements that it therefore did not prepare.
     fn skip_to_sync(&mut self) {
         while let Some(answer) = self.expected.front() {
-            if matches!(answer, ExpectedAnswer::Sync | ExpectedAnswer::Status) {
+            if matches!(answer, ExpectedAnswer::Sync | ExpectedAnswer::Marker(_)) {
                 return;
             }
             if let Some(ExpectedAnswer::Parse { hash, name, .. }) = self.expected.pop_front() {
@@ -597,7 +660,11 @@
 
     fn receive_copy_in(&mut self, frame: &WireFrame) -> Result<(), ExchangeFault> {
         // An endpoint ignores a Sync that it reads in copy mode, so another one ends the request.
-        if matches!(self.expected.front(), Some(ExpectedAnswer::Execute(_))) {
+        if self.has_marker() {
+            // The endpoint reads the marker in copy mode, in which it is no statement.
+            return Err(unexpected(AnswerFault::MessageOrder));
+        }
+        if matches!(self.expected.front(), Some(ExpectedAnswer::Execute { .. })) {
             self.expected
                 .retain(|answer| !matches!(answer, ExpectedAnswer::Sync));
             self.complete = false;
@@ -607,16 +674,24 @@
     }
 
     fn receive_complete(&mut self, frame: &WireFrame) -> Result<(), ExchangeFault> {
+        let (info, limit) = match self.expected.front() {
+            Some(ExpectedAnswer::Execute { statement, limit }) => {
+                let statement = statement.as_ref();
+                (statement.and_then(|found| found.info.clone()), *limit)
+            }
+            _ if self.completed >= self.max_completions() => {
+                return Err(unexpected(AnswerFault::MessageOrder));
+            }
+            _ => (self.plan.statements.get(self.completed).cloned(), 0),
+        };
+        let text = info.as_ref().map(|info| info.text.as_str());
+        let checked = self.answer.complete(frame, text, limit);
+        checked.map_err(unexpected)?;
         // Held messages precede this one and did not end the transaction.
-        if !self.commit_held {
+        let is_full = self.held.len() + frame.bytes().len() > self.limits.max_unsent_bytes;
+        if !self.commit_held && (!self.buffering || is_full) {
             self.deliver_held()?;
         }
-        let info = match self.expected.front() {
-            Some(ExpectedAnswer::Execute(statement)) => statement
-                .as_ref()
-                .and_then(|statement| statement.info.clone()),
-            _ => self.plan.statements.get(self.completed).cloned(),
-        };
         self.completed += 1;
         if frame.kind() == b'C' {
             if let Some(info) = info {
@@ -625,7 +700,7 @@
             }
             self.commit_held |= frame.body().starts_with(b"COMMIT");
         }
-        if matches!(self.expected.front(), Some(ExpectedAnswer::Execute(_))) {
+        if matches!(self.expected.front(), Some(ExpectedAnswer::Execute { .. })) {
             self.expected.pop_front();
         }
         self.completion_held = true;
@@ -634,36 +709,79 @@
     }
 
     fn receive_ready(&mut self, frame: &WireFrame) -> Result<(), ExchangeFault> {
+        if !self.answer.is_at_start() || (self.completed == 0 && !self.failed && self.plan.simple) {
+            return Err(unexpected(AnswerFault::MessageOrder));
+        }
         self.expected.pop_front();
-        let [status] = *frame.body() else {
+        self.set_state(frame)?;
+        if self.expected.is_empty() {
+            self.put_state_marker();
+        }
+        Ok(())
+    }
+
+    /// Records the transaction state of a ReadyForQuery message.
+    fn set_state(&mut self, frame: &WireFrame) -> Result<(), ExchangeFault> {
+        let [state] = *frame.body() else {
             return Err(LinkError::Protocol.into());
         };
-        self.lease.status = status;
-        self.end_status = Some(status);
-        if status == b'I' {
+        self.lease.status = state;
+        self.end_status = Some(state);
+        if state == b'I' {
             self.lease.portals.clear();
-            if self.needs_status() && self.expected.is_empty() && !self.read_only {
-                self.lease.link.put_query(STATUS_QUERY);
-                self.expected.push_back(ExpectedAnswer::Status);
-            }
         }
         Ok(())
     }
 
-    fn receive_status(&mut self, frame: &WireFrame) -> Result<(), ExchangeFault> {
-        match frame.kind() {
-            b'D' => {
-                let status = endpoint_link::parse_status(frame)?;
-                self.status = Some(status);
-                Ok(())
+    /// Adds a marker that the endpoint answers in the present transaction state.
+    fn put_state_marker(&mut self) {
+        self.put_marker_of(match self.lease.status {
+            b'E' => MarkerKind::Name,
+            b'I' if self.needs_status() && !self.read_only => MarkerKind::Status,
+            _ => MarkerKind::Setting,
+        });
+    }
+
+    fn has_marker(&self) -> bool {
+        let mut expected = self.expected.iter();
+        expected.any(|answer| matches!(answer, ExpectedAnswer::Marker(_)))
+    }
+
+    fn receive_marker(&mut self, frame: &WireFrame) -> Result<(), ExchangeFault> {
+        if matches!(frame.kind(), b'S' | b'A') {
+            return self.receive_notice(frame);
+        }
+        let Some(ExpectedAnswer::Marker(marker)) = self.expected.front_mut() else {
+            return Err(unexpected(AnswerFault::WrongMarker));
+        };
+        let Some(outcome) = marker.receive(frame)? else {
+            return Ok(());
+        };
+        let kind = marker.kind();
+        self.expected.pop_front();
+        let state_before = self.lease.status;
+        self.set_state(frame)?;
+        match outcome {
+            MarkerOutcome::Matched(_) if self.lease.status != state_before => {
+                return Err(unexpected(AnswerFault::UnexpectedState));
+            }
+            MarkerOutcome::Matched(Some(status)) => self.status = Some(status),
+            MarkerOutcome::Matched(None) => {
+                // The transaction ended although the request did not show it.
+                let ended = self.lease.status == b'I' && self.needs_status();
+                if kind == MarkerKind::Setting && ended && !self.read_only {
+                    self.put_marker_of(MarkerKind::Status);
+                }
             }
-            b'Z' => {
-                self.expected.pop_front();
-                Ok(())
+            MarkerOutcome::Refused if self.refused_markers == MAX_REFUSED_MARKERS => {
+                return Err(unexpected(AnswerFault::UnconfirmedRefusal));
+            }
+            MarkerOutcome::Refused => {
+                self.refused_markers += 1;
+                self.put_state_marker();
             }
-            b'T' | b'C' | b'E' | b'N' | b'S' => Ok(()),
-            _ => Err(LinkError::Protocol.into()),
         }
+        Ok(())
     }
 
     fn find_outcome(&mut self) -> Result<Option<ExchangeOutcome>, ExchangeFault> {
@@ -697,6 +815,10 @@
         && lease.link.term.is_none_or(|term| term == status.point.term)
 }
 
+fn unexpected(fault: AnswerFault) -> ExchangeFault {
+    LinkError::Unexpected { fault }.into()
+}
+
 /// Returns a name that no statement has on an endpoint, so that the endpoint refuses it.
 fn unknown_name(name: &[u8]) -> String {
     format!("absent {}", String::from_utf8_lossy(name))
--- a/src/connection/listener.rs
+++ b/src/connection/listener.rs
@@ -166,7 +166,7 @@
     };
     let state = Arc::new(ListenerState {
         sessions: AtomicUsize::new(0),
-        pool: EndpointPool::new(config.clone()),
+        pool: EndpointPool::new(config.clone(), ports.clone()),
         memory: Arc::new(CallerMemory::new(config.limits.memory_bytes)),
         config,
         ports,
--- a/src/connection/mod.rs
+++ b/src/connection/mod.rs
@@ -1,5 +1,6 @@
 //! Connections from callers and to endpoints.
 
+pub mod answer_marker;
 pub mod caller_identity;
 pub mod caller_memory;
 pub mod caller_session;
@@ -17,10 +18,12 @@
 pub mod scram;
 pub mod service_rules;
 pub mod startup;
+pub mod statement_answer;
 pub mod wire_frame;
 pub mod wire_reply;
 pub mod withdrawal_monitor;
 
+mod answer_reporter;
 mod session_admission;
 mod session_answer;
 mod session_outcome;
--- a/src/connection/session_admission.rs
+++ b/src/connection/session_admission.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::connection::answer_reporter::report_unexpected;
 use crate::connection::caller_session::CallerSession;
 use crate::connection::caller_stream::CallerFault;
 use crate::connection::endpoint_lease::EndpointLease;
@@ -35,6 +36,8 @@
     Lease(Box<EndpointLease>),
     /// The endpoint cannot run the request, which did not start on it.
     Unreachable(EndpointId),
+    /// The connection had a copy of an earlier answer; the request did not start.
+    Discarded,
     Refused(RequestRefusal),
     Invalid(CallerError),
 }
@@ -99,6 +102,10 @@
                 return Ok(LeaseOutcome::Invalid(error));
             }
             Err(error) => {
+                report_unexpected(&self.state.ports, &endpoint, link.number, &error);
+                if matches!(error, LinkError::Unexpected { .. }) {
+                    return Ok(LeaseOutcome::Discarded);
+                }
                 tracing::debug!(
                     "pool: cannot prepare a connection to endpoint {endpoint}: {error}"
                 );
--- a/src/connection/session_request.rs
+++ b/src/connection/session_request.rs
@@ -7,9 +7,11 @@
 
 use session_core::memory_account::MemoryPart;
 
+use crate::connection::answer_reporter::report_unexpected;
 use crate::connection::caller_session::CallerSession;
 use crate::connection::caller_stream::CallerFault;
 use crate::connection::endpoint_lease::EndpointLease;
+use crate::connection::endpoint_link::LinkError;
 use crate::connection::exchange::Exchange;
 use crate::connection::exchange::ExchangeFault;
 use crate::connection::exchange::ExchangeOutcome;
@@ -32,7 +34,13 @@
     /// The endpoint refused to write; the request had no effect and may be retried.
     ReadOnly(EndpointId),
     /// The connection failed and the request may be retried.
-    Broken(EndpointId),
+    Broken {
+        /// The endpoint to avoid; `None` if it sent a copy of an earlier answer, which only this
+        /// connection has.
+        excluded: Option<EndpointId>,
+        /// Whether any of the request was sent.
+        started: bool,
+    },
 }
 
 impl CallerSession {
@@ -106,6 +114,10 @@
                         attempt.excluded.push(endpoint);
                         continue;
                     }
+                    LeaseOutcome::Discarded => {
+                        attempt.charged = true;
+                        continue;
+                    }
                     LeaseOutcome::Refused(refusal) => {
                         return self.refuse(refusal, &attempt, batch.complete).await;
                     }
@@ -133,10 +145,10 @@
                     }
                     attempt.class = RequestClass::Write;
                 }
-                AttemptOutcome::Broken(endpoint) => {
-                    attempt.excluded.push(endpoint);
+                AttemptOutcome::Broken { excluded, started } => {
+                    attempt.excluded.extend(excluded);
                     attempt.queued = Instant::now();
-                    attempt.started = true;
+                    attempt.started |= started;
                 }
             }
         }
@@ -183,6 +195,9 @@
         let (held, answer_started, complete) =
             (exchange.held, exchange.answer_started, exchange.complete);
         self.cancel.set_target(None);
+        if let Err(ExchangeFault::Link(error)) = &result {
+            report_unexpected(&self.state.ports, &lease.endpoint, lease.link.number, error);
+        }
         match result {
             Ok(ExchangeOutcome::Open) => {
                 lease.in_progress = true;
@@ -205,8 +220,15 @@
             Err(fault) => {
                 let started = lease.link.sent_bytes != sent_bytes || lease.in_progress;
                 let repeatable = !started || (plan.pure && !answer_started);
-                if may_retry && repeatable && matches!(fault, ExchangeFault::Link(_)) {
-                    return Ok(AttemptOutcome::Broken(lease.endpoint.clone()));
+                if may_retry
+                    && repeatable
+                    && let ExchangeFault::Link(error) = &fault
+                {
+                    let is_copy = matches!(error, LinkError::Unexpected { .. });
+                    return Ok(AttemptOutcome::Broken {
+                        excluded: (!is_copy).then(|| lease.endpoint.clone()),
+                        started,
+                    });
                 }
                 self.fail(*lease, fault, complete).await?;
                 Ok(AttemptOutcome::Finished)
--- a/src/process/daemon.rs
+++ b/src/process/daemon.rs
@@ -314,6 +314,7 @@
         components.clone(),
     );
     let (limit, record, draining) = (components.clone(), components.clone(), components.clone());
+    let unexpected = components.clone();
     let (confirm_limit, floor_limit) = (settings.confirm_timeout, settings.queue_timeout);
     RequestPorts {
         bundle: Box::new(move || bundle.bundle()),
@@ -342,6 +343,7 @@
             limit.connection_limit(service, endpoint)
         }),
         record: Box::new(move |outcome| record.record(&outcome)),
+        unexpected_answer: Box::new(move |fault| unexpected.metrics.record_unexpected(fault)),
         draining: Box::new(move || draining.is_draining()),
     }
 }
--- a/src/process/metrics.rs
+++ b/src/process/metrics.rs
@@ -16,6 +16,7 @@
 use prometheus::Registry;
 use prometheus::TextEncoder;
 use prometheus::core::Collector;
+use session_core::answer_check::AnswerFault;
 
 use crate::process::burn_page::BurnPage;
 use crate::process::decision_journal::DecisionJournal;
@@ -68,6 +69,7 @@
     store_calls: IntCounterVec,
     decisions: IntCounterVec,
     bundle_refusals: IntCounter,
+    unexpected_answers: IntCounterVec,
     reads: IntCounterVec,
     waits: HistogramVec,
     durations: HistogramVec,
@@ -119,6 +121,12 @@
                 "Requests that ended, by outcome.",
                 &["team", "service", "class", "outcome"],
             )?,
+            unexpected_answers: counters(
+                &registry,
+                "tamaracklb_unexpected_answers_total",
+                "Answers of endpoints that did not belong to the awaited statement.",
+                &["fault"],
+            )?,
             reads: counters(
                 &registry,
                 "tamaracklb_reads_total",
@@ -247,6 +255,12 @@
         }
     }
 
+    /// Counts an answer that did not belong to the awaited statement.
+    pub fn record_unexpected(&self, fault: AnswerFault) {
+        let label = fault.to_string();
+        self.unexpected_answers.with_label_values(&[&label]).inc();
+    }
+
     /// Raises the counters of decisions to the journal's counts.
     pub fn record_journal(&self, journal: &DecisionJournal) {
         for ((kind, service), count) in journal.counts() {
--- a/src/request/ports.rs
+++ b/src/request/ports.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use futures_util::future::BoxFuture;
+use session_core::answer_check::AnswerFault;
 
 use crate::request::log_point::LogPoint;
 use crate::request::refusal::RequestRefusal;
@@ -122,6 +123,8 @@
     pub connection_limit: LimitPort,
     /// Records the outcome of a request.
     pub record: Box<dyn Fn(RequestRecord) + Send + Sync>,
+    /// Counts an answer of an endpoint that did not belong to the awaited statement.
+    pub unexpected_answer: Box<dyn Fn(AnswerFault) + Send + Sync>,
     /// Returns whether the process is stopping.
     pub draining: Box<dyn Fn() -> bool + Send + Sync>,
 }
--- a/tests/testsuite/caller_fixture.rs
+++ b/tests/testsuite/caller_fixture.rs
@@ -10,6 +10,7 @@
 
 use base64::Engine;
 use base64::engine::general_purpose::STANDARD;
+use session_core::answer_check::AnswerFault;
 use tamaracklb::connection::listener;
 use tamaracklb::connection::listener::ListenerHandle;
 use tamaracklb::connection::listener_config::CallerLimits;
@@ -53,6 +54,8 @@
     pub confirmed: Mutex<Vec<LogPoint>>,
     /// Records of finished requests, in order.
     pub records: Mutex<Vec<RequestRecord>>,
+    /// Faults of answers that did not belong to the awaited statement, in order.
+    pub unexpected: Mutex<Vec<AnswerFault>>,
     /// Refusal that admissions return while it is set.
     pub refusal: Mutex<Option<RequestRefusal>>,
     /// Whether admissions wait until this is cleared.
@@ -144,6 +147,7 @@
     fn ports(self: &Arc<Self>) -> RequestPorts {
         let (bundle_state, admit_state, confirm_state) = (self.clone(), self.clone(), self.clone());
         let (record_state, drain_state) = (self.clone(), self.clone());
+        let unexpected_state = self.clone();
         RequestPorts {
             bundle: Box::new(move || bundle_state.bundle.lock().expect("lock").clone()),
             admit: Box::new(move |request| {
@@ -168,6 +172,13 @@
             floor: Box::new(|_| Box::pin(std::future::ready(Ok(LogPoint::new(1, 5))))),
             connection_limit: Box::new(|_, _| ConnectionCount(4)),
             record: Box::new(move |record| record_state.records.lock().expect("lock").push(record)),
+            unexpected_answer: Box::new(move |fault| {
+                unexpected_state
+                    .unexpected
+                    .lock()
+                    .expect("lock")
+                    .push(fault);
+            }),
             draining: Box::new(move || drain_state.draining.load(Ordering::SeqCst)),
         }
     }
@@ -204,6 +215,7 @@
             admission_requests: Mutex::default(),
             confirmed: Mutex::default(),
             records: Mutex::default(),
+            unexpected: Mutex::default(),
             refusal: Mutex::default(),
             admissions_blocked: AtomicBool::new(false),
             confirmations_fail: AtomicBool::new(false),
--- a/tests/testsuite/late_answers.rs
+++ b/tests/testsuite/late_answers.rs
@@ -180,6 +180,10 @@
                 .await;
             case.check(&mut second, "INSERT echo 4", "INSERT 0 1", b'I')
                 .await;
+            let counted = case.fixture.state.unexpected.lock().expect("lock").len();
+            if part == RepeatedPart::Whole && counted == 0 {
+                faults.push(format!("{}: not counted", case.name));
+            }
             faults.append(&mut case.faults);
         }
     }
@@ -286,12 +290,13 @@
         for part in PARTS {
             let mut case = CopyCase::start("platform_status", part, time).await;
             let mut caller = RawCaller::start(&case.fixture).await;
-            // Positions that the endpoint reaches with the acknowledged writes.
+            // Positions that the endpoint reached with the acknowledged writes.
             let mut acknowledged = Vec::new();
             for number in 1..=4 {
                 let query = format!("INSERT echo {number}");
                 if case.check(&mut caller, &query, "INSERT 0 1", b'I').await {
-                    acknowledged.push(LogPoint::new(1, number));
+                    let writes = case.fixture.primary.statements().len();
+                    acknowledged.push(LogPoint::new(1, writes as u64));
                 }
             }
             let confirmed = case.fixture.state.confirmed.lock().expect("lock").clone();
--- a/tests/testsuite/scripted_endpoint.rs
+++ b/tests/testsuite/scripted_endpoint.rs
@@ -114,9 +114,7 @@
     pub fn statements(&self) -> Vec<String> {
         let received = self.received.lock().expect("lock");
         let statements = received.iter().map(|(_, text)| text.clone());
-        statements
-            .filter(|text| !text.contains("platform_"))
-            .collect()
+        statements.filter(|text| !is_internal(text)).collect()
     }
 
     /// Sets the term that status reports name.
@@ -141,6 +139,7 @@
             portals: HashMap::new(),
             failed: false,
             copying: None,
+            marker: String::new(),
             last_query: String::new(),
             answer: BytesMut::new(),
             copy: None,
@@ -162,6 +161,8 @@
     failed: bool,
     /// Kind of the message that started the current copy: Query or Execute.
     copying: Option<u8>,
+    /// The value of the setting tamaracklb.marker.
+    marker: String,
     /// The statement that ran last.
     last_query: String,
     /// The present answer so far.
@@ -212,7 +213,11 @@
     }
 
     fn error(&mut self, sqlstate: &'static str) {
-        let error = wire_reply::CallerError::new(sqlstate, "scripted");
+        self.error_with(sqlstate, "scripted");
+    }
+
+    fn error_with(&mut self, sqlstate: &'static str, message: &str) {
+        let error = wire_reply::CallerError::new(sqlstate, message);
         error.encode(wire_reply::ErrorScope::Request, &mut self.out);
         self.failed = true;
         if self.status == b'T' {
@@ -286,7 +291,7 @@
                     self.portals.get(&name)
                 };
                 match query.cloned() {
-                    None => self.error("26000"),
+                    None => self.error_with("26000", &format!("{name} does not exist")),
                     Some(query) => {
                         if is_statement {
                             self.put(b't', &[0, 0]);
@@ -325,7 +330,7 @@
         let is_callers = match frame.kind() {
             b'Q' => {
                 let (query, _) = read_text(frame.body());
-                !query.contains("platform_") && !query.contains("tamaracklb.")
+                !is_internal(&query)
             }
             b'E' => true,
             _ => false,
@@ -419,7 +424,9 @@
     /// Runs one statement; returns whether the connection stays open.
     async fn run_statement(&mut self, query: &str, kind: u8) -> std::io::Result<bool> {
         let received = (self.connection_number, query.trim().to_owned());
-        self.last_query = received.1.clone();
+        if !query.contains("tamaracklb.marker") {
+            self.last_query = received.1.clone();
+        }
         self.script.received.lock().expect("lock").push(received);
         let script = self.script.clone();
         if query.contains("die now") {
@@ -434,7 +441,8 @@
             return Ok(true);
         }
         if query.contains("platform_status") {
-            self.put_status();
+            let marker = read_literal(query);
+            self.put_status(marker.as_deref());
             return Ok(true);
         }
         let command = query.split_whitespace().next().unwrap_or_default();
@@ -468,6 +476,9 @@
             "SELECT" | "SHOW" if !(replica && query.contains("writing_function")) => {
                 return self.select(query, kind).await;
             }
+            "SET" if query.contains("tamaracklb.marker") => {
+                self.marker = read_literal(query).unwrap_or_default();
+            }
             "SET" | "RESET" | "LISTEN" => {}
             _ if replica => {
                 self.error("25006");
@@ -500,6 +511,8 @@
         };
         let value = if query.contains("echo") {
             query.trim().to_owned()
+        } else if query.contains("tamaracklb.marker") {
+            self.marker.clone()
         } else {
             format!("connection {}", self.connection_number)
         };
@@ -525,7 +538,7 @@
         self.put(b'T', &body);
     }
 
-    fn put_status(&mut self) {
+    fn put_status(&mut self, marker: Option<&str>) {
         let script = &self.script;
         let role = if script.replica.load(Ordering::Relaxed) {
             "replica"
@@ -534,19 +547,31 @@
         };
         let term = script.term.load(Ordering::Relaxed).to_string();
         let position = script.position.load(Ordering::Relaxed).to_string();
-        let mut row = vec![0, 7];
-        for value in [role, &term, &position, "0", "0", "", ""] {
+        let mut values = vec![role, &term, &position, "0", "0", "", ""];
+        values.extend(marker);
+        let mut row = vec![0, u8::try_from(values.len()).expect("count")];
+        for value in values {
             row.extend_from_slice(&u32::try_from(value.len()).expect("length").to_be_bytes());
             row.extend_from_slice(value.as_bytes());
         }
         let names = endpoint_status::STATUS_COLUMNS.iter().copied();
-        let names: Vec<&str> = names.collect();
+        let names: Vec<&str> = names.chain(marker.map(|_| "marker")).collect();
         self.put_columns(&names);
         self.put(b'D', &row);
         wire_reply::put_complete("SELECT 1", &mut self.out);
     }
 }
 
+/// Returns the first string literal of a statement.
+fn read_literal(query: &str) -> Option<String> {
+    query.split('\'').nth(1).map(str::to_owned)
+}
+
+/// Returns whether a statement is one that the instance adds to those of callers.
+fn is_internal(text: &str) -> bool {
+    text.contains("platform_") || text.contains("tamaracklb.marker")
+}
+
 fn returns_rows(query: &str) -> bool {
     let query = query.trim_start().to_ascii_uppercase();
     query.starts_with("SELECT") || query.starts_with("SHOW")
--- a/tests/testsuite/standin_fixture.rs
+++ b/tests/testsuite/standin_fixture.rs
@@ -163,6 +163,7 @@
                 ConnectionCount(limit.connections.load(Ordering::Relaxed))
             }),
             record: Box::new(|_| {}),
+            unexpected_answer: Box::new(|_| {}),
             draining: Box::new(|| false),
         }
     }
