Check that a control call gets its own answer

A copy of an earlier status report was taken for the answer to the next status call, and all later calls on the connection got the report of the call before. Such reports confirm commits and decide on failover.

In the failing test, the calls for terms 2 and 3 returned the reports of terms 1 and 2.

Status, await, fence and promote calls now return a nonce of the call in an additional column, and exactly one row. Another answer closes the connection and counts as no answer, as the calls are idempotent. A call that finds it on a cached connection fails; the next one connects again.

--- a/src/process/control_error.rs
+++ b/src/process/control_error.rs
@@ -16,6 +16,8 @@
     NoAnswer,
     /// The endpoint answered with an error.
     Refused { sqlstate: String },
+    /// The answer is that of another call.
+    WrongAnswer,
     /// The answer is not a valid status.
     BadAnswer(StatusError),
 }
@@ -27,7 +29,8 @@
             ControlError::ConnectRefused | ControlError::ConnectTimeout => {
                 CallFailure::ConnectFailed
             }
-            ControlError::NoAnswer => CallFailure::NoAnswer,
+            // The answer to this call is not known, as when none arrives.
+            ControlError::NoAnswer | ControlError::WrongAnswer => CallFailure::NoAnswer,
             ControlError::Refused { .. } | ControlError::BadAnswer(_) => CallFailure::Refused,
         }
     }
@@ -40,6 +43,7 @@
             ControlError::ConnectTimeout => write!(f, "endpoint: connect timed out"),
             ControlError::NoAnswer => write!(f, "endpoint: no answer on an open connection"),
             ControlError::Refused { sqlstate } => write!(f, "endpoint: refused with {sqlstate}"),
+            ControlError::WrongAnswer => write!(f, "endpoint: answer of another call"),
             ControlError::BadAnswer(error) => write!(f, "endpoint: invalid answer, {error}"),
         }
     }
--- a/src/process/endpoint_control.rs
+++ b/src/process/endpoint_control.rs
@@ -17,8 +17,8 @@
 use tokio_postgres::SimpleQueryMessage;
 
 use crate::process::control_error::ControlError;
+use crate::process::endpoint_status;
 use crate::process::endpoint_status::EndpointStatus;
-use crate::process::endpoint_status::STATUS_QUERY;
 use crate::request::log_point::LogPoint;
 use crate::request::log_point::LogTerm;
 use crate::version::secret_text::SecretText;
@@ -80,7 +80,7 @@
 
     /// Queries the status of the endpoint.
     pub async fn status(&self, timeout: Duration) -> Result<EndpointStatus, ControlError> {
-        self.call(&self.calls, STATUS_QUERY, timeout).await
+        self.call(&self.calls, "platform_status()", timeout).await
     }
 
     /// Waits until the endpoint holds a point, for `wait` at most, and returns its status then.
@@ -93,7 +93,7 @@
         timeout: Duration,
     ) -> Result<EndpointStatus, ControlError> {
         let query = format!(
-            "SELECT * FROM platform_await({}, {}, {})",
+            "platform_await({}, {}, {})",
             point.term,
             point.position,
             wait.as_millis()
@@ -109,7 +109,7 @@
         timeout: Duration,
     ) -> Result<EndpointStatus, ControlError> {
         let proposer = quote(proposer);
-        let query = format!("SELECT * FROM platform_fence({term}, {proposer})");
+        let query = format!("platform_fence({term}, {proposer})");
         self.call(&self.calls, &query, timeout).await
     }
 
@@ -122,7 +122,7 @@
         timeout: Duration,
     ) -> Result<EndpointStatus, ControlError> {
         let proposer = quote(proposer);
-        let query = format!("SELECT * FROM platform_promote({term}, {proposer})");
+        let query = format!("platform_promote({term}, {proposer})");
         self.call(&self.calls, &query, timeout).await
     }
 
@@ -184,27 +184,37 @@
     }
 }
 
-/// Runs a query and reads the status from its first row.
+/// Calls a platform function and reads the status from its row.
+///
+/// The row has the nonce of the call as its last column, so that a copy of an earlier answer is not
+/// taken for it.
 async fn query_status(
     connection: &ControlConnection,
-    query: &str,
+    call: &str,
     deadline: Instant,
 ) -> Result<EndpointStatus, ControlError> {
-    let answer = timeout_at(deadline, connection.client.simple_query(query)).await;
+    let nonce = format!("tlb_{:032x}", rand::random::<u128>());
+    let query = endpoint_status::marked_query(call, &nonce);
+    let answer = timeout_at(deadline, connection.client.simple_query(&query)).await;
     let messages = match answer {
         Ok(Ok(messages)) => messages,
         Ok(Err(error)) => return Err(to_control_error(&error, ControlError::NoAnswer)),
         Err(_) => return Err(ControlError::NoAnswer),
     };
-    let row = messages.iter().find_map(|message| match message {
+    let mut rows = messages.iter().filter_map(|message| match message {
         SimpleQueryMessage::Row(row) => Some(row),
         _ => None,
     });
-    let values: Vec<Option<&str>> = match row {
-        Some(row) => (0..row.len()).map(|index| row.get(index)).collect(),
-        None => Vec::new(),
+    let (Some(row), None) = (rows.next(), rows.next()) else {
+        return Err(ControlError::WrongAnswer);
     };
-    EndpointStatus::from_text_row(&values).map_err(ControlError::BadAnswer)
+    let values: Vec<Option<&str>> = (0..row.len()).map(|index| row.get(index)).collect();
+    match values.split_last() {
+        Some((Some(marker), values)) if **marker == nonce => {
+            EndpointStatus::from_text_row(values).map_err(ControlError::BadAnswer)
+        }
+        _ => Err(ControlError::WrongAnswer),
+    }
 }
 
 /// Drops a cached connection after a failed call, unless a newer one has replaced it.
--- a/src/process/endpoint_status.rs
+++ b/src/process/endpoint_status.rs
@@ -10,9 +10,6 @@
 use crate::request::log_point::LogPosition;
 use crate::request::log_point::LogTerm;
 
-/// The statement that queries the status of an endpoint.
-pub const STATUS_QUERY: &str = "SELECT * FROM platform_status()";
-
 /// Returns the statement that calls a platform function and returns a nonce as the last column.
 pub fn marked_query(call: &str, nonce: &str) -> String {
     format!("SELECT *, '{nonce}' AS marker FROM {call}")
