--- a/crates/session-core/src/answer_check.rs
+++ b/crates/session-core/src/answer_check.rs
@@ -74,6 +74,8 @@
     UnexpectedState,
     /// The messages of the answer are in the wrong order.
     MessageOrder,
+    /// The statement that the daemon sent to mark the end of the answer has another answer than its own.
+    WrongMarker,
 }
 
 impl fmt::Display for AnswerFault {
@@ -86,6 +88,7 @@
             AnswerFault::UnexpectedRows => "unexpected_rows",
             AnswerFault::UnexpectedState => "unexpected_state",
             AnswerFault::MessageOrder => "message_order",
+            AnswerFault::WrongMarker => "wrong_marker",
         })
     }
 }
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -41,6 +41,7 @@
 mod key_verifiers;
 mod key_withdrawal;
 mod line_fields;
+mod late_answers;
 mod linear_history;
 mod loan_pacing;
 mod log_points;
