Damage answers in the stand-in's endpoints

The stand-in sent each answer once, whole and in time, so no test or soak could show what the operators saw: answers that come twice, late, in pieces or not to the end.

Faults of answers are structs with the kind of answers, the damage (a copy after a time, pieces with pauses, loss, a cut) and the number of affected answers in 1,000. Copies are also made of refusals, of the answers to commands and of those to start-ups. Endpoints record the row, the definition and the transaction of what they ran, and the commits. The caller of the stand-in accepts only CR LF as the end of a line and keeps trailing blanks, and takes lines after the last one of an answer as unexpected.

--- a/crates/standins/src/platform/group_state.rs
+++ b/crates/standins/src/platform/group_state.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::platform::answer_faults::AnswerFaults;
 use crate::platform::promotion_effect::PromotionEffect;
 
 /// Default time between a promotion request and its effect.
@@ -102,6 +103,10 @@
     pub wrote: bool,
     /// Values that `SET` had left on the connection.
     pub values: Vec<(String, String)>,
+    /// The row that it returned, if it was a read.
+    pub row: Option<String>,
+    /// Number of the transaction of the endpoints in which it ran, if it ran in one.
+    pub transaction: Option<u64>,
     /// Time of the execution.
     pub executed_at: Instant,
 }
@@ -205,8 +210,14 @@
     pub busy_statements: u32,
     /// Answers that are sent twice.
     pub repeat: Option<AnswerRepeat>,
-    /// Statements that were executed, in order.
+    /// Faults of answers.
+    pub answer_faults: AnswerFaults,
+    /// Reads and writes that were executed, in order.
     pub executed_statements: Vec<ExecutedStatement>,
+    /// `COMMIT` statements that were executed, in order.
+    pub executed_commits: Vec<ExecutedStatement>,
+    /// Number of transactions that were begun.
+    pub begun_transactions: u64,
     /// Maximum number of open connections to each endpoint.
     pub max_connections: Option<usize>,
     /// Connections to endpoints.
@@ -246,7 +257,10 @@
             lose_answers: 0,
             busy_statements: 0,
             repeat: None,
+            answer_faults: AnswerFaults::default(),
             executed_statements: Vec::new(),
+            executed_commits: Vec::new(),
+            begun_transactions: 0,
             max_connections: None,
             connections: ConnectionLog::default(),
             received_statements: Vec::new(),
--- a/crates/standins/src/platform/line_caller.rs
+++ b/crates/standins/src/platform/line_caller.rs
@@ -152,16 +152,41 @@
     ///
     /// See [`CallerError`].
     pub async fn try_request(&mut self, text: &str) -> Result<LineAnswer, CallerError> {
-        let line = format!("QUERY {} {text}", self.next_id());
+        let message = self.next_message(text);
+        self.send_bytes(&message).await?;
+        self.receive_answer().await
+    }
+
+    /// Counts a request and returns the bytes of its message, for [`Self::send_bytes`].
+    pub fn next_message(&mut self, text: &str) -> Vec<u8> {
+        let line = format!("QUERY {} {text}\r\n", self.next_id());
         self.requests += 1;
-        self.send(&line).await?;
+        line.into_bytes()
+    }
+
+    /// Sends bytes of one or more messages, or of a part of one.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the connection failed.
+    pub async fn send_bytes(&mut self, bytes: &[u8]) -> Result<(), CallerError> {
+        self.stream.get_mut().write_all(bytes).await?;
+        Ok(())
+    }
+
+    /// Waits for the answer to the first request that has none yet.
+    ///
+    /// # Errors
+    ///
+    /// See [`CallerError`].
+    pub async fn receive_answer(&mut self) -> Result<LineAnswer, CallerError> {
         let mut rows = Vec::new();
         let mut last_line = String::new();
         loop {
             let line = self.line().await?;
             match line.split_once(' ') {
-                Some(("DATAROW", row)) => rows.push(row.to_owned()),
-                Some(("READY", state)) => {
+                Some(("DATAROW", row)) if last_line.is_empty() => rows.push(row.to_owned()),
+                Some(("READY", state)) if !last_line.is_empty() => {
                     let state = state.split(' ').next().unwrap_or_default().to_owned();
                     return Ok(LineAnswer {
                         rows,
@@ -169,7 +194,7 @@
                         state,
                     });
                 }
-                Some(("COMPLETE" | "ERROR", _)) => last_line = line,
+                Some(("COMPLETE" | "ERROR", _)) if last_line.is_empty() => last_line = line,
                 _ => return Err(CallerError::Unexpected(line)),
             }
         }
@@ -197,16 +222,17 @@
     }
 
     async fn send(&mut self, line: &str) -> Result<(), CallerError> {
-        let bytes = format!("{line}\r\n");
-        self.stream.get_mut().write_all(bytes.as_bytes()).await?;
-        Ok(())
+        self.send_bytes(format!("{line}\r\n").as_bytes()).await
     }
 
     async fn line(&mut self) -> Result<String, CallerError> {
         let mut line = String::new();
         match timeout(ANSWER_TIMEOUT, self.stream.read_line(&mut line)).await {
             Ok(Ok(0)) => Err(io::Error::from(io::ErrorKind::UnexpectedEof).into()),
-            Ok(Ok(_)) => Ok(line.trim_end().to_owned()),
+            Ok(Ok(_)) => match line.strip_suffix("\r\n") {
+                Some(content) => Ok(content.to_owned()),
+                None => Err(CallerError::Unexpected(line)),
+            },
             Ok(Err(error)) => Err(error.into()),
             Err(_) => Err(CallerError::Silent),
         }
--- a/crates/standins/src/platform/line_server.rs
+++ b/crates/standins/src/platform/line_server.rs
@@ -32,6 +32,8 @@
     prepared: BTreeMap<String, (bool, String)>,
     /// The open transaction: whether it may write, and its writes.
     transaction: Option<(bool, Vec<(String, String)>)>,
+    /// Number of the last transaction that was begun.
+    transaction_number: u64,
     failed: bool,
     /// Whether the session counts as an open connection.
     started: bool,
@@ -55,6 +57,7 @@
             values: BTreeMap::new(),
             prepared: BTreeMap::new(),
             transaction: None,
+            transaction_number: 0,
             failed: false,
             started: false,
         };
@@ -63,8 +66,11 @@
     }
 }
 
-/// Returns the first word of the statement in a message, without a preceding `WAITFOR`.
+/// Returns the first word of the statement in a message, without a preceding `WAITFOR`, or `STARTUP`.
 fn statement_word(line: &str) -> &str {
+    if line.starts_with("STARTUP ") {
+        return "STARTUP";
+    }
     let text = line.splitn(3, ' ').nth(2).unwrap_or_default();
     let mut words = text.split(' ');
     match words.next() {
@@ -90,12 +96,34 @@
             if answer.is_empty() {
                 return Ok(());
             }
-            let copy_delay = self.shared.group().take_repeat(statement_word(&line));
+            let word = statement_word(&line);
+            let (repeat, delivery) = {
+                let mut group = self.shared.group();
+                let delivery = group.answer_faults.draw(word, &answer);
+                (group.take_repeat(word), delivery)
+            };
+            let copy_delay = repeat.or(delivery.copied_after);
             let mut bytes = answer.clone();
             if copy_delay == Some(Duration::ZERO) {
                 bytes.push_str(&answer);
             }
-            writer.lock().await.write_all(bytes.as_bytes()).await?;
+            {
+                // A copy is sent before or after this answer, not between its pieces.
+                let mut writer = writer.lock().await;
+                let end = delivery.ends_after.unwrap_or(bytes.len());
+                let mut sent = 0;
+                for (position, pause) in delivery.pauses {
+                    let position = position.min(end);
+                    writer.write_all(&bytes.as_bytes()[sent..position]).await?;
+                    sent = position;
+                    tokio::time::sleep(pause).await;
+                }
+                writer.write_all(&bytes.as_bytes()[sent..end]).await?;
+                if delivery.ends_after.is_some() {
+                    writer.shutdown().await?;
+                    return Ok(());
+                }
+            }
             if let Some(delay) = copy_delay.filter(|delay| !delay.is_zero()) {
                 let writer = Arc::clone(&writer);
                 tokio::spawn(async move {
@@ -219,6 +247,11 @@
             "BEGIN" if rest.is_empty() && !self.is_primary() => Some(self.refuse("READONLY")),
             "BEGIN" => {
                 self.transaction = Some((rest.is_empty(), Vec::new()));
+                self.transaction_number = {
+                    let mut group = self.shared.group();
+                    group.begun_transactions += 1;
+                    group.begun_transactions
+                };
                 Some(complete)
             }
             "ROLLBACK" => {
@@ -291,7 +324,14 @@
         }
     }
 
-    fn record_statement(&self, id: &str, text: &str, wrote: bool) {
+    /// Returns the record of a statement that is executed now.
+    fn executed(
+        &self,
+        id: &str,
+        text: &str,
+        wrote: bool,
+        row: Option<String>,
+    ) -> ExecutedStatement {
         let name = text.strip_prefix("EXECUTE ");
         let name = name.and_then(|rest| rest.split(' ').next());
         let definition = name.and_then(|name| self.prepared.get(name));
@@ -299,20 +339,26 @@
             let mode = if *writes { "WRITE" } else { "READ" };
             format!("{mode} {text}")
         });
-        let values = self.values.clone().into_iter().collect();
-        self.shared
-            .group()
-            .executed_statements
-            .push(ExecutedStatement {
-                id: id.to_owned(),
-                endpoint: self.endpoint.clone(),
-                team: self.team.clone(),
-                text: text.to_owned(),
-                definition,
-                wrote,
-                values,
-                executed_at: Instant::now(),
-            });
+        ExecutedStatement {
+            id: id.to_owned(),
+            endpoint: self.endpoint.clone(),
+            team: self.team.clone(),
+            text: text.to_owned(),
+            definition,
+            wrote,
+            values: self.values.clone().into_iter().collect(),
+            row,
+            transaction: self
+                .transaction
+                .is_some()
+                .then_some(self.transaction_number),
+            executed_at: Instant::now(),
+        }
+    }
+
+    fn record_write(&self, id: &str, text: &str) {
+        let executed = self.executed(id, text, true, None);
+        self.shared.group().executed_statements.push(executed);
     }
 
     fn record_arrival(&self, id: &str) {
@@ -332,15 +378,18 @@
     }
 
     fn read(&mut self, id: &str, text: &str, item: &str) -> Option<String> {
-        self.record_statement(id, text, false);
-        let mut group = self.shared.group();
-        if group.lose_answers > 0 {
-            group.lose_answers -= 1;
-            return None;
-        }
-        let endpoint = group.endpoints.get(&self.endpoint)?;
-        let value = group.read(endpoint, item);
-        drop(group);
+        let value = {
+            let mut group = self.shared.group();
+            let endpoint = group.endpoints.get(&self.endpoint)?;
+            let value = group.read(endpoint, item);
+            let executed = self.executed(id, text, false, Some(value.clone()));
+            group.executed_statements.push(executed);
+            if group.lose_answers > 0 {
+                group.lose_answers -= 1;
+                return None;
+            }
+            value
+        };
         Some(format!("DATAROW {value}\r\n{}", self.receipt(id)))
     }
 
@@ -360,12 +409,12 @@
         match &mut self.transaction {
             Some((true, writes)) => {
                 writes.push(write);
-                self.record_statement(id, text, true);
+                self.record_write(id, text);
                 Some(self.receipt(id))
             }
             Some((false, _)) => Some(self.refuse("READONLY")),
             None => {
-                self.record_statement(id, text, true);
+                self.record_write(id, text);
                 self.replicate_commit(vec![write]).await?;
                 Some(self.receipt(id))
             }
@@ -373,6 +422,7 @@
     }
 
     async fn commit(&mut self, id: &str) -> Option<String> {
+        let executed = self.executed(id, "COMMIT", false, None);
         let Some((is_writable, writes)) = self.transaction.take() else {
             return Some(self.refuse("MALFORMED"));
         };
@@ -383,6 +433,7 @@
             if is_writable && !self.is_primary() {
                 return Some(self.refuse("READONLY"));
             }
+            self.shared.group().executed_commits.push(executed);
             self.replicate_commit(writes).await?;
         }
         Some(self.receipt(id))
--- a/crates/standins/src/platform/mod.rs
+++ b/crates/standins/src/platform/mod.rs
@@ -1,6 +1,7 @@
 //! A stand-in for the users' platform: its store, its promotion service and one database group, with
 //! callers and daemon processes for tests.
 
+pub mod answer_faults;
 pub mod daemon_process;
 pub mod group_state;
 pub mod line_caller;
--- a/tests/testsuite/soak_checks.rs
+++ b/tests/testsuite/soak_checks.rs
@@ -15,6 +15,11 @@
 use soak::observed_history::ObservedHistory;
 use soak::observed_history::WriteOutcome;
 use soak::observed_history::ZoneEvacuation;
+use standins::platform::answer_faults::AnswerDamage;
+use standins::platform::answer_faults::AnswerDelivery;
+use standins::platform::answer_faults::AnswerFault;
+use standins::platform::answer_faults::AnswerFaults;
+use standins::platform::answer_faults::AnswerKind;
 use standins::platform::group_state::EndpointState;
 use standins::platform::group_state::ExecutedStatement;
 use standins::platform::group_state::GroupState;
@@ -49,6 +54,8 @@
         definition: None,
         wrote: false,
         values: values.iter().map(pair).collect(),
+        row: None,
+        transaction: None,
         executed_at: Instant::now(),
     }
 }
@@ -209,6 +216,44 @@
     }
 }
 
+/// Guards against faults of answers that affect nothing, other answers than theirs, or more than they
+/// should after their end.
+#[test]
+fn answer_faults_affect_their_kind() {
+    let answer = "DATAROW x\r\nCOMPLETE db-1.a-1\r\nREADY I 1.1\r\n";
+    let draw = |damage, seed| {
+        let fault = AnswerFault {
+            kind: AnswerKind::Reads,
+            damage,
+            per_mille: 1_000,
+        };
+        let mut faults = AnswerFaults::new(seed);
+        faults.begin(fault);
+        assert_eq!(faults.draw("COMMIT", answer), AnswerDelivery::default());
+        let delivery = faults.draw("READ", answer);
+        faults.end(fault);
+        assert_eq!(faults.draw("READ", answer), AnswerDelivery::default());
+        delivery
+    };
+    let longest = Duration::from_secs(4);
+    let mut splits_line_end = false;
+    for seed in 0..40 {
+        let copied = draw(AnswerDamage::Copied(longest), seed).copied_after;
+        assert!(copied.is_some_and(|after| after <= longest));
+        let split = draw(AnswerDamage::Split(longest), seed);
+        assert!(split.pauses.is_sorted() && !split.pauses.is_empty());
+        assert!(split.pauses.iter().all(|(at, _)| *at < answer.len()));
+        splits_line_end |= split
+            .pauses
+            .iter()
+            .any(|(at, _)| answer[..*at].ends_with('\r'));
+        assert_eq!(draw(AnswerDamage::Lost, seed).ends_after, Some(0));
+        let cut = draw(AnswerDamage::CutOff, seed).ends_after;
+        assert!(cut.is_some_and(|end| (1..answer.len()).contains(&end)));
+    }
+    assert!(splits_line_end, "no answer is split between CR and LF");
+}
+
 /// Planned work that closes the connection of an executed or held request must be reported as a
 /// violation.
 #[test]
