Check in the soak that answers and statements belong to their callers

The soak compared neither the text that an endpoint ran with the one that was sent, nor rows with those that the endpoint sent, nor transactions; a COMMIT with the receipt of another statement passed.

Each request is recorded with its text, the definition that its session last prepared under the name, the session's values and its transaction. After a run, the checks compare them with what endpoints ran: text and arguments, definition, all values (before: that one of them was there), the transaction and that it is nobody else's, and commits. Each successful read, write and commit must have the receipt of its own request from an endpoint that ran it, with the rows that this endpoint sent. The callers send what they sent before.

soak_checks has a broken history for each check.

--- a/crates/soak/src/guarantee_checks.rs
+++ b/crates/soak/src/guarantee_checks.rs
@@ -11,7 +11,10 @@
 use standins::platform::group_state::GroupState;
 
 use crate::observed_history::ObservedHistory;
+use crate::observed_history::ObservedRequest;
+use crate::observed_history::TransactionScope;
 use crate::observed_history::WriteOutcome;
+use crate::soak_callers::leading_number;
 
 /// Time for which a withdrawn key may still be used, as the daemon's settings allow.
 const REVOCATION_TIME: Duration = Duration::from_millis(5_000);
@@ -75,6 +78,8 @@
     }
     check_writes(history, group, &mut report);
     check_statements(history, group, &mut report);
+    check_transactions(history, group, &mut report);
+    check_answers(history, group, &mut report);
     check_rates(&group.executed_statements, rates, &mut report);
     check_evacuations(history, group, &mut report);
     check_cold_spells(history, group, &mut report);
@@ -92,18 +97,18 @@
         report("a primary", "no endpoint is primary at the end".to_owned());
         return;
     };
-    let mut counts: HashMap<(&str, &str), usize> = HashMap::new();
+    let mut counts: HashMap<(&str, u64), usize> = HashMap::new();
     for (item, value) in primary.log.iter().flat_map(|commit| &commit.writes) {
-        *counts.entry((item, value)).or_default() += 1;
+        *counts.entry((item, leading_number(value))).or_default() += 1;
     }
     for write in &history.writes {
-        let value = write.value.to_string();
-        let count = counts.get(&(write.item.as_str(), value.as_str())).copied();
+        let value = write.value;
+        let count = counts.get(&(write.item.as_str(), value)).copied();
         let count = count.unwrap_or(0);
         let observed = || format!("{} = {value}, {count} times in the log", write.item);
         match write.outcome {
             WriteOutcome::Acknowledged if count == 0 => {
-                let loss = describe_loss(group, &write.item, &value);
+                let loss = describe_loss(group, &write.item, value);
                 report(
                     "no acknowledged write is lost",
                     format!("{}{loss}", observed()),
@@ -119,11 +124,12 @@
 }
 
 /// Names the promotions whose targets lacked a write, and the endpoints that held it then.
-fn describe_loss(group: &GroupState, item: &str, value: &str) -> String {
-    let write = (item.to_owned(), value.to_owned());
+fn describe_loss(group: &GroupState, item: &str, value: u64) -> String {
     let mut text = String::new();
     for effect in &group.effects {
-        if let Some(holders) = effect.lacking.get(&write) {
+        let mut lacking = effect.lacking.iter();
+        let write = lacking.find(|((i, v), _)| i == item && leading_number(v) == value);
+        if let Some((_, holders)) = write {
             let at = effect.at.duration_since(SystemTime::UNIX_EPOCH);
             let at = at.map_or(0, |at| at.as_millis());
             let target = &effect.target;
@@ -160,13 +166,18 @@
                 format!("{run:?} was {request:?}"),
             );
         }
-        let expected = ("v".to_owned(), request.set_value.clone());
-        if !request.set_value.is_empty() && !run.values.contains(&expected) {
+        if !run.values.iter().map(|(n, v)| (n, v)).eq(&request.values) {
             report(
                 "values follow their session",
                 format!("{run:?} was {request:?}"),
             );
         }
+        if !is_unchanged(run, request) {
+            report(
+                "statements run unchanged",
+                format!("{run:?} was {request:?}"),
+            );
+        }
         let withdrawn = history.key_gaps.iter().any(|gap| {
             gap.team == request.team
                 && request.sent_at > gap.from + REVOCATION_TIME
@@ -178,6 +189,114 @@
     }
 }
 
+/// Returns whether a statement ran as its caller sent it. Only the name of a prepared statement may
+/// differ; its definition may not.
+fn is_unchanged(run: &ExecutedStatement, request: &ObservedRequest) -> bool {
+    let arguments = |text: &str| {
+        let executed = text.strip_prefix("EXECUTE ")?;
+        executed.split_once(' ').map(|(_, rest)| rest.to_owned())
+    };
+    match arguments(&request.text) {
+        Some(sent) => {
+            arguments(&run.text) == Some(sent)
+                && run.definition.is_some()
+                && run.definition == request.definition
+        }
+        None => run.text == request.text,
+    }
+}
+
+/// Reports statements that ran in the transaction of another session, outside their own, or in a
+/// transaction that their session did not begin, and commits that nobody asked for.
+fn check_transactions(
+    history: &ObservedHistory,
+    group: &GroupState,
+    report: &mut impl FnMut(&'static str, String),
+) {
+    const GUARANTEE: &str = "transactions stay apart";
+    // The session transaction of each transaction at an endpoint, and the reverse with the id of its
+    // last statement.
+    let mut owners: HashMap<u64, &TransactionScope> = HashMap::new();
+    let mut last_runs: HashMap<&str, (u64, &str)> = HashMap::new();
+    let runs = group.executed_statements.iter();
+    for run in runs.chain(&group.executed_commits) {
+        let Some(request) = history.requests.get(&run.id) else {
+            continue;
+        };
+        let observed = || format!("{run:?} was {request:?}");
+        match (run.transaction, &request.scope) {
+            (None, TransactionScope::Inside(_)) => report(GUARANTEE, observed()),
+            (Some(number), scope) => {
+                if *scope == TransactionScope::Outside {
+                    report(GUARANTEE, observed());
+                }
+                let owner = owners.entry(number).or_insert(scope);
+                if **owner != *scope {
+                    report(GUARANTEE, format!("{} beside {owner:?}", observed()));
+                }
+                let TransactionScope::Inside(begin) = scope else {
+                    continue;
+                };
+                // Only the first statement may run again, in a transaction that begins anew.
+                let last = last_runs.insert(begin, (number, &run.id));
+                if last.is_some_and(|(known, id)| known != number && id != run.id) {
+                    report(GUARANTEE, format!("{} after {last:?}", observed()));
+                }
+            }
+            (None, _) => {}
+        }
+    }
+    for commit in &group.executed_commits {
+        let request = history.requests.get(&commit.id);
+        if request.is_none_or(|request| request.text != "COMMIT") {
+            report("nothing unasked runs", format!("{commit:?}"));
+        }
+    }
+}
+
+/// Reports successful answers that do not have the receipt of their own statement, or other rows than
+/// the endpoint sent for it.
+fn check_answers(
+    history: &ObservedHistory,
+    group: &GroupState,
+    report: &mut impl FnMut(&'static str, String),
+) {
+    let mut rows: HashMap<(&str, &str), Vec<Vec<&String>>> = HashMap::new();
+    for run in &group.executed_statements {
+        let sent = rows.entry((&run.endpoint, &run.id)).or_default();
+        sent.push(run.row.iter().collect());
+    }
+    for answer in &history.answers {
+        let text = history.requests.get(&answer.id).map(|r| r.text.as_str());
+        let receipt = answer.last_line.strip_prefix("COMPLETE ");
+        let endpoint = receipt.and_then(|receipt| {
+            let (endpoint, id) = receipt.split_once('.')?;
+            (id == answer.id).then_some(endpoint)
+        });
+        let Some(endpoint) = endpoint else {
+            report(
+                "answers have their receipts",
+                format!("{text:?} was answered with {answer:?}"),
+            );
+            continue;
+        };
+        let sent = rows.get(&(endpoint, answer.id.as_str()));
+        let is_sent = match (sent, text) {
+            (None, Some("COMMIT")) => answer.rows.is_empty(),
+            (Some(sent), _) => sent
+                .iter()
+                .any(|rows| answer.rows.iter().eq(rows.iter().copied())),
+            (None, _) => false,
+        };
+        if !is_sent {
+            report(
+                "answers have their rows",
+                format!("{text:?} was answered with {answer:?}, sent: {sent:?}"),
+            );
+        }
+    }
+}
+
 fn check_rates(
     statements: &[ExecutedStatement],
     rates: &HashMap<String, u32>,
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod guarantee_checks;
 pub mod link_proxy;
 pub mod observed_history;
+mod observed_session;
 mod soak_callers;
 mod soak_faults;
 pub mod soak_run;
--- a/crates/soak/src/observed_history.rs
+++ b/crates/soak/src/observed_history.rs
@@ -1,5 +1,6 @@
 //! Requests, writes and answers of a run, as its callers observed them.
 
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::time::Duration;
 use std::time::Instant;
@@ -26,15 +27,59 @@
     pub outcome: WriteOutcome,
 }
 
-/// A request that was sent.
+/// The transaction in which a request must run.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum TransactionScope {
+    /// None.
+    Outside,
+    /// The one that the request with this id began.
+    Inside(String),
+    /// Not known, as the answer to an earlier request is missing.
+    Unknown,
+}
+
+/// A request that was sent, and the state of its session at that time.
 #[derive(Debug, Clone)]
 pub struct ObservedRequest {
     /// Team whose key was sent.
     pub team: String,
     /// When the request was sent.
     pub sent_at: Instant,
-    /// Value that the session had set; empty if none.
-    pub set_value: String,
+    /// The statement.
+    pub text: String,
+    /// Mode and text of the definition that the session last prepared under the name that the
+    /// statement executes; `None` if it executes none or the name is not prepared.
+    pub definition: Option<String>,
+    /// Values that the session had set.
+    pub values: BTreeMap<String, String>,
+    /// Transaction in which the request must run.
+    pub scope: TransactionScope,
+}
+
+impl ObservedRequest {
+    /// Creates a request that is about to be sent by a session without values, prepared names and
+    /// transaction.
+    pub fn new(team: &str, text: &str) -> Self {
+        Self {
+            team: team.to_owned(),
+            sent_at: Instant::now(),
+            text: text.to_owned(),
+            definition: None,
+            values: BTreeMap::new(),
+            scope: TransactionScope::Outside,
+        }
+    }
+}
+
+/// A successful answer to a read, write or commit.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ObservedAnswer {
+    /// Id of the request.
+    pub id: String,
+    /// The rows, in order.
+    pub rows: Vec<String>,
+    /// The line with the receipt.
+    pub last_line: String,
 }
 
 /// A period in which the key of a team was withdrawn.
@@ -75,6 +120,8 @@
 pub struct ObservedHistory {
     /// Requests by id.
     pub requests: HashMap<String, ObservedRequest>,
+    /// Successful answers of reads, writes and commits.
+    pub answers: Vec<ObservedAnswer>,
     /// Writes with their reported outcomes.
     pub writes: Vec<ObservedWrite>,
     /// Periods in which keys were withdrawn.
@@ -97,15 +144,17 @@
 
 impl ObservedHistory {
     /// Records a request that is about to be sent.
-    pub fn record_request(&mut self, id: String, team: &str, set_value: &str) {
-        let request = ObservedRequest {
-            team: team.to_owned(),
-            sent_at: Instant::now(),
-            set_value: set_value.to_owned(),
-        };
+    pub fn record_request(&mut self, id: String, request: ObservedRequest) {
         self.requests.insert(id, request);
     }
 
+    /// Changes the transaction in which a request must run, once earlier answers have told it.
+    pub fn set_scope(&mut self, id: &str, scope: TransactionScope) {
+        if let Some(request) = self.requests.get_mut(id) {
+            request.scope = scope;
+        }
+    }
+
     /// Records a write and its reported outcome.
     pub fn record_write(&mut self, item: &str, value: u64, outcome: WriteOutcome) {
         if outcome == WriteOutcome::Acknowledged {
--- a/crates/soak/src/soak_callers.rs
+++ b/crates/soak/src/soak_callers.rs
@@ -18,6 +18,7 @@
 
 use crate::observed_history::ObservedHistory;
 use crate::observed_history::WriteOutcome;
+use crate::observed_session::ObservedSession;
 
 /// Pause before the next attempt after a session could not be opened.
 const OPEN_PAUSE: Duration = Duration::from_millis(40);
@@ -64,14 +65,6 @@
     history.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
-struct OpenSession {
-    caller: LineCaller,
-    database: &'static str,
-    set_value: String,
-    /// Newest value whose write was acknowledged to this session; 0 if there is none.
-    last_written: u64,
-}
-
 impl SoakCaller {
     /// Opens sessions and runs operations until `stop` becomes true.
     pub async fn run(self, stop: watch::Receiver<bool>) {
@@ -92,22 +85,18 @@
                 continue;
             };
             caller.set_name(format!("c{}-{sessions}", self.number));
-            let mut session = OpenSession {
-                caller,
-                database,
-                set_value: String::new(),
-                last_written: 0,
-            };
+            let history = Arc::clone(&self.history);
+            let team = &self.team.0;
+            let mut session = ObservedSession::new(caller, history, database, team, self.planned);
             let operations = random.random_range(OPERATIONS_PER_SESSION);
             for _ in 0..operations {
                 if *stop.borrow() {
                     break;
                 }
-                if self
+                let result = self
                     .run_operation(&mut session, &mut value, &mut random)
-                    .await
-                    .is_err()
-                {
+                    .await;
+                if result.is_err() {
                     break;
                 }
                 if self.kind != CallerKind::Greedy {
@@ -122,17 +111,14 @@
     /// session must not be used.
     async fn run_operation(
         &self,
-        session: &mut OpenSession,
+        session: &mut ObservedSession,
         value: &mut u64,
         random: &mut ChaCha8Rng,
     ) -> Result<(), CallerError> {
         match (self.kind, random.random_range(0..6)) {
             (CallerKind::Writer, 0) => {
                 let set_value = format!("{}", random.random_range(0..1_000_u32));
-                let answer = self.request(session, &format!("SET v {set_value}")).await?;
-                if answer.succeeded() {
-                    session.set_value = set_value;
-                }
+                session.request(&format!("SET v {set_value}")).await?;
                 Ok(())
             }
             (CallerKind::Writer, 1) => self.read(session, self.number).await,
@@ -151,7 +137,7 @@
     /// single statement, depending on `form`.
     async fn write(
         &self,
-        session: &mut OpenSession,
+        session: &mut ObservedSession,
         value: u64,
         form: u32,
     ) -> Result<(), CallerError> {
@@ -170,12 +156,10 @@
         };
         let last = texts.pop().unwrap_or_default();
         for text in texts {
-            let answer = self.request(session, &text).await;
+            let answer = session.request(&text).await;
             let result = match &answer {
                 Ok(answer) if answer.succeeded() => continue,
-                Ok(answer) if answer.state != "I" => {
-                    self.request(session, "ROLLBACK").await.map(|_| ())
-                }
+                Ok(answer) if answer.state != "I" => session.request("ROLLBACK").await.map(|_| ()),
                 Ok(_) => Ok(()),
                 Err(_) => answer.map(|_| ()),
             };
@@ -183,7 +167,7 @@
             lock(&self.history).record_write(&item, value, WriteOutcome::NotApplied);
             return result;
         }
-        let answer = self.request(session, &last).await;
+        let answer = session.request(&last).await;
         let outcome = match &answer {
             Ok(answer) if answer.succeeded() => WriteOutcome::Acknowledged,
             Ok(answer) if answer.reports_not_applied() => WriteOutcome::NotApplied,
@@ -196,28 +180,42 @@
         answer.map(|_| ())
     }
 
+    /// Returns the newest value of an item that a read which is sent now must observe.
+    fn required(&self, session: &ObservedSession, number: usize) -> u64 {
+        let history = lock(&self.history);
+        let age = match session.database {
+            "linear" | "open" => Duration::ZERO,
+            _ => Duration::from_millis(STALENESS_MS),
+        };
+        let known = history.newest_acknowledged(&item(number), age);
+        match session.database == "own" && number == self.number {
+            true => known.max(session.last_written),
+            false => known,
+        }
+    }
+
     /// Reads an item and reports a violation if the value is older than the session's guarantee
     /// allows.
-    async fn read(&self, session: &mut OpenSession, number: usize) -> Result<(), CallerError> {
-        let item = item(number);
-        let required = {
-            let history = lock(&self.history);
-            let age = match session.database {
-                "linear" => Duration::ZERO,
-                _ => Duration::from_millis(STALENESS_MS),
-            };
-            let known = history.newest_acknowledged(&item, age);
-            match session.database == "own" && number == self.number {
-                true => known.max(session.last_written),
-                false => known,
-            }
-        };
-        let answer = self.request(session, &format!("READ {item}")).await?;
+    async fn read(&self, session: &mut ObservedSession, number: usize) -> Result<(), CallerError> {
+        let required = self.required(session, number);
+        let answer = session.request(&format!("READ {}", item(number))).await?;
+        self.check_read(session, number, required, &answer);
+        Ok(())
+    }
+
+    fn check_read(
+        &self,
+        session: &ObservedSession,
+        number: usize,
+        required: u64,
+        answer: &LineAnswer,
+    ) {
         if !answer.succeeded() {
-            return Ok(());
+            return;
         }
+        let item = item(number);
         let row = answer.rows.first().map_or("", String::as_str);
-        let value = row.parse::<u64>().unwrap_or(0);
+        let value = leading_number(row);
         let mut history = lock(&self.history);
         if history.is_stale(&item, value, required) {
             let database = session.database;
@@ -225,47 +223,13 @@
                 "a read of {item} on {database} gave {row} after {required} was acknowledged"
             ));
         }
-        Ok(())
     }
+}
 
-    /// Sends a statement and records its request and outcome. Reports a violation if the answer
-    /// belongs to another request, or if the request stays unanswered.
-    async fn request(
-        &self,
-        session: &mut OpenSession,
-        text: &str,
-    ) -> Result<LineAnswer, CallerError> {
-        let id = session.caller.next_id();
-        lock(&self.history).record_request(id.clone(), &self.team.0, &session.set_value);
-        let answer = session.caller.try_request(text).await;
-        let mut history = lock(&self.history);
-        match &answer {
-            Ok(answer) if answer.succeeded() => {
-                history.served += 1;
-                let local = answer.last_line == "COMPLETE -";
-                let forwarded = ["READ", "WRITE", "EXECUTE"];
-                let forwarded = forwarded.iter().any(|word| text.starts_with(word));
-                if forwarded && (local || !answer.last_line.ends_with(&id)) {
-                    history.record_violation(format!(
-                        "{text:?} of {id} was answered with {:?}",
-                        answer.last_line
-                    ));
-                }
-            }
-            Ok(_) => history.failed += 1,
-            Err(error) => {
-                history.failed += 1;
-                let silent = matches!(error, CallerError::Silent);
-                let unexpected = matches!(error, CallerError::Unexpected(_));
-                if silent || unexpected {
-                    history.record_violation(format!("{text:?} of {id} was not answered: {error}"));
-                } else if self.planned {
-                    history.record_unanswered(id);
-                }
-            }
-        }
-        answer
-    }
+/// Returns the number at the start of a value, or 0 if there is none.
+pub fn leading_number(value: &str) -> u64 {
+    let digits = value.chars().take_while(char::is_ascii_digit).count();
+    value[..digits].parse().unwrap_or(0)
 }
 
 fn item(number: usize) -> String {
--- a/crates/soak/src/soak_run.rs
+++ b/crates/soak/src/soak_run.rs
@@ -38,6 +38,7 @@
 use crate::observed_history::ColdSpell;
 use crate::observed_history::KeyGap;
 use crate::observed_history::ObservedHistory;
+use crate::observed_history::ObservedRequest;
 use crate::observed_history::ZoneEvacuation;
 use crate::soak_callers::CallerKind;
 use crate::soak_callers::SoakCaller;
@@ -462,7 +463,8 @@
         let Ok(mut caller) = LineCaller::try_open(address, database, DEFAULT_TEAM.1).await else {
             return false;
         };
-        lock(history).record_request(caller.next_id(), DEFAULT_TEAM.0, "");
+        let request = ObservedRequest::new(DEFAULT_TEAM.0, text);
+        lock(history).record_request(caller.next_id(), request);
         if !caller.try_request(text).await.is_ok_and(|a| a.succeeded()) {
             return false;
         }
--- a/tests/testsuite/soak_checks.rs
+++ b/tests/testsuite/soak_checks.rs
@@ -12,7 +12,10 @@
 use soak::guarantee_checks::check_guarantees;
 use soak::observed_history::ColdSpell;
 use soak::observed_history::KeyGap;
+use soak::observed_history::ObservedAnswer;
 use soak::observed_history::ObservedHistory;
+use soak::observed_history::ObservedRequest;
+use soak::observed_history::TransactionScope;
 use soak::observed_history::WriteOutcome;
 use soak::observed_history::ZoneEvacuation;
 use standins::platform::answer_faults::AnswerDamage;
@@ -60,6 +63,18 @@
     }
 }
 
+fn observed_request(team: &str, text: &str, values: &[(&str, &str)]) -> ObservedRequest {
+    let pair = |(name, value): &(&str, &str)| ((*name).to_owned(), (*value).to_owned());
+    ObservedRequest {
+        values: values.iter().map(pair).collect(),
+        ..ObservedRequest::new(team, text)
+    }
+}
+
+fn record_request(history: &mut ObservedHistory, id: &str, request: ObservedRequest) {
+    history.record_request(id.to_owned(), request);
+}
+
 fn received_statement(zone: &str, received_at: Instant) -> ReceivedStatement {
     ReceivedStatement {
         id: "a-1".to_owned(),
@@ -82,7 +97,11 @@
 #[test]
 fn good_history_passes() {
     let mut history = ObservedHistory::default();
-    history.record_request("a-1".to_owned(), "studio", "7");
+    record_request(
+        &mut history,
+        "a-1",
+        observed_request("studio", "READ page", &[("v", "7")]),
+    );
     history.record_write("page", 1, WriteOutcome::Acknowledged);
     history.record_write("page", 2, WriteOutcome::NotApplied);
     history.record_write("page", 3, WriteOutcome::Unknown);
@@ -195,7 +214,11 @@
 #[test]
 fn wrong_statements_are_noticed() {
     let mut history = ObservedHistory::default();
-    history.record_request("a-1".to_owned(), "studio", "7");
+    record_request(
+        &mut history,
+        "a-1",
+        observed_request("studio", "READ page", &[("v", "7")]),
+    );
     for (wrong, guarantee) in [
         (
             executed_statement("a-2", "studio", &[]),
@@ -209,6 +232,14 @@
             executed_statement("a-1", "studio", &[("v", "8")]),
             "values follow their session",
         ),
+        (
+            executed_statement("a-1", "studio", &[("v", "7"), ("w", "1")]),
+            "values follow their session",
+        ),
+        (
+            executed_statement("a-1", "studio", &[]),
+            "values follow their session",
+        ),
     ] {
         let mut group = group(&[]);
         group.executed_statements.push(wrong);
@@ -216,6 +247,161 @@
     }
 }
 
+/// Guards against accepting a statement with another text, other arguments or another definition than
+/// its caller's, and against reporting another name of the same definition.
+#[test]
+fn changed_statement_is_noticed() {
+    let check = |sent: (&str, Option<&str>), ran: (&str, Option<&str>)| {
+        let mut history = ObservedHistory::default();
+        let request = ObservedRequest {
+            definition: sent.1.map(str::to_owned),
+            ..observed_request("studio", sent.0, &[])
+        };
+        record_request(&mut history, "a-1", request);
+        let mut group = group(&[]);
+        group.executed_statements.push(ExecutedStatement {
+            text: ran.0.to_owned(),
+            definition: ran.1.map(str::to_owned),
+            ..executed_statement("a-1", "studio", &[])
+        });
+        violated_guarantees(&history, &group)
+    };
+    let sent = ("EXECUTE p page  two", Some("READ q1 x"));
+    assert!(check(sent, ("EXECUTE s9 page  two", sent.1)).is_empty());
+    assert!(check(("READ a  b", None), ("READ a  b", None)).is_empty());
+    let changed = ["statements run unchanged"];
+    for ran in [
+        ("EXECUTE s9 page two", sent.1),
+        ("EXECUTE s9 x page  two", sent.1),
+        ("EXECUTE s9 page  two", Some("WRITE q1 x")),
+        ("EXECUTE s9 page  two", Some("READ q1")),
+        ("EXECUTE s9 page  two", None),
+        ("READ page  two", None),
+    ] {
+        assert_eq!(check(sent, ran), changed, "{ran:?}");
+    }
+    let unprepared = ("EXECUTE p page", None);
+    assert_eq!(
+        check(unprepared, ("EXECUTE p page", Some("READ q1"))),
+        changed
+    );
+    assert_eq!(check(unprepared, unprepared), changed);
+    assert_eq!(check(("READ a  b", None), ("READ a b", None)), changed);
+}
+
+/// Guards against accepting statements outside their transaction, inside another one or in two, and
+/// commits that nobody asked for. The first statement may run again in a new transaction.
+#[test]
+fn mixed_transactions_are_noticed() {
+    let mut history = ObservedHistory::default();
+    let inside = |begin: &str| TransactionScope::Inside(begin.to_owned());
+    for (id, text, scope) in [
+        ("a-2", "READ page", inside("a-1")),
+        ("a-3", "READ page", inside("a-1")),
+        ("a-4", "COMMIT", inside("a-1")),
+        ("b-2", "READ page", inside("b-1")),
+        ("c-1", "READ page", TransactionScope::Outside),
+        ("c-2", "READ page", TransactionScope::Unknown),
+    ] {
+        let request = ObservedRequest {
+            scope,
+            ..observed_request("studio", text, &[])
+        };
+        record_request(&mut history, id, request);
+    }
+    let run = |id: &str, transaction| ExecutedStatement {
+        transaction,
+        ..executed_statement(id, "studio", &[])
+    };
+    let check = |runs: &[(&str, Option<u64>)], commits: &[(&str, Option<u64>)]| {
+        let mut group = group(&[]);
+        let runs = runs.iter().map(|(id, number)| run(id, *number));
+        group.executed_statements = runs.collect();
+        let commits = commits.iter().map(|(id, number)| ExecutedStatement {
+            text: "COMMIT".to_owned(),
+            ..run(id, *number)
+        });
+        group.executed_commits = commits.collect();
+        violated_guarantees(&history, &group)
+    };
+    let (first, second) = (Some(1), Some(2));
+    let good = [
+        ("a-2", first),
+        ("a-2", second),
+        ("a-3", second),
+        ("b-2", Some(3)),
+    ];
+    assert!(check(&good, &[("a-4", second)]).is_empty());
+    assert!(check(&[("c-1", None), ("c-2", None)], &[]).is_empty());
+    for runs in [
+        [("a-2", first), ("a-3", None)],
+        [("a-2", first), ("a-3", second)],
+        [("a-2", first), ("b-2", first)],
+        [("a-2", first), ("c-1", first)],
+        [("c-1", first), ("c-2", None)],
+    ] {
+        let violated = check(&runs, &[]);
+        assert!(!violated.is_empty(), "{runs:?}");
+        assert!(
+            violated
+                .iter()
+                .all(|name| *name == "transactions stay apart")
+        );
+    }
+    let other = check(&[("a-2", first)], &[("a-4", second)]);
+    assert_eq!(other, ["transactions stay apart"]);
+    for id in ["a-9", "c-2"] {
+        assert_eq!(check(&[], &[(id, first)]), ["nothing unasked runs"]);
+    }
+}
+
+/// Guards against accepting an answer with the receipt or the rows of another statement, with a part of
+/// its rows or with more.
+#[test]
+fn mixed_answers_are_noticed() {
+    let mut history = ObservedHistory::default();
+    record_request(
+        &mut history,
+        "a-1",
+        observed_request("studio", "READ page", &[]),
+    );
+    record_request(
+        &mut history,
+        "a-2",
+        observed_request("studio", "COMMIT", &[]),
+    );
+    let mut group = group(&[]);
+    group.executed_statements.push(ExecutedStatement {
+        row: Some("7 x".to_owned()),
+        ..executed_statement("a-1", "studio", &[])
+    });
+    let mut check = |id: &str, rows: &[&str], last_line: &str| {
+        history.answers = vec![ObservedAnswer {
+            id: id.to_owned(),
+            rows: rows.iter().map(|row| (*row).to_owned()).collect(),
+            last_line: last_line.to_owned(),
+        }];
+        violated_guarantees(&history, &group)
+    };
+    assert!(check("a-1", &["7 x"], "COMPLETE db-1.a-1").is_empty());
+    assert!(check("a-2", &[], "COMPLETE db-1.a-2").is_empty());
+    for receipt in ["-", "db-1.a-2", "db-1.a-11", "a-1", ""] {
+        let violated = check("a-1", &["7 x"], &format!("COMPLETE {receipt}"));
+        assert_eq!(violated, ["answers have their receipts"], "{receipt:?}");
+    }
+    let no_receipt = check("a-2", &[], "COMPLETE -");
+    assert_eq!(no_receipt, ["answers have their receipts"]);
+    for rows in [&[][..], &["7"], &["7 x", "8"], &["8", "7 x"], &["7 x "]] {
+        let violated = check("a-1", rows, "COMPLETE db-1.a-1");
+        assert_eq!(violated, ["answers have their rows"], "{rows:?}");
+    }
+    let violated = check("a-2", &["7 x"], "COMPLETE db-1.a-2");
+    assert_eq!(violated, ["answers have their rows"]);
+    // Another endpoint never ran it.
+    let violated = check("a-1", &["7 x"], "COMPLETE db-2.a-1");
+    assert_eq!(violated, ["answers have their rows"]);
+}
+
 /// Guards against faults of answers that affect nothing, other answers than theirs, or more than they
 /// should after their end.
 #[test]
@@ -259,7 +445,11 @@
 #[test]
 fn cut_request_is_noticed() {
     let mut history = ObservedHistory::default();
-    history.record_request("a-1".to_owned(), "studio", "");
+    record_request(
+        &mut history,
+        "a-1",
+        observed_request("studio", "READ page", &[]),
+    );
     history.record_unanswered("a-1".to_owned());
     let mut group = group(&[]);
     assert!(violated_guarantees(&history, &group).is_empty());
@@ -282,7 +472,11 @@
 #[test]
 fn withdrawn_key_is_noticed() {
     let mut history = ObservedHistory::default();
-    history.record_request("a-1".to_owned(), "press", "");
+    record_request(
+        &mut history,
+        "a-1",
+        observed_request("press", "READ page", &[]),
+    );
     let mut group = group(&[]);
     group
         .executed_statements
@@ -306,7 +500,11 @@
     let mut group = group(&[]);
     for number in 0..90 {
         let id = format!("a-{number}");
-        history.record_request(id.clone(), "press", "");
+        record_request(
+            &mut history,
+            &id,
+            observed_request("press", "READ page", &[]),
+        );
         group
             .executed_statements
             .push(executed_statement(&id, "press", &[]));
