Damage answers of endpoints in the soak

No schedule of the soak had an answer that came twice, in pieces or not at all.

With `--answer-faults`, a seed draws faults of answers in series and beside all faults of its schedule: copies up to 4 s late, pieces, losses, cuts, and refusals by full queues. They have random numbers of their own, so the other faults of a seed stay as they are. Beside planned work no answer is lost or cut off, as that would not be planned. Printed violations end after 800 characters.

--- a/crates/front/tests/testsuite/fault_soak.rs
+++ b/crates/front/tests/testsuite/fault_soak.rs
@@ -99,6 +99,7 @@
         instances: size.instances,
         callers: size.callers,
         connections: size.connections,
+        answer_faults: false,
         fault_time: size.fault_time,
         folder: folder.path().to_owned(),
     };
--- a/crates/front/tests/testsuite/zone_evacuations.rs
+++ b/crates/front/tests/testsuite/zone_evacuations.rs
@@ -20,6 +20,7 @@
         instances: 5,
         callers: 3,
         connections: None,
+        answer_faults: false,
         fault_time: FAULT_TIME,
         folder: folder.path().to_owned(),
     };
--- a/crates/soak/src/fault_schedule.rs
+++ b/crates/soak/src/fault_schedule.rs
@@ -7,6 +7,10 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
+use standins::platform::answer_faults::AnswerDamage;
+use standins::platform::answer_faults::AnswerFault;
+use standins::platform::answer_faults::AnswerKind;
+
 use crate::link_proxy::LinkFault;
 
 /// Seeds that are a multiple of this run planned work only, during which no connection may be
@@ -64,6 +68,24 @@
 /// Delay that a link adds to each chunk.
 const LINK_DELAY_MS: std::ops::Range<u64> = 5..250;
 
+/// Time between the starts of two faults of answers, which run beside the other faults.
+const ANSWER_INTERVAL_MS: std::ops::Range<u64> = 100..900;
+
+/// Longest time after which an answer is sent again: from less than the time of a statement to more
+/// than the time for which an idle connection is kept.
+const COPY_DELAYS_MS: [u64; 4] = [5, 50, 500, 4_000];
+
+/// Longest pause between two pieces of an answer. It is shorter than the timeout of statements.
+const SPLIT_PAUSE_MS: std::ops::Range<u64> = 1..200;
+
+/// Number of answers among 1,000 that are copied, split, and lost or cut off.
+const COPIES_PER_MILLE: std::ops::Range<u32> = 20..400;
+const SPLITS_PER_MILLE: std::ops::Range<u32> = 20..300;
+const BREAKS_PER_MILLE: std::ops::Range<u32> = 2..60;
+
+/// Distinguishes the random choices of the faults of answers from those of the other faults.
+const ANSWER_SEED: u64 = 0x616e_7377;
+
 /// A fault or a planned action on a daemon process.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ProcessFault {
@@ -171,6 +193,10 @@
     ReplicaLag(Duration),
     /// The answers to this many reads are lost.
     LostAnswers(u32),
+    /// Answers of endpoints are damaged.
+    Answers(AnswerFault),
+    /// Endpoints refuse this many statements, as their queues are full.
+    BusyStatements(u32),
     /// The store does not answer.
     StoreSilent,
     /// The store refuses all requests.
@@ -272,6 +298,53 @@
     faults
 }
 
+/// Returns the faults of endpoints' answers of a seed that begin before `end`, which are added to those
+/// of [`draw_faults`]. Beside planned work, no answer is lost or cut off.
+pub fn draw_answer_faults(kind: ScheduleKind, seed: u64, end: Duration) -> Vec<ScheduledFault> {
+    let mut random = ChaCha8Rng::seed_from_u64(seed ^ ANSWER_SEED);
+    let mut faults = Vec::new();
+    let mut starts_after = FIRST_FAULT_DELAY;
+    while starts_after < end {
+        let fault = draw_answer_fault(&mut random, kind == ScheduleKind::Planned);
+        faults.push(schedule(&mut random, starts_after, fault));
+        starts_after += Duration::from_millis(random.random_range(ANSWER_INTERVAL_MS));
+    }
+    faults
+}
+
+fn draw_answer_fault(random: &mut ChaCha8Rng, planned: bool) -> SoakFault {
+    let kinds = [
+        AnswerKind::Reads,
+        AnswerKind::Writes,
+        AnswerKind::Steps,
+        AnswerKind::Commands,
+        AnswerKind::StartUps,
+        AnswerKind::Refusals,
+        AnswerKind::All,
+    ];
+    let kind = kinds[random.random_range(0..kinds.len())];
+    let (damage, per_mille) = match random.random_range(0..10) {
+        0..=5 => {
+            let longest = COPY_DELAYS_MS[random.random_range(0..COPY_DELAYS_MS.len())];
+            let damage = AnswerDamage::Copied(Duration::from_millis(longest));
+            (damage, COPIES_PER_MILLE)
+        }
+        6 => return SoakFault::BusyStatements(random.random_range(1..30)),
+        7 if !planned => (AnswerDamage::Lost, BREAKS_PER_MILLE),
+        8 if !planned => (AnswerDamage::CutOff, BREAKS_PER_MILLE),
+        _ => {
+            let longest = random.random_range(SPLIT_PAUSE_MS);
+            let damage = AnswerDamage::Split(Duration::from_millis(longest));
+            (damage, SPLITS_PER_MILLE)
+        }
+    };
+    SoakFault::Answers(AnswerFault {
+        kind,
+        damage,
+        per_mille: random.random_range(per_mille),
+    })
+}
+
 fn draw_planned(random: &mut ChaCha8Rng, instances: usize) -> SoakFault {
     let instance = random.random_range(0..instances);
     match random.random_range(0..6) {
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -17,6 +17,9 @@
 /// Maximum number of violations of one guarantee that are printed.
 const MAX_PRINTED: usize = 5;
 
+/// Maximum number of characters of a violation that are printed, as statements may be long.
+const MAX_PRINTED_CHARS: usize = 800;
+
 /// Runs seeds of the fault soak. Exits with 0 if no guarantee was violated, with 1 if one was, and
 /// with 2 if a seed could not be run.
 #[derive(FromArgs)]
@@ -48,6 +51,9 @@
     /// evacuate and lose availability zones, beside dead leaders and processes
     #[argh(switch)]
     evacuations: bool,
+    /// damage answers of endpoints beside the other faults: send them twice, in pieces, cut off or not
+    #[argh(switch)]
+    answer_faults: bool,
     /// number of callers of each kind
     #[argh(option, default = "6")]
     callers: usize,
@@ -69,6 +75,7 @@
         instances: args.instances,
         callers: args.callers,
         connections: args.connections,
+        answer_faults: args.answer_faults,
         fault_time: Duration::from_secs(args.seconds),
         folder: folder.path().to_owned(),
     };
@@ -89,7 +96,9 @@
         let count = printed.entry(violation.guarantee).or_default();
         *count += 1;
         if *count <= MAX_PRINTED {
-            println!("  {violation}");
+            let text: String = violation.to_string();
+            let printed: String = text.chars().take(MAX_PRINTED_CHARS).collect();
+            println!("  {printed}");
         }
     }
     for (guarantee, count) in printed.iter().filter(|(_, count)| **count > MAX_PRINTED) {
--- a/crates/soak/src/soak_faults.rs
+++ b/crates/soak/src/soak_faults.rs
@@ -210,6 +210,16 @@
                     .change_group(|group| group.lose_answers = count);
                 Ok(())
             }
+            SoakFault::Answers(fault) => {
+                self.platform.shared.group().answer_faults.begin(fault);
+                tokio::time::sleep(duration).await;
+                self.platform.shared.group().answer_faults.end(fault);
+                Ok(())
+            }
+            SoakFault::BusyStatements(count) => {
+                self.platform.shared.group().busy_statements = count;
+                Ok(())
+            }
             SoakFault::StoreSilent => self.inject_store_fault(StoreFault::Silent, duration).await,
             SoakFault::StoreBusy => self.inject_store_fault(StoreFault::Busy, duration).await,
             SoakFault::StoreLosesAnswers => {
--- a/crates/soak/src/soak_run.rs
+++ b/crates/soak/src/soak_run.rs
@@ -16,6 +16,7 @@
 
 use standins::free_ports::free_tcp;
 use standins::free_ports::free_tcp_pair;
+use standins::platform::answer_faults::AnswerFaults;
 use standins::platform::daemon_process::DaemonPlan;
 use standins::platform::daemon_process::DaemonProcess;
 use standins::platform::daemon_process::MachineLimits;
@@ -106,6 +107,8 @@
     /// Number of connections that each endpoint accepts by the configuration, if it is not the
     /// default. With fewer than instances, they share connections.
     pub connections: Option<u32>,
+    /// Whether endpoints send answers twice, in pieces, cut off or not at all.
+    pub answer_faults: bool,
     /// Time during which faults begin.
     pub fault_time: Duration,
     /// Directory for the settings and logs of the instances.
@@ -123,6 +126,10 @@
     pub failed: u64,
     /// Number of promotions that the platform received.
     pub promotions: usize,
+    /// Number of answers that endpoints sent twice.
+    pub copied_answers: u64,
+    /// Number of answers that endpoints did not send or cut off.
+    pub broken_answers: u64,
     /// Time from the end of the last fault until all instances served again.
     pub recovered_in: Duration,
 }
@@ -131,10 +138,13 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             f,
-            "{} served, {} not, {} promotions, served again after {} ms, {} promises broken",
+            "{} served, {} not, {} promotions, {} answers copied, {} broken, \
+             served again after {} ms, {} promises broken",
             self.served,
             self.failed,
             self.promotions,
+            self.copied_answers,
+            self.broken_answers,
             self.recovered_in.as_millis(),
             self.violations.len()
         )
@@ -507,13 +517,19 @@
         callers.spawn(caller.run(stop.subscribe()));
     }
     let endpoints = fleet.links().len();
-    let faults = fault_schedule::draw_faults(
+    let mut faults = fault_schedule::draw_faults(
         plan.kind,
         plan.seed,
         plan.instances,
         endpoints,
         plan.fault_time,
     );
+    if plan.answer_faults {
+        fleet.platform.shared.group().answer_faults = AnswerFaults::new(plan.seed);
+        let drawn = fault_schedule::draw_answer_faults(plan.kind, plan.seed, plan.fault_time);
+        faults.extend(drawn);
+        faults.sort_by_key(|fault| fault.starts_after);
+    }
     soak_faults::inject_faults(&fleet, &faults).await?;
     let faults_ended_at = Instant::now();
     let unserved = fleet.await_service(RECOVERY_TIMEOUT).await;
@@ -535,6 +551,8 @@
         served: history.served,
         failed: history.failed,
         promotions: group.promotions.len(),
+        copied_answers: group.answer_faults.copied,
+        broken_answers: group.answer_faults.broken,
         recovered_in,
     })
 }
--- a/tests/testsuite/soak_checks.rs
+++ b/tests/testsuite/soak_checks.rs
@@ -6,6 +6,8 @@
 use std::time::Instant;
 
 use soak::fault_schedule::ScheduleKind;
+use soak::fault_schedule::SoakFault;
+use soak::fault_schedule::draw_answer_faults;
 use soak::fault_schedule::draw_faults;
 use soak::fault_schedule::is_planned;
 use soak::guarantee_checks::COLD_BOUND;
@@ -568,4 +570,19 @@
         assert_ne!(draw(7), draw(8));
     }
     assert!(is_planned(8) && !is_planned(7));
+    let draw = |kind, seed| draw_answer_faults(kind, seed, end);
+    assert_eq!(draw(ScheduleKind::Faults, 7), draw(ScheduleKind::Faults, 7));
+    assert_ne!(draw(ScheduleKind::Faults, 7), draw(ScheduleKind::Faults, 8));
+    let breaks = |kind| {
+        let faults = (0..20).flat_map(|seed| draw(kind, seed));
+        let broken = faults.filter(|fault| match fault.fault {
+            SoakFault::Answers(fault) => {
+                matches!(fault.damage, AnswerDamage::Lost | AnswerDamage::CutOff)
+            }
+            _ => false,
+        });
+        broken.count()
+    };
+    assert!(breaks(ScheduleKind::Faults) > 0);
+    assert_eq!(breaks(ScheduleKind::Planned), 0);
 }
