Send hostile texts and requests ahead in the soak

The callers of the soak sent one statement at a time, under one prepared name, with one definition and with numbers as values.

--- a/crates/front/tests/testsuite/fault_soak.rs
+++ b/crates/front/tests/testsuite/fault_soak.rs
@@ -100,6 +100,7 @@
         callers: size.callers,
         connections: size.connections,
         answer_faults: false,
+        hostile: false,
         fault_time: size.fault_time,
         folder: folder.path().to_owned(),
     };
--- a/crates/front/tests/testsuite/zone_evacuations.rs
+++ b/crates/front/tests/testsuite/zone_evacuations.rs
@@ -21,6 +21,7 @@
         callers: 3,
         connections: None,
         answer_faults: false,
+        hostile: false,
         fault_time: FAULT_TIME,
         folder: folder.path().to_owned(),
     };
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -54,6 +54,9 @@
     /// damage answers of endpoints beside the other faults: send them twice, in pieces, cut off or not
     #[argh(switch)]
     answer_faults: bool,
+    /// let callers send hostile texts, send requests ahead and leave at any time
+    #[argh(switch)]
+    hostile: bool,
     /// number of callers of each kind
     #[argh(option, default = "6")]
     callers: usize,
@@ -76,6 +79,7 @@
         callers: args.callers,
         connections: args.connections,
         answer_faults: args.answer_faults,
+        hostile: args.hostile,
         fault_time: Duration::from_secs(args.seconds),
         folder: folder.path().to_owned(),
     };
--- a/crates/soak/src/observed_session.rs
+++ b/crates/soak/src/observed_session.rs
@@ -68,6 +68,11 @@
         }
     }
 
+    /// Returns the mode of a prepared statement, if the name is prepared.
+    pub fn mode(&self, name: &str) -> Option<&str> {
+        self.definitions.get(name)?.split(' ').next()
+    }
+
     fn scope(&self) -> TransactionScope {
         match &self.transaction {
             Some(id) => TransactionScope::Inside(id.clone()),
--- a/crates/soak/src/soak_run.rs
+++ b/crates/soak/src/soak_run.rs
@@ -109,6 +109,8 @@
     pub connections: Option<u32>,
     /// Whether endpoints send answers twice, in pieces, cut off or not at all.
     pub answer_faults: bool,
+    /// Whether callers send hostile texts, send requests ahead and leave at any time.
+    pub hostile: bool,
     /// Time during which faults begin.
     pub fault_time: Duration,
     /// Directory for the settings and logs of the instances.
@@ -512,6 +514,7 @@
             addresses: addresses.clone(),
             history: Arc::clone(&fleet.history),
             planned: plan.kind == ScheduleKind::Planned,
+            hostile: plan.hostile,
             seed: plan.seed.wrapping_mul(1_000).wrapping_add(number as u64),
         };
         callers.spawn(caller.run(stop.subscribe()));
