--- a/crates/front/tests/testsuite/fault_soak.rs
+++ b/crates/front/tests/testsuite/fault_soak.rs
@@ -27,6 +27,8 @@
     instances: usize,
     callers: usize,
     connections: Option<u32>,
+    answer_faults: bool,
+    hostile: bool,
     fault_time: Duration,
 }
 
@@ -55,6 +57,8 @@
         instances,
         callers,
         connections: None,
+        answer_faults: false,
+        hostile: false,
         fault_time,
     };
     run_kind(kind, seed, size).await
@@ -74,6 +78,8 @@
         instances: REGRESSION_INSTANCES,
         callers,
         connections: None,
+        answer_faults: false,
+        hostile: false,
         fault_time,
     }
 }
@@ -99,8 +105,8 @@
         instances: size.instances,
         callers: size.callers,
         connections: size.connections,
-        answer_faults: false,
-        hostile: false,
+        answer_faults: size.answer_faults,
+        hostile: size.hostile,
         fault_time: size.fault_time,
         folder: folder.path().to_owned(),
     };
@@ -140,6 +146,46 @@
     assert!(verdict.served > 100, "{verdict}");
 }
 
+/// Runs a seed with damaged answers beside its faults, or with hostile callers, on two instances.
+async fn run_answers(seed: u64, answer_faults: bool, hostile: bool, scarce: bool) -> SoakVerdict {
+    let size = SoakSize {
+        instances: 2,
+        callers: 3,
+        connections: scarce.then_some(1),
+        answer_faults,
+        hostile,
+        fault_time: Duration::from_secs(6),
+    };
+    run_kind(fault_schedule::kind_of(seed), seed, size).await
+}
+
+/// No caller may get the answer of another statement while endpoints send answers twice, late, in
+/// pieces or not at all, beside other faults.
+#[tokio::test(flavor = "multi_thread")]
+async fn damaged_answers_stay_apart() {
+    let verdict = run_answers(3, true, false, false).await;
+    assert!(verdict.violations.is_empty(), "{:#?}", verdict.violations);
+    assert!(verdict.copied_answers > 0 && verdict.broken_answers > 0);
+    assert!(verdict.served > 100, "{verdict}");
+}
+
+/// No endpoint may run a statement that nobody sent, whatever callers put in their texts.
+#[tokio::test(flavor = "multi_thread")]
+async fn hostile_texts_run_unchanged() {
+    let verdict = run_answers(4, false, true, false).await;
+    assert!(verdict.violations.is_empty(), "{:#?}", verdict.violations);
+    assert!(verdict.served > 100, "{verdict}");
+}
+
+/// Both must hold while instances share connections.
+#[tokio::test(flavor = "multi_thread")]
+async fn damaged_answers_of_hosts_stay_apart() {
+    let verdict = run_answers(5, true, true, true).await;
+    assert!(verdict.violations.is_empty(), "{:#?}", verdict.violations);
+    assert!(verdict.copied_answers > 0);
+    assert!(verdict.served > 100, "{verdict}");
+}
+
 /// Regression test: with seed 3, the stand-in let a lagging replica report the term of a promotion
 /// that it had not applied yet, so reads from it were stale.
 #[tokio::test(flavor = "multi_thread")]
