Take receipts with more parts, and refused statements as no part of a transaction

The check of receipts took all after the first dot for the id of the request, so receipts of the form ENDPOINT.NUMBER.ID failed it. A hostile caller counted a write as acknowledged by the COMMIT of its transaction although the write itself had been answered with an error in state T: MALFORMED, for a bare carriage return, once the daemon refuses these. Such a write now counts by its own answer.

--- a/crates/soak/src/guarantee_checks.rs
+++ b/crates/soak/src/guarantee_checks.rs
@@ -269,9 +269,12 @@
     for answer in &history.answers {
         let text = history.requests.get(&answer.id).map(|r| r.text.as_str());
         let receipt = answer.last_line.strip_prefix("COMPLETE ");
+        // The parts of a receipt are the endpoint, any others and the id of the request.
         let endpoint = receipt.and_then(|receipt| {
-            let (endpoint, id) = receipt.split_once('.')?;
-            (id == answer.id).then_some(endpoint)
+            let rest = receipt
+                .strip_suffix(answer.id.as_str())?
+                .strip_suffix('.')?;
+            rest.split('.').next()
         });
         let Some(endpoint) = endpoint else {
             report(
--- a/crates/soak/src/soak_callers.rs
+++ b/crates/soak/src/soak_callers.rs
@@ -375,9 +375,11 @@
             let answer = answers.next();
             // A transaction that has ended leaves the rest of the statements on their own.
             let is_open = state != "I";
+            // A refused statement is no part of the transaction, even if that may still commit.
+            let is_refused = answer.as_ref().is_some_and(|answer| !answer.succeeded());
             match statement.effect {
                 StatementEffect::Write(value) => match &mut open_writes {
-                    Some(open_writes) if is_open => open_writes.push(value),
+                    Some(open_writes) if is_open && !is_refused => open_writes.push(value),
                     _ => self.record_outcome(session, value, answer.as_ref()),
                 },
                 StatementEffect::Read(number, required) => {
