--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -4,8 +4,10 @@
 
 pub mod fault_schedule;
 pub mod guarantee_checks;
+mod hostile_texts;
 pub mod link_proxy;
 pub mod observed_history;
+mod observed_session;
 mod soak_callers;
 mod soak_faults;
 pub mod soak_run;
--- a/crates/soak/src/soak_run.rs
+++ b/crates/soak/src/soak_run.rs
@@ -16,6 +16,7 @@
 
 use standins::free_ports::free_tcp;
 use standins::free_ports::free_tcp_pair;
+use standins::platform::answer_faults::AnswerFaults;
 use standins::platform::daemon_process::DaemonPlan;
 use standins::platform::daemon_process::DaemonProcess;
 use standins::platform::daemon_process::MachineLimits;
@@ -38,6 +39,7 @@
 use crate::observed_history::ColdSpell;
 use crate::observed_history::KeyGap;
 use crate::observed_history::ObservedHistory;
+use crate::observed_history::ObservedRequest;
 use crate::observed_history::ZoneEvacuation;
 use crate::soak_callers::CallerKind;
 use crate::soak_callers::SoakCaller;
@@ -105,6 +107,10 @@
     /// Number of connections that each endpoint accepts by the configuration, if it is not the
     /// default. With fewer than instances, they share connections.
     pub connections: Option<u32>,
+    /// Whether endpoints send answers twice, in pieces, cut off or not at all.
+    pub answer_faults: bool,
+    /// Whether callers send hostile texts, send requests ahead and leave at any time.
+    pub hostile: bool,
     /// Time during which faults begin.
     pub fault_time: Duration,
     /// Directory for the settings and logs of the instances.
@@ -122,6 +128,10 @@
     pub failed: u64,
     /// Number of promotions that the platform received.
     pub promotions: usize,
+    /// Number of answers that endpoints sent twice.
+    pub copied_answers: u64,
+    /// Number of answers that endpoints did not send or cut off.
+    pub broken_answers: u64,
     /// Time from the end of the last fault until all instances served again.
     pub recovered_in: Duration,
 }
@@ -130,10 +140,13 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             f,
-            "{} served, {} not, {} promotions, served again after {} ms, {} promises broken",
+            "{} served, {} not, {} promotions, {} answers copied, {} broken, \
+             served again after {} ms, {} promises broken",
             self.served,
             self.failed,
             self.promotions,
+            self.copied_answers,
+            self.broken_answers,
             self.recovered_in.as_millis(),
             self.violations.len()
         )
@@ -462,7 +475,8 @@
         let Ok(mut caller) = LineCaller::try_open(address, database, DEFAULT_TEAM.1).await else {
             return false;
         };
-        lock(history).record_request(caller.next_id(), DEFAULT_TEAM.0, "");
+        let request = ObservedRequest::new(DEFAULT_TEAM.0, text);
+        lock(history).record_request(caller.next_id(), request);
         if !caller.try_request(text).await.is_ok_and(|a| a.succeeded()) {
             return false;
         }
@@ -500,18 +514,25 @@
             addresses: addresses.clone(),
             history: Arc::clone(&fleet.history),
             planned: plan.kind == ScheduleKind::Planned,
+            hostile: plan.hostile,
             seed: plan.seed.wrapping_mul(1_000).wrapping_add(number as u64),
         };
         callers.spawn(caller.run(stop.subscribe()));
     }
     let endpoints = fleet.links().len();
-    let faults = fault_schedule::draw_faults(
+    let mut faults = fault_schedule::draw_faults(
         plan.kind,
         plan.seed,
         plan.instances,
         endpoints,
         plan.fault_time,
     );
+    if plan.answer_faults {
+        fleet.platform.shared.group().answer_faults = AnswerFaults::new(plan.seed);
+        let drawn = fault_schedule::draw_answer_faults(plan.kind, plan.seed, plan.fault_time);
+        faults.extend(drawn);
+        faults.sort_by_key(|fault| fault.starts_after);
+    }
     soak_faults::inject_faults(&fleet, &faults).await?;
     let faults_ended_at = Instant::now();
     let unserved = fleet.await_service(RECOVERY_TIMEOUT).await;
@@ -533,6 +554,8 @@
         served: history.served,
         failed: history.failed,
         promotions: group.promotions.len(),
+        copied_answers: group.answer_faults.copied,
+        broken_answers: group.answer_faults.broken,
         recovered_in,
     })
 }
