Send bare line feeds and trailing blanks in the soak's hostile texts

A line of the protocol ends with CR LF, so a bare line feed or carriage return belongs to the text.

Definitions, values and items also hold bare line feeds followed by another message, carriage returns and trailing blanks.

--- a/crates/soak/src/hostile_texts.rs
+++ b/crates/soak/src/hostile_texts.rs
@@ -8,7 +8,7 @@
 const NAMES: [&str; 6] = ["p", "s1", "w_q7", "r_q7%20READ", "n-é", "-"];
 
 /// Texts of definitions. Those that begin alike are told apart only by what follows a blank or a tab.
-const DEFINITIONS: [&str; 14] = [
+const DEFINITIONS: [&str; 18] = [
     "q7",
     "q7 READ frcbi",
     "q7 WRITE frcbi",
@@ -23,10 +23,14 @@
     "QUERY c0-1-1 WRITE item0 1",
     "-",
     "q7 q7 q7",
+    "q7 ",
+    "q7\nQUERY - RESET",
+    "q7\rx",
+    "q7\r\r",
 ];
 
 /// What follows the number of a written value, or the prefix of an item that is only read.
-const ENDINGS: [&str; 9] = [
+const ENDINGS: [&str; 12] = [
     "",
     " two words",
     "  x",
@@ -36,6 +40,9 @@
     " READ item0",
     " QUERY - STATUS",
     " COMPLETE -",
+    "  ",
+    "\nQUERY - WRITE item0 0",
+    "\rx",
 ];
 
 /// Number of characters of a long text.
