Show refused steps behind copied answers in tests

Cause: a copied acknowledgement of an earlier step is taken for that of a step which the endpoint refuses. A BEGIN then seems to have run, and the first statement of the transaction runs outside it. Its caller gets the refusal of the BEGIN.

Change: the model of the property test refuses steps and transactions, and a test of the daemon copies the answers of BEGIN. The stand-in can delay a BEGIN so that the copy arrives meanwhile.

--- a/crates/front/tests/testsuite/repeated_answers.rs
+++ b/crates/front/tests/testsuite/repeated_answers.rs
@@ -198,3 +198,38 @@
     runs.retain(|_, runs| *runs > 1);
     assert!(runs.is_empty(), "{runs:?} ran more than once");
 }
+
+/// Time that a `BEGIN` takes, and the delay of the copy of its answer: the copy arrives while the next
+/// `BEGIN` on the connection runs.
+const BEGIN_TIME: Duration = Duration::from_millis(60);
+const BEGIN_COPY_DELAY: Duration = Duration::from_millis(30);
+
+/// A copied answer to a `BEGIN` must not stand for a later `BEGIN` that is refused: the first write
+/// would run outside its transaction, and stay after a rollback.
+#[tokio::test]
+async fn copied_begin_opens_nothing() {
+    let fleet = Fleet::start(1).await;
+    repeat_answers(&fleet, &["BEGIN"], BEGIN_COPY_DELAY);
+    fleet
+        .platform
+        .change_group(|group| group.begin_delay = BEGIN_TIME);
+    let mut caller = fleet.caller(0, "linear").await;
+    let mut kept = Vec::new();
+    for round in 0..ROUNDS {
+        caller.request("BEGIN").await;
+        caller.request(&format!("WRITE page a{round}")).await;
+        if !caller.request("COMMIT").await.succeeded() {
+            caller.request("ROLLBACK").await;
+            continue;
+        }
+        fleet
+            .platform
+            .change_group(|group| group.busy_statements = 1);
+        caller.request("BEGIN").await;
+        caller.request(&format!("WRITE page b{round}")).await;
+        caller.request("ROLLBACK").await;
+        let rows = caller.request("READ page").await.rows;
+        kept.extend(rows.into_iter().filter(|row| row.starts_with('b')));
+    }
+    assert!(kept.is_empty(), "{kept:?} were rolled back and stayed");
+}
--- a/crates/session-core/tests/testsuite/answer_checks.rs
+++ b/crates/session-core/tests/testsuite/answer_checks.rs
@@ -21,6 +21,10 @@
     Refused,
     /// A statement about the session.
     Step,
+    /// A statement about the session that the endpoint refuses.
+    RefusedStep,
+    /// A transaction whose beginning the endpoint refuses, with one statement.
+    RefusedTransaction,
     /// A transaction with this many statements, and its commit.
     Transaction(usize),
     /// A query of the endpoint's position.
@@ -161,7 +165,11 @@
         let answers = self.exchange(&[sent], AnswerMatching::Lenient)?;
         let (number, answer) = &answers[0];
         assert_eq!(answer.statement, *number, "{answer:?}");
-        // The connection is replaced after a refusal.
+        self.require_receipts()
+    }
+
+    /// The connection is replaced after a refusal.
+    fn require_receipts(&self) -> Result<(), Broken> {
         match self.check.admits_receipts() {
             true => Ok(()),
             false => Err(Broken),
@@ -176,6 +184,20 @@
                 let step = self.expect(AnswerKind::Acknowledgement, self.state);
                 self.exchange(&[step], AnswerMatching::Lenient).map(drop)
             }
+            ModelStatement::RefusedStep => {
+                let mut step = self.expect(AnswerKind::Acknowledgement, self.state);
+                step.refused = true;
+                self.exchange(&[step], AnswerMatching::Lenient)?;
+                self.require_receipts()
+            }
+            ModelStatement::RefusedTransaction => {
+                let mut begin = self.expect(AnswerKind::Acknowledgement, SessionState::Open);
+                begin.refused = true;
+                self.exchange(&[begin], AnswerMatching::Lenient)?;
+                self.require_receipts()?;
+                // The endpoint has no transaction: nothing may run as part of one.
+                panic!("a copy stands for a transaction that was refused");
+            }
             ModelStatement::Transaction(count) => {
                 let begin = self.expect(AnswerKind::Acknowledgement, SessionState::Open);
                 self.exchange(&[begin], AnswerMatching::Lenient)?;
@@ -254,4 +276,29 @@
             }
         }
     }
+
+    /// A copy must not stand for a step that is refused: the refusal would be taken for that of the
+    /// next statement, which runs without the step.
+    #[test]
+    fn refused_steps_stay_apart(
+        statements in prop::collection::vec(
+            prop_oneof![
+                model_statement(),
+                Just(ModelStatement::RefusedStep),
+                Just(ModelStatement::RefusedTransaction),
+            ],
+            1..12,
+        ),
+        copies in prop::collection::vec(
+            prop::collection::vec(any::<prop::sample::Index>(), 0..2),
+            0..40,
+        ),
+    ) {
+        let mut connection = ModelConnection::new(copies);
+        for statement in statements {
+            if connection.run_model(statement).is_err() {
+                break;
+            }
+        }
+    }
 }
--- a/crates/standins/src/platform/group_state.rs
+++ b/crates/standins/src/platform/group_state.rs
@@ -203,6 +203,8 @@
     pub lose_answers: u32,
     /// Number of next reads, writes and transactions that are refused because the queue is full.
     pub busy_statements: u32,
+    /// Time after which a `BEGIN` is answered.
+    pub begin_delay: Duration,
     /// Number of receipts that were given.
     pub receipts: u64,
     /// Answers that are sent twice.
@@ -247,6 +249,7 @@
             resume_delay: Duration::ZERO,
             lose_answers: 0,
             busy_statements: 0,
+            begin_delay: Duration::ZERO,
             receipts: 0,
             repeat: None,
             executed_statements: Vec::new(),
--- a/crates/standins/src/platform/line_server.rs
+++ b/crates/standins/src/platform/line_server.rs
@@ -193,6 +193,10 @@
         if matches!(word, "READ" | "WRITE" | "EXECUTE" | "COMMIT") {
             self.record_arrival(id);
         }
+        if word == "BEGIN" {
+            let delay = self.shared.group().begin_delay;
+            tokio::time::sleep(delay).await;
+        }
         if matches!(word, "READ" | "WRITE" | "EXECUTE" | "BEGIN") && self.take_busy() {
             return Some(self.refuse("BUSY"));
         }
