Show copied reports and positions in tests

Cause: if all answers of one exchange are copied, the copies have the shape of the next exchange and are taken for it. Connections that are kept between surveys are not checked for unread bytes, so that the copies may arrive at any time before the next survey.

Change: two tests of the model with a copy of each answer of a report's and a position's exchange.

Measured: both get the answer of the earlier exchange.

--- a/crates/session-core/tests/testsuite/answer_checks.rs
+++ b/crates/session-core/tests/testsuite/answer_checks.rs
@@ -302,3 +302,36 @@
         }
     }
 }
+
+/// An endpoint that copies each answer of a report's exchange once must not have the copies taken for
+/// the next report. Such connections are kept between surveys, so that the copies wait in them.
+#[test]
+fn copied_report_exchange() {
+    let mut connection = ModelConnection::new(Vec::new());
+    assert!(connection.run_model(ModelStatement::Report).is_ok());
+    let copies = connection.endpoint.sent.clone();
+    connection.endpoint.output.extend(copies);
+    let report = connection.expect(AnswerKind::Report, SessionState::Idle);
+    let before = connection.expect(AnswerKind::Acknowledgement, SessionState::Idle);
+    let after = connection.expect(AnswerKind::Acknowledgement, SessionState::Idle);
+    let answers = connection.exchange(&[before, report, after], AnswerMatching::Strict);
+    if let Ok(answers) = answers {
+        assert_eq!(answers[1].0, answers[1].1.statement);
+    }
+}
+
+/// An endpoint that copies both answers of a position's exchange must not have the copies taken for the
+/// next position, which would then lack the commits between them.
+#[test]
+fn copied_position_exchange() {
+    let mut connection = ModelConnection::new(Vec::new());
+    assert!(connection.run_model(ModelStatement::Position).is_ok());
+    let copies = connection.endpoint.sent.clone();
+    connection.endpoint.output.extend(copies);
+    let begin = connection.expect(AnswerKind::Acknowledgement, SessionState::Open);
+    let end = connection.expect(AnswerKind::Acknowledgement, SessionState::Idle);
+    let answers = connection.exchange(&[begin, end], AnswerMatching::Strict);
+    if let Ok(answers) = answers {
+        assert_eq!(answers[0].0, answers[0].1.statement);
+    }
+}
