Show copied start-ups in a test

Cause: the copy of the READY of a start-up has no result before it, which breaks the connection while its first statement runs. A write is then answered with INDOUBT.

Change: a test in which endpoints answer start-ups twice.

--- a/crates/front/tests/testsuite/repeated_answers.rs
+++ b/crates/front/tests/testsuite/repeated_answers.rs
@@ -233,3 +233,9 @@
     }
     assert!(kept.is_empty(), "{kept:?} were rolled back and stayed");
 }
+
+/// An endpoint that answers start-ups twice must still serve nine in ten statements.
+#[tokio::test]
+async fn copied_startups_are_passed() {
+    check_copies(&["studio", "-"]).await;
+}
