--- a/crates/standins/src/platform/group_state.rs
+++ b/crates/standins/src/platform/group_state.rs
@@ -210,6 +210,8 @@
     pub lose_answers: u32,
     /// Number of next reads, writes and transactions that are refused because the queue is full.
     pub busy_statements: u32,
+    /// Time after which a `BEGIN` is answered.
+    pub begin_delay: Duration,
     /// Number of receipts that were given.
     pub receipts: u64,
     /// Answers that are sent twice.
@@ -260,6 +262,7 @@
             resume_delay: Duration::ZERO,
             lose_answers: 0,
             busy_statements: 0,
+            begin_delay: Duration::ZERO,
             receipts: 0,
             repeat: None,
             answer_faults: AnswerFaults::default(),
--- a/src/connection/exchange.rs
+++ b/src/connection/exchange.rs
@@ -616,7 +616,7 @@
             front => front.is_some(),
         };
         if !may_fail {
-            return Err(unexpected(AnswerFault::UnconfirmedRefusal));
+            return Err(unexpected(AnswerFault::UnexpectedRefusal));
         }
         self.answer = StatementAnswer::default();
         let read_only = endpoint_link::read_sqlstate(frame) == Some("25006");
@@ -774,7 +774,7 @@
                 }
             }
             MarkerOutcome::Refused if self.refused_markers == MAX_REFUSED_MARKERS => {
-                return Err(unexpected(AnswerFault::UnconfirmedRefusal));
+                return Err(unexpected(AnswerFault::UnexpectedRefusal));
             }
             MarkerOutcome::Refused => {
                 self.refused_markers += 1;
