--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -4,7 +4,6 @@
 
 pub mod fault_schedule;
 pub mod guarantee_checks;
-mod hostile_texts;
 pub mod link_proxy;
 pub mod observed_history;
 mod observed_session;
--- a/crates/soak/src/soak_callers.rs
+++ b/crates/soak/src/soak_callers.rs
@@ -10,15 +10,15 @@
 use rand::Rng;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
+use standins::platform::hostile_texts::draw_definition;
+use standins::platform::hostile_texts::draw_ending;
+use standins::platform::hostile_texts::draw_name;
 use standins::platform::line_caller::CallerError;
 use standins::platform::line_caller::LineAnswer;
 use standins::platform::line_caller::LineCaller;
 use standins::platform::sample_configuration::STALENESS_MS;
 use tokio::sync::watch;
 
-use crate::hostile_texts::draw_definition;
-use crate::hostile_texts::draw_ending;
-use crate::hostile_texts::draw_name;
 use crate::observed_history::ObservedHistory;
 use crate::observed_history::WriteOutcome;
 use crate::observed_session::ObservedSession;
--- a/crates/standins/src/platform/mod.rs
+++ b/crates/standins/src/platform/mod.rs
@@ -4,6 +4,7 @@
 pub mod answer_faults;
 pub mod daemon_process;
 pub mod group_state;
+pub mod hostile_texts;
 pub mod line_caller;
 mod line_reader;
 mod line_server;
