Confirm a repeated refusal instead of replacing the connection

The first refusal on a connection cannot be a copy. Any other one is now followed by two empty transactions whose answers the refused statement cannot have; another refusal with the same text is passed over, and anything else breaks the connection. The transaction of a refused statement is rolled back at once, so that the connection returns to the pool. The property test holds with up to three copies before each answer; with one empty transaction it failed.

--- a/crates/front/src/endpoint_channel.rs
+++ b/crates/front/src/endpoint_channel.rs
@@ -11,11 +11,11 @@
 use platform::line_frame::FrameError;
 use session_core::answer_check::AnswerCheck;
 use session_core::answer_check::AnswerFault;
-use session_core::answer_check::AnswerKind;
 use session_core::answer_check::AnswerParts;
 use session_core::answer_check::AnswerVerdict;
 use session_core::answer_check::ExpectedAnswer;
 use session_core::answer_matching::AnswerMatching;
+use session_core::caller_statement::AccessMode;
 use session_core::endpoint_entry::EndpointEntry;
 use session_core::ids::TeamId;
 use session_core::memory_account::MemoryPart;
@@ -107,7 +107,7 @@
     }
 
     /// Sends several statements at once and returns their answers in order. `state` is the transaction
-    /// state before them.
+    /// state before them. If one of them is refused, the transaction is rolled back.
     ///
     /// # Errors
     ///
@@ -115,13 +115,32 @@
     pub async fn exchange(
         &mut self,
         commands: Vec<EndpointCommand>,
-        mut state: SessionState,
+        state: SessionState,
         matching: AnswerMatching,
         budget: Option<AnswerBudget<'_>>,
     ) -> Result<Vec<EndpointAnswer>, StatementFault> {
         if matching == AnswerMatching::Strict && self.is_stale() {
             return Err(StatementFault::NotSent);
         }
+        let has_refused = self.check.has_refused();
+        let answers = self
+            .run_statements(commands, state, matching, budget)
+            .await?;
+        if let Some(last) = answers.last()
+            && answers.iter().any(|answer| answer.result.is_err())
+        {
+            self.end_refused(last.state, has_refused).await?;
+        }
+        Ok(answers)
+    }
+
+    async fn run_statements(
+        &mut self,
+        commands: Vec<EndpointCommand>,
+        mut state: SessionState,
+        matching: AnswerMatching,
+        budget: Option<AnswerBudget<'_>>,
+    ) -> Result<Vec<EndpointAnswer>, StatementFault> {
         let mut expected = Vec::with_capacity(commands.len());
         for command in &commands {
             if let Some(answer) = command.expected_answer(state) {
@@ -129,10 +148,6 @@
                 expected.push(answer);
             }
         }
-        let has_receipt = |answer: &ExpectedAnswer| answer.kind == AnswerKind::Receipt;
-        if !self.check.admits_receipts() && expected.iter().any(has_receipt) {
-            return Err(StatementFault::NotSent);
-        }
         let sent_at = now();
         for command in commands {
             // Nothing of the commands was written, and nothing of them is left to be written.
@@ -152,6 +167,37 @@
         Ok(answers)
     }
 
+    /// Rolls the transaction back after a refusal. Unless it was the first on the connection, makes sure
+    /// that it is not a copy of an earlier one, by statements whose answers cannot be those of the refused
+    /// one. They need no slot of the endpoint.
+    async fn end_refused(
+        &mut self,
+        state: SessionState,
+        is_repeated: bool,
+    ) -> Result<(), StatementFault> {
+        let begin = EndpointCommand::Begin {
+            mode: AccessMode::Read,
+            floor: None,
+        };
+        let mut commands = match state {
+            SessionState::Idle => vec![],
+            SessionState::Open | SessionState::Failed => vec![EndpointCommand::Rollback],
+        };
+        if is_repeated {
+            // Two pairs: one, and the refusal, could be copies that arrive in order.
+            for _ in 0..2 {
+                commands.extend([begin.clone(), EndpointCommand::Rollback]);
+            }
+        }
+        if commands.is_empty() {
+            return Ok(());
+        }
+        let matching = AnswerMatching::AfterRefusal;
+        self.run_statements(commands, state, matching, None)
+            .await
+            .map(drop)
+    }
+
     /// Reads the answer to a statement, and passes over those that belong to another one.
     async fn read_own_answer(
         &mut self,
@@ -164,7 +210,7 @@
             let answer = self.read_answer(sent_at, budget).await?;
             let result = match &answer.result {
                 Ok(receipt) => Ok(endpoint_codec::parse_receipt(receipt)),
-                Err(_) => Err(()),
+                Err((_, text)) => Err(text.as_str()),
             };
             let parts = AnswerParts {
                 rows: answer.rows.len(),
--- a/crates/front/src/endpoint_connection.rs
+++ b/crates/front/src/endpoint_connection.rs
@@ -239,7 +239,8 @@
         answers.pop().ok_or(StatementFault::Broken)
     }
 
-    /// Sends several statements at once and returns their answers in order. The answers are charged
+    /// Sends several statements at once and returns their answers in order. If one of them is refused,
+    /// the transaction has been rolled back. The answers are charged
     /// to the budget, which the caller of this function then sets to what it keeps of them.
     ///
     /// # Errors
@@ -284,7 +285,12 @@
         };
         self.broken = false;
         if let Some(last) = answers.last() {
-            self.state = last.state;
+            let is_refused = answers.iter().any(|answer| answer.result.is_err());
+            self.state = match is_refused {
+                // The channel has rolled the transaction back.
+                true => SessionState::Idle,
+                false => last.state,
+            };
         }
         Ok(answers)
     }
--- a/crates/session-core/src/answer_check.rs
+++ b/crates/session-core/src/answer_check.rs
@@ -40,8 +40,8 @@
 pub struct AnswerParts<'a> {
     /// Number of rows.
     pub rows: usize,
-    /// The receipt, `None` if there is none. A refusal has the empty error.
-    pub result: Result<Option<&'a str>, ()>,
+    /// The receipt, `None` if there is none, or the text of the refusal.
+    pub result: Result<Option<&'a str>, &'a str>,
     /// The transaction state.
     pub state: SessionState,
 }
@@ -74,6 +74,8 @@
     UnexpectedState,
     /// The messages of the answer are in the wrong order.
     MessageOrder,
+    /// The answer has the same text as the refusal before it that is to be confirmed.
+    RepeatedRefusal,
     /// A refusal arrived where nothing can be refused.
     UnexpectedRefusal,
     /// The statement that the daemon sent to mark the end of the answer has another answer than its own.
@@ -90,6 +92,7 @@
             AnswerFault::UnexpectedRows => "unexpected_rows",
             AnswerFault::UnexpectedState => "unexpected_state",
             AnswerFault::MessageOrder => "message_order",
+            AnswerFault::RepeatedRefusal => "repeated_refusal",
             AnswerFault::UnexpectedRefusal => "unexpected_refusal",
             AnswerFault::WrongMarker => "wrong_marker",
         })
@@ -102,8 +105,8 @@
     /// Hashes of the receipts.
     receipts: HashSet<u64>,
     hasher: RandomState,
-    /// Whether a statement was refused.
-    refused: bool,
+    /// Text of the last refusal.
+    refusal: Option<String>,
     /// Whether a statement without a receipt was acknowledged.
     acknowledged: bool,
     /// Whether an answer arrived that was not that of the awaited statement.
@@ -115,16 +118,15 @@
     /// may still arrive. Bounds the memory of an idle connection to about 72 KiB.
     pub const MAX_RECEIPTS: usize = 4_096;
 
-    /// Returns whether a statement with a receipt may run on the connection. After a refusal it may not,
-    /// as a copy of the refusal could not be told from a later one.
-    pub fn admits_receipts(&self) -> bool {
-        !self.refused
+    /// Returns whether a statement was refused, so that a copy of the refusal may be taken for a later one.
+    pub fn has_refused(&self) -> bool {
+        self.refusal.is_some()
     }
 
-    /// Returns whether the connection must not serve another session: nothing tells later answers from
-    /// copies of earlier ones, or copies have already arrived.
+    /// Returns whether the connection must not serve another session: copies have arrived, or nothing
+    /// would tell later receipts from earlier ones.
     pub fn is_worn(&self) -> bool {
-        self.refused || self.repeats || self.receipts.len() >= Self::MAX_RECEIPTS
+        self.repeats || self.receipts.len() >= Self::MAX_RECEIPTS
     }
 
     /// Returns whether a statement without a receipt was acknowledged, so that a copy of the
@@ -139,16 +141,16 @@
     }
 
     /// Returns what an answer is to the awaited statement, and records its receipt. The first refusal on
-    /// a connection is no copy of another one; no statement with a receipt follows it.
+    /// a connection is no copy; any other one must be confirmed by statements that follow it.
     pub fn judge(
         &mut self,
         expected: ExpectedAnswer,
         matching: AnswerMatching,
         answer: AnswerParts<'_>,
     ) -> AnswerVerdict {
-        let Ok(receipt) = answer.result else {
-            self.refused = true;
-            return AnswerVerdict::Own;
+        let receipt = match answer.result {
+            Ok(receipt) => receipt,
+            Err(text) => return self.judge_refusal(matching, text),
         };
         let Err(fault) = self.check_success(expected, receipt, answer) else {
             return AnswerVerdict::Own;
@@ -158,7 +160,21 @@
             // The receipt is new, so the answer is its own; the state of the connection is wrong.
             (_, AnswerFault::UnexpectedState) if receipt.is_some() => AnswerVerdict::Broken(fault),
             (AnswerMatching::Lenient, _) => AnswerVerdict::PassedOver(fault),
-            (AnswerMatching::Strict, _) => AnswerVerdict::Broken(fault),
+            (AnswerMatching::Strict | AnswerMatching::AfterRefusal, _) => {
+                AnswerVerdict::Broken(fault)
+            }
+        }
+    }
+
+    fn judge_refusal(&mut self, matching: AnswerMatching, text: &str) -> AnswerVerdict {
+        if matching != AnswerMatching::AfterRefusal {
+            self.refusal = Some(text.to_owned());
+            return AnswerVerdict::Own;
+        }
+        self.repeats = true;
+        match self.refusal.as_deref() == Some(text) {
+            true => AnswerVerdict::PassedOver(AnswerFault::RepeatedRefusal),
+            false => AnswerVerdict::Broken(AnswerFault::UnexpectedRefusal),
         }
     }
 
--- a/crates/session-core/src/answer_matching.rs
+++ b/crates/session-core/src/answer_matching.rs
@@ -15,4 +15,7 @@
     /// It breaks the connection. Fits statements whose answers are used although they have no
     /// receipt, between others whose answers have another shape.
     Strict,
+    /// It breaks the connection, as it may be that of a statement that seemed to be refused. Further
+    /// refusals with the same text are passed over. Fits the statements that confirm a refusal.
+    AfterRefusal,
 }
--- a/crates/session-core/tests/testsuite/answer_checks.rs
+++ b/crates/session-core/tests/testsuite/answer_checks.rs
@@ -37,7 +37,7 @@
     /// Number of the statement that it answers.
     statement: usize,
     rows: usize,
-    result: Result<Option<String>, ()>,
+    result: Result<Option<String>, String>,
     state: SessionState,
 }
 
@@ -116,7 +116,7 @@
             let number = self.statements;
             self.statements += 1;
             let result = match (sent.refused, sent.expected.kind) {
-                (true, _) => Err(()),
+                (true, _) => Err("BUSY".to_owned()),
                 (false, AnswerKind::Receipt) => Ok(Some(format!("r{number}"))),
                 (false, _) => Ok(None),
             };
@@ -144,7 +144,7 @@
             let answer = self.endpoint.output.pop_front().ok_or(Broken)?;
             let result = match &answer.result {
                 Ok(receipt) => Ok(receipt.as_deref()),
-                Err(()) => Err(()),
+                Err(text) => Err(text.as_str()),
             };
             let parts = AnswerParts {
                 rows: answer.rows,
@@ -161,20 +161,36 @@
 
     /// Runs one statement with a receipt and checks that the answer is its own.
     fn run(&mut self, refused: bool) -> Result<(), Broken> {
+        let has_refused = self.check.has_refused();
         let mut sent = self.expect(AnswerKind::Receipt, self.state);
         sent.refused = refused;
         let answers = self.exchange(&[sent], AnswerMatching::Lenient)?;
         let (number, answer) = &answers[0];
-        assert_eq!(answer.statement, *number, "{answer:?}");
-        self.require_receipts()
+        if answer.result.is_ok() {
+            assert_eq!(answer.statement, *number, "{answer:?}");
+            return Ok(());
+        }
+        self.end_refused(has_refused)?;
+        assert!(refused, "{number} ran and seemed to be refused");
+        Ok(())
     }
 
-    /// The connection is replaced after a refusal.
-    fn require_receipts(&self) -> Result<(), Broken> {
-        match self.check.admits_receipts() {
-            true => Ok(()),
-            false => Err(Broken),
+    /// Rolls back after a refusal and confirms it, as the daemon does.
+    fn end_refused(&mut self, is_repeated: bool) -> Result<(), Broken> {
+        let acknowledged = |state| self.expect(AnswerKind::Acknowledgement, state);
+        let mut statements = match self.state {
+            SessionState::Idle => vec![],
+            SessionState::Open | SessionState::Failed => vec![acknowledged(SessionState::Idle)],
+        };
+        if is_repeated {
+            for _ in 0..2 {
+                statements.push(acknowledged(SessionState::Open));
+                statements.push(acknowledged(SessionState::Idle));
+            }
         }
+        self.state = SessionState::Idle;
+        self.exchange(&statements, AnswerMatching::AfterRefusal)
+            .map(drop)
     }
 
     /// Runs steps of the session and begins a transaction, if `refuses_begin` says whether it is
@@ -193,8 +209,12 @@
             statements.push(self.expect(AnswerKind::Acknowledgement, SessionState::Idle));
         }
         statements.extend(refuses_begin.map(begin));
-        self.exchange(&statements, AnswerMatching::Lenient)?;
-        self.require_receipts()
+        let answers = self.exchange(&statements, AnswerMatching::Lenient)?;
+        // The preparation ends with a refusal, and nothing of the caller's is sent.
+        match answers.iter().all(|(_, answer)| answer.result.is_ok()) {
+            true => Ok(()),
+            false => Err(Broken),
+        }
     }
 
     fn run_model(&mut self, statement: ModelStatement) -> Result<(), Broken> {
