--- a/crates/front/src/endpoint_channel.rs
+++ b/crates/front/src/endpoint_channel.rs
@@ -184,7 +184,7 @@
             SessionState::Open | SessionState::Failed => vec![EndpointCommand::Rollback],
         };
         if is_repeated {
-            // Two pairs: one, and the refusal, could be copies that arrive in order.
+            // With one pair, the refusal and both answers could be copies that arrive in order.
             for _ in 0..2 {
                 commands.extend([begin.clone(), EndpointCommand::Rollback]);
             }
--- a/crates/session-core/src/answer_check.rs
+++ b/crates/session-core/src/answer_check.rs
@@ -110,7 +110,7 @@
     /// Whether a statement without a receipt was acknowledged.
     acknowledged: bool,
     /// Whether an answer arrived that was not that of the awaited statement.
-    repeats: bool,
+    saw_unexpected: bool,
 }
 
 impl AnswerCheck {
@@ -126,7 +126,7 @@
     /// Returns whether the connection must not serve another session: copies have arrived, or nothing
     /// would tell later receipts from earlier ones.
     pub fn is_worn(&self) -> bool {
-        self.repeats || self.receipts.len() >= Self::MAX_RECEIPTS
+        self.saw_unexpected || self.receipts.len() >= Self::MAX_RECEIPTS
     }
 
     /// Returns whether a statement without a receipt was acknowledged, so that a copy of the
@@ -137,7 +137,7 @@
 
     /// Records that a copy of an earlier answer arrived.
     pub fn record_copy(&mut self) {
-        self.repeats = true;
+        self.saw_unexpected = true;
     }
 
     /// Returns what an answer is to the awaited statement, and records its receipt. The first refusal on
@@ -155,7 +155,7 @@
         let Err(fault) = self.check_success(expected, receipt, answer) else {
             return AnswerVerdict::Own;
         };
-        self.repeats = true;
+        self.saw_unexpected = true;
         match (matching, fault) {
             // The receipt is new, so the answer is its own; the state of the connection is wrong.
             (_, AnswerFault::UnexpectedState) if receipt.is_some() => AnswerVerdict::Broken(fault),
@@ -171,7 +171,7 @@
             self.refusal = Some(text.to_owned());
             return AnswerVerdict::Own;
         }
-        self.repeats = true;
+        self.saw_unexpected = true;
         match self.refusal.as_deref() == Some(text) {
             true => AnswerVerdict::PassedOver(AnswerFault::RepeatedRefusal),
             false => AnswerVerdict::Broken(AnswerFault::UnexpectedRefusal),
