--- a/review/standins-2/client.rs
+++ b/review/standins-2/client.rs
@@ -71,7 +71,9 @@
     }
 
     fn send(&mut self, line: &str) -> io::Result<()> {
-        self.reader.get_mut().write_all(format!("{line}\r\n").as_bytes())
+        self.reader
+            .get_mut()
+            .write_all(format!("{line}\r\n").as_bytes())
     }
 
     fn line(&mut self) -> io::Result<String> {
--- a/review/standins-2/front.rs
+++ b/review/standins-2/front.rs
@@ -37,7 +37,8 @@
         let listener = TcpListener::bind("127.0.0.1:0").expect("listen");
         let first = listener.local_addr().expect("address").port();
         let rest = (1..count).map(|offset| first.checked_add(offset));
-        let free = |port: Option<u16>| port.is_some_and(|p| TcpListener::bind(("127.0.0.1", p)).is_ok());
+        let free =
+            |port: Option<u16>| port.is_some_and(|p| TcpListener::bind(("127.0.0.1", p)).is_ok());
         if rest.into_iter().all(free) {
             return first;
         }
@@ -79,7 +80,11 @@
             record::give_up(&format!("{}: {error}", settings.display()));
         }
         let child = start_program(&settings, &log);
-        note(&format!("front {name} of zone {zone} starts as process {} at {}", child.id(), address(0)));
+        note(&format!(
+            "front {name} of zone {zone} starts as process {} at {}",
+            child.id(),
+            address(0)
+        ));
         Front {
             name: name.to_owned(),
             address: address(0),
@@ -114,6 +119,17 @@
             && answer.starts_with("HTTP/1.1 200")
     }
 
+    /// Sends a signal to the process.
+    pub fn signal(&self, name: &str) {
+        record::signal(self.child.id(), name);
+    }
+
+    /// Returns how the process ended, if it did.
+    pub fn ended(&mut self) -> Option<String> {
+        let status = self.child.try_wait().ok().flatten();
+        status.map(|status| status.to_string())
+    }
+
     /// Stops the front with SIGTERM as the platform does, and starts it again.
     pub fn restart_planned(&mut self) {
         let id = self.child.id();
@@ -130,7 +146,11 @@
         record::remove_process(id);
         std::thread::sleep(Duration::from_millis(300));
         self.child = start_program(&self.settings, &self.log);
-        note(&format!("front {} starts again as process {}", self.name, self.child.id()));
+        note(&format!(
+            "front {} starts again as process {}",
+            self.name,
+            self.child.id()
+        ));
     }
 }
 
--- a/review/standins-2/group.rs
+++ b/review/standins-2/group.rs
@@ -144,8 +144,16 @@
             if backend.has_ended {
                 None
             } else {
-                let role = if backend.is_primary { "primary" } else { "replica" };
-                let state = if backend.is_draining { "draining" } else { "ready" };
+                let role = if backend.is_primary {
+                    "primary"
+                } else {
+                    "replica"
+                };
+                let state = if backend.is_draining {
+                    "draining"
+                } else {
+                    "ready"
+                };
                 let fields = vec![
                     ("Service", text(&self.service)),
                     ("Address", text(&backend.address.to_string())),
@@ -161,20 +169,30 @@
                 Some(object(fields).to_string())
             }
         };
-        self.store.write_outside(&format!("servers/{id}"), entry.as_deref());
+        self.store
+            .write_outside(&format!("servers/{id}"), entry.as_deref());
     }
 
     /// Replaces a backend as planned work does: it reports that it is draining, serves on for the
     /// drain time and a little longer, and ends.
     pub fn release(self: &Arc<Self>, id: &str, drain: Duration, longer: Duration) {
         note(&format!("backend {id} reports draining"));
-        self.lock().backends.get_mut(id).expect("backend").is_draining = true;
+        self.lock()
+            .backends
+            .get_mut(id)
+            .expect("backend")
+            .is_draining = true;
         self.publish(id);
         let (group, id) = (Arc::clone(self), id.to_owned());
         std::thread::spawn(move || {
             std::thread::sleep(drain + longer);
             note(&format!("backend {id} ends"));
-            group.lock().backends.get_mut(&id).expect("backend").has_ended = true;
+            group
+                .lock()
+                .backends
+                .get_mut(&id)
+                .expect("backend")
+                .has_ended = true;
             group.publish(&id);
         });
     }
@@ -182,7 +200,10 @@
     /// Returns the id of the primary of the newest term.
     pub fn primary(&self) -> String {
         let state = self.lock();
-        let primaries = state.backends.iter().filter(|(_, b)| b.is_primary && !b.has_ended);
+        let primaries = state
+            .backends
+            .iter()
+            .filter(|(_, b)| b.is_primary && !b.has_ended);
         let newest = primaries.max_by_key(|(_, backend)| backend.term);
         newest.map(|(id, _)| id.clone()).unwrap_or_default()
     }
@@ -209,7 +230,10 @@
                 holder: holder.to_owned(),
                 token,
             };
-            note(&format!("platform: {holder} promotes {target} of {} with token {token}", self.service));
+            note(&format!(
+                "platform: {holder} promotes {target} of {} with token {token}",
+                self.service
+            ));
             state.promotions.push(promotion);
             let newest = state.backends.values().map(|b| b.term).max();
             let backend = &state.backends[target];
@@ -231,7 +255,10 @@
             new.is_primary = true;
             new.term = term;
             note(&format!("backend {target} leads term {term}"));
-            let others = state.backends.iter().filter(|(id, _)| id.as_str() != target);
+            let others = state
+                .backends
+                .iter()
+                .filter(|(id, _)| id.as_str() != target);
             let (old, replicas): (Vec<_>, Vec<_>) = others.partition(|(_, b)| b.is_primary);
             let names = |all: Vec<(&String, &Backend)>| -> Vec<String> {
                 all.into_iter().map(|(id, _)| id.clone()).collect()
@@ -286,7 +313,10 @@
         if backend.is_primary {
             return backend.log.len();
         }
-        let applied = backend.log.iter().take_while(|entry| entry.received_at.elapsed() >= LAG);
+        let applied = backend
+            .log
+            .iter()
+            .take_while(|entry| entry.received_at.elapsed() >= LAG);
         applied.count()
     }
 }
@@ -424,7 +454,10 @@
                 return self.refuse("LAGGING");
             }
         }
-        let failed = self.transaction.as_ref().is_some_and(|(_, _, failed)| *failed);
+        let failed = self
+            .transaction
+            .as_ref()
+            .is_some_and(|(_, _, failed)| *failed);
         if failed && !matches!(statement, "ROLLBACK" | "COMMIT") {
             return self.refuse("MALFORMED");
         }
@@ -508,7 +541,11 @@
     fn report(&self) -> String {
         let state = self.group.lock();
         let backend = &state.backends[&self.id];
-        let role = if backend.is_primary { "primary" } else { "replica" };
+        let role = if backend.is_primary {
+            "primary"
+        } else {
+            "replica"
+        };
         let (term, received) = (backend.term, backend.log.len());
         format!("DATAROW {role} {term} {term}.{received} 0 0 0 1\r\nCOMPLETE -\r\n")
     }
@@ -549,7 +586,12 @@
     /// Returns the value of an item, as this backend has it now.
     fn read(&mut self, id: &str, statement: &str, item: &str) -> String {
         std::thread::sleep(WORK);
-        if self.transaction.as_ref().is_some_and(|(writes, _, _)| *writes) && !self.is_primary() {
+        if self
+            .transaction
+            .as_ref()
+            .is_some_and(|(writes, _, _)| *writes)
+            && !self.is_primary()
+        {
             return self.refuse("READONLY");
         }
         let mut state = self.group.lock();
--- a/review/standins-2/json.rs
+++ b/review/standins-2/json.rs
@@ -21,7 +21,9 @@
 }
 
 pub fn object(fields: Vec<(&str, Json)>) -> Json {
-    let fields = fields.into_iter().map(|(name, value)| (name.to_owned(), value));
+    let fields = fields
+        .into_iter()
+        .map(|(name, value)| (name.to_owned(), value));
     Json::Object(fields.collect())
 }
 
@@ -226,14 +228,20 @@
         let bits = u32::from(group[0]) << 16 | u32::from(group[1]) << 8 | u32::from(group[2]);
         for index in 0..4 {
             let digit = DIGITS[(bits >> (18 - 6 * index) & 63) as usize];
-            out.push(if index <= chunk.len() { digit as char } else { '=' });
+            out.push(if index <= chunk.len() {
+                digit as char
+            } else {
+                '='
+            });
         }
     }
     out
 }
 
 pub fn decode_base64(source: &str) -> Vec<u8> {
-    let digits = source.bytes().filter_map(|byte| DIGITS.iter().position(|d| *d == byte));
+    let digits = source
+        .bytes()
+        .filter_map(|byte| DIGITS.iter().position(|d| *d == byte));
     let (mut bits, mut count, mut out) = (0_u32, 0, Vec::new());
     for digit in digits {
         bits = bits << 6 | digit as u32;
--- a/review/standins-2/lower_token.rs
+++ b/review/standins-2/lower_token.rs
@@ -9,7 +9,11 @@
 use crate::world::World;
 
 pub fn play(trouble: bool) -> ! {
-    let fronts = [("front-a-1", "lagos-a"), ("front-b-1", "lagos-b"), ("front-c-1", "lagos-c")];
+    let fronts = [
+        ("front-a-1", "lagos-a"),
+        ("front-b-1", "lagos-b"),
+        ("front-c-1", "lagos-c"),
+    ];
     let mut world = World::start(&[("folio", &["key-one"])], &fronts);
     let first = world.await_leader();
     std::thread::sleep(Duration::from_secs(3));
@@ -22,7 +26,9 @@
     note(&format!("{:?} leads", world.leader()));
     release(&world);
     if trouble {
-        world.store.drill(Duration::from_secs(1), copied_at.elapsed());
+        world
+            .store
+            .drill(Duration::from_secs(1), copied_at.elapsed());
     }
     std::thread::sleep(Duration::from_secs(4));
     // It goes on with the front that led before the drill.
@@ -54,7 +60,9 @@
 fn release(world: &World) {
     let old = world.group.primary();
     let calls = world.group.promotions().len();
-    world.group.release(&old, DRAIN_TIME, Duration::from_secs(1));
+    world
+        .group
+        .release(&old, DRAIN_TIME, Duration::from_secs(1));
     let end = Instant::now() + Duration::from_secs(20);
     while world.group.promotions().len() == calls {
         if Instant::now() >= end {
--- a/review/standins-2/main.rs
+++ b/review/standins-2/main.rs
@@ -3,6 +3,7 @@
 mod client;
 mod front;
 mod group;
+mod hangup_at_start;
 mod json;
 mod lower_token;
 mod moved_key;
@@ -27,6 +28,7 @@
         "old-primary" => old_primary::play(trouble),
         "lower-token" => lower_token::play(trouble),
         "value-in-transaction" => value_in_transaction::play(trouble),
+        "hangup-at-start" => hangup_at_start::play(trouble),
         "moved-key" => moved_key::play(trouble),
         _ => record::give_up("no such case"),
     }
--- a/review/standins-2/moved_key.rs
+++ b/review/standins-2/moved_key.rs
@@ -10,14 +10,18 @@
 use crate::world::World;
 
 pub fn play(trouble: bool) -> ! {
-    let tenants: [(&str, &[&str]); 2] = [("folio", &["key-one", "key-two"]), ("menu", &["key-three"])];
+    let tenants: [(&str, &[&str]); 2] =
+        [("folio", &["key-one", "key-two"]), ("menu", &["key-three"])];
     let mut world = World::start(&tenants, &[("front-a-1", "lagos-a")]);
     let front = &world.fronts[0];
     let mut client = Client::open_soon("one", front.address, PRIMARY, "key-two");
     client.request_until_served("WRITE page 0");
     let mut sent = Vec::new();
     let mut ask = |client: &mut Client, statement: &str| match client.request(statement) {
-        Ok(answer) => sent.push((answer.id.clone(), answer.sent_at.unwrap_or_else(Instant::now))),
+        Ok(answer) => sent.push((
+            answer.id.clone(),
+            answer.sent_at.unwrap_or_else(Instant::now),
+        )),
         Err(error) => record::note(&format!("{statement}: {error}")),
     };
     ask(&mut client, "BEGIN");
@@ -25,7 +29,10 @@
     let confirmed_at = if trouble {
         world.tenants = vec![
             ("folio".to_owned(), vec!["key-one".to_owned()]),
-            ("menu".to_owned(), vec!["key-three".to_owned(), "key-two".to_owned()]),
+            (
+                "menu".to_owned(),
+                vec!["key-three".to_owned(), "key-two".to_owned()],
+            ),
         ];
         world.send_configuration()
     } else {
@@ -47,7 +54,10 @@
         if late > APPLY_TIME && run.tenant != holder {
             broken.push(format!(
                 "{} {:?} ran for tenant {} {} ms after its key had moved to {holder}",
-                run.id, run.text, run.tenant, late.as_millis()
+                run.id,
+                run.text,
+                run.tenant,
+                late.as_millis()
             ));
         }
     }
--- a/review/standins-2/old_primary.rs
+++ b/review/standins-2/old_primary.rs
@@ -11,11 +11,17 @@
 use crate::world::World;
 
 pub fn play(trouble: bool) -> ! {
-    let fronts = [("front-a-1", "lagos-a"), ("front-a-2", "lagos-a"), ("front-b-1", "lagos-b")];
+    let fronts = [
+        ("front-a-1", "lagos-a"),
+        ("front-a-2", "lagos-a"),
+        ("front-b-1", "lagos-b"),
+    ];
     let mut world = World::start(&[("folio", &["key-one"])], &fronts);
     let leader = world.await_leader();
     note(&format!("front {} leads", world.fronts[leader].name));
-    let mut clients: Vec<Client> = world.fronts.iter()
+    let mut clients: Vec<Client> = world
+        .fronts
+        .iter()
         .map(|front| Client::open_soon(&front.name, front.address, PRIMARY, "key-one"))
         .collect();
     for client in &mut clients {
@@ -24,11 +30,15 @@
     std::thread::sleep(Duration::from_secs(3));
     world.send_configurations(12, Duration::from_millis(330));
     if trouble {
-        world.store.drill(Duration::from_secs(1), Duration::from_secs(5));
+        world
+            .store
+            .drill(Duration::from_secs(1), Duration::from_secs(5));
     }
     std::thread::sleep(Duration::from_secs(12));
     let old = world.group.primary();
-    world.group.release(&old, DRAIN_TIME, Duration::from_secs(4));
+    world
+        .group
+        .release(&old, DRAIN_TIME, Duration::from_secs(4));
     let end = Instant::now() + Duration::from_secs(14);
     let mut broken = Vec::new();
     let (mut value, mut writes, mut reads) = (0, 0, 0);
@@ -57,7 +67,11 @@
                 continue;
             }
             reads += 1;
-            let seen = read.rows.first().and_then(|row| row.parse().ok()).unwrap_or(0);
+            let seen = read
+                .rows
+                .first()
+                .and_then(|row| row.parse().ok())
+                .unwrap_or(0);
             if seen < value {
                 let front = &world.fronts[reader].name;
                 broken.push(format!(
--- a/review/standins-2/record.rs
+++ b/review/standins-2/record.rs
@@ -35,7 +35,9 @@
 /// Writes a line to the record.
 pub fn note(line: &str) {
     let at = elapsed().as_secs_f64();
-    let mut record = RECORD.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+    let mut record = RECORD
+        .lock()
+        .unwrap_or_else(|poisoned| poisoned.into_inner());
     if let Some(file) = record.as_mut() {
         let _ = writeln!(file, "{at:9.3} {line}");
     }
@@ -51,17 +53,23 @@
 
 /// Sends a signal to a process that this run started.
 pub fn signal(id: u32, name: &str) {
-    let sent = Command::new("kill").args(["-s", name, &id.to_string()]).status();
+    let sent = Command::new("kill")
+        .args(["-s", name, &id.to_string()])
+        .status();
     if !sent.is_ok_and(|status| status.success()) {
         note(&format!("signal {name} to process {id} was not sent"));
     }
 }
 
 fn end(code: i32) -> ! {
-    let mut processes = PROCESSES.lock().unwrap_or_else(|poisoned| poisoned.into_inner());
+    let mut processes = PROCESSES
+        .lock()
+        .unwrap_or_else(|poisoned| poisoned.into_inner());
     let processes: Vec<u32> = processes.drain(..).collect();
     for id in processes {
-        let _ = Command::new("kill").args(["-s", "KILL", &id.to_string()]).status();
+        let _ = Command::new("kill")
+            .args(["-s", "KILL", &id.to_string()])
+            .status();
     }
     std::process::exit(code)
 }
--- a/review/standins-2/store.rs
+++ b/review/standins-2/store.rs
@@ -81,7 +81,10 @@
 impl Content {
     fn put(&mut self, key: &str, value: Vec<u8>, lease: u64) {
         self.revision += 1;
-        let created = self.items.get(key).map_or(self.revision, |item| item.created);
+        let created = self
+            .items
+            .get(key)
+            .map_or(self.revision, |item| item.created);
         let item = Item {
             value,
             revision: self.revision,
@@ -194,7 +197,10 @@
                 Some(value) => inner.content.put(key, value, 0),
                 None => inner.content.remove(key),
             }
-            note(&format!("store: {key} written at revision {}", inner.content.revision));
+            note(&format!(
+                "store: {key} written at revision {}",
+                inner.content.revision
+            ));
             self.changed.notify_all();
             return Instant::now();
         }
@@ -208,7 +214,10 @@
     pub fn read(&self, key: &str) -> Option<(String, u64)> {
         let inner = self.lock();
         let item = inner.content.items.get(key)?;
-        Some((String::from_utf8_lossy(&item.value).into_owned(), item.revision))
+        Some((
+            String::from_utf8_lossy(&item.value).into_owned(),
+            item.revision,
+        ))
     }
 
     /// The drill: the store is away for `away`, and comes back from a copy that is `age` old.
@@ -309,10 +318,17 @@
                     length: duration,
                 };
                 inner.content.leases.insert(id, lease);
-                (200, object(vec![("Lease", number(id)), ("TtlMs", number(length))]))
+                (
+                    200,
+                    object(vec![("Lease", number(id)), ("TtlMs", number(length))]),
+                )
             }
             _ => {
-                let id = path.rsplit('/').next().and_then(|id| id.parse().ok()).unwrap_or(0);
+                let id = path
+                    .rsplit('/')
+                    .next()
+                    .and_then(|id| id.parse().ok())
+                    .unwrap_or(0);
                 if path.starts_with("/kv-keep/") {
                     match inner.content.leases.get_mut(&id) {
                         Some(lease) => {
@@ -416,13 +432,19 @@
         return (403, object(vec![]));
     }
     let lease = |put: &Json| put.get("Lease").as_number();
-    if puts.iter().any(|put| lease(put) != 0 && !content.leases.contains_key(&lease(put))) {
+    if puts
+        .iter()
+        .any(|put| lease(put) != 0 && !content.leases.contains_key(&lease(put)))
+    {
         return (404, object(vec![]));
     }
     for put in puts {
         let key = put.get("Key").as_text();
         content.put(key, decode_base64(put.get("Value").as_text()), lease(put));
-        note(&format!("store: {key} written by a front at revision {}", content.revision));
+        note(&format!(
+            "store: {key} written by a front at revision {}",
+            content.revision
+        ));
     }
     for key in body.get("Remove").list() {
         content.remove(key.as_text());
@@ -445,7 +467,10 @@
     }
 
     pub fn header(&self, name: &str) -> &str {
-        let header = self.headers.iter().find(|(key, _)| key.eq_ignore_ascii_case(name));
+        let header = self
+            .headers
+            .iter()
+            .find(|(key, _)| key.eq_ignore_ascii_case(name));
         header.map_or("", |(_, value)| value.as_str())
     }
 }
@@ -467,7 +492,9 @@
     }
     let (path, query) = target.split_once('?').unwrap_or((&target, ""));
     let fields = query.split('&').filter_map(|field| field.split_once('='));
-    let query = fields.map(|(name, value)| (name.to_owned(), unescape(value))).collect();
+    let query = fields
+        .map(|(name, value)| (name.to_owned(), unescape(value)))
+        .collect();
     let mut request = Request {
         path: path.to_owned(),
         query,
--- a/review/standins-2/withdrawn_key.rs
+++ b/review/standins-2/withdrawn_key.rs
@@ -19,19 +19,29 @@
 type Sent = Arc<Mutex<Vec<(String, Instant)>>>;
 
 pub fn play(trouble: bool) -> ! {
-    let fronts = [("front-a-1", "lagos-a"), ("front-a-2", "lagos-a"), ("front-b-1", "lagos-b")];
+    let fronts = [
+        ("front-a-1", "lagos-a"),
+        ("front-a-2", "lagos-a"),
+        ("front-b-1", "lagos-b"),
+    ];
     let mut world = World::start(&[("folio", &["key-one", "key-two"])], &fronts);
     let sent: Sent = Arc::default();
     let stop = Arc::new(AtomicBool::new(false));
-    let readers: Vec<_> = world.fronts.iter().map(|front| {
-        let (name, address) = (front.name.clone(), front.address);
-        let (sent, stop) = (Arc::clone(&sent), Arc::clone(&stop));
-        std::thread::spawn(move || read_on(&name, address, &sent, &stop))
-    }).collect();
+    let readers: Vec<_> = world
+        .fronts
+        .iter()
+        .map(|front| {
+            let (name, address) = (front.name.clone(), front.address);
+            let (sent, stop) = (Arc::clone(&sent), Arc::clone(&stop));
+            std::thread::spawn(move || read_on(&name, address, &sent, &stop))
+        })
+        .collect();
     std::thread::sleep(Duration::from_secs(3));
     world.send_configurations(6, Duration::from_millis(660));
     if trouble {
-        world.store.drill(Duration::from_secs(1), Duration::from_secs(5));
+        world
+            .store
+            .drill(Duration::from_secs(1), Duration::from_secs(5));
     }
     std::thread::sleep(Duration::from_secs(2));
     world.tenants = vec![("folio".to_owned(), vec!["key-one".to_owned()])];
@@ -47,11 +57,16 @@
         let late = sent_at.saturating_duration_since(confirmed_at);
         if late > REVOKE_TIME && ran.contains(id) {
             let late = late.as_millis();
-            broken.push(format!("request {id} with the withdrawn key ran, sent {late} ms after the confirmation"));
+            broken.push(format!(
+                "request {id} with the withdrawn key ran, sent {late} ms after the confirmation"
+            ));
         }
     }
     let count = sent.lock().unwrap().len();
-    note(&format!("{count} requests with the key, {} of them ran", ran.len()));
+    note(&format!(
+        "{count} requests with the key, {} of them ran",
+        ran.len()
+    ));
     drop(world);
     record::finish(&broken)
 }
--- a/review/standins-2/world.rs
+++ b/review/standins-2/world.rs
@@ -90,7 +90,8 @@
         let end = Instant::now() + Duration::from_secs(10);
         loop {
             let leader = self.leader();
-            let number = leader.and_then(|(name, _)| self.fronts.iter().position(|f| f.name == name));
+            let number =
+                leader.and_then(|(name, _)| self.fronts.iter().position(|f| f.name == name));
             match number {
                 Some(number) => return number,
                 None if Instant::now() >= end => crate::record::give_up("no front leads"),
@@ -128,7 +129,10 @@
         let tenants = self.tenants.iter().map(|(name, keys)| {
             object(vec![
                 ("Name", text(name)),
-                ("ApiKeys", Json::List(keys.iter().map(|key| text(key)).collect())),
+                (
+                    "ApiKeys",
+                    Json::List(keys.iter().map(|key| text(key)).collect()),
+                ),
                 ("Priority", number(1)),
                 ("RatePerS", number(500)),
                 ("Burst", number(500)),
@@ -149,8 +153,13 @@
             ("Limits", object(vec![("TransactionIdleMs", number(3_000))])),
             ("Tenants", Json::List(tenants.collect())),
         ]);
-        note(&format!("operator: version {} with keys {:?}", self.version, self.tenants));
-        let confirmed_at = self.store.write_outside("op/config", Some(&configuration.to_string()));
+        note(&format!(
+            "operator: version {} with keys {:?}",
+            self.version, self.tenants
+        ));
+        let confirmed_at = self
+            .store
+            .write_outside("op/config", Some(&configuration.to_string()));
         note(&format!("operator: version {} is confirmed", self.version));
         confirmed_at
     }
