--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -4,4 +4,4 @@
 set -u
 here="$(cd "$(dirname "$0")" && pwd)"
 cd "$here/../.."
-exec target/review-2/world withdrawn-key "$here/record.txt" "${TROUBLE:-1}"
+exec target/review-2/world old-primary "$here/record.txt" "${TROUBLE:-1}"
