--- a/review/standins-2/front.rs
+++ b/review/standins-2/front.rs
@@ -10,6 +10,8 @@
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -31,15 +33,25 @@
     child: Child,
 }
 
-/// Returns the first of a number of adjacent free ports.
-fn free_ports(count: u16) -> u16 {
+/// Ports below those that the system gives to outgoing connections, which could take the port of a
+/// front while it restarts.
+const FIRST_PORT: u32 = 20_000;
+const PORT_COUNT: u32 = 10_000;
+
+/// Ports of one front.
+const FRONT_PORTS: u16 = 4;
+
+static TRIED: AtomicU32 = AtomicU32::new(0);
+
+/// Returns the first of adjacent free ports for a front.
+fn free_ports() -> u16 {
     loop {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("listen");
-        let first = listener.local_addr().expect("address").port();
-        let rest = (1..count).map(|offset| first.checked_add(offset));
-        let free =
-            |port: Option<u16>| port.is_some_and(|p| TcpListener::bind(("127.0.0.1", p)).is_ok());
-        if rest.into_iter().all(free) {
+        let tried = TRIED.fetch_add(1, Ordering::Relaxed);
+        let step = u32::from(FRONT_PORTS);
+        let offset = (std::process::id() * 31 + tried) * step % PORT_COUNT;
+        let first = (FIRST_PORT + offset) as u16;
+        let is_free = |port: u16| TcpListener::bind(("127.0.0.1", port)).is_ok();
+        if (first..first + FRONT_PORTS).all(is_free) {
             return first;
         }
     }
@@ -53,7 +65,7 @@
         store: SocketAddr,
         cloud: SocketAddr,
     ) -> Front {
-        let port = free_ports(4);
+        let port = free_ports();
         let address = |offset: u16| SocketAddr::from(([127, 0, 0, 1], port + offset));
         // The fields and figures are those of a small deployment.
         let text = format!(
