--- a/crates/front/src/fleet_view.rs
+++ b/crates/front/src/fleet_view.rs
@@ -28,6 +28,8 @@
 use session_core::primary_permit::PermitRefusal;
 use session_core::relay_tree::MAX_RELAY_AGE;
 use session_core::serving_rules::ServingRules;
+use session_core::store_era::StoreEra;
+use session_core::store_revision::StoreRevision;
 
 use crate::fleet_keys;
 use crate::fleet_keys::FleetKey;
@@ -54,7 +56,7 @@
 #[derive(Debug, Clone)]
 pub struct Revised<T> {
     /// Store revision of the change.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// Decoded value.
     pub value: T,
     /// When this instance received the change.
@@ -80,6 +82,11 @@
     pub endpoints: HashMap<EndpointId, EndpointEntry>,
     /// Order of each group, by service.
     pub orders: HashMap<ServiceId, Revised<GroupOrder>>,
+    /// Groups whose order was written in an earlier era of the store, which may have lost a later order
+    /// since. The value is the time up to which this instance knew every order of that era.
+    former_orders: HashMap<ServiceId, Option<MonotonicTime>>,
+    /// When this instance saw the present era begin; `None` if it has seen no earlier one.
+    era_seen_at: Option<MonotonicTime>,
     /// Members of the fleet by name.
     pub members: BTreeMap<InstanceId, Revised<MemberValue>>,
     /// Availability zones that operators evacuate.
@@ -91,7 +98,7 @@
     /// When the last successful renewal of this instance's lease was sent.
     pub renewed_at: Option<MonotonicTime>,
     /// Revision at which this instance's member key was written.
-    pub registered_at: u64,
+    pub registered_at: StoreRevision,
     /// When the store had acknowledged the registration at that revision.
     pub registered_since: Option<MonotonicTime>,
     /// When this instance last received a complete view, which does not show who has left.
@@ -99,9 +106,9 @@
     /// Members that have left a short time ago.
     pub departed_members: DepartedMembers,
     /// Revision at which this process registered first.
-    pub first_registered_at: Option<u64>,
+    pub first_registered_at: Option<StoreRevision>,
     /// Revision up to which changes have been applied.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// Draining endpoints and when their drain began, or `None` if it had already begun in the
     /// first entry that this process read.
     draining: HashMap<EndpointId, Option<MonotonicTime>>,
@@ -120,13 +127,21 @@
     /// All items as the store sent them, with those removed since `history_start`.
     items: BTreeMap<String, RelayItem>,
     /// Revision before which removals are unknown.
-    history_start: u64,
+    history_start: StoreRevision,
 }
 
 impl FleetView {
     /// Replaces the content by a complete view of the store. Items that it lacks are removed unless
     /// they are newer. The view holds every change up to `known_at`.
     pub fn replace(&mut self, view: ViewItems, known_at: MonotonicTime) {
+        // An answer of an earlier era came late.
+        if view.revision.era() < self.revision.era() {
+            return;
+        }
+        if view.revision.era() > self.revision.era() {
+            self.begin_era(&view);
+        }
+        self.drop_replaced(&view);
         let present: HashSet<&str> = view.items.iter().map(|item| item.key.as_str()).collect();
         let removed: Vec<RelayItem> = self
             .items
@@ -152,15 +167,53 @@
         self.record_sync(known_at);
     }
 
-    /// Returns the revision of the last known change of a key, or 0 if the key does not exist.
-    pub fn key_revision(&self, key: &str) -> u64 {
+    /// Prepares the view for the first items of a later era. The store has lost the changes after its
+    /// copy, among them orders that other instances may still follow. The known orders therefore stay
+    /// in use as they would without the store, until the leader has confirmed or replaced them.
+    fn begin_era(&mut self, view: &ViewItems) {
+        if self.synced_at.is_none() {
+            return;
+        }
+        let lost = self
+            .items
+            .values()
+            .filter(|item| item.value.is_some() && item.revision.number() > view.revision.number());
+        tracing::warn!(
+            event = "store_era_begun",
+            era = %view.revision.era(),
+            former = %self.revision,
+            revision = %view.revision,
+            lost_items = lost.count(),
+        );
+        let at = now();
+        let evidence = self.evidence(at);
+        for service in self.orders.keys() {
+            let known = self.former_orders.entry(service.clone());
+            known.or_insert(evidence);
+        }
+        self.era_seen_at = Some(at);
+    }
+
+    /// Drops known items that a complete view holds at an earlier revision, although it is not older.
+    /// A read that may be outdated can bring such an item from before the present era.
+    fn drop_replaced(&mut self, view: &ViewItems) {
+        for item in &view.items {
+            let known = self.items.get(&item.key).map(|known| known.revision);
+            if known.is_some_and(|known| item.revision < known && known <= view.revision) {
+                self.items.remove(&item.key);
+            }
+        }
+    }
+
+    /// Returns the revision of the last known change of a key, or none if the key does not exist.
+    pub fn key_revision(&self, key: &str) -> StoreRevision {
         let item = self.items.get(key).filter(|item| item.value.is_some());
-        item.map_or(0, |item| item.revision)
+        item.map_or_else(StoreRevision::default, |item| item.revision)
     }
 
     /// Returns `false` and the items that changed after a revision, or `true` and all existing
     /// items if some removals since then are unknown.
-    pub fn items_after(&self, revision: u64) -> (bool, Vec<RelayItem>) {
+    pub fn items_after(&self, revision: StoreRevision) -> (bool, Vec<RelayItem>) {
         let complete = revision < self.history_start;
         let items = self.items.values().filter(|item| match complete {
             true => item.value.is_some(),
@@ -172,6 +225,10 @@
     /// Applies the changes in the answer of a watch, which holds every change up to `known_at`.
     pub fn update(&mut self, view: ViewItems, known_at: MonotonicTime) {
         let revision = view.revision;
+        // Changes of another era do not continue this view.
+        if revision.era() != self.revision.era() {
+            return;
+        }
         for item in view.items {
             self.apply(item);
         }
@@ -207,7 +264,7 @@
     }
 
     /// Applies an item that this instance has just written.
-    pub fn apply_written(&mut self, key: &str, value: Vec<u8>, revision: u64) {
+    pub fn apply_written(&mut self, key: &str, value: Vec<u8>, revision: StoreRevision) {
         let item = StoreItem {
             key: key.to_owned(),
             value: Some(value),
@@ -217,8 +274,11 @@
     }
 
     fn apply(&mut self, item: RelayItem) {
-        let known = self.items.get(&item.key);
-        if known.is_some_and(|known| known.revision >= item.revision) {
+        if item.revision.era() < self.revision.era() {
+            return;
+        }
+        let known = self.items.get(&item.key).map(|known| known.revision);
+        if known.is_some_and(|known| known >= item.revision) {
             return;
         }
         let value = match item.value.as_ref().map(PackedValue::unpack).transpose() {
@@ -255,7 +315,7 @@
         let revision = item.revision;
         if item.value.is_none() {
             if self.evacuated.end(&zone) {
-                tracing::info!(event = "evacuation_ended", %zone, revision);
+                tracing::info!(event = "evacuation_ended", %zone, %revision);
             }
             return;
         }
@@ -264,12 +324,12 @@
             revision,
             accepted_after: self.synced_at,
         };
-        tracing::info!(event = "evacuation_begun", %zone, revision, endpoints);
+        tracing::info!(event = "evacuation_begun", %zone, %revision, endpoints);
         self.evacuated.begin(zone, evacuation);
     }
 
     /// Drops all kept removals once there are more than [`MAX_REMOVALS`].
-    fn prune_removals(&mut self, revision: u64) {
+    fn prune_removals(&mut self, revision: StoreRevision) {
         let removed = self.items.values().filter(|item| item.value.is_none());
         if removed.count() > MAX_REMOVALS {
             self.items.retain(|_, item| item.value.is_some());
@@ -291,14 +351,14 @@
                     event = "configuration_in_force",
                     version = rules.version.0,
                     former = current.map(|version| version.0),
-                    revision = item.revision,
+                    revision = %item.revision,
                     routes = rules.routes.len(),
                     teams = rules.teams.len(),
                 );
                 self.rules = Some(Rc::new(rules));
             }
             Err(error) => {
-                tracing::error!(event = "configuration_refused", revision = item.revision, %error);
+                tracing::error!(event = "configuration_refused", revision = %item.revision, %error);
             }
         }
     }
@@ -309,7 +369,7 @@
             if let Ok(id) = id.parse::<EndpointId>()
                 && self.endpoints.contains_key(&id)
             {
-                tracing::info!(event = "endpoint_missing", endpoint = %id, revision = item.revision);
+                tracing::info!(event = "endpoint_missing", endpoint = %id, revision = %item.revision);
                 self.missing.entry(id).or_insert_with(now);
             }
             return;
@@ -329,7 +389,7 @@
                         born = entry.born,
                         cold_ms = entry.cold_time.as_millis() as u64,
                         restarted = former.is_some_and(|former| former.born != entry.born),
-                        revision = item.revision,
+                        revision = %item.revision,
                     );
                 }
                 let since = former.is_some_and(|former| !former.draining).then(now);
@@ -377,23 +437,58 @@
                     (None, true) => {}
                 }
             }
-            FleetKey::Order(service) => match decode::<GroupOrder>(item) {
-                Some(order) => {
-                    tracing::info!(
-                        event = "group_order",
-                        service = %service,
-                        target = %order.value.target,
-                        phase = ?order.value.phase,
-                        token = order.value.token,
-                        revision = order.revision,
-                    );
-                    self.orders.insert(service, order);
-                }
-                None => {
-                    self.orders.remove(&service);
-                }
-            },
+            FleetKey::Order(service) => self.apply_order(service, item),
+        }
+    }
+
+    /// Applies an order. One that was written in an earlier era does not replace a later one of which
+    /// this instance knows; if it knows none, the order permits nothing until it is confirmed.
+    fn apply_order(&mut self, service: ServiceId, item: &StoreItem) {
+        let is_former = self.former_orders.contains_key(&service);
+        let Some(order) = decode::<GroupOrder>(item) else {
+            if !is_former {
+                self.orders.remove(&service);
+            }
+            return;
+        };
+        // Up to the copy, revisions have the same numbers in both eras.
+        let place = |order: &Revised<GroupOrder>| (order.value.token, order.revision.number());
+        let known = self.orders.get(&service).filter(|_| is_former);
+        let is_ignored = known.is_some_and(|known| place(known) >= place(&order));
+        tracing::info!(
+            event = "group_order",
+            service = %service,
+            target = %order.value.target,
+            phase = ?order.value.phase,
+            token = %order.value.token,
+            revision = %order.revision,
+            is_ignored,
+        );
+        if is_ignored {
+            return;
+        }
+        let token_era = order.value.token.era();
+        // Versions before eras wrote tokens of era 0 in each era.
+        let is_unversioned = token_era == StoreEra::default() && self.era_seen_at.is_none();
+        if token_era >= order.revision.era() || is_unversioned {
+            self.former_orders.remove(&service);
+        } else {
+            self.former_orders.entry(service.clone()).or_insert(None);
         }
+        self.orders.insert(service, order);
+    }
+
+    /// Returns whether the order of a group was written in an earlier era of the store, which may have
+    /// lost a later one.
+    pub fn must_confirm(&self, service: &ServiceId) -> bool {
+        let order = self.orders.get(service);
+        order.is_some_and(|order| order.value.token.era() < self.revision.era())
+    }
+
+    /// Returns when this instance saw the present era of the store begin, or `None` if it has seen no
+    /// earlier one.
+    pub fn era_seen_at(&self) -> Option<MonotonicTime> {
+        self.era_seen_at
     }
 
     /// Returns whether a key of a member exists. There are two keys while an instance is replaced by
@@ -466,7 +561,7 @@
         service: &ServiceId,
         endpoint: &EndpointId,
         since: MonotonicTime,
-    ) -> Option<u64> {
+    ) -> Option<StoreRevision> {
         let order = self.orders.get(service)?;
         let is_primary = self.has_been_primary_since(service, endpoint, since);
         is_primary.then_some(order.revision)
@@ -493,11 +588,13 @@
     /// Returns the time up to which this instance knows every order.
     ///
     /// Returns `None` if the leader might change a primary without waiting for this instance:
-    /// because its lease may have ended, or because it has not yet read the changes before its
-    /// registration, although the leader assumes that it has read them.
+    /// because its lease may have ended, because it has not yet read the changes before its
+    /// registration, although the leader assumes that it has read them, or because it has not
+    /// registered in the present era of the store.
     pub fn evidence(&self, at: MonotonicTime) -> Option<MonotonicTime> {
         let renewed_at = self.renewed_at?;
         let registered = at.saturating_since(renewed_at) < LEASE_TIME - LEASE_MARGIN
+            && self.revision.era() == self.registered_at.era()
             && self.revision >= self.registered_at;
         self.synced_at.filter(|_| registered)
     }
@@ -513,7 +610,11 @@
         now: MonotonicTime,
     ) -> Result<EndpointId, PermitRefusal> {
         let order = self.orders.get(service).map(|order| &order.value);
-        primary_permit::usable_primary(order, self.evidence(now), now)
+        let evidence = match self.former_orders.get(service) {
+            Some(former) => *former,
+            None => self.evidence(now),
+        };
+        primary_permit::usable_primary(order, evidence, now)
     }
 
     /// Returns whether an endpoint may be used as the primary and was the primary already at
--- a/crates/front/src/group_change.rs
+++ b/crates/front/src/group_change.rs
@@ -32,9 +32,11 @@
 use session_core::monotonic_time::now;
 use session_core::primary_permit;
 use session_core::primary_permit::REVOKE_WAIT;
+use session_core::promotion_step;
 use session_core::promotion_step::PromotionStep;
 use session_core::promotion_step::SurveyedEndpoint;
 use session_core::promotion_step::SurveyedGroup;
+use session_core::store_revision::StoreRevision;
 
 use crate::fleet_keys;
 use crate::fleet_keys::LEADER_KEY;
@@ -91,10 +93,13 @@
     target_point: Option<LogPoint>,
     /// Target of a promotion call that may still take effect, and when the call was sent.
     called: Option<(EndpointId, MonotonicTime)>,
+    /// Token of the leadership in which the change began. It does not go on in a later one, since the
+    /// store may have lost its pending order and members meanwhile.
+    token: Option<StoreRevision>,
 }
 
 struct PendingOrder {
-    revision: u64,
+    revision: StoreRevision,
     accepted_at: MonotonicTime,
     /// The members, read from the store after it had accepted the order.
     members: Option<OrderMembers>,
@@ -103,7 +108,7 @@
 /// The instances that may have used the former primary until the pending order.
 struct OrderMembers {
     /// Revision up to which the store was read.
-    revision: u64,
+    revision: StoreRevision,
     lives: HashSet<InstanceLife>,
     /// Instances that had left by then, once the view has reached the revision.
     departures: Option<DepartureLog>,
@@ -129,11 +134,14 @@
         service = %service,
         former = former.as_ref().map(EndpointId::as_str),
         ?reason,
-        token = instance.fencing_token(),
+        token = instance.fencing_token().map(|token| token.to_string()),
     );
     let mut change = GroupChange::new(instance, service, former, former_address);
     let started_at = now();
-    let done = change.run().await;
+    let done = match reason {
+        ChangeReason::Restored => change.confirm_former().await || change.run().await,
+        _ => change.run().await,
+    };
     tracing::warn!(
         event = "primary_change_ended",
         service = %service,
@@ -153,6 +161,7 @@
     };
     let change = GroupChange::new(instance, service, None, None);
     let revision = change.write_order(&target, OrderPhase::Open).await;
+    let revision = revision.map(|revision| revision.to_string());
     tracing::info!(event = "first_order", service = %service, target = %target, revision);
 }
 
@@ -180,12 +189,18 @@
             former_silent: false,
             target_point: None,
             called: None,
+            token: instance.fencing_token(),
         }
     }
 
+    /// Returns whether this instance leads as it did when the change began.
+    fn leads(&self) -> bool {
+        self.instance.leads() && self.instance.fencing_token() == self.token
+    }
+
     async fn run(&mut self) -> bool {
         let started_at = now();
-        while self.instance.leads() {
+        while self.leads() {
             if self.pending.is_none() && !self.is_pending_in_store() {
                 let reason = group_leader::change_reason(
                     self.instance,
@@ -230,6 +245,29 @@
         false
     }
 
+    /// Writes the order of an earlier era of the store again if its target still leads. Returns whether
+    /// it was written.
+    ///
+    /// The order permits nothing meanwhile: the evidence of the earlier era is older than
+    /// [`REVOKE_WAIT`]. An order that was lost may have promoted another endpoint, which has a higher
+    /// term. An endpoint that does not answer could be that one.
+    async fn confirm_former(&mut self) -> bool {
+        let Some(former) = self.former.clone().filter(|_| !self.is_pending_in_store()) else {
+            return false;
+        };
+        let listed = self.entries();
+        let members = group_survey::survey_group(self.instance, &listed, &[]).await;
+        let leads = promotion_step::is_sole_leader(&members, &former);
+        tracing::info!(event = "order_surveyed", service = %self.service, target = %former, leads, ?members);
+        if !leads || !self.leads() {
+            return false;
+        }
+        self.former = None;
+        let revision = self.write_order(&former, OrderPhase::Open).await;
+        self.former = Some(former);
+        revision.is_some()
+    }
+
     /// Queries the endpoints of the group and returns the next step.
     async fn survey_group(&mut self, listed: &[EndpointEntry]) -> PromotionStep {
         // An endpoint that has reached this point once keeps it.
@@ -387,14 +425,12 @@
     }
 
     /// Writes an order on the condition that this instance still leads. Returns its revision.
-    async fn write_order(&self, target: &EndpointId, phase: OrderPhase) -> Option<u64> {
-        let token = self.instance.fencing_token()?;
+    async fn write_order(&self, target: &EndpointId, phase: OrderPhase) -> Option<StoreRevision> {
+        let token = self
+            .token
+            .filter(|_| self.token == self.instance.fencing_token())?;
         let key = fleet_keys::order_key(self.service);
-        let former_revision = {
-            let view = self.instance.view.borrow();
-            let known = view.orders.get(self.service).map_or(0, |o| o.revision);
-            known.max(self.pending.as_ref().map_or(0, |pending| pending.revision))
-        };
+        let former_revision = self.instance.view.borrow().key_revision(&key);
         let entry = self.instance.view.borrow().endpoints.get(target).cloned();
         let order = GroupOrder {
             target: target.clone(),
@@ -471,7 +507,7 @@
 
     /// Reads the items of the store whose keys begin with a prefix. Returns the revision up to which
     /// it was read, or `None` if it did not answer.
-    async fn read_items(&self, prefix: &str) -> Option<u64> {
+    async fn read_items(&self, prefix: &str) -> Option<StoreRevision> {
         let store = &self.instance.store;
         let read = store.range(prefix, ReadFreshness::Current, STORE_TIMEOUT);
         match read.await {
@@ -494,15 +530,11 @@
         if !self.has_not_restarted(surveyed).await {
             return false;
         }
-        let Some(token) = self
-            .instance
-            .fencing_token()
-            .filter(|_| self.instance.leads())
-        else {
+        let Some(token) = self.token.filter(|_| self.leads()) else {
             return false;
         };
         // The call may take effect although this instance ends before its answer.
-        tracing::warn!(event = "promotion_called", service = %self.service, target = %target, token);
+        tracing::warn!(event = "promotion_called", service = %self.service, target = %target, %token);
         self.called = Some((target.clone(), now()));
         let leader = &self.instance.settings.instance;
         let ordered = self
@@ -514,7 +546,7 @@
             event = "promotion_ordered",
             service = %self.service,
             target = %target,
-            token,
+            %token,
             outcome = ordered.as_ref().map_or_else(|error| error.to_string(), |()| "accepted".to_owned()),
         );
         if matches!(ordered, Err(StoreError::NotSent | StoreError::Refused(_))) {
@@ -573,7 +605,7 @@
                 }
             }
             let changed = tokio::time::timeout(STEP_PAUSE, changes.changed()).await;
-            if matches!(changed, Ok(Err(_))) || !self.instance.leads() {
+            if matches!(changed, Ok(Err(_))) || !self.leads() {
                 return false;
             }
         }
@@ -636,17 +668,17 @@
                     missing = ?missing,
                     waited_ms = waited.as_millis() as u64,
                 );
-                return self.instance.leads();
+                return self.leads();
             }
             let left = limit.saturating_sub(waited).min(STEP_PAUSE);
             let changed = tokio::time::timeout(left, changes.changed()).await;
-            if matches!(changed, Ok(Err(_))) || !self.instance.leads() {
+            if matches!(changed, Ok(Err(_))) || !self.leads() {
                 return false;
             }
         }
     }
 
-    fn missing_acknowledgements(&self, revision: u64) -> Vec<String> {
+    fn missing_acknowledgements(&self, revision: StoreRevision) -> Vec<String> {
         let view = self.instance.view.borrow();
         let acknowledged = self.instance.acknowledged.borrow();
         // A member that joined after the order has read it before using any primary.
--- a/crates/front/src/group_leader.rs
+++ b/crates/front/src/group_leader.rs
@@ -16,6 +16,8 @@
 use session_core::monotonic_time::MonotonicTime;
 use session_core::monotonic_time::now;
 use session_core::primary_permit;
+use session_core::primary_permit::REVOKE_WAIT;
+use session_core::store_revision::StoreRevision;
 
 use crate::fleet_keys::LEADER_KEY;
 use crate::fleet_keys::LeaderValue;
@@ -79,6 +81,8 @@
     Reported,
     /// The group has no order yet.
     NoOrder,
+    /// The order was written before the store came back from an older copy. A later order may be lost.
+    Restored,
 }
 
 #[derive(Default)]
@@ -131,6 +135,7 @@
     let view = instance.view.borrow();
     let own = |leader: &LeaderValue| leader.instance == instance.settings.instance;
     view.synced_at.is_some()
+        && view.revision.era() == instance.store.era().era
         && view.rules.is_some()
         && instance.lease.get().is_some()
         && view.leader.as_ref().is_none_or(|leader| {
@@ -181,7 +186,7 @@
     let Some(lease) = instance.leader_lease.take() else {
         return;
     };
-    let token = instance.fencing_token();
+    let token = instance.fencing_token().map(|token| token.to_string());
     instance.leader_term.set(None);
     state.campaign_after.set(now() + HANDOVER_PAUSE);
     // If the call fails, the lease expires.
@@ -220,13 +225,14 @@
         return;
     };
     let change = StoreChange {
-        conditions: vec![(LEADER_KEY.to_owned(), former.unwrap_or(0))],
+        conditions: vec![(LEADER_KEY.to_owned(), former.unwrap_or_default())],
         puts: vec![(LEADER_KEY.to_owned(), value.clone(), Some(lease))],
         removals: Vec::new(),
     };
     match instance.store.change(change, STORE_TIMEOUT).await {
         Ok(token) => {
-            tracing::info!(event = "leader_elected", token, former);
+            let former = former.map(|former| former.to_string());
+            tracing::info!(event = "leader_elected", %token, former);
             instance.leader_term.set(Some(LeaderTerm {
                 token,
                 renewed_at: requested_at,
@@ -247,25 +253,26 @@
 }
 
 /// Renews the leader lease until it is lost or the leadership ends.
-async fn renew_lead(instance: Rc<Instance>, lease: LeaseId, token: u64) {
+async fn renew_lead(instance: Rc<Instance>, lease: LeaseId, token: StoreRevision) {
     loop {
         tokio::time::sleep(LEADER_RENEWAL_PERIOD).await;
         if instance.fencing_token() != Some(token) {
             return;
         }
         let requested_at = now();
-        match instance.store.renew_lease(lease, STORE_TIMEOUT).await {
+        let renewed = instance.store.renew_lease(lease, STORE_TIMEOUT).await;
+        match renewed {
             Ok(()) => instance.leader_term.set(Some(LeaderTerm {
                 token,
                 renewed_at: requested_at,
             })),
             Err(StoreError::NotFound) => {
-                tracing::warn!(event = "lead_lost", token);
+                tracing::warn!(event = "lead_lost", %token);
                 instance.leader_term.set(None);
                 instance.leader_lease.set(None);
                 return;
             }
-            Err(error) => tracing::info!(event = "lead_not_renewed", token, %error),
+            Err(error) => tracing::info!(event = "lead_not_renewed", %token, %error),
         }
     }
 }
@@ -305,7 +312,18 @@
     let view = instance.view.borrow();
     view.group(service).next()?;
     let order = view.orders.get(service);
+    let lasts = |since: MonotonicTime, time: Duration| at.saturating_since(since) >= time;
+    if view.must_confirm(service) {
+        let is_due = lasts(instance.store.era().since, REVOKE_WAIT);
+        return is_due.then_some(ChangeReason::Restored);
+    }
     if order.is_none() {
+        if !view
+            .era_seen_at()
+            .is_none_or(|since| lasts(since, REVOKE_WAIT))
+        {
+            return None;
+        }
         return primary_permit::first_primary(view.group(service)).map(|_| ChangeReason::NoOrder);
     }
     if let Some(order) = order {
--- a/crates/front/src/host_links.rs
+++ b/crates/front/src/host_links.rs
@@ -21,6 +21,7 @@
 use session_core::prepared_name::PreparedName;
 use session_core::session_values::ConnectionValues;
 use session_core::session_values::SessionValues;
+use session_core::store_revision::StoreRevision;
 use tokio::sync::oneshot;
 
 use crate::endpoint_connection::ConnectError;
@@ -96,7 +97,7 @@
 struct KnownCandidates {
     zone: ZoneId,
     /// Revision of the view.
-    revision: u64,
+    revision: StoreRevision,
     members: MembersVersion,
     candidates: Rc<Vec<HostCandidate>>,
 }
@@ -105,7 +106,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct MembersVersion {
     count: usize,
-    revision: u64,
+    revision: StoreRevision,
 }
 
 impl MembersVersion {
@@ -113,7 +114,7 @@
         let revisions = view.members.values().map(|member| member.revision);
         Self {
             count: view.members.len(),
-            revision: revisions.max().unwrap_or(0),
+            revision: revisions.max().unwrap_or_default(),
         }
     }
 }
--- a/crates/front/src/instance.rs
+++ b/crates/front/src/instance.rs
@@ -35,6 +35,7 @@
 use session_core::rate_deputy::DeputyMonitor;
 use session_core::rate_lender::LendingMode;
 use session_core::request_outcome::StatementFault;
+use session_core::store_revision::StoreRevision;
 use session_core::units::ConnectionCount;
 use tokio::net::UdpSocket;
 use tokio::sync::watch;
@@ -70,7 +71,7 @@
 #[derive(Debug, Clone, Copy)]
 pub struct LeaderTerm {
     /// Store revision at which this instance became the leader; used as the fencing token.
-    pub token: u64,
+    pub token: StoreRevision,
     /// When the last successful renewal of the leader lease was sent.
     pub renewed_at: MonotonicTime,
 }
@@ -116,7 +117,7 @@
     /// When each instance last reported a primary as failed, by primary and peer address.
     pub reports: RefCell<HashMap<EndpointId, HashMap<SocketAddr, MonotonicTime>>>,
     /// Newest order revision that each instance acknowledged, by service and peer address.
-    pub acknowledged: RefCell<HashMap<(ServiceId, SocketAddr), u64>>,
+    pub acknowledged: RefCell<HashMap<(ServiceId, SocketAddr), StoreRevision>>,
     /// Socket for datagrams between instances.
     pub peer_socket: UdpSocket,
     /// The current or last period of leadership.
@@ -266,11 +267,12 @@
         };
         leader.value.instance == self.settings.instance
             && term.token == leader.revision
+            && term.token.era() == view.revision.era()
             && now().saturating_since(term.renewed_at) < time
     }
 
     /// Returns the fencing token: the store revision at which this instance became the leader.
-    pub fn fencing_token(&self) -> Option<u64> {
+    pub fn fencing_token(&self) -> Option<StoreRevision> {
         self.leader_term.get().map(|term| term.token)
     }
 
@@ -403,7 +405,7 @@
     }
 
     /// Returns the pending orders as pairs of service and revision, sorted.
-    pub fn pending_orders(&self) -> Vec<(ServiceId, u64)> {
+    pub fn pending_orders(&self) -> Vec<(ServiceId, StoreRevision)> {
         let view = self.view.borrow();
         let mut orders: Vec<_> = view
             .orders
@@ -416,7 +418,11 @@
     }
 
     /// Records the order revisions that another instance acknowledged.
-    pub fn record_acknowledgements(&self, from: SocketAddr, orders: Vec<(ServiceId, u64)>) {
+    pub fn record_acknowledgements(
+        &self,
+        from: SocketAddr,
+        orders: Vec<(ServiceId, StoreRevision)>,
+    ) {
         let mut acknowledged = self.acknowledged.borrow_mut();
         let mut advanced = false;
         for (service, revision) in orders {
--- a/crates/front/src/instance_limits.rs
+++ b/crates/front/src/instance_limits.rs
@@ -45,6 +45,11 @@
 /// double.
 pub const REGISTRATION_PAUSE: Duration = Duration::from_millis(1_000);
 
+/// Time over which all instances register again after the store came back from a copy, so that 530 of
+/// them make 530 of the 1,200 writes per second that a store accepts. It must end before primaries are
+/// used again.
+pub const REGISTRATION_SPREAD: Duration = Duration::from_millis(2_000);
+
 /// Pause before a failed renewal is retried.
 pub const RENEWAL_PAUSE: Duration = Duration::from_millis(600);
 
--- a/crates/front/src/peer_link.rs
+++ b/crates/front/src/peer_link.rs
@@ -167,7 +167,7 @@
     let candidates = std::iter::once_with(|| deputy_candidates(instance)).flatten();
     let chosen = monitor.choose(candidates, at);
     if chosen != former {
-        tracing::info!(event = "deputy_chosen", ?former, ?chosen, token);
+        tracing::info!(event = "deputy_chosen", ?former, ?chosen, %token);
     }
     if let Some(address) = chosen {
         let message = PeerMessage::Watch {
--- a/crates/front/src/peer_message.rs
+++ b/crates/front/src/peer_message.rs
@@ -12,6 +12,7 @@
 use session_core::monotonic_time::MonotonicTime;
 use session_core::pace_digest::PaceDigest;
 use session_core::pace_sample::PaceSample;
+use session_core::store_revision::StoreRevision;
 
 /// Maximum length of a datagram in bytes, which fits a packet without fragmentation.
 pub const MAX_DATAGRAM_BYTES: usize = 1_400;
@@ -31,7 +32,7 @@
         /// Number of pairs of endpoint and team that the instance used recently.
         demand: u32,
         /// Revisions of the pending orders that the instance has applied.
-        seen: Vec<(ServiceId, u64)>,
+        seen: Vec<(ServiceId, StoreRevision)>,
     },
     /// Answers a request with a loan.
     Lend {
@@ -47,7 +48,7 @@
     /// Grants or renews the deputy lease.
     Watch {
         /// Fencing token of the leader.
-        token: u64,
+        token: StoreRevision,
         /// When the message was sent, on the leader's clock.
         sent: MonotonicTime,
         /// Newest time on the deputy's clock in its answers so far.
--- a/crates/front/src/relay_message.rs
+++ b/crates/front/src/relay_message.rs
@@ -11,6 +11,7 @@
 use serde::Serialize;
 use session_core::ids::ServiceId;
 use session_core::log_point::LogPoint;
+use session_core::store_revision::StoreRevision;
 use tokio_util::codec::LengthDelimitedCodec;
 
 use crate::packed_value::PackedValue;
@@ -22,12 +23,19 @@
 /// second, an instance sends one such frame to each of six followers in a tenth of a second.
 const CHUNK_BYTES: usize = 16 * 1024;
 
+/// Version of the relay messages. Version 1 had revisions without an era and no version in the request,
+/// so that a relay cannot decode the request of such a follower and refuses it. A follower passes over
+/// such a relay because its era is lower than the store's.
+pub const RELAY_VERSION: u8 = 2;
+
 /// Requests the changes after a revision.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub struct RelayRequest {
     /// Revision up to which the follower knows the view.
-    pub after: u64,
+    pub after: StoreRevision,
+    /// [`RELAY_VERSION`] of the follower.
+    pub version: u8,
 }
 
 /// An item of the store as instances keep and relay it.
@@ -39,7 +47,7 @@
     /// Value, or `None` if the item was removed.
     pub value: Option<PackedValue>,
     /// Revision of the change.
-    pub revision: u64,
+    pub revision: StoreRevision,
 }
 
 impl From<StoreItem> for RelayItem {
@@ -58,7 +66,7 @@
     /// The items, or those that changed.
     pub items: Vec<RelayItem>,
     /// Revision of the store.
-    pub revision: u64,
+    pub revision: StoreRevision,
 }
 
 impl From<StoreView> for ViewItems {
@@ -79,7 +87,7 @@
     /// Age of the sender's view.
     pub age: Duration,
     /// Revision of the sender's view.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// Whether the items are the whole view rather than changes.
     pub complete: bool,
     /// The changed items, or all of them.
--- a/crates/front/src/store_feed.rs
+++ b/crates/front/src/store_feed.rs
@@ -167,7 +167,7 @@
                 }
             }
             Err(StoreError::HistoryDropped) => {
-                tracing::info!(event = "store_history_dropped", after);
+                tracing::info!(event = "store_history_dropped", %after);
                 return FollowOutcome::HistoryDropped;
             }
             Err(error) => {
@@ -193,7 +193,7 @@
     if lost {
         tracing::info!(
             event = "store_regained",
-            revision = instance.view.borrow().revision
+            revision = %instance.view.borrow().revision
         );
     }
     false
--- a/crates/front/src/view_follower.rs
+++ b/crates/front/src/view_follower.rs
@@ -14,6 +14,7 @@
 use session_core::relay_tree::MAX_RELAY_AGE;
 use session_core::relay_tree::relay_parent;
 use session_core::relay_tree::relay_substitute;
+use session_core::store_era::StoreEra;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 use tokio_util::codec::Framed;
@@ -21,6 +22,7 @@
 use crate::instance::Instance;
 use crate::instance_limits::RELAY_TIMEOUT;
 use crate::relay_message::MessageAssembler;
+use crate::relay_message::RELAY_VERSION;
 use crate::relay_message::RelayRequest;
 use crate::relay_message::RelayUpdate;
 use crate::relay_message::relay_codec;
@@ -41,6 +43,8 @@
     Silent(io::Error),
     /// The relay's view has this age, which is too old.
     Stale(Duration),
+    /// The relay's view is of this era, which has ended.
+    Ended(StoreEra),
 }
 
 impl fmt::Display for RelayError {
@@ -48,6 +52,7 @@
         match self {
             RelayError::Silent(error) => write!(f, "{error}"),
             RelayError::Stale(age) => write!(f, "its evidence is {} ms old", age.as_millis()),
+            RelayError::Ended(era) => write!(f, "its view is of era {era}"),
         }
     }
 }
@@ -59,7 +64,7 @@
     pub fn is_refusal(&self) -> bool {
         match self {
             RelayError::Silent(error) => error.kind() == io::ErrorKind::ConnectionRefused,
-            RelayError::Stale(_) => false,
+            RelayError::Stale(_) | RelayError::Ended(_) => false,
         }
     }
 }
@@ -79,7 +84,7 @@
     pub fn add(&mut self, relay: SocketAddr, error: &RelayError) {
         let pause = match error {
             RelayError::Silent(_) => SILENT_PAUSE,
-            RelayError::Stale(_) => STALE_PAUSE,
+            RelayError::Stale(_) | RelayError::Ended(_) => STALE_PAUSE,
         };
         self.0.insert(relay, now() + pause);
     }
@@ -156,6 +161,7 @@
     let mut framed = Framed::new(stream, relay_codec());
     let request = RelayRequest {
         after: instance.view.borrow().revision,
+        version: RELAY_VERSION,
     };
     let requested_at = now();
     let bytes = postcard::to_stdvec(&request).map_err(io::Error::other)?;
@@ -175,6 +181,11 @@
         };
         let update: RelayUpdate = postcard::from_bytes(&message).map_err(io::Error::other)?;
         let age = update.age;
+        let era = update.revision.era();
+        if era < instance.store.era().era {
+            return Err(RelayError::Ended(era));
+        }
+        instance.store.record_era(era);
         // When the relay sent the update, its view held every change that the store had accepted
         // `age` earlier.
         let known_at = requested_at + update.since_ask - age;
--- a/crates/front/src/view_relay.rs
+++ b/crates/front/src/view_relay.rs
@@ -9,6 +9,7 @@
 use futures_util::StreamExt;
 use session_core::monotonic_time::MonotonicTime;
 use session_core::monotonic_time::now;
+use session_core::store_revision::StoreRevision;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio_util::codec::Framed;
@@ -95,8 +96,8 @@
     instance: &Instance,
     framed: &mut Framed<TcpStream, LengthDelimitedCodec>,
     requested_at: MonotonicTime,
-    sent_revision: u64,
-) -> io::Result<u64> {
+    sent_revision: StoreRevision,
+) -> io::Result<StoreRevision> {
     let Some(update) = next_update(instance, requested_at, sent_revision) else {
         send_start(instance, framed, sent_revision).await?;
         return Ok(sent_revision);
@@ -113,7 +114,7 @@
 fn next_update(
     instance: &Instance,
     requested_at: MonotonicTime,
-    sent_revision: u64,
+    sent_revision: StoreRevision,
 ) -> Option<RelayUpdate> {
     let view = instance.view.borrow();
     let synced_at = view.synced_at?;
@@ -136,9 +137,9 @@
 async fn send_start(
     instance: &Instance,
     framed: &mut Framed<TcpStream, LengthDelimitedCodec>,
-    sent_revision: u64,
+    sent_revision: StoreRevision,
 ) -> io::Result<()> {
-    if sent_revision > 0 {
+    if sent_revision != StoreRevision::default() {
         return Ok(());
     }
     if !instance.first_view_pending.get() {
--- a/crates/front/tests/testsuite/main.rs
+++ b/crates/front/tests/testsuite/main.rs
@@ -22,5 +22,6 @@
 mod session_state;
 mod shared_connections;
 mod silent_leader;
+mod store_drills;
 mod store_faults;
 mod zone_evacuations;
--- /dev/null
+++ b/crates/front/tests/testsuite/store_drills.rs
@@ -0,0 +1,159 @@
+//! Guards against instances that take a place in the history of the store for the same number in
+//! another era, after the store came back from an older copy.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use standins::platform::line_caller::LineCaller;
+
+use crate::fleet::Fleet;
+use crate::fleet::KEY;
+
+/// Time for which the store is away.
+const AWAY: Duration = Duration::from_secs(1);
+
+/// Number of changes that the store loses. Until it has made as many again, it gives revision numbers
+/// out that it had given out before.
+const LOST_CHANGES: usize = 200;
+
+/// Time within which instances use primaries again after a drill.
+const RETURN_TIME: Duration = Duration::from_secs(12);
+
+/// Makes changes which the store loses after the copy.
+async fn make_changes(fleet: &mut Fleet) {
+    for _ in 0..LOST_CHANGES {
+        fleet.set_keys(&[KEY]);
+    }
+    tokio::time::sleep(Duration::from_millis(500)).await;
+}
+
+/// Lets the store lose changes and come back from a copy.
+async fn drill_after_changes(fleet: &mut Fleet) {
+    let copy = fleet.platform.copy_store();
+    make_changes(fleet).await;
+    fleet.platform.drill(&copy, AWAY).await;
+}
+
+/// Marks the primary as draining and returns its id.
+fn release_primary(fleet: &Fleet) -> String {
+    let former = fleet.primary();
+    fleet.platform.change_group(|group| {
+        if let Some(endpoint) = group.endpoints.get_mut(&former) {
+            endpoint.draining = true;
+        }
+    });
+    former
+}
+
+/// A follower of a relay must learn of a primary that is replaced after a drill, although the order has
+/// a lower number than the follower's view (review case 7). Else it reads from the former primary.
+#[tokio::test]
+async fn followers_leave_a_replaced_primary() {
+    let mut fleet = Fleet::start(3).await;
+    drill_after_changes(&mut fleet).await;
+    tokio::time::sleep(RETURN_TIME).await;
+    let mut callers = Vec::new();
+    for instance in 0..3 {
+        let mut caller = fleet.caller(instance, "linear").await;
+        caller.request_until_served("WRITE page 0").await;
+        callers.push(caller);
+    }
+    fleet
+        .platform
+        .change_group(|group| group.lag = Duration::from_millis(400));
+    let former = release_primary(&fleet);
+    let end = Instant::now() + Duration::from_secs(9);
+    let (mut value, mut served) = (0_u32, 0);
+    while Instant::now() < end {
+        value += 1;
+        let writer = value as usize % callers.len();
+        let written = callers[writer]
+            .request(&format!("WRITE page {value}"))
+            .await;
+        if !written.succeeded() {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            continue;
+        }
+        for (instance, caller) in callers.iter_mut().enumerate() {
+            let read = caller.request("READ page").await;
+            if read.succeeded() {
+                served += 1;
+                let expected = vec![value.to_string()];
+                assert_eq!(read.rows, expected, "instance {instance}");
+            }
+        }
+    }
+    assert_ne!(fleet.primary(), former);
+    assert!(served > 100, "{served} reads");
+}
+
+/// Releases the primary and waits until another endpoint leads; the former one stays as a replica.
+async fn replace_primary(fleet: &Fleet) {
+    // An order is not changed in its first 3 s.
+    tokio::time::sleep(Duration::from_millis(3_200)).await;
+    let former = release_primary(fleet);
+    let end = Instant::now() + RETURN_TIME;
+    while fleet
+        .platform
+        .shared
+        .group()
+        .primary()
+        .is_none_or(|id| id == former)
+    {
+        assert!(Instant::now() < end, "the primary was not replaced");
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+    fleet.platform.change_group(|group| {
+        if let Some(endpoint) = group.endpoints.get_mut(&former) {
+            endpoint.draining = false;
+        }
+    });
+    tokio::time::sleep(Duration::from_millis(1_500)).await;
+}
+
+/// A primary whose replacement the store has lost must not be used again, neither by instances that
+/// knew the order nor by one that restarts and learns from them.
+#[tokio::test]
+async fn lost_order_permits_nobody() {
+    assert_lost_order_is_unused(&[1]).await;
+}
+
+/// Nor must it be used by a fleet that has restarted and knows nothing but the copy.
+#[tokio::test]
+async fn restarted_fleet_uses_no_lost_order() {
+    assert_lost_order_is_unused(&[0, 1, 2]).await;
+}
+
+/// Lets the store lose the replacement of the primary, restarts instances, and checks that callers are
+/// served again and that no read ran at the former primary.
+async fn assert_lost_order_is_unused(restarted: &[usize]) {
+    let mut fleet = Fleet::start(3).await;
+    let copy = fleet.platform.copy_store();
+    make_changes(&mut fleet).await;
+    replace_primary(&fleet).await;
+    fleet.await_service().await;
+    let primary = fleet.primary();
+    let drilled_at = Instant::now();
+    fleet.platform.drill(&copy, AWAY).await;
+    for instance in restarted {
+        fleet.instances[*instance].restart();
+    }
+    let mut served = [0; 3];
+    while drilled_at.elapsed() < RETURN_TIME {
+        for (instance, count) in served.iter_mut().enumerate() {
+            let address = fleet.instances[instance].process.callers;
+            let Ok(mut caller) = LineCaller::try_open(address, "linear", KEY).await else {
+                continue;
+            };
+            *count += usize::from(caller.request("READ page").await.succeeded());
+        }
+        tokio::time::sleep(Duration::from_millis(40)).await;
+    }
+    let group = fleet.platform.shared.group();
+    let runs = group.executed_statements.iter();
+    let after = runs.filter(|run| run.executed_at >= drilled_at && !run.wrote);
+    let elsewhere: Vec<_> = after.filter(|run| run.endpoint != primary).collect();
+    assert!(elsewhere.is_empty(), "{elsewhere:?}");
+    assert!(served.iter().all(|count| *count > 10), "{served:?}");
+    assert_eq!(group.promotions.len(), 1, "{:?}", group.promotions);
+}
--- a/crates/session-core/src/commit_evidence.rs
+++ b/crates/session-core/src/commit_evidence.rs
@@ -16,6 +16,7 @@
 use crate::ids::ServiceId;
 use crate::log_point::LogPoint;
 use crate::monotonic_time::MonotonicTime;
+use crate::store_revision::StoreRevision;
 
 /// One registration of an instance.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -23,7 +24,7 @@
     /// Address for datagrams of other instances.
     pub address: SocketAddr,
     /// Store revision at which its member key was written.
-    pub registered_at: u64,
+    pub registered_at: StoreRevision,
 }
 
 /// The registrations of one process at an address, from the first to the present one. A process
@@ -32,9 +33,9 @@
 #[serde(rename_all = "snake_case")]
 pub struct ProcessLives {
     /// Revision of its first registration.
-    pub first: u64,
+    pub first: StoreRevision,
     /// Revision of its present registration.
-    pub last: u64,
+    pub last: StoreRevision,
 }
 
 /// Report of an instance that has stopped using the primary of a group.
@@ -44,9 +45,9 @@
     /// The group.
     pub service: ServiceId,
     /// Revision of the pending order that made it stop.
-    pub pending: u64,
+    pub pending: StoreRevision,
     /// Revision of the open order under which it passed `passed` on.
-    pub opened: u64,
+    pub opened: StoreRevision,
     /// Highest log point that came with an acknowledgement that it passed on, if any.
     pub passed: Option<LogPoint>,
 }
@@ -74,13 +75,13 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
 pub struct CommitEvidence {
     /// Revision of the open order.
-    opened: u64,
+    opened: StoreRevision,
     /// Highest point that an instance passed on, this one included.
     passed: Option<LogPoint>,
     /// Earliest point of the primary after the last departure.
     sample: Option<FloorSample>,
     /// Newest pending order for which the process at each address reported.
-    reports: BTreeMap<SocketAddr, (ProcessLives, u64)>,
+    reports: BTreeMap<SocketAddr, (ProcessLives, StoreRevision)>,
 }
 
 impl DepartureLog {
@@ -115,7 +116,7 @@
 impl CommitEvidence {
     /// Starts anew if a later order was opened. The new primary has every commit that was
     /// acknowledged before.
-    fn begin(&mut self, opened: u64) {
+    fn begin(&mut self, opened: StoreRevision) {
         if opened > self.opened {
             self.opened = opened;
             self.passed = None;
@@ -125,13 +126,18 @@
     }
 
     /// Records the point that came with an acknowledgement that this instance passes on.
-    pub fn record_passed(&mut self, opened: u64, point: LogPoint) {
+    pub fn record_passed(&mut self, opened: StoreRevision, point: LogPoint) {
         self.begin(opened);
         self.passed = self.passed.max(Some(point));
     }
 
     /// Records a point of the primary. It covers every commit acknowledged before it was requested.
-    pub fn record_sample(&mut self, opened: u64, sample: FloorSample, departures: &DepartureLog) {
+    pub fn record_sample(
+        &mut self,
+        opened: StoreRevision,
+        sample: FloorSample,
+        departures: &DepartureLog,
+    ) {
         self.begin(opened);
         let covers = |sample: &FloorSample| {
             let since = sample.requested_at;
@@ -143,7 +149,7 @@
     }
 
     /// Returns this instance's report for a pending order.
-    pub fn report(&self, service: &ServiceId, pending: u64) -> CommitReport {
+    pub fn report(&self, service: &ServiceId, pending: StoreRevision) -> CommitReport {
         CommitReport {
             service: service.clone(),
             pending,
@@ -164,11 +170,14 @@
         if report.opened == self.opened {
             self.passed = self.passed.max(report.passed);
         }
-        let (known, pending) = self.reports.entry(address).or_insert((process, 0));
+        let (known, pending) = self
+            .reports
+            .entry(address)
+            .or_insert((process, StoreRevision::default()));
         // A report of an earlier process may arrive late.
         if process.last >= known.last {
             if process.first > known.last {
-                *pending = 0;
+                *pending = StoreRevision::default();
             }
             *known = process;
             *pending = report.pending.max(*pending);
@@ -179,7 +188,7 @@
     /// instances that may have used the primary before the pending order, has reported for it.
     pub fn acknowledged(
         &self,
-        pending: Option<u64>,
+        pending: Option<StoreRevision>,
         members: &HashSet<InstanceLife>,
         departures: &DepartureLog,
     ) -> AcknowledgedPoint {
--- a/crates/session-core/src/evacuated_zones.rs
+++ b/crates/session-core/src/evacuated_zones.rs
@@ -12,6 +12,7 @@
 
 use crate::ids::ZoneId;
 use crate::monotonic_time::MonotonicTime;
+use crate::store_revision::StoreRevision;
 
 /// Fraction of the evacuation time in which the primary of an evacuated zone and open transactions
 /// may still be used. The rest is for statements that are under way when it ends.
@@ -27,7 +28,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct ZoneEvacuation {
     /// Store revision of the request.
-    pub revision: u64,
+    pub revision: StoreRevision,
     /// A time before which the store had not accepted the request, or `None` if the request was in
     /// the first view.
     pub accepted_after: Option<MonotonicTime>,
--- a/crates/session-core/src/group_order.rs
+++ b/crates/session-core/src/group_order.rs
@@ -6,6 +6,7 @@
 use serde::Serialize;
 
 use crate::ids::EndpointId;
+use crate::store_revision::StoreRevision;
 
 /// How far a change of the primary has come.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -34,5 +35,5 @@
     /// How far the change has come.
     pub phase: OrderPhase,
     /// The fencing token of the leader that wrote the order.
-    pub token: u64,
+    pub token: StoreRevision,
 }
--- a/crates/session-core/src/lib.rs
+++ b/crates/session-core/src/lib.rs
@@ -48,6 +48,8 @@
 pub mod session_state;
 pub mod session_values;
 pub mod statement_limiter;
+pub mod store_era;
+pub mod store_revision;
 pub mod units;
 pub mod work_pace;
 pub mod work_times;
--- a/crates/session-core/src/promotion_step.rs
+++ b/crates/session-core/src/promotion_step.rs
@@ -89,6 +89,24 @@
     Wait,
 }
 
+/// Returns whether an endpoint leads its group according to all of its endpoints: each of them answers,
+/// and none has a higher term.
+pub fn is_sole_leader(members: &[SurveyedEndpoint], id: &EndpointId) -> bool {
+    let reports = members.iter().map(|member| (&member.id, member.report));
+    let leader = reports.clone().find(|(member, _)| *member == id);
+    let Some((_, Some(leader))) = leader else {
+        return false;
+    };
+    let mut others = reports.filter(|(member, _)| *member != id);
+    leader.role == GroupRole::Primary
+        && others.all(|(_, report)| {
+            report.is_some_and(|report| {
+                report.term < leader.term
+                    || report.term == leader.term && report.role == GroupRole::Replica
+            })
+        })
+}
+
 impl SurveyedGroup<'_> {
     /// Returns the next step.
     pub fn next_step(&self) -> PromotionStep {
--- a/crates/session-core/src/rate_deputy.rs
+++ b/crates/session-core/src/rate_deputy.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use crate::monotonic_time::MonotonicTime;
+use crate::store_revision::StoreRevision;
 
 /// Time after which the lender treats its deputy as silent, counted from when the newest answered
 /// message was sent. It spans four messages, since single datagrams get lost.
@@ -128,7 +129,7 @@
 #[derive(Debug, Clone, Copy, Default)]
 pub struct DeputyLease {
     /// Fencing token of the lender that sent the messages.
-    token: u64,
+    token: StoreRevision,
     received_at: Option<MonotonicTime>,
     confirmed: Option<MonotonicTime>,
 }
@@ -138,7 +139,7 @@
     /// message with a lower token than an earlier one comes from a former lender and is ignored.
     pub fn record_message(
         &mut self,
-        token: u64,
+        token: StoreRevision,
         confirmed: Option<MonotonicTime>,
         now: MonotonicTime,
     ) -> bool {
@@ -158,7 +159,7 @@
 
     /// Returns whether the deputy may lend now; `leader` is the fencing token of the leader in the
     /// store, if any.
-    pub fn may_lend(&self, leader: Option<u64>, now: MonotonicTime) -> bool {
+    pub fn may_lend(&self, leader: Option<StoreRevision>, now: MonotonicTime) -> bool {
         let within = |from: Option<MonotonicTime>, time: Duration| {
             from.is_some_and(|from| now.saturating_since(from) < time)
         };
--- a/crates/standins/src/platform/mod.rs
+++ b/crates/standins/src/platform/mod.rs
@@ -11,5 +11,6 @@
 pub mod platform_handle;
 pub mod promotion_effect;
 pub mod sample_configuration;
+pub mod store_copy;
 mod store_server;
 pub mod store_state;
--- a/crates/standins/src/platform/platform_handle.rs
+++ b/crates/standins/src/platform/platform_handle.rs
@@ -8,18 +8,24 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::time::Duration;
 
 use tokio::net::TcpListener;
 
 use crate::platform::group_state::EndpointState;
 use crate::platform::group_state::GroupState;
 use crate::platform::line_server;
+use crate::platform::store_copy::StoreCopy;
 use crate::platform::store_server;
+use crate::platform::store_state::StoreFault;
 use crate::platform::store_state::StoreState;
 
 /// Prefix of the keys with which operators evacuate availability zones.
 const EVACUATION_PREFIX: &str = "op/evacuate/";
 
+/// Era of the store at its start.
+const FIRST_ERA: u64 = 1;
+
 /// The state that the servers of the stand-in share.
 #[derive(Debug)]
 pub struct PlatformShared {
@@ -95,8 +101,12 @@
             endpoints.insert(id.to_owned(), state);
             listeners.push((id.to_owned(), listener));
         }
+        let store = StoreState {
+            era: FIRST_ERA,
+            ..StoreState::default()
+        };
         let shared = Arc::new(PlatformShared {
-            store: Mutex::default(),
+            store: Mutex::new(store),
             group: Mutex::new(GroupState::new(service, endpoints)),
         });
         for (id, listener) in listeners {
@@ -115,6 +125,21 @@
         self.shared.store().put("op/config", value, 0);
     }
 
+    /// Copies the content of the store for a later drill.
+    pub fn copy_store(&self) -> StoreCopy {
+        StoreCopy::of(&self.shared.store())
+    }
+
+    /// Lets the store be away for some time and come back from a copy. Then the operators and the
+    /// endpoints write their keys again.
+    pub async fn drill(&self, copy: &StoreCopy, away: Duration) {
+        self.shared.store().fault = StoreFault::Silent;
+        tokio::time::sleep(away).await;
+        let mut store = self.shared.store();
+        copy.restore(&mut store, true);
+        store.fault = StoreFault::None;
+    }
+
     /// Puts the key with which operators evacuate an availability zone.
     pub fn evacuate_zone(&self, zone: &str) {
         let key = format!("{EVACUATION_PREFIX}{zone}");
--- a/crates/standins/src/platform/store_server.rs
+++ b/crates/standins/src/platform/store_server.rs
@@ -33,6 +33,9 @@
 /// Time after a promotion at which the former primary becomes a replica.
 const FORMER_PRIMARY_TIME: Duration = Duration::from_millis(1_000);
 
+/// Header that holds the era of the store.
+const ERA_HEADER: &str = "store-era";
+
 type Reply = (u16, Value);
 
 /// Accepts HTTP connections until the listener fails.
@@ -106,6 +109,8 @@
     };
     let mut response = Response::new(Full::new(Bytes::from(answer.to_string())));
     *response.status_mut() = status.try_into().unwrap_or_default();
+    let era = shared.store().era;
+    response.headers_mut().insert(ERA_HEADER, era.into());
     response
 }
 
@@ -189,7 +194,7 @@
         {
             let mut store = shared.store();
             store.expire();
-            if after < store.dropped {
+            if after < store.dropped || after > store.revision {
                 return (410, json!({}));
             }
             let events: Vec<Value> = store
--- a/crates/standins/src/platform/store_state.rs
+++ b/crates/standins/src/platform/store_state.rs
@@ -60,7 +60,10 @@
     pub calls: u64,
     /// Number of transactions that took effect late, or will.
     pub late_changes: u64,
-    leases: HashMap<u64, (Instant, Duration)>,
+    /// Number of times that the store has come back from a copy, which its answers tell.
+    pub era: u64,
+    /// End and length of each lease.
+    pub(crate) leases: HashMap<u64, (Instant, Duration)>,
 }
 
 impl StoreState {
--- a/tests/testsuite/commit_reports.rs
+++ b/tests/testsuite/commit_reports.rs
@@ -29,7 +29,7 @@
 fn life(port: u16, registered_at: u64) -> InstanceLife {
     InstanceLife {
         address: address(port),
-        registered_at,
+        registered_at: registered_at.into(),
     }
 }
 
@@ -59,23 +59,26 @@
             point: LogPoint::new(1, position),
         };
         self.evidence
-            .record_sample(OPENED, sample, &self.departures);
+            .record_sample(OPENED.into(), sample, &self.departures);
     }
 
     /// Records a report of the process at a port with these registrations.
     fn report(&mut self, port: u16, first: u64, last: u64, opened: u64, passed: u64) {
         let report = CommitReport {
             service: "orders".parse().expect("the name is valid"),
-            pending: PENDING,
-            opened,
+            pending: PENDING.into(),
+            opened: opened.into(),
             passed: Some(LogPoint::new(1, passed)),
         };
-        let process = ProcessLives { first, last };
+        let process = ProcessLives {
+            first: first.into(),
+            last: last.into(),
+        };
         self.evidence.record_report(address(port), process, &report);
     }
 
     fn acknowledged(&self) -> AcknowledgedPoint {
-        let pending = Some(PENDING);
+        let pending = Some(PENDING.into());
         self.evidence
             .acknowledged(pending, &self.members, &self.departures)
     }
@@ -91,7 +94,9 @@
 #[test]
 fn all_members_report() {
     let mut leader = TestLeader::new();
-    leader.evidence.record_passed(OPENED, LogPoint::new(1, 105));
+    leader
+        .evidence
+        .record_passed(OPENED.into(), LogPoint::new(1, 105));
     assert_eq!(leader.covered(), None);
     leader.report(1, 5, 5, OPENED, 110);
     assert_eq!(leader.covered(), Some(110));
--- a/tests/testsuite/primary_permits.rs
+++ b/tests/testsuite/primary_permits.rs
@@ -28,7 +28,7 @@
         former_address: None,
         former: None,
         phase,
-        token: 1,
+        token: 1.into(),
     }
 }
 
--- a/tests/testsuite/promotion_calls.rs
+++ b/tests/testsuite/promotion_calls.rs
@@ -35,7 +35,9 @@
         let service = "orders".parse().expect("a service");
         let endpoint = "db-2".parse().expect("an endpoint");
         let leader = "front-1".parse().expect("an instance");
-        let answer = client.promote(&service, &endpoint, &leader, 7, time).await;
+        let answer = client
+            .promote(&service, &endpoint, &leader, 7.into(), time)
+            .await;
         assert_eq!(answer, Err(StoreError::NoAnswer));
         // The connection is closed by its own task.
         tokio::time::sleep(Duration::from_millis(100)).await;
--- a/tests/testsuite/promotion_orders.rs
+++ b/tests/testsuite/promotion_orders.rs
@@ -172,7 +172,7 @@
     fn life(&self) -> InstanceLife {
         InstanceLife {
             address: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
-            registered_at: self.life,
+            registered_at: self.life.into(),
         }
     }
 }
@@ -194,7 +194,7 @@
             requested_at: MonotonicTime::from_nanos(2),
             point: point(0),
         };
-        evidence.record_sample(OPENED, sample, &departures);
+        evidence.record_sample(OPENED.into(), sample, &departures);
         let addresses = 0..FIRST_ENDPOINTS;
         let endpoints = addresses.map(|address| ModelEndpoint {
             address,
@@ -301,7 +301,7 @@
         match event {
             ModelEvent::LeaderCommit => {
                 if let Some(written) = self.commit() {
-                    self.evidence.record_passed(OPENED, point(written));
+                    self.evidence.record_passed(OPENED.into(), point(written));
                 }
             }
             ModelEvent::OtherCommit => {
@@ -313,14 +313,14 @@
                     point: point(self.endpoints[PRIMARY].log),
                 };
                 self.evidence
-                    .record_sample(OPENED, sample, &self.departures);
+                    .record_sample(OPENED.into(), sample, &self.departures);
             }
             ModelEvent::OtherReports => {
                 self.other.stopped = true;
                 let report = CommitReport {
                     service: "orders".parse().expect("the name is valid"),
-                    pending: PENDING,
-                    opened: OPENED,
+                    pending: PENDING.into(),
+                    opened: OPENED.into(),
                     passed: self.other.passed.map(point),
                 };
                 let life = self.other.life();
@@ -414,7 +414,7 @@
             self.former_silent |= report.is_none() && !listed;
             reports.push((index, report, listed));
         }
-        let pending = self.written.then_some(PENDING);
+        let pending = self.written.then_some(PENDING.into());
         let members = self.other.listed.then(|| self.other.life());
         let members: HashSet<InstanceLife> = members.into_iter().collect();
         let evidence = &self.evidence;
--- a/tests/testsuite/rate_deputies.rs
+++ b/tests/testsuite/rate_deputies.rs
@@ -72,14 +72,14 @@
         let lost = |number: usize| fault == PeerFault::Lossy && !number.is_multiple_of(3);
         // A process that resumes after a freeze may lend before it reads the messages that arrived.
         let sole = lender_runs && monitor.is_sole_lender(lender_now);
-        let lends = deputy_runs && lease.may_lend(Some(TOKEN), deputy_now);
+        let lends = deputy_runs && lease.may_lend(Some(TOKEN.into()), deputy_now);
         check(step, sole, lends);
         if deputy_runs {
             while to_deputy.front().is_some_and(|(due, ..)| *due <= step) {
                 let Some((_, sent, confirmed)) = to_deputy.pop_front() else {
                     break;
                 };
-                if lease.record_message(TOKEN, confirmed, deputy_now) && !lost(step / 10) {
+                if lease.record_message(TOKEN.into(), confirmed, deputy_now) && !lost(step / 10) {
                     to_lender.push_back((step + held_back, sent, deputy_now));
                 }
             }
@@ -99,7 +99,7 @@
             }
         }
         let sole = lender_runs && monitor.is_sole_lender(lender_now);
-        let lends = deputy_runs && lease.may_lend(Some(TOKEN), deputy_now);
+        let lends = deputy_runs && lease.may_lend(Some(TOKEN.into()), deputy_now);
         check(step, sole, lends);
     }
 }
@@ -142,10 +142,10 @@
 fn newer_leader_ends_deputy_lease() {
     let mut lease = DeputyLease::default();
     let start = MonotonicTime::from_millis(1_000);
-    assert!(lease.record_message(TOKEN, Some(start), start));
+    assert!(lease.record_message(TOKEN.into(), Some(start), start));
     let later = start + Duration::from_millis(900);
     assert!(lease.may_lend(None, later));
-    assert!(lease.may_lend(Some(TOKEN), later));
-    assert!(!lease.may_lend(Some(TOKEN + 1), later));
-    assert!(!lease.record_message(TOKEN - 1, Some(later), later));
+    assert!(lease.may_lend(Some(TOKEN.into()), later));
+    assert!(!lease.may_lend(Some((TOKEN + 1).into()), later));
+    assert!(!lease.record_message((TOKEN - 1).into(), Some(later), later));
 }
--- a/tests/testsuite/rate_terms.rs
+++ b/tests/testsuite/rate_terms.rs
@@ -14,6 +14,7 @@
 use session_core::rate_lender::RateLender;
 use session_core::rate_share::RateShare;
 use session_core::serving_rules::TeamLimit;
+use session_core::store_revision::StoreRevision;
 use session_core::units::RequestBurst;
 use session_core::units::RequestRate;
 
@@ -142,7 +143,9 @@
             }),
             false => {
                 let token = self.known_term.map(|term| term.token);
-                let may_lend = self.lease.may_lend(token, time(at));
+                let may_lend = self
+                    .lease
+                    .may_lend(token.map(StoreRevision::from), time(at));
                 may_lend.then_some(LendingMode::Shared)
             }
         };
@@ -281,7 +284,9 @@
                 confirmed,
             } => {
                 let stamp = time(at);
-                let is_current = instance.lease.record_message(token, confirmed, stamp);
+                let is_current = instance
+                    .lease
+                    .record_message(token.into(), confirmed, stamp);
                 return is_current.then_some(SimMessage::Watched { sent, stamp });
             }
             SimMessage::Watched { sent, stamp } => {
--- a/tests/testsuite/store_answers.rs
+++ b/tests/testsuite/store_answers.rs
@@ -87,7 +87,7 @@
 
 fn change(revision: u64) -> StoreChange {
     StoreChange {
-        conditions: vec![("duty".to_owned(), revision)],
+        conditions: vec![("duty".to_owned(), revision.into())],
         puts: vec![("duty".to_owned(), b"holder".to_vec(), None)],
         removals: Vec::new(),
     }
@@ -101,7 +101,7 @@
     let refused = Err(store_error::StoreError::Conflict(Vec::new()));
     let test = with_copies(&answers, refused, async |address, gap| {
         let client = platform_client(address);
-        assert_eq!(client.change(change(0), TIME).await, Ok(7));
+        assert_eq!(client.change(change(0), TIME).await, Ok(7.into()));
         pause(gap).await;
         client.change(change(7), TIME).await
     });
@@ -150,18 +150,21 @@
     let removed = StoreItem {
         key: "op/config".to_owned(),
         value: None,
-        revision: 6,
+        revision: 6.into(),
     };
     let changed = Ok(StoreView {
         items: vec![removed],
-        revision: 6,
+        revision: 6.into(),
     });
     let test = with_copies(&answers, changed, async |address, gap| {
         let client = platform_client(address);
-        let first = client.watch("", 5, TIME, TIME).await.expect("an answer");
-        assert_eq!((first.items.len(), first.revision), (0, 5));
+        let first = client
+            .watch("", 5.into(), TIME, TIME)
+            .await
+            .expect("an answer");
+        assert_eq!((first.items.len(), first.revision), (0, 5.into()));
         pause(gap).await;
-        client.watch("", 5, TIME, TIME).await
+        client.watch("", 5.into(), TIME, TIME).await
     });
     LocalSet::new().run_until(test).await;
 }
@@ -202,10 +205,14 @@
         let leader = "front-1".parse().expect("an instance");
         let first = "db-1".parse().expect("an endpoint");
         let second = "db-2".parse().expect("an endpoint");
-        let accepted = client.promote(&service, &first, &leader, 7, TIME).await;
+        let accepted = client
+            .promote(&service, &first, &leader, 7.into(), TIME)
+            .await;
         assert_eq!(accepted, Ok(()));
         pause(gap).await;
-        client.promote(&service, &second, &leader, 7, TIME).await
+        client
+            .promote(&service, &second, &leader, 7.into(), TIME)
+            .await
     });
     LocalSet::new().run_until(test).await;
 }
--- a/tests/testsuite/zone_evacuations.rs
+++ b/tests/testsuite/zone_evacuations.rs
@@ -23,7 +23,7 @@
 
 fn evacuation(revision: u64, accepted_after: Option<MonotonicTime>) -> ZoneEvacuation {
     ZoneEvacuation {
-        revision,
+        revision: revision.into(),
         accepted_after,
     }
 }
