--- a/crates/front/src/fleet_view.rs
+++ b/crates/front/src/fleet_view.rs
@@ -114,6 +114,9 @@
     draining: HashMap<EndpointId, Option<MonotonicTime>>,
     /// Cold endpoints, and when they are warm according to their last entries.
     cold: HashMap<EndpointId, MonotonicTime>,
+    /// Evacuated zones whose requests the copy of the store lacked, and since when. Operators write them
+    /// again.
+    missing_evacuations: HashMap<ZoneId, MonotonicTime>,
     /// Endpoints whose entries are missing, and since when.
     missing: HashMap<EndpointId, MonotonicTime>,
     /// Entries of endpoints that were dropped, and when. Such an endpoint may still run.
@@ -289,30 +292,44 @@
             }
         };
         self.prune_removals(item.revision);
-        self.items.insert(item.key.clone(), item.clone());
+        let mut kept = item.clone();
         let item = StoreItem {
             key: item.key,
             value,
             revision: item.revision,
         };
+        // A copy of the store may be older than the known item.
+        let is_restored = known.is_some_and(|known| known.era() < item.revision.era());
         if item.key == configuration::CONFIGURATION_KEY {
-            self.apply_configuration(&item);
+            let is_newest = self.apply_configuration(&item);
+            // Followers and starting instances get the newest known configuration.
+            if let Some(known) = self.items.get(&item.key).filter(|_| !is_newest) {
+                kept.value = known.value.clone();
+            }
         } else if item.key.starts_with(registry::ENDPOINT_PREFIX) {
-            self.apply_endpoint(&item);
+            self.apply_endpoint(&item, is_restored);
         } else if let Some(zone) = evacuation::parse_evacuation(&item.key) {
             match zone {
-                Ok(zone) => self.apply_evacuation(zone, &item),
+                Ok(zone) => self.apply_evacuation(zone, &item, is_restored),
                 Err(error) => {
                     tracing::warn!(event = "evacuation_ignored", key = item.key, %error);
                 }
             }
-        } else if let Some(key) = fleet_keys::parse_key(&item.key) {
+        }
+        let key = fleet_keys::parse_key(&item.key);
+        self.items.insert(kept.key.clone(), kept);
+        if let Some(key) = key {
             self.apply_fleet_key(key, &item);
         }
     }
 
-    fn apply_evacuation(&mut self, zone: ZoneId, item: &StoreItem) {
+    fn apply_evacuation(&mut self, zone: ZoneId, item: &StoreItem, is_restored: bool) {
         let revision = item.revision;
+        self.missing_evacuations.remove(&zone);
+        if item.value.is_none() && is_restored {
+            self.missing_evacuations.insert(zone, now());
+            return;
+        }
         if item.value.is_none() {
             if self.evacuated.end(&zone) {
                 tracing::info!(event = "evacuation_ended", %zone, %revision);
@@ -337,16 +354,24 @@
         }
     }
 
-    fn apply_configuration(&mut self, item: &StoreItem) {
+    /// Puts a configuration in force if it is newer. Returns whether it is the newest known one.
+    fn apply_configuration(&mut self, item: &StoreItem) -> bool {
+        let current = self.rules.as_ref().map(|rules| rules.version);
         let Some(value) = &item.value else {
-            return;
+            tracing::warn!(event = "configuration_missing", revision = %item.revision);
+            return false;
         };
         match configuration::parse_configuration(value) {
+            Ok(rules) if current.is_some_and(|version| version >= rules.version) => {
+                tracing::info!(
+                    event = "configuration_ignored",
+                    version = rules.version.0,
+                    in_force = current.map(|version| version.0),
+                    revision = %item.revision,
+                );
+                current == Some(rules.version)
+            }
             Ok(rules) => {
-                let current = self.rules.as_ref().map(|rules| rules.version);
-                if current.is_some_and(|version| version >= rules.version) {
-                    return;
-                }
                 tracing::info!(
                     event = "configuration_in_force",
                     version = rules.version.0,
@@ -356,14 +381,16 @@
                     teams = rules.teams.len(),
                 );
                 self.rules = Some(Rc::new(rules));
+                true
             }
             Err(error) => {
                 tracing::error!(event = "configuration_refused", revision = %item.revision, %error);
+                false
             }
         }
     }
 
-    fn apply_endpoint(&mut self, item: &StoreItem) {
+    fn apply_endpoint(&mut self, item: &StoreItem, is_restored: bool) {
         let Some(value) = &item.value else {
             let id = item.key.trim_start_matches(registry::ENDPOINT_PREFIX);
             if let Ok(id) = id.parse::<EndpointId>()
@@ -375,8 +402,11 @@
             return;
         };
         match registry::parse_entry(&item.key, value) {
-            Ok(entry) => {
+            Ok(mut entry) => {
                 let former = self.endpoints.get(&entry.id);
+                // A process never takes back that it drains; the copy is older than its report.
+                entry.draining |= is_restored
+                    && former.is_some_and(|former| former.draining && former.born == entry.born);
                 if former.is_none_or(|former| differs(former, &entry)) {
                     tracing::info!(
                         event = "endpoint_entry",
@@ -511,6 +541,13 @@
             return;
         }
         let is_recent = |since: &MonotonicTime| at.saturating_since(*since) < MISSING_TIME;
+        let lapsed = self
+            .missing_evacuations
+            .extract_if(|_, since| !is_recent(since));
+        for (zone, _) in lapsed {
+            tracing::info!(event = "evacuation_ended", %zone, reason = "not_written_again");
+            self.evacuated.end(&zone);
+        }
         let (kept, dropped): (HashMap<_, _>, HashMap<_, _>) = self
             .missing
             .drain()
--- a/crates/front/tests/testsuite/fleet.rs
+++ b/crates/front/tests/testsuite/fleet.rs
@@ -173,6 +173,15 @@
         self.platform.configure(&accepted);
     }
 
+    /// Installs a new configuration with this number of routes `database-0`, `database-1` and so on
+    /// beside the usual ones.
+    pub fn set_routes(&mut self, count: usize) {
+        self.version += 3;
+        let mut accepted = configuration(self.version, &[KEY], self.rate);
+        add_routes(&mut accepted, SERVICE, count);
+        self.platform.configure(&accepted);
+    }
+
     /// Installs a new configuration with this bound of requests per second to cold endpoints.
     pub fn set_cold_rate(&mut self, per_second: u32) {
         self.version += 3;
--- a/crates/front/tests/testsuite/store_drills.rs
+++ b/crates/front/tests/testsuite/store_drills.rs
@@ -19,6 +19,9 @@
 /// Time within which instances use primaries again after a drill.
 const RETURN_TIME: Duration = Duration::from_secs(12);
 
+/// Time within which a withdrawn key must be refused.
+const REVOKE_TIME: Duration = Duration::from_secs(5);
+
 /// Makes changes which the store loses after the copy.
 async fn make_changes(fleet: &mut Fleet) {
     for _ in 0..LOST_CHANGES {
@@ -87,6 +90,48 @@
     assert!(served > 100, "{served} reads");
 }
 
+/// A key that is withdrawn after a drill must be refused by each instance in time, although the
+/// configuration has a lower number than the one before it (review case 8).
+#[tokio::test]
+async fn withdrawn_key_is_refused() {
+    let mut fleet = Fleet::start(3).await;
+    drill_after_changes(&mut fleet).await;
+    fleet.set_keys(&["another"]);
+    tokio::time::sleep(REVOKE_TIME).await;
+    for instance in &fleet.instances {
+        let opened = LineCaller::try_open(instance.process.callers, "linear", KEY).await;
+        let refusal = opened.err().map(|error| error.to_string());
+        let is_denied = refusal.as_ref().is_some_and(|text| text.contains("DENIED"));
+        assert!(is_denied, "{refusal:?}; its log: {}", instance.log());
+    }
+}
+
+/// A configuration that was in force before a drill must stay so, although the copy holds an older one
+/// until the operators have written it again.
+#[tokio::test]
+async fn configuration_does_not_go_back() {
+    let mut fleet = Fleet::start(3).await;
+    let copy = fleet.platform.copy_store();
+    make_changes(&mut fleet).await;
+    fleet.set_routes(1);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    {
+        let mut store = fleet.platform.shared.store();
+        copy.restore(&mut store, false);
+    }
+    let end = Instant::now() + Duration::from_secs(4);
+    while Instant::now() < end {
+        for instance in &fleet.instances {
+            let opened = LineCaller::try_open(instance.process.callers, "database-0", KEY).await;
+            let refusal = opened.err().map(|error| error.to_string());
+            assert_eq!(refusal, None, "its log: {}", instance.log());
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+    }
+    let (known, log) = (&fleet.instances[2], "\"event\":\"configuration_ignored\"");
+    known.await_log(log).await;
+}
+
 /// Releases the primary and waits until another endpoint leads; the former one stays as a replica.
 async fn replace_primary(fleet: &Fleet) {
     // An order is not changed in its first 3 s.
