--- a/crates/front/src/group_change.rs
+++ b/crates/front/src/group_change.rs
@@ -46,6 +46,7 @@
 use crate::group_leader::ChangeReason;
 use crate::group_survey;
 use crate::instance::Instance;
+use crate::instance_limits::LEADER_LEASE_TIME;
 use crate::instance_limits::STEP_PAUSE;
 use crate::instance_limits::STORE_TIMEOUT;
 use crate::relay_message::ViewItems;
@@ -533,6 +534,10 @@
         let Some(token) = self.token.filter(|_| self.leads()) else {
             return false;
         };
+        // A leader of the former era of the store may act until its lease would have ended.
+        if now().saturating_since(self.instance.store.era().since) < LEADER_LEASE_TIME {
+            return false;
+        }
         // The call may take effect although this instance ends before its answer.
         tracing::warn!(event = "promotion_called", service = %self.service, target = %target, %token);
         self.called = Some((target.clone(), now()));
--- a/crates/front/src/group_leader.rs
+++ b/crates/front/src/group_leader.rs
@@ -261,6 +261,13 @@
         }
         let requested_at = now();
         let renewed = instance.store.renew_lease(lease, STORE_TIMEOUT).await;
+        // The copy may hold the lease without the leader key, so that another instance can be elected.
+        if instance.store.era().era != token.era() {
+            tracing::warn!(event = "lead_lost", %token, reason = "store_era_ended");
+            instance.leader_term.set(None);
+            instance.leader_lease.set(None);
+            return;
+        }
         match renewed {
             Ok(()) => instance.leader_term.set(Some(LeaderTerm {
                 token,
--- a/crates/front/tests/testsuite/store_drills.rs
+++ b/crates/front/tests/testsuite/store_drills.rs
@@ -132,6 +132,31 @@
     known.await_log(log).await;
 }
 
+/// The fencing tokens of promotions must rise over a drill, which takes the revision back at which the
+/// last leader was elected (review case 9).
+#[tokio::test]
+async fn fencing_tokens_rise() {
+    let mut fleet = Fleet::start(3).await;
+    let copy = fleet.platform.copy_store();
+    make_changes(&mut fleet).await;
+    let first = fleet.leader().expect("an instance leads");
+    fleet.instances[first].restart();
+    fleet.await_service().await;
+    replace_primary(&fleet).await;
+    fleet.platform.drill(&copy, AWAY).await;
+    tokio::time::sleep(RETURN_TIME).await;
+    fleet.await_service().await;
+    replace_primary(&fleet).await;
+    let group = fleet.platform.shared.group();
+    let tokens: Vec<u64> = group
+        .promotions
+        .iter()
+        .map(|(_, _, token)| *token)
+        .collect();
+    assert!(tokens.len() >= 2, "{tokens:?}");
+    assert!(tokens.is_sorted(), "{tokens:?}");
+}
+
 /// Releases the primary and waits until another endpoint leads; the former one stays as a replica.
 async fn replace_primary(fleet: &Fleet) {
     // An order is not changed in its first 3 s.
