--- a/crates/front/src/caller_session.rs
+++ b/crates/front/src/caller_session.rs
@@ -75,6 +75,8 @@
     pub arrived: MonotonicTime,
     /// Connection that it runs on, set by its first statement.
     pub connection: Option<PooledConnection>,
+    /// Team for which that connection was opened.
+    pub team: Option<TeamId>,
     pub statement_time: Duration,
     pub wrote: bool,
     pub failed: bool,
@@ -88,6 +90,14 @@
     pub reason: &'static str,
 }
 
+impl SessionRefusal {
+    /// The key of the session belongs to another team than the one for which a request began.
+    pub(crate) const MOVED_KEY: Self = Self {
+        verdict: CallerVerdict::Denied,
+        reason: "key_moved_to_another_team",
+    };
+}
+
 /// Why no message was received.
 enum ReceiveEnd {
     /// The caller closed the connection.
@@ -452,6 +462,7 @@
                     mode,
                     arrived,
                     connection: None,
+                    team: None,
                     statement_time: Duration::ZERO,
                     wrote: false,
                     failed: false,
@@ -532,13 +543,28 @@
         self.answer_local();
     }
 
-    /// Rolls the transaction back at the endpoint. A connection that does not confirm is closed,
-    /// which also rolls back.
+    /// Returns the route and the team of the session if it may go on with its open transaction. The
+    /// transaction runs for the team of its first statement, and its key may have been withdrawn or
+    /// moved to another team since.
+    pub(crate) fn transaction_access(
+        &self,
+    ) -> Result<(DatabaseRoute, Option<TeamId>), SessionRefusal> {
+        let (route, team) = self.access()?;
+        let running = self.transaction.as_ref().filter(|t| t.connection.is_some());
+        match running.is_none_or(|transaction| transaction.team == team) {
+            true => Ok((route, team)),
+            false => Err(SessionRefusal::MOVED_KEY),
+        }
+    }
+
+    /// Rolls the transaction back at the endpoint. A connection that does not confirm is closed, which
+    /// also rolls back; so is one for whose team nothing more may run.
     async fn roll_back(&mut self, id: &str) {
+        let may_run = self.transaction_access().is_ok();
         let Some(transaction) = self.transaction.take() else {
             return;
         };
-        let Some(mut connection) = transaction.connection else {
+        let Some(mut connection) = transaction.connection.filter(|_| may_run) else {
             return;
         };
         let rollback = platform::endpoint_codec::EndpointCommand::Pass {
--- a/crates/front/src/statement_run.rs
+++ b/crates/front/src/statement_run.rs
@@ -69,7 +69,7 @@
             self.refuse_unsendable(id, &error, arrived);
             return Ok(());
         }
-        let (route, team) = match self.access() {
+        let (route, team) = match self.transaction_access() {
             Ok(access) => access,
             Err(refusal) => return self.refuse_access(id, &refusal, arrived).await,
         };
@@ -263,12 +263,7 @@
         loop {
             let route = match self.access() {
                 Ok((route, current)) if current == team => route,
-                Ok(_) => {
-                    return Some(SessionRefusal {
-                        verdict: CallerVerdict::Denied,
-                        reason: "key_moved_to_another_team",
-                    });
-                }
+                Ok(_) => return Some(SessionRefusal::MOVED_KEY),
                 Err(refusal) => return Some(refusal),
             };
             let outcome = self
@@ -283,7 +278,7 @@
             match outcome {
                 AttemptOutcome::Answered(answer, connection, chosen) => {
                     self.finish_first(
-                        &statement, &route, scope, answer, connection, *chosen, &progress,
+                        &statement, &route, scope, answer, connection, team, *chosen, &progress,
                     );
                     return None;
                 }
@@ -420,6 +415,7 @@
         scope: OutcomeScope,
         answer: EndpointAnswer,
         connection: Box<PooledConnection>,
+        team: Option<TeamId>,
         chosen: ChosenEndpoint,
         progress: &RequestProgress<'_>,
     ) {
@@ -450,6 +446,7 @@
                 _ if answer.result.is_err() => transaction.failed = true,
                 SessionState::Open | SessionState::Failed => {
                     transaction.connection = Some(*connection);
+                    transaction.team = team;
                 }
             }
         }
--- a/crates/front/tests/testsuite/fleet.rs
+++ b/crates/front/tests/testsuite/fleet.rs
@@ -173,6 +173,13 @@
         self.platform.configure(&accepted);
     }
 
+    /// Installs a new configuration with these teams.
+    pub fn set_teams(&mut self, teams: &[SampleTeam]) {
+        self.version += 3;
+        let accepted = sample_configuration(self.version, SERVICE, teams);
+        self.platform.configure(&accepted);
+    }
+
     /// Installs a new configuration with this number of routes `database-0`, `database-1` and so on
     /// beside the usual ones.
     pub fn set_routes(&mut self, count: usize) {
--- a/crates/front/tests/testsuite/key_withdrawal.rs
+++ b/crates/front/tests/testsuite/key_withdrawal.rs
@@ -3,6 +3,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use standins::platform::line_caller::LineCaller;
+use standins::platform::sample_configuration::SampleTeam;
 use standins::platform::store_state::StoreFault;
 
 use crate::fleet::Fleet;
@@ -58,3 +60,46 @@
     let mut caller = fleet.caller(0, "linear").await;
     caller.request_until_served("READ page").await;
 }
+
+/// A transaction must not go on for the team that its caller's key has left (review case 10), and must
+/// not be rolled back for it either.
+#[tokio::test]
+async fn moved_key_ends_its_transaction() {
+    const APPLY_TIME: Duration = Duration::from_secs(3);
+    let team = |name: &str, keys: &[&str]| SampleTeam {
+        name: name.to_owned(),
+        keys: keys.iter().map(|key| (*key).to_owned()).collect(),
+        rate: 500,
+    };
+    let mut fleet = Fleet::start(1).await;
+    fleet.set_teams(&[team("studio", &[KEY, "moved"]), team("press", &["other"])]);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let address = fleet.instances[0].process.callers;
+    let mut callers = Vec::new();
+    for name in ["writer", "committer", "leaver"] {
+        let mut caller = LineCaller::open(address, "linear", "moved").await;
+        caller.set_name(name.to_owned());
+        assert_eq!(caller.request("BEGIN").await.state, "T");
+        assert!(caller.request("WRITE page inside").await.succeeded());
+        callers.push(caller);
+    }
+    fleet.set_teams(&[team("studio", &[KEY]), team("press", &["other", "moved"])]);
+    tokio::time::sleep(APPLY_TIME - Duration::from_millis(500)).await;
+    let before = fleet.platform.shared.group().executed_statements.len();
+    for (caller, text) in callers
+        .iter_mut()
+        .zip(["WRITE page late", "COMMIT", "ROLLBACK"])
+    {
+        let answer = caller.request(text).await;
+        match text {
+            "ROLLBACK" => assert_eq!(answer.state, "I", "{answer:?}"),
+            _ => assert_eq!(answer.code(), "DENIED", "{answer:?}"),
+        }
+    }
+    let group = fleet.platform.shared.group();
+    let late = &group.executed_statements[before..];
+    assert!(late.is_empty(), "{late:?}");
+    // Position queries end with a rollback of the instance's own.
+    let rollbacks: Vec<_> = group.rollback_ids.iter().filter(|id| *id != "-").collect();
+    assert!(rollbacks.is_empty(), "{rollbacks:?}");
+}
--- a/crates/standins/src/platform/group_state.rs
+++ b/crates/standins/src/platform/group_state.rs
@@ -224,6 +224,8 @@
     pub executed_commits: Vec<ExecutedStatement>,
     /// Number of transactions that were begun.
     pub begun_transactions: u64,
+    /// Ids of the requests for a rollback.
+    pub rollback_ids: Vec<String>,
     /// Maximum number of open connections to each endpoint.
     pub max_connections: Option<usize>,
     /// Connections to endpoints.
@@ -269,6 +271,7 @@
             executed_statements: Vec::new(),
             executed_commits: Vec::new(),
             begun_transactions: 0,
+            rollback_ids: Vec::new(),
             max_connections: None,
             connections: ConnectionLog::default(),
             received_statements: Vec::new(),
--- a/crates/standins/src/platform/line_server.rs
+++ b/crates/standins/src/platform/line_server.rs
@@ -260,6 +260,7 @@
                 Some(complete)
             }
             "ROLLBACK" => {
+                self.shared.group().rollback_ids.push(id.to_owned());
                 self.transaction = None;
                 self.failed = false;
                 Some(complete)
