--- a/crates/front/src/statement_run.rs
+++ b/crates/front/src/statement_run.rs
@@ -168,11 +168,11 @@
         };
         let time = transaction.statement_time;
         let endpoint = connection.endpoint.clone();
-        let mut commands = Vec::new();
-        if let Some(definition) = &statement.definition {
-            let replay = connection.values.replay(&self.values, Some(definition));
-            commands.extend(replay.into_iter().map(EndpointCommand::Replay));
-        }
+        // The caller may have set values or prepared names since the last statement.
+        let definition = statement.definition.as_ref();
+        let replay = connection.values.replay(&self.values, definition);
+        let mut commands: Vec<EndpointCommand> =
+            replay.into_iter().map(EndpointCommand::Replay).collect();
         commands.push(EndpointCommand::Pass {
             id: id.to_owned(),
             floor: None,
--- a/crates/front/tests/testsuite/session_state.rs
+++ b/crates/front/tests/testsuite/session_state.rs
@@ -64,6 +64,28 @@
     }
 }
 
+/// A value that is set inside a transaction must be in force for its next direct statement, as its
+/// caller was told that it is set.
+#[tokio::test]
+async fn value_is_set_inside_a_transaction() {
+    let fleet = Fleet::start(1).await;
+    let mut caller = fleet.caller(0, "linear").await;
+    assert!(caller.request("SET locale yo").await.succeeded());
+    assert_eq!(caller.request("BEGIN").await.state, "T");
+    assert!(caller.request("READ page").await.succeeded());
+    assert!(caller.request("SET locale ha").await.succeeded());
+    assert!(caller.request("SET zone wat").await.succeeded());
+    assert!(caller.request("WRITE page inside").await.succeeded());
+    let expected = [("locale", "ha"), ("zone", "wat")];
+    let expected = expected.map(|(name, value)| (name.to_owned(), value.to_owned()));
+    {
+        let group = fleet.platform.shared.group();
+        let run = group.executed_statements.last().expect("the write ran");
+        assert_eq!(run.values, expected);
+    }
+    assert!(caller.request("COMMIT").await.succeeded());
+}
+
 /// A transaction must stay on one connection, and have no effect if it is rolled back.
 #[tokio::test]
 async fn rolled_back_write_is_gone() {
