--- a/crates/front/src/fleet_view.rs
+++ b/crates/front/src/fleet_view.rs
@@ -515,6 +515,11 @@
         order.is_some_and(|order| order.value.token.era() < self.revision.era())
     }
 
+    /// Returns the number of groups whose order is of an earlier era of the store.
+    pub fn unconfirmed_orders(&self) -> usize {
+        self.former_orders.len()
+    }
+
     /// Returns when this instance saw the present era of the store begin, or `None` if it has seen no
     /// earlier one.
     pub fn era_seen_at(&self) -> Option<MonotonicTime> {
--- a/crates/front/src/instance_metrics.rs
+++ b/crates/front/src/instance_metrics.rs
@@ -77,6 +77,9 @@
             .sample(instance.pool.opened_connections()),
         floor_ages(instance),
         evacuated_zones(instance),
+        MetricFamily::gauge("tamaracklb_store_era").sample(instance.store.era().era),
+        MetricFamily::gauge("tamaracklb_unconfirmed_orders")
+            .sample(instance.view.borrow().unconfirmed_orders()),
         MetricFamily::gauge("tamaracklb_caller_memory_bytes").sample(instance.callers.charged()),
         optional(
             "tamaracklb_caller_memory_limit_bytes",
--- a/tests/testsuite/main.rs
+++ b/tests/testsuite/main.rs
@@ -83,7 +83,6 @@
 mod store_answers;
 mod store_commands;
 mod store_eras;
-mod store_eras;
 mod support;
 mod whole_system;
 mod zone_evacuations;
