Check that added routes come into force, also after drills (users' runs)

In the users' runs, several instances refused a database that had been added, all at one version, for over 3 s (CONFIG). The record does not say whether the store had a drill.

At the end of every run, each instance must serve a route that is added then.

--- a/crates/front/tests/testsuite/fault_soak.rs
+++ b/crates/front/tests/testsuite/fault_soak.rs
@@ -186,6 +186,16 @@
     assert!(verdict.served > 100, "{verdict}");
 }
 
+/// No guarantee may be violated, and a configuration must come into force, while the store comes back
+/// from older copies. With this seed, instances refused an added route for good.
+#[tokio::test(flavor = "multi_thread")]
+async fn drills_violate_no_guarantee() {
+    let size = regression_size(4, Duration::from_secs(12));
+    let verdict = run_kind(ScheduleKind::Drills, 5_000, size).await;
+    assert!(verdict.violations.is_empty(), "{:#?}", verdict.violations);
+    assert!(verdict.served > 100, "{verdict}");
+}
+
 /// Regression test: with seed 3, the stand-in let a lagging replica report the term of a promotion
 /// that it had not applied yet, so reads from it were stale.
 #[tokio::test(flavor = "multi_thread")]
--- a/crates/front/tests/testsuite/key_withdrawal.rs
+++ b/crates/front/tests/testsuite/key_withdrawal.rs
@@ -85,7 +85,15 @@
     }
     fleet.set_teams(&[team("studio", &[KEY]), team("press", &["other", "moved"])]);
     tokio::time::sleep(APPLY_TIME - Duration::from_millis(500)).await;
-    let before = fleet.platform.shared.group().executed_statements.len();
+    // The change is in force: another session with the key runs for the other team.
+    let mut session = LineCaller::open(address, "linear", "moved").await;
+    session.request_until_served("READ page").await;
+    let before = {
+        let group = fleet.platform.shared.group();
+        let run = group.executed_statements.last().expect("the read ran");
+        assert_eq!(run.team, "press");
+        group.executed_statements.len()
+    };
     for (caller, text) in callers
         .iter_mut()
         .zip(["WRITE page late", "COMMIT", "ROLLBACK"])
--- a/crates/front/tests/testsuite/store_drills.rs
+++ b/crates/front/tests/testsuite/store_drills.rs
@@ -19,6 +19,9 @@
 /// Time within which instances use primaries again after a drill.
 const RETURN_TIME: Duration = Duration::from_secs(12);
 
+/// Time within which a confirmed configuration must be in force.
+const APPLY_TIME: Duration = Duration::from_secs(3);
+
 /// Time within which a withdrawn key must be refused.
 const REVOKE_TIME: Duration = Duration::from_secs(5);
 
@@ -106,6 +109,20 @@
     }
 }
 
+/// A route that is added after a drill must be served by each instance in time (the users' own runs).
+#[tokio::test]
+async fn added_route_is_served() {
+    let mut fleet = Fleet::start(3).await;
+    drill_after_changes(&mut fleet).await;
+    fleet.set_routes(1);
+    tokio::time::sleep(APPLY_TIME).await;
+    for instance in &fleet.instances {
+        let opened = LineCaller::try_open(instance.process.callers, "database-0", KEY).await;
+        let refusal = opened.err().map(|error| error.to_string());
+        assert_eq!(refusal, None, "its log: {}", instance.log());
+    }
+}
+
 /// A configuration that was in force before a drill must stay so, although the copy holds an older one
 /// until the operators have written it again.
 #[tokio::test]
--- a/crates/soak/src/fault_schedule.rs
+++ b/crates/soak/src/fault_schedule.rs
@@ -65,6 +65,12 @@
 /// Time before the end of an endpoint that is released in place at which other faults begin.
 const BEFORE_END_MS: std::ops::Range<u64> = 0..1_000;
 
+/// Time between the starts of two faults of a run with drills.
+const DRILL_INTERVAL_MS: std::ops::Range<u64> = 300..2_000;
+
+/// Age of the copy from which the store comes back in a drill.
+const COPY_AGE_MS: std::ops::Range<u64> = 200..8_000;
+
 /// Delay that a link adds to each chunk.
 const LINK_DELAY_MS: std::ops::Range<u64> = 5..250;
 
@@ -114,6 +120,8 @@
     Releases,
     /// Availability zones that are evacuated and lost, with faults of leaders and processes.
     Evacuations,
+    /// A store that comes back from older copies, with replaced primaries and overlapping faults.
+    Drills,
 }
 
 impl fmt::Display for ScheduleKind {
@@ -124,6 +132,7 @@
             ScheduleKind::Changes => "changes",
             ScheduleKind::Releases => "releases",
             ScheduleKind::Evacuations => "evacuations",
+            ScheduleKind::Drills => "drills",
         })
     }
 }
@@ -205,6 +214,8 @@
     StoreLosesAnswers,
     /// The store drops the history that watches read.
     StoreDropsHistory,
+    /// The store is copied, accepts configurations for this time, and comes back from the copy.
+    StoreDrill(Duration),
     /// A key is withdrawn and restored.
     KeyWithdrawn,
     /// A new version of the configuration is accepted.
@@ -263,6 +274,10 @@
                 let fault = draw_fault(&mut random, instances, endpoints);
                 faults.push(schedule(&mut random, starts_after, fault));
             }
+            ScheduleKind::Drills => {
+                let fault = draw_drill(&mut random, instances, endpoints);
+                faults.push(schedule(&mut random, starts_after, fault));
+            }
             ScheduleKind::Releases => {
                 let fault = draw_beside_release(&mut random, instances, endpoints);
                 faults.push(schedule(&mut random, starts_after, fault));
@@ -290,6 +305,7 @@
             ScheduleKind::Changes => CHANGE_INTERVAL_MS,
             ScheduleKind::Releases => RELEASE_INTERVAL_MS,
             ScheduleKind::Evacuations => EVACUATION_INTERVAL_MS,
+            ScheduleKind::Drills => DRILL_INTERVAL_MS,
             ScheduleKind::Faults | ScheduleKind::Planned => FAULT_INTERVAL_MS,
         };
         starts_after += Duration::from_millis(random.random_range(interval));
@@ -400,6 +416,20 @@
     }
 }
 
+/// Draws a drill of the store, a change that it may lose, or another fault. Two drills may overlap.
+fn draw_drill(random: &mut ChaCha8Rng, instances: usize, endpoints: usize) -> SoakFault {
+    match random.random_range(0..10) {
+        0..=2 => {
+            let age = random.random_range(COPY_AGE_MS);
+            SoakFault::StoreDrill(Duration::from_millis(age))
+        }
+        3 | 4 => SoakFault::PrimaryDrains,
+        5 => SoakFault::Configuration,
+        6 => SoakFault::LeaderKilled,
+        _ => draw_fault(random, instances, endpoints),
+    }
+}
+
 /// Draws a fault, or several that follow each other closely, with the delay of each.
 fn draw_changes(
     random: &mut ChaCha8Rng,
--- a/crates/soak/src/main.rs
+++ b/crates/soak/src/main.rs
@@ -51,6 +51,9 @@
     /// evacuate and lose availability zones, beside dead leaders and processes
     #[argh(switch)]
     evacuations: bool,
+    /// let the store come back from older copies, beside replaced primaries and other faults
+    #[argh(switch)]
+    drills: bool,
     /// damage answers of endpoints beside the other faults: send them twice, in pieces, cut off or not
     #[argh(switch)]
     answer_faults: bool,
@@ -65,12 +68,14 @@
 /// Runs one seed, prints its verdict and returns whether all guarantees held.
 fn check_seed(args: &SoakArgs, seed: u64) -> io::Result<bool> {
     let folder = tempfile::tempdir()?;
-    let kind = match (args.releases, args.changes, args.evacuations) {
-        (true, _, _) => ScheduleKind::Releases,
-        (false, true, _) => ScheduleKind::Changes,
-        (false, false, true) => ScheduleKind::Evacuations,
-        (false, false, false) => fault_schedule::kind_of(seed),
-    };
+    let kinds = [
+        (args.releases, ScheduleKind::Releases),
+        (args.changes, ScheduleKind::Changes),
+        (args.evacuations, ScheduleKind::Evacuations),
+        (args.drills, ScheduleKind::Drills),
+    ];
+    let requested = kinds.into_iter().find(|(is_set, _)| *is_set);
+    let kind = requested.map_or_else(|| fault_schedule::kind_of(seed), |(_, kind)| kind);
     let plan = SoakPlan {
         program: args.program.clone(),
         seed,
--- a/crates/soak/src/soak_faults.rs
+++ b/crates/soak/src/soak_faults.rs
@@ -38,6 +38,13 @@
 /// endpoint without a registry entry counts as gone, since its log would then be lost by right.
 const SHORT_SILENCE: Duration = Duration::from_millis(2_000);
 
+/// Number of configurations that the store loses in a drill, beside what else was written. Until as many
+/// changes were made again, it gives revision numbers out that it had given out before.
+const LOST_CONFIGURATIONS: u32 = 60;
+
+/// Longest time for which the store is away in a drill.
+const DRILL_TIME: Duration = Duration::from_millis(1_500);
+
 /// Time for which the store does changes late.
 const LATE_CHANGES_TIME: Duration = Duration::from_millis(800);
 
@@ -122,9 +129,10 @@
                 let _guard = self.endpoint_silence.lock().await;
                 let duration = match self.kind {
                     ScheduleKind::Changes | ScheduleKind::Releases => duration.min(SHORT_SILENCE),
-                    ScheduleKind::Faults | ScheduleKind::Planned | ScheduleKind::Evacuations => {
-                        duration
-                    }
+                    ScheduleKind::Faults
+                    | ScheduleKind::Planned
+                    | ScheduleKind::Evacuations
+                    | ScheduleKind::Drills => duration,
                 };
                 let id = &self.endpoint_link(endpoint).0;
                 self.platform.change_group(|group| {
@@ -230,6 +238,15 @@
                 self.platform.shared.store().drop_history();
                 Ok(())
             }
+            SoakFault::StoreDrill(age) => {
+                let copy = self.platform.copy_store();
+                for _ in 0..LOST_CONFIGURATIONS {
+                    self.configure(true);
+                    tokio::time::sleep(age / LOST_CONFIGURATIONS).await;
+                }
+                self.platform.drill(&copy, duration.min(DRILL_TIME)).await;
+                Ok(())
+            }
             SoakFault::KeyWithdrawn => {
                 self.withdraw_key(duration).await;
                 Ok(())
--- a/crates/soak/src/soak_run.rs
+++ b/crates/soak/src/soak_run.rs
@@ -24,6 +24,7 @@
 use standins::platform::line_caller::LineCaller;
 use standins::platform::platform_handle::PlatformHandle;
 use standins::platform::sample_configuration::SampleTeam;
+use standins::platform::sample_configuration::add_routes;
 use standins::platform::sample_configuration::sample_configuration;
 use standins::platform::sample_configuration::set_cold_rate;
 use tokio::sync::Mutex;
@@ -65,6 +66,13 @@
 /// users' platform.
 const RECOVERY_TIMEOUT: Duration = Duration::from_secs(12);
 
+/// Time after the acceptance of a configuration within which all instances must serve its routes, once
+/// no fault has ended for some seconds. Both times come from the users' platform.
+const APPLY_TIMEOUT: Duration = Duration::from_secs(3 + 4);
+
+/// Database that the last configuration of a run adds.
+const ADDED_DATABASE: &str = "database-0";
+
 /// Time after the start of a run within which all instances must serve.
 const START_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -439,6 +447,38 @@
         probes.join_all().await.into_iter().flatten().collect()
     }
 
+    /// Installs a configuration with another route, and reports the instances that do not serve it within
+    /// [`APPLY_TIMEOUT`].
+    async fn check_configuration(&self) {
+        {
+            let mut configuration = self
+                .configuration
+                .lock()
+                .unwrap_or_else(PoisonError::into_inner);
+            configuration.0 += 1;
+            let team = SampleTeam {
+                name: DEFAULT_TEAM.0.to_owned(),
+                keys: vec![DEFAULT_TEAM.1.to_owned()],
+                rate: DEFAULT_TEAM.2,
+            };
+            let mut accepted = sample_configuration(configuration.0, SERVICE, &[team]);
+            add_routes(&mut accepted, SERVICE, 1);
+            self.platform.configure(&accepted);
+        }
+        let end = Instant::now() + APPLY_TIMEOUT;
+        for address in self.addresses().await {
+            let key = DEFAULT_TEAM.1;
+            let mut opened = LineCaller::try_open(address, ADDED_DATABASE, key).await;
+            while opened.is_err() && Instant::now() < end {
+                tokio::time::sleep(PROBE_PAUSE).await;
+                opened = LineCaller::try_open(address, ADDED_DATABASE, key).await;
+            }
+            if let Err(error) = opened {
+                self.report_violation(format!("{address} does not serve an added route: {error}"));
+            }
+        }
+    }
+
     /// Waits until the group has a primary, since a change may be under way, or until `timeout`.
     async fn await_primary(&self, timeout: Duration) {
         let led = async {
@@ -545,6 +585,7 @@
     stop.send_replace(true);
     callers.join_all().await;
     fleet.await_primary(RECOVERY_TIMEOUT).await;
+    fleet.check_configuration().await;
     fleet.check_processes().await?;
     let rates = [DEFAULT_TEAM, LIMITED_TEAM].map(|(team, _, rate)| (team.to_owned(), rate));
     let history = lock(&fleet.history);
