Pause after a failed read of a new era, and stay with a late relay

Found by reading the change. An instance that knew of a later era than its view's asked for no watch and read the whole store at once; if the store refused that, it tried again without a pause. It now waits as after a failed watch.

--- a/crates/front/src/relay_message.rs
+++ b/crates/front/src/relay_message.rs
@@ -23,9 +23,9 @@
 /// second, an instance sends one such frame to each of six followers in a tenth of a second.
 const CHUNK_BYTES: usize = 16 * 1024;
 
-/// Version of the relay messages. Version 1 had revisions without an era and no version in the request,
-/// so that a relay cannot decode the request of such a follower and refuses it. A follower passes over
-/// such a relay because its era is lower than the store's.
+/// Version of the relay messages; a relay refuses followers of another one. Version 1 had no version in
+/// the request, which cannot be decoded now, and revisions without an era. A follower passes over a
+/// relay of version 1 because its era is lower than the store's.
 pub const RELAY_VERSION: u8 = 2;
 
 /// Requests the changes after a revision.
--- a/crates/front/src/store_feed.rs
+++ b/crates/front/src/store_feed.rs
@@ -63,12 +63,14 @@
         if !instance.follows_store() {
             instance.set_follows_store(true);
         }
-        match follow_changes(&instance, &mut lost, &exclusions).await {
-            FollowOutcome::HistoryDropped => {
-                if let Err(error) = read_all(&instance).await {
-                    lost = report_lost(lost, &instance, "range", &error);
-                }
-            }
+        let mut outcome = follow_changes(&instance, &mut lost, &exclusions).await;
+        if matches!(outcome, FollowOutcome::HistoryDropped)
+            && let Err(error) = read_all(&instance).await
+        {
+            lost = report_lost(lost, &instance, "range", &error);
+            outcome = FollowOutcome::Failed;
+        }
+        match outcome {
             // Another instance may reach the store. If none does, waiting as a follower costs no
             // calls.
             FollowOutcome::Failed => {
@@ -79,7 +81,7 @@
                     follow_substitute(&instance, &mut substitutes).await;
                 }
             }
-            FollowOutcome::RelayAvailable => {}
+            FollowOutcome::HistoryDropped | FollowOutcome::RelayAvailable => {}
         }
     }
 }
--- a/crates/front/src/view_follower.rs
+++ b/crates/front/src/view_follower.rs
@@ -168,6 +168,8 @@
     framed.send(Bytes::from(bytes)).await?;
     let mut silence = CONNECT_TIMEOUT;
     let mut assembler = MessageAssembler::default();
+    // Since when the relay's view is of an earlier era than the store.
+    let mut ended_since = None;
     while may_follow() {
         let message = timeout(silence, framed.next())
             .await
@@ -183,8 +185,15 @@
         let age = update.age;
         let era = update.revision.era();
         if era < instance.store.era().era {
-            return Err(RelayError::Ended(era));
+            // The relay is about to learn of the era. If all its followers left it meanwhile, each of
+            // them would read the whole store.
+            let since = *ended_since.get_or_insert_with(now);
+            if now().saturating_since(since) >= RELAY_TIMEOUT {
+                return Err(RelayError::Ended(era));
+            }
+            continue;
         }
+        ended_since = None;
         instance.store.record_era(era);
         // When the relay sent the update, its view held every change that the store had accepted
         // `age` earlier.
--- a/crates/front/src/view_relay.rs
+++ b/crates/front/src/view_relay.rs
@@ -19,6 +19,7 @@
 use crate::instance_limits::RELAY_PERIOD;
 use crate::instance_limits::RELAY_TIMEOUT;
 use crate::instance_limits::TICK_PERIOD;
+use crate::relay_message::RELAY_VERSION;
 use crate::relay_message::RelayRequest;
 use crate::relay_message::RelayUpdate;
 use crate::relay_message::relay_codec;
@@ -56,6 +57,9 @@
         return Ok(());
     };
     let request: RelayRequest = postcard::from_bytes(&bytes).map_err(io::Error::other)?;
+    if request.version != RELAY_VERSION {
+        return Err(io::Error::from(io::ErrorKind::Unsupported));
+    }
     let requested_at = now();
     let mut sent_revision = request.after;
     let mut changes = instance.changes.subscribe();
