Confirm orders in a function of their own, with a unit test

The confirmation of an order changed fields of the group change for a moment. It is a function beside the one that writes the first order now.

--- a/crates/front/src/group_change.rs
+++ b/crates/front/src/group_change.rs
@@ -125,6 +125,12 @@
         let view = instance.view.borrow();
         view.orders.get(service).map(|order| order.value.clone())
     };
+    if reason == ChangeReason::Restored
+        && let Some(order) = &order
+        && confirm_order(instance, service, order).await
+    {
+        return;
+    }
     let (former, former_address) = match order {
         Some(order) if order.phase == OrderPhase::Pending => (order.former, order.former_address),
         Some(order) => (Some(order.target), order.target_address),
@@ -139,10 +145,7 @@
     );
     let mut change = GroupChange::new(instance, service, former, former_address);
     let started_at = now();
-    let done = match reason {
-        ChangeReason::Restored => change.confirm_former().await || change.run().await,
-        _ => change.run().await,
-    };
+    let done = change.run().await;
     tracing::warn!(
         event = "primary_change_ended",
         service = %service,
@@ -166,6 +169,24 @@
     tracing::info!(event = "first_order", service = %service, target = %target, revision);
 }
 
+/// Writes an open order of an earlier era of the store again if its target still leads. Returns whether
+/// it was written.
+///
+/// The order permits nothing meanwhile: the evidence of the earlier era is older than [`REVOKE_WAIT`].
+/// An order that was lost may have promoted another endpoint, which has a higher term. An endpoint that
+/// does not answer could be that one.
+async fn confirm_order(instance: &Rc<Instance>, service: &ServiceId, order: &GroupOrder) -> bool {
+    if order.phase != OrderPhase::Open {
+        return false;
+    }
+    let target = &order.target;
+    let change = GroupChange::new(instance, service, None, None);
+    let members = group_survey::survey_group(instance, &change.entries(), &[]).await;
+    let leads = promotion_step::is_sole_leader(&members, target);
+    tracing::info!(event = "order_surveyed", service = %service, target = %target, leads, ?members);
+    leads && change.leads() && change.write_order(target, OrderPhase::Open).await.is_some()
+}
+
 impl<'a> GroupChange<'a> {
     fn new(
         instance: &'a Rc<Instance>,
@@ -246,29 +267,6 @@
         false
     }
 
-    /// Writes the order of an earlier era of the store again if its target still leads. Returns whether
-    /// it was written.
-    ///
-    /// The order permits nothing meanwhile: the evidence of the earlier era is older than
-    /// [`REVOKE_WAIT`]. An order that was lost may have promoted another endpoint, which has a higher
-    /// term. An endpoint that does not answer could be that one.
-    async fn confirm_former(&mut self) -> bool {
-        let Some(former) = self.former.clone().filter(|_| !self.is_pending_in_store()) else {
-            return false;
-        };
-        let listed = self.entries();
-        let members = group_survey::survey_group(self.instance, &listed, &[]).await;
-        let leads = promotion_step::is_sole_leader(&members, &former);
-        tracing::info!(event = "order_surveyed", service = %self.service, target = %former, leads, ?members);
-        if !leads || !self.leads() {
-            return false;
-        }
-        self.former = None;
-        let revision = self.write_order(&former, OrderPhase::Open).await;
-        self.former = Some(former);
-        revision.is_some()
-    }
-
     /// Queries the endpoints of the group and returns the next step.
     async fn survey_group(&mut self, listed: &[EndpointEntry]) -> PromotionStep {
         // An endpoint that has reached this point once keeps it.
--- a/crates/front/src/group_leader.rs
+++ b/crates/front/src/group_leader.rs
@@ -320,15 +320,14 @@
     view.group(service).next()?;
     let order = view.orders.get(service);
     let lasts = |since: MonotonicTime, time: Duration| at.saturating_since(since) >= time;
+    // Until then, instances may use primaries by orders of the earlier era.
     if view.must_confirm(service) {
         let is_due = lasts(instance.store.era().since, REVOKE_WAIT);
         return is_due.then_some(ChangeReason::Restored);
     }
     if order.is_none() {
-        if !view
-            .era_seen_at()
-            .is_none_or(|since| lasts(since, REVOKE_WAIT))
-        {
+        let era_seen_at = view.era_seen_at();
+        if era_seen_at.is_some_and(|since| !lasts(since, REVOKE_WAIT)) {
             return None;
         }
         return primary_permit::first_primary(view.group(service)).map(|_| ChangeReason::NoOrder);
--- a/tests/testsuite/promotion_steps.rs
+++ b/tests/testsuite/promotion_steps.rs
@@ -5,6 +5,7 @@
 use session_core::ids::EndpointId;
 use session_core::log_point::LogPoint;
 use session_core::log_point::LogTerm;
+use session_core::promotion_step;
 use session_core::promotion_step::EndpointReport;
 use session_core::promotion_step::PromotionStep;
 use session_core::promotion_step::SurveyedEndpoint;
@@ -44,6 +45,34 @@
     }
 }
 
+/// An order that may have been superseded by a lost one is confirmed only if every endpoint shows that its
+/// target leads. Else reads could go on at a primary that was replaced.
+#[test]
+fn sole_leader_is_confirmed_by_all() {
+    let newer = |mut endpoint: SurveyedEndpoint| {
+        if let Some(report) = &mut endpoint.report {
+            report.term = LogTerm(2);
+        }
+        endpoint
+    };
+    let leads = |others: Vec<SurveyedEndpoint>| {
+        let mut members = vec![primary("p", 5)];
+        members.extend(others);
+        promotion_step::is_sole_leader(&members, &id("p"))
+    };
+    assert!(leads(vec![replica("a", 5), replica("b", 3)]));
+    assert!(!leads(vec![replica("a", 5), silent("b")]));
+    assert!(!leads(vec![replica("a", 5), newer(replica("b", 3))]));
+    assert!(!leads(vec![newer(primary("a", 5)), replica("b", 3)]));
+    assert!(!leads(vec![primary("a", 5), replica("b", 3)]));
+    let former = [replica("p", 5), replica("a", 5)];
+    assert!(!promotion_step::is_sole_leader(&former, &id("p")));
+    assert!(!promotion_step::is_sole_leader(
+        &[replica("a", 5)],
+        &id("p")
+    ));
+}
+
 /// The group of a test, whose former primary is `p`.
 struct TestGroup {
     members: Vec<SurveyedEndpoint>,
