Review: show reads at a former primary after a drill of the store (case 11)

A daemon that starts after the store has come back from a copy uses an order of era 0 without a confirmation.

--- /dev/null
+++ b/review/standins-3/main.rs
@@ -0,0 +1,47 @@
+//! Runs one case of the review against the daemon of the deploy file.
+//!
+//! Exit codes: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+
+mod cases;
+mod fleet;
+mod group;
+mod json;
+mod record;
+mod store;
+mod world;
+
+use std::path::Path;
+use std::path::PathBuf;
+use std::sync::Arc;
+
+use record::Record;
+
+/// What a case found.
+pub enum Finding {
+    Broken(String),
+    Held(String),
+    NotRun(String),
+}
+
+fn main() {
+    let mut arguments = std::env::args().skip(1);
+    let (Some(case), Some(folder), Some(temporary)) =
+        (arguments.next(), arguments.next(), arguments.next())
+    else {
+        eprintln!("usage: harness CASE FOLDER TEMPORARY_FOLDER");
+        std::process::exit(2);
+    };
+    let trouble = std::env::var("TROUBLE").map_or(true, |text| text != "0");
+    let record = Arc::new(Record::create(&Path::new(&folder).join("record.txt")));
+    let temporary = PathBuf::from(temporary);
+    record.show(&format!("case {case}, disruption: {trouble}"));
+    let finding = cases::run(&case, &record, &temporary, trouble);
+    let (code, text) = match finding {
+        Finding::Broken(text) => (1, format!("BROKEN: {text}")),
+        Finding::Held(text) => (0, format!("held: {text}")),
+        Finding::NotRun(text) => (2, format!("could not run: {text}")),
+    };
+    record.show(&text);
+    record.flush();
+    std::process::exit(code);
+}
