--- a/review/standins-3/cases.rs
+++ b/review/standins-3/cases.rs
@@ -1,6 +1,7 @@
 //! The cases of the review.
 
 mod drill;
+mod frozen;
 mod soak;
 mod values;
 
@@ -14,6 +15,8 @@
     match case {
         "values" => values::run(record, folder, trouble),
         "drill" => drill::run(record, folder, trouble),
+        "frozen" => frozen::run(record, folder, trouble, false),
+        "lost" => frozen::run(record, folder, trouble, true),
         "soak" => soak::run(record, folder, trouble),
         _ => Finding::NotRun(format!("unknown case {case}")),
     }
--- a/review/standins-3/cases/soak.rs
+++ b/review/standins-3/cases/soak.rs
@@ -13,6 +13,7 @@
 
 use crate::Finding;
 use crate::fleet::Client;
+use crate::fleet::Signal;
 use crate::record::Record;
 use crate::world::World;
 
@@ -361,7 +362,7 @@
         backend.deaf = false;
     }
     for front in &world.fronts {
-        front.signal("CONT");
+        front.signal(Signal::Continue);
     }
     thread::sleep(Duration::from_secs(9));
     stopping.store(true, Ordering::Relaxed);
@@ -380,12 +381,25 @@
     let group = Arc::clone(&world.group);
     let store = Arc::clone(&world.store);
     let leader = group.lock().leader();
-    let living: Vec<usize> = (0..group.lock().backends.len())
-        .filter(|index| !group.lock().backends[*index].gone)
-        .collect();
+    let living: Vec<usize> = {
+        let state = group.lock();
+        let indices = 0..state.backends.len();
+        indices
+            .filter(|index| !state.backends[*index].gone)
+            .collect()
+    };
     let any = living[random.below(living.len() as u64) as usize];
     let time = random.ms(300, 6_000);
-    let kind = random.below(21);
+    // KINDS limits the disruptions, for example to "2,11,12".
+    let kinds: Vec<u64> = std::env::var("KINDS").map_or_else(
+        |_| (0..23).collect(),
+        |text| {
+            text.split(',')
+                .filter_map(|kind| kind.parse().ok())
+                .collect()
+        },
+    );
+    let kind = kinds[random.below(kinds.len() as u64) as usize];
     record.write(&format!(
         "disruption {kind} for {time:?}, backend {any}, leader {leader:?}"
     ));
@@ -430,6 +444,14 @@
             );
         }
         (19, Some(leader)) if leader != any => group.rebear(any),
+        (20, _) => {
+            group.lock().busy_percent = 5 + random.below(60);
+            later(time, Box::new(move || group.lock().busy_percent = 0));
+        }
+        (21 | 22, _) => {
+            group.lock().lost_percent = 2 + random.below(30);
+            later(time, Box::new(move || group.lock().lost_percent = 0));
+        }
         (5, _) => {
             group.lock().lag = Duration::from_millis(60 * (1 + random.below(30)));
             later(
@@ -461,7 +483,7 @@
             store.lock().late = Some(random.ms(1_000, 5_000));
             later(time / 3, Box::new(move || store.lock().late = None));
         }
-        (11, _) if random.chance(60) => {
+        (11, _) => {
             store.lock().away = true;
             thread::sleep(random.ms(100, 1_000));
             store.restore(copy);
@@ -475,13 +497,13 @@
         }
         (14, _) => {
             let index = random.below(world.fronts.len() as u64) as usize;
-            world.fronts[index].signal("STOP");
+            world.fronts[index].signal(Signal::Stop);
             thread::sleep(time);
-            world.fronts[index].signal("CONT");
+            world.fronts[index].signal(Signal::Continue);
         }
         (15, _) => {
             let index = random.below(world.fronts.len() as u64) as usize;
-            world.fronts[index].signal("TERM");
+            world.fronts[index].signal(Signal::Term);
             let end = Instant::now() + Duration::from_secs(6);
             while !world.fronts[index].has_ended() && Instant::now() < end {
                 thread::sleep(Duration::from_millis(10));
--- a/review/standins-3/fleet.rs
+++ b/review/standins-3/fleet.rs
@@ -22,8 +22,27 @@
 
 pub const KEY: &str = "u6wsjnbanfqasnmgkcuy";
 
+unsafe extern "C" {
+    /// Sends a signal to a process.
+    fn kill(process: i32, signal: i32) -> i32;
+}
+
+#[derive(Debug, Clone, Copy)]
+pub enum Signal {
+    Term = 15,
+    Continue = 18,
+    Stop = 19,
+}
+
+/// Sends a signal to a process that this program has started.
+pub fn send_signal(process: u32, signal: Signal) {
+    // SAFETY: the call takes two numbers and has no effect on this process.
+    unsafe { kill(process as i32, signal as i32) };
+}
+
 /// A daemon process, which is killed when this is dropped.
 pub struct Front {
+    pub name: String,
     pub callers: SocketAddr,
     ready: SocketAddr,
     settings: PathBuf,
@@ -88,7 +107,13 @@
 
 impl Front {
     /// Starts a daemon on a loopback address of its own, with settings as in DEPLOY.md.
-    pub fn start(folder: &Path, number: u8, zone: &str, platform: SocketAddr) -> Front {
+    pub fn start(
+        folder: &Path,
+        number: u8,
+        zone: &str,
+        platform: SocketAddr,
+        cloud: SocketAddr,
+    ) -> Front {
         let ip = format!("127.0.3.{}", number + 1);
         let port = free_ports(&ip);
         let name = format!("front-{zone}-{number}");
@@ -106,7 +131,7 @@
              \x20 LossSlackMs: 200\n  ConfigApplyMs: 3000\n  BackMs: 250\n  MaxStretchMs: 12000\n  StrictRevocation: true\n  RevokeMs: 5000\n\
              \x20 QuotaWindowS: 5\n  QuotaOverage: 0.1\n  QuotaSlack: 20\n  RecoveryS: 12\n  RequireFencing: false\n  ThawMs: 300\n\
              platform:\n  Address: \"{platform}\"\n  form: \"kv\"\n  WritesPerS: 400\n  ReadsPerS: 2000\n  HistoryS: 20\n  ValueBytes: 1048576\n  MinTtlMs: 1000\n\
-             Cloud:\n  Address: \"{platform}\"\n  RatePerS: 50.0\n  Duties:\n    - \"promotion\"\n  DutyPerS: 50.0\n",
+             Cloud:\n  Address: \"{cloud}\"\n  RatePerS: 50.0\n  Duties:\n    - \"promotion\"\n  DutyPerS: 50.0\n",
             port + 1,
             port + 2,
             port + 5,
@@ -118,6 +143,7 @@
             callers: format!("{ip}:{port}").parse().expect("an address"),
             ready: format!("{ip}:{}", port + 1).parse().expect("an address"),
             child: spawn(&settings, &log),
+            name,
             settings,
             log,
         }
@@ -133,12 +159,12 @@
     }
 
     /// Sends a signal to the process.
-    pub fn signal(&self, name: &str) {
-        let id = self.child.id().to_string();
-        Command::new("kill")
-            .args(["-s", name, &id])
-            .status()
-            .expect("send a signal");
+    pub fn signal(&self, signal: Signal) {
+        send_signal(self.child.id(), signal);
+    }
+
+    pub fn id(&self) -> u32 {
+        self.child.id()
     }
 
     pub fn has_ended(&mut self) -> bool {
--- a/review/standins-3/group.rs
+++ b/review/standins-3/group.rs
@@ -80,6 +80,16 @@
     pub transaction: Option<u64>,
 }
 
+/// A call that was taken.
+#[derive(Debug, Clone)]
+pub struct Call {
+    pub backend: String,
+    pub holder: String,
+    pub token: u64,
+    /// Whether it names another backend than the present primary.
+    pub replaces: bool,
+}
+
 /// What a backend's log held when its promotion took effect.
 pub struct Effect {
     pub backend: String,
@@ -96,8 +106,15 @@
     pub runs: Vec<Run>,
     /// Accepted promotion calls: backend, holder and token.
     pub promotions: Vec<(String, String, u64)>,
+    /// Promotion calls in the order of their arrival.
+    pub calls: Vec<Call>,
     pub effects: Vec<Effect>,
     pub max_connections: usize,
+    /// Percentages of statements that are refused because the queue is full, and of those whose answers
+    /// are lost.
+    pub busy_percent: u64,
+    pub lost_percent: u64,
+    draws: u64,
     open: Vec<usize>,
     receipts: u64,
     connections: u64,
@@ -185,6 +202,13 @@
         found.map_or_else(|| "0".to_owned(), |(_, data)| data.clone())
     }
 
+    fn draw(&mut self, percent: u64) -> bool {
+        self.draws ^= self.draws << 13;
+        self.draws ^= self.draws >> 7;
+        self.draws ^= self.draws << 17;
+        percent > 0 && (self.draws >> 20) % 100 < percent
+    }
+
     fn demote(&mut self, index: usize) {
         self.backends[index].primary = false;
     }
@@ -222,8 +246,12 @@
             promote_time: Duration::from_millis(1_000),
             runs: Vec::new(),
             promotions: Vec::new(),
+            calls: Vec::new(),
             effects: Vec::new(),
             max_connections: 46,
+            busy_percent: 0,
+            lost_percent: 0,
+            draws: 88_172_645_463_325_252,
             open: vec![0; 3],
             receipts: 0,
             connections: 0,
@@ -279,7 +307,7 @@
         let index = state.backends.len();
         state.open.push(0);
         state.backends.push(Backend {
-            id: format!("i-7f3a91c{index}"),
+            id: format!("i-{:02x}4e1b07", 0x60 - index),
             address: listener.local_addr().expect("address of a backend"),
             zone: zone.to_owned(),
             term: 0,
@@ -445,7 +473,15 @@
         self.record.write(&format!(
             "promotion of {target} by {holder} token {token}: 200"
         ));
-        if state.leader() == Some(index) {
+        let replaces = state.leader() != Some(index);
+        let call = Call {
+            backend: target.clone(),
+            holder: holder.clone(),
+            token,
+            replaces,
+        };
+        state.calls.push(call);
+        if !replaces {
             return 200;
         }
         state.promotions.push((target, holder, token));
@@ -644,6 +680,19 @@
             }
             return self.refuse(request, text, "READONLY");
         }
+        if matches!(
+            word,
+            "READ" | "WRITE" | "EXECUTE" | "COMMIT" | "BEGIN" | "STATUS"
+        ) {
+            let is_busy = {
+                let mut state = self.group.lock();
+                let percent = state.busy_percent;
+                state.draw(percent)
+            };
+            if is_busy && !(self.failed && word == "COMMIT") {
+                return self.refuse(request, text, "BUSY");
+            }
+        }
         let done = Some("COMPLETE -\r\n".to_owned());
         match word {
             "SET" => {
@@ -718,7 +767,7 @@
                 }
                 let now = Instant::now();
                 let mut needed = backend.log.iter().take(number);
-                if backend.term > term || needed.all(|entry| entry.visible_at <= now) {
+                if needed.all(|entry| entry.visible_at <= now) {
                     return Some(true);
                 }
             }
@@ -823,6 +872,10 @@
             connection: self.number,
             transaction,
         });
+        let percent = state.lost_percent;
+        if state.draw(percent) {
+            return None;
+        }
         let row = row.map_or_else(String::new, |row| format!("DATAROW {row}\r\n"));
         Some(format!("{row}COMPLETE {receipt}\r\n"))
     }
--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -4,6 +4,7 @@
 
 mod cases;
 mod fleet;
+mod freezer;
 mod group;
 mod json;
 mod record;
--- a/review/standins-3/store.rs
+++ b/review/standins-3/store.rs
@@ -223,8 +223,7 @@
     ) -> Option<(u16, Json)> {
         let (path, query) = path.split_once('?').unwrap_or((path, ""));
         if path == "/promotion" {
-            let body = Json::parse(body)?;
-            return Some((self.group.promote(&body, headers), Json::table(vec![])));
+            return self.promote(headers, body);
         }
         let slow = self.lock().slow;
         thread::sleep(ANSWER_TIME + slow);
@@ -309,6 +308,49 @@
         Some((404, Json::table(vec![])))
     }
 
+    fn promote(&self, headers: &HashMap<String, String>, body: &str) -> Option<(u16, Json)> {
+        let body = Json::parse(body)?;
+        Some((self.group.promote(&body, headers), Json::table(vec![])))
+    }
+
+    /// Serves promotion calls on an address of their own. `accepted` is called with each connection
+    /// before anything is read from it, and returns what is to be done before that in a thread of the
+    /// connection.
+    pub fn serve_promotions(
+        self: &Arc<Self>,
+        is_urgent: impl Fn() -> bool + Send + 'static,
+        accepted: impl Fn() -> Option<Box<dyn FnOnce(&TcpStream) + Send>> + Send + 'static,
+    ) -> SocketAddr {
+        let listener = TcpListener::bind(("127.0.0.1", 0)).expect("bind the promotion call");
+        let address = listener
+            .local_addr()
+            .expect("address of the promotion call");
+        listener
+            .set_nonblocking(true)
+            .expect("a listener that does not block");
+        let store = Arc::clone(self);
+        thread::spawn(move || {
+            loop {
+                let Ok((stream, _)) = listener.accept() else {
+                    if !is_urgent() {
+                        thread::sleep(Duration::from_millis(2));
+                    }
+                    continue;
+                };
+                let action = accepted();
+                let store = Arc::clone(&store);
+                thread::spawn(move || {
+                    if let Some(action) = action {
+                        action(&stream);
+                    }
+                    stream.set_nonblocking(false).expect("a socket");
+                    store.serve(stream);
+                });
+            }
+        });
+        address
+    }
+
     fn watch(&self, prefix: &str, after: u64, wait: Duration) -> Option<(u16, Json)> {
         let end = Instant::now() + wait;
         let era = self.lock().era;
--- a/review/standins-3/world.rs
+++ b/review/standins-3/world.rs
@@ -9,6 +9,7 @@
 use crate::fleet::Client;
 use crate::fleet::Front;
 use crate::fleet::KEY;
+use crate::freezer::Freezer;
 use crate::group::Group;
 use crate::group::SERVICE;
 use crate::json::Json;
@@ -20,6 +21,7 @@
     pub group: Arc<Group>,
     pub store: Arc<Store>,
     pub fronts: Vec<Front>,
+    pub freezer: Arc<Freezer>,
 }
 
 /// Maximum number of connections of a service, as in the site file.
@@ -92,6 +94,9 @@
     ) -> Option<World> {
         let group = Group::start(&record, backend_zones);
         let (store, platform) = Store::start(&group, &record);
+        let freezer = Arc::new(Freezer::new(&record));
+        let (armed, accepting) = (Arc::clone(&freezer), Arc::clone(&freezer));
+        let cloud = store.serve_promotions(move || armed.is_armed(), move || accepting.accept());
         group.lock().max_connections = connections as usize;
         let first = configuration(connections).to_string().into_bytes();
         store.lock().content.put("op/config", first, 0);
@@ -101,13 +106,14 @@
         group.maintain(&store);
         let fronts = zones.iter().enumerate();
         let fronts = fronts
-            .map(|(number, zone)| Front::start(folder, number as u8, zone, platform))
+            .map(|(number, zone)| Front::start(folder, number as u8, zone, platform, cloud))
             .collect();
         let world = World {
             record,
             group,
             store,
             fronts,
+            freezer,
         };
         world
             .await_service(Duration::from_secs(15))
