--- a/review/standins-3/cases.rs
+++ b/review/standins-3/cases.rs
@@ -2,6 +2,7 @@
 
 mod drill;
 mod frozen;
+mod revoked;
 mod soak;
 mod values;
 
@@ -17,6 +18,7 @@
         "drill" => drill::run(record, folder, trouble),
         "frozen" => frozen::run(record, folder, trouble, false),
         "lost" => frozen::run(record, folder, trouble, true),
+        "revoked" => revoked::run(record, folder, trouble),
         "soak" => soak::run(record, folder, trouble),
         _ => Finding::NotRun(format!("unknown case {case}")),
     }
--- a/review/standins-3/cases/drill.rs
+++ b/review/standins-3/cases/drill.rs
@@ -52,7 +52,7 @@
         record.show("the store is away");
         world.store.lock().away = true;
         thread::sleep(AWAY_TIME);
-        world.store.restore(&copy);
+        world.store.restore(&copy, true);
         world.store.lock().away = false;
     }
     record.show("a daemon is killed and starts again");
--- a/review/standins-3/cases/soak.rs
+++ b/review/standins-3/cases/soak.rs
@@ -486,7 +486,7 @@
         (11, _) => {
             store.lock().away = true;
             thread::sleep(random.ms(100, 1_000));
-            store.restore(copy);
+            store.restore(copy, true);
             store.lock().away = false;
         }
         (12 | 13, _) => {
--- a/review/standins-3/fleet.rs
+++ b/review/standins-3/fleet.rs
@@ -22,6 +22,8 @@
 
 pub const KEY: &str = "u6wsjnbanfqasnmgkcuy";
 
+pub const OTHER_KEY: &str = "j8pjbvk9m68k7b2ex5wa";
+
 unsafe extern "C" {
     /// Sends a signal to a process.
     fn kill(process: i32, signal: i32) -> i32;
@@ -216,6 +218,17 @@
         name: &str,
         address: SocketAddr,
         database: &str,
+    ) -> Result<Client, String> {
+        Self::open_with(record, name, address, database, KEY)
+    }
+
+    /// As [`Client::open`], with a key.
+    pub fn open_with(
+        record: &Arc<Record>,
+        name: &str,
+        address: SocketAddr,
+        database: &str,
+        key: &str,
     ) -> Result<Client, String> {
         let stream = TcpStream::connect_timeout(&address, Duration::from_secs(1));
         let stream = stream.map_err(|error| error.to_string())?;
@@ -227,7 +240,7 @@
             reader,
             record: Arc::clone(record),
         };
-        client.send(&format!("STARTUP {database} {KEY}\r\n"))?;
+        client.send(&format!("STARTUP {database} {key}\r\n"))?;
         let line = client.line()?;
         match line.starts_with("READY") {
             true => Ok(client),
--- a/review/standins-3/store.rs
+++ b/review/standins-3/store.rs
@@ -153,10 +153,12 @@
     }
 
     /// Comes back from a copy in the next era. What the operator and the backends wrote is written
-    /// again. Leases of the copy run on from where they were.
-    pub fn restore(&self, copy: &Copy) {
+    /// again, the backends' entries at once and the operator's if `operator` is set. Leases of the copy run
+    /// on from where they were.
+    pub fn restore(&self, copy: &Copy, operator: bool) {
         let mut state = self.lock();
-        let is_owned = |key: &str| key.starts_with("op/") || key.starts_with("servers/");
+        let is_owned =
+            |key: &str| key.starts_with("op/") && operator || key.starts_with("servers/");
         let owned = std::mem::take(&mut state.content.items);
         let next_lease = state.content.next_lease;
         state.content = copy.content.clone();
--- a/review/standins-3/world.rs
+++ b/review/standins-3/world.rs
@@ -9,6 +9,7 @@
 use crate::fleet::Client;
 use crate::fleet::Front;
 use crate::fleet::KEY;
+use crate::fleet::OTHER_KEY;
 use crate::freezer::Freezer;
 use crate::group::Group;
 use crate::group::SERVICE;
@@ -27,7 +28,8 @@
 /// Maximum number of connections of a service, as in the site file.
 pub const MAX_CONNECTIONS: u64 = 46;
 
-fn configuration(connections: u64) -> Json {
+/// Returns a configuration in which the tenant has these keys.
+pub fn configuration(version: u64, connections: u64, keys: &[&str]) -> Json {
     let route = |host: &str, kind: &str, timeout: u64, target: u64, staleness: Option<u64>| {
         let mut fields = vec![
             ("Name", Json::text(host)),
@@ -49,12 +51,15 @@
     ]);
     let tenant = Json::table(vec![
         ("Name", Json::text("nypu920")),
-        ("ApiKeys", Json::List(vec![Json::text(KEY)])),
+        (
+            "ApiKeys",
+            Json::List(keys.iter().map(|key| Json::text(key)).collect()),
+        ),
         ("RatePerS", Json::number(900)),
         ("Burst", Json::number(900)),
     ]);
     Json::table(vec![
-        ("Version", Json::number(7)),
+        ("Version", Json::number(version)),
         (
             "Routes",
             Json::List(vec![
@@ -98,7 +103,9 @@
         let (armed, accepting) = (Arc::clone(&freezer), Arc::clone(&freezer));
         let cloud = store.serve_promotions(move || armed.is_armed(), move || accepting.accept());
         group.lock().max_connections = connections as usize;
-        let first = configuration(connections).to_string().into_bytes();
+        let first = configuration(7, connections, &[KEY, OTHER_KEY])
+            .to_string()
+            .into_bytes();
         store.lock().content.put("op/config", first, 0);
         // The pages set no first era. A store that counts its drills begins with 0.
         let era = std::env::var("FIRST_ERA").ok();
