--- a/review/standins-3/cases/drill.rs
+++ b/review/standins-3/cases/drill.rs
@@ -14,8 +14,9 @@
 use crate::record::Record;
 use crate::world::World;
 
-/// How long the primary is dark.
+/// How long the primary is dark at least, and until it is replaced at most.
 const DARK_TIME: Duration = Duration::from_millis(3_600);
+const MAX_DARK_TIME: Duration = Duration::from_millis(6_800);
 
 /// How long the store is away in the drill.
 const AWAY_TIME: Duration = Duration::from_secs(1);
@@ -41,7 +42,11 @@
     thread::sleep(Duration::from_millis(200));
     record.show("the primary goes dark");
     world.group.darken(0);
+    let dark = Instant::now();
     thread::sleep(DARK_TIME);
+    while world.group.lock().leader().is_none() && dark.elapsed() < MAX_DARK_TIME {
+        thread::sleep(Duration::from_millis(20));
+    }
     record.show("the former primary is back");
     world.group.revive(0);
     if world.group.lock().leader() == Some(0) {
