Review: name the record and the control in the scripts of the cases

Each run.sh passes the path of its record.txt and TROUBLE to the harness, which read the one from its folder and the other from the environment.

--- a/review/standins-3/main.rs
+++ b/review/standins-3/main.rs
@@ -25,18 +25,16 @@
 }
 
 fn main() {
-    let mut arguments = std::env::args().skip(1);
-    let (Some(case), Some(folder), Some(temporary)) =
-        (arguments.next(), arguments.next(), arguments.next())
-    else {
-        eprintln!("usage: harness CASE FOLDER TEMPORARY_FOLDER");
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let [case, record, trouble, temporary] = arguments.as_slice() else {
+        eprintln!("usage: harness CASE RECORD TROUBLE TEMPORARY_FOLDER");
         std::process::exit(2);
     };
-    let trouble = std::env::var("TROUBLE").map_or(true, |text| text != "0");
-    let record = Arc::new(Record::create(&Path::new(&folder).join("record.txt")));
+    let trouble = trouble != "0";
+    let record = Arc::new(Record::create(Path::new(record)));
     let temporary = PathBuf::from(temporary);
     record.show(&format!("case {case}, disruption: {trouble}"));
-    let finding = cases::run(&case, &record, &temporary, trouble);
+    let finding = cases::run(case, &record, &temporary, trouble);
     let (code, text) = match finding {
         Finding::Broken(text) => (1, format!("BROKEN: {text}")),
         Finding::Held(text) => (0, format!("held: {text}")),
--- a/review/standins-3/record.rs
+++ b/review/standins-3/record.rs
@@ -31,6 +31,7 @@
     /// Writes a line that is also shown.
     pub fn show(&self, line: &str) {
         self.write(line);
+        self.flush();
         println!("{line}");
     }
 
