--- a/crates/front/src/group_change.rs
+++ b/crates/front/src/group_change.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use platform::endpoint_codec::EndpointCommand;
+use platform::promotion_client::PromotionOrder;
 use platform::registry;
 use platform::store_client::ReadFreshness;
 use platform::store_client::StoreChange;
@@ -217,7 +218,8 @@
 
     /// Returns whether this instance leads as it did when the change began.
     fn leads(&self) -> bool {
-        self.instance.leads() && self.instance.fencing_token() == self.token
+        self.token
+            .is_some_and(|token| self.instance.leads_with(token))
     }
 
     async fn run(&mut self) -> bool {
@@ -416,10 +418,11 @@
         view.group(self.service).cloned().collect()
     }
 
-    async fn send_command(&mut self, id: &EndpointId, command: EndpointCommand) {
+    /// Sends a command to an endpoint, unless this instance no longer leads by then.
+    async fn send_command(&self, id: &EndpointId, command: EndpointCommand) {
         let entry = self.instance.view.borrow().known_entry(id).cloned();
         if let Some(entry) = entry {
-            group_survey::send_command(self.instance, &entry, command).await;
+            group_survey::send_command(self.instance, &entry, command, || self.leads()).await;
         }
     }
 
@@ -539,12 +542,22 @@
         // The call may take effect although this instance ends before its answer.
         tracing::warn!(event = "promotion_called", service = %self.service, target = %target, %token);
         self.called = Some((target.clone(), now()));
-        let leader = &self.instance.settings.instance;
-        let ordered = self
-            .instance
-            .promotion_client
-            .promote(self.service, target, leader, token, PROMOTION_TIMEOUT)
-            .await;
+        let order = PromotionOrder {
+            service: self.service,
+            endpoint: target,
+            leader: &self.instance.settings.instance,
+            token,
+        };
+        // This instance may be suspended, or lose its lead, while the connection is opened.
+        let instance = Rc::clone(self.instance);
+        let may_send = move || instance.leads_with(token);
+        let client = &self.instance.promotion_client;
+        let ordered = tokio::select! {
+            biased;
+            ordered = client.promote(order, PROMOTION_TIMEOUT, may_send) => ordered,
+            // The call must not arrive after that of the next leader.
+            () = self.instance.lead_ended(token) => Err(StoreError::NoAnswer),
+        };
         tracing::warn!(
             event = "promotion_ordered",
             service = %self.service,
@@ -601,8 +614,7 @@
             let is_due = queried_at.is_none_or(|at| now().saturating_since(at) >= STEP_PAUSE);
             if is_due && (is_former || elapsed >= REGISTRY_TIME) {
                 queried_at = Some(now());
-                let status = EndpointCommand::Status;
-                let report = group_survey::send_command(self.instance, &entry, status).await;
+                let report = group_survey::query_report(self.instance, &entry).await;
                 if report.is_some_and(|report| report.role == GroupRole::Primary) {
                     return true;
                 }
@@ -708,8 +720,7 @@
         let Some(new_primary) = entry else {
             return;
         };
-        let status = EndpointCommand::Status;
-        let report = group_survey::send_command(self.instance, &new_primary, status).await;
+        let report = group_survey::query_report(self.instance, &new_primary).await;
         if let Some(report) = report.filter(|report| report.role == GroupRole::Primary) {
             self.send_command(&former, EndpointCommand::Demote(report.term))
                 .await;
--- a/crates/front/src/group_survey.rs
+++ b/crates/front/src/group_survey.rs
@@ -30,7 +30,7 @@
     let queries = entries.map(|(entry, listed)| async move {
         SurveyedEndpoint {
             id: entry.id.clone(),
-            report: request_report(instance, entry, &EndpointCommand::Status).await,
+            report: query_report(instance, entry).await,
             draining: entry.draining,
             listed,
             evacuated: instance.is_evacuated(entry),
@@ -39,13 +39,20 @@
     join_all(queries).await
 }
 
-/// Sends a command to one endpoint and returns its report after the command.
+/// Queries one endpoint.
+pub async fn query_report(instance: &Instance, entry: &EndpointEntry) -> Option<EndpointReport> {
+    request_report(instance, entry, &EndpointCommand::Status, || true).await
+}
+
+/// Sends a command to one endpoint and returns its report after the command. Asks `may_send` again on
+/// the open connection, since that may take until the lead of this instance has ended.
 pub async fn send_command(
     instance: &Instance,
     entry: &EndpointEntry,
     command: EndpointCommand,
+    may_send: impl Fn() -> bool,
 ) -> Option<EndpointReport> {
-    let report = request_report(instance, entry, &command).await;
+    let report = request_report(instance, entry, &command, may_send).await;
     tracing::info!(event = "endpoint_ordered", endpoint = %entry.id, order = ?command, ?report);
     report
 }
@@ -56,6 +63,7 @@
     instance: &Instance,
     entry: &EndpointEntry,
     command: &EndpointCommand,
+    may_send: impl Fn() -> bool,
 ) -> Option<EndpointReport> {
     for _ in 0..REPORT_ATTEMPTS {
         let counter = &instance.metrics.unexpected_answers;
@@ -66,6 +74,10 @@
                 return None;
             }
         };
+        if !may_send() {
+            tracing::info!(event = "command_withheld", endpoint = %entry.id, ?command);
+            return None;
+        }
         if *command == EndpointCommand::Status {
             instance.metrics.status_checks.inc();
         }
--- a/crates/front/src/instance.rs
+++ b/crates/front/src/instance.rs
@@ -58,6 +58,7 @@
 use crate::instance_limits::SCARCE_IDLE_TIME;
 use crate::instance_limits::SKEW_FACTOR;
 use crate::instance_limits::STORE_UNREACHABLE_AGE;
+use crate::instance_limits::TICK_PERIOD;
 use crate::metrics::FrontMetrics;
 use crate::pace_exchange::PaceExchange;
 use crate::rate_exchange::RateExchange;
@@ -235,6 +236,24 @@
         self.leads_within(LEADER_LEASE_TIME - LEADER_MARGIN)
     }
 
+    /// Returns whether this instance leads as it did when it was elected at `token`.
+    pub fn leads_with(&self, token: StoreRevision) -> bool {
+        self.leads() && self.fencing_token() == Some(token)
+    }
+
+    /// Returns after the end of the leadership that began at `token`, or of the leader lease, unless that
+    /// has been renewed by then.
+    pub async fn lead_ended(&self, token: StoreRevision) {
+        while let Some(term) = self.leader_term.get().filter(|term| term.token == token) {
+            let elapsed = now().saturating_since(term.renewed_at);
+            let left = LEADER_LEASE_TIME.saturating_sub(elapsed);
+            if left.is_zero() {
+                return;
+            }
+            tokio::time::sleep(left.min(TICK_PERIOD)).await;
+        }
+    }
+
     /// Returns whether this instance is the latest leader that it knows of, even after its lease
     /// ended.
     pub fn is_latest_leader(&self) -> bool {
--- a/crates/front/tests/testsuite/fleet.rs
+++ b/crates/front/tests/testsuite/fleet.rs
@@ -5,6 +5,7 @@
 use std::path::PathBuf;
 use std::process::ExitStatus;
 use std::time::Duration;
+use std::time::Instant;
 
 use serde_json::Value;
 use soak::link_proxy::LinkFault;
@@ -76,8 +77,18 @@
             .await
             .expect("start the stand-in");
         platform.configure(&configuration(1, &[KEY], RATE));
-        let store = platform.address;
-        Self::start_instances(platform, cpu_shares, store, false).await
+        let addresses = [platform.address; 2];
+        Self::start_instances(platform, cpu_shares, addresses, false).await
+    }
+
+    /// Starts `count` instances that find the promotion service at another address than the store.
+    pub async fn start_gated(count: usize, promotion_address: SocketAddr) -> Self {
+        let platform = PlatformHandle::start(SERVICE)
+            .await
+            .expect("start the stand-in");
+        platform.configure(&configuration(1, &[KEY], RATE));
+        let addresses = [platform.address, promotion_address];
+        Self::start_instances(platform, &vec![0.17; count], addresses, false).await
     }
 
     /// Starts instances with a configuration of many routes, on links that take `chunk_time` for 16
@@ -93,7 +104,7 @@
             .await
             .expect("start the link proxy");
         link.set_fault(LinkFault::Delay(chunk_time));
-        Self::start_instances(platform, &vec![0.17; count], link.address, false).await
+        Self::start_instances(platform, &vec![0.17; count], [link.address; 2], false).await
     }
 
     /// Starts instances before endpoints that accept no more than this number of connections each. If
@@ -106,14 +117,15 @@
         let mut accepted = configuration(1, &[KEY], RATE);
         accepted["Services"][0]["MaxConnections"] = connections.into();
         platform.configure(&accepted);
-        let store = platform.address;
-        Self::start_instances(platform, &vec![0.17; count], store, held_links).await
+        let addresses = [platform.address; 2];
+        Self::start_instances(platform, &vec![0.17; count], addresses, held_links).await
     }
 
+    /// Starts instances that find the store and the promotion service at these addresses.
     async fn start_instances(
         platform: PlatformHandle,
         cpu_shares: &[f64],
-        store_address: SocketAddr,
+        [store_address, promotion_address]: [SocketAddr; 2],
         held_links: bool,
     ) -> Self {
         let folder = tempfile::tempdir().expect("create a temporary folder");
@@ -134,7 +146,7 @@
                 cpu_share: *cpu_share,
                 ports: [ports[0], ports[1], peers],
                 store_address,
-                promotion_address: store_address,
+                promotion_address,
                 limits: MachineLimits::default(),
             };
             let process = DaemonProcess::start(&plan).expect("start the daemon");
@@ -230,6 +242,32 @@
         let group = self.platform.shared.group();
         group.primary().expect("the group has a primary")
     }
+
+    /// Marks the primary as draining and returns its id.
+    pub fn release_primary(&self) -> String {
+        let former = self.primary();
+        self.platform.change_group(|group| {
+            if let Some(endpoint) = group.endpoints.get_mut(&former) {
+                endpoint.draining = true;
+            }
+        });
+        former
+    }
+
+    /// Waits until another endpoint than `former` is the primary. Returns whether it is within `time`.
+    pub async fn await_successor(&self, former: &str, time: Duration) -> bool {
+        let end = Instant::now() + time;
+        loop {
+            let primary = self.platform.shared.group().primary();
+            if primary.is_some_and(|primary| primary != former) {
+                return true;
+            }
+            if Instant::now() >= end {
+                return false;
+            }
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    }
 }
 
 impl Instance {
--- a/crates/front/tests/testsuite/main.rs
+++ b/crates/front/tests/testsuite/main.rs
@@ -1,6 +1,7 @@
 //! End-to-end tests: the built daemon against a stand-in of the users' platform.
 
 mod fleet;
+mod promotion_gate;
 mod test_writers;
 
 mod acknowledged_commits;
@@ -11,6 +12,7 @@
 mod instance_sizes;
 mod key_withdrawal;
 mod large_configuration;
+mod late_promotions;
 mod line_borders;
 mod log_volume;
 mod member_keys;
--- a/crates/front/tests/testsuite/store_drills.rs
+++ b/crates/front/tests/testsuite/store_drills.rs
@@ -40,17 +40,6 @@
     fleet.platform.drill(&copy, AWAY).await;
 }
 
-/// Marks the primary as draining and returns its id.
-fn release_primary(fleet: &Fleet) -> String {
-    let former = fleet.primary();
-    fleet.platform.change_group(|group| {
-        if let Some(endpoint) = group.endpoints.get_mut(&former) {
-            endpoint.draining = true;
-        }
-    });
-    former
-}
-
 /// A follower of a relay must learn of a primary that is replaced after a drill, although the order has
 /// a lower number than the follower's view (review case 7). Else it reads from the former primary.
 #[tokio::test]
@@ -67,7 +56,7 @@
     fleet
         .platform
         .change_group(|group| group.lag = Duration::from_millis(400));
-    let former = release_primary(&fleet);
+    let former = fleet.release_primary();
     let end = Instant::now() + Duration::from_secs(9);
     let (mut value, mut served) = (0_u32, 0);
     while Instant::now() < end {
@@ -178,18 +167,9 @@
 async fn replace_primary(fleet: &Fleet) {
     // An order is not changed in its first 3 s.
     tokio::time::sleep(Duration::from_millis(3_200)).await;
-    let former = release_primary(fleet);
-    let end = Instant::now() + RETURN_TIME;
-    while fleet
-        .platform
-        .shared
-        .group()
-        .primary()
-        .is_none_or(|id| id == former)
-    {
-        assert!(Instant::now() < end, "the primary was not replaced");
-        tokio::time::sleep(Duration::from_millis(20)).await;
-    }
+    let former = fleet.release_primary();
+    let replaced = fleet.await_successor(&former, RETURN_TIME).await;
+    assert!(replaced, "the primary was not replaced");
     fleet.platform.change_group(|group| {
         if let Some(endpoint) = group.endpoints.get_mut(&former) {
             endpoint.draining = false;
--- a/tests/testsuite/store_answers.rs
+++ b/tests/testsuite/store_answers.rs
@@ -12,6 +12,7 @@
 
 use platform::call_counts::CallCounts;
 use platform::promotion_client::PromotionClient;
+use platform::promotion_client::PromotionOrder;
 use platform::store_client;
 use platform::store_client::LeaseId;
 use platform::store_client::ReadFreshness;
@@ -200,19 +201,21 @@
     let answers = vec![(200, "{}"), (409, "{}")];
     let refused = Err(store_error::StoreError::Refused(409));
     let test = with_copies(&answers, refused, async |address, gap| {
-        let client = PromotionClient::new(address, CallCounts::default());
+        let client = PromotionClient::new(address, TIME, CallCounts::default());
         let service = "orders".parse().expect("a service");
         let leader = "front-1".parse().expect("an instance");
         let first = "db-1".parse().expect("an endpoint");
         let second = "db-2".parse().expect("an endpoint");
-        let accepted = client
-            .promote(&service, &first, &leader, 7.into(), TIME)
-            .await;
+        let order = |endpoint| PromotionOrder {
+            service: &service,
+            endpoint,
+            leader: &leader,
+            token: 7.into(),
+        };
+        let accepted = client.promote(order(&first), TIME, || true).await;
         assert_eq!(accepted, Ok(()));
         pause(gap).await;
-        client
-            .promote(&service, &second, &leader, 7.into(), TIME)
-            .await
+        client.promote(order(&second), TIME, || true).await
     });
     LocalSet::new().run_until(test).await;
 }
