--- a/crates/front/src/endpoint_connection.rs
+++ b/crates/front/src/endpoint_connection.rs
@@ -19,6 +19,7 @@
 use session_core::request_outcome::StatementFault;
 use session_core::session_state::SessionState;
 use session_core::session_values::ConnectionValues;
+use session_core::session_values::ReplayStep;
 use tokio::time::timeout;
 
 use crate::answer_reporter::AnswerReporter;
@@ -106,8 +107,9 @@
     pub endpoint: EndpointId,
     /// Team whose statements run on it.
     pub team: Option<TeamId>,
-    /// Session values and prepared names that the endpoint holds for this connection.
-    pub values: ConnectionValues,
+    /// Session values and prepared names that the endpoint holds for this connection. They follow its
+    /// answers.
+    values: ConnectionValues,
     /// Transaction state after the last answer.
     pub state: SessionState,
     broken: bool,
@@ -189,9 +191,9 @@
         }
     }
 
-    /// Marks the values as uncertain. The current session may end its transaction.
-    pub fn set_uncertain(&mut self) {
-        self.uncertain = true;
+    /// Returns the session values and prepared names that the endpoint holds for this connection.
+    pub fn values(&self) -> &ConnectionValues {
+        &self.values
     }
 
     /// Returns a connection of a host to it, and closes one of this instance.
@@ -240,8 +242,9 @@
     }
 
     /// Sends several statements at once and returns their answers in order. If one of them is refused,
-    /// the transaction has been rolled back. The answers are charged
-    /// to the budget, which the caller of this function then sets to what it keeps of them.
+    /// the transaction has been rolled back; if that one was to restore a session's state, no other
+    /// session can use the connection. The answers are charged to the budget, which the caller of this
+    /// function then sets to what it keeps of them.
     ///
     /// # Errors
     ///
@@ -264,6 +267,7 @@
         budget: Option<AnswerBudget<'_>>,
     ) -> Result<Vec<EndpointAnswer>, StatementFault> {
         self.broken = true;
+        let steps: Vec<Option<ReplayStep>> = commands.iter().map(replay_step).collect();
         let answers = match &mut self.transport {
             ConnectionTransport::Direct(channel) => {
                 let exchange = channel.exchange(commands, self.state, matching, budget);
@@ -284,6 +288,9 @@
             }
         };
         self.broken = false;
+        for (step, answer) in steps.iter().zip(&answers) {
+            self.record_step(step.as_ref(), answer);
+        }
         if let Some(last) = answers.last() {
             let is_refused = answers.iter().any(|answer| answer.result.is_err());
             self.state = match is_refused {
@@ -295,6 +302,15 @@
         Ok(answers)
     }
 
+    /// Updates the values after an answer. A refusal does not show what the endpoint holds.
+    fn record_step(&mut self, step: Option<&ReplayStep>, answer: &EndpointAnswer) {
+        match (step, &answer.result) {
+            (Some(step), Ok(_)) => self.values.apply(step),
+            (Some(_), Err(_)) => self.uncertain = true,
+            (None, _) => {}
+        }
+    }
+
     /// Returns whether a copy of an earlier acknowledgement may arrive.
     pub fn may_repeat_acknowledgements(&self) -> bool {
         match &self.transport {
@@ -327,3 +343,10 @@
         }
     }
 }
+
+fn replay_step(command: &EndpointCommand) -> Option<ReplayStep> {
+    match command {
+        EndpointCommand::Replay(step) => Some(step.clone()),
+        _ => None,
+    }
+}
--- a/crates/front/src/endpoint_pool.rs
+++ b/crates/front/src/endpoint_pool.rs
@@ -590,7 +590,7 @@
             let of_team = idle.filter(|(_, (_, connection))| connection.team.as_ref() == team);
             // Of equal ones, the last is the one that was used most recently.
             let (index, _) =
-                of_team.max_by_key(|(_, (_, connection))| preference(&connection.values))?;
+                of_team.max_by_key(|(_, (_, connection))| preference(connection.values()))?;
             let (_, connection) = state.idle.remove(index);
             if !connection.is_stale() {
                 return Some(connection);
@@ -623,7 +623,7 @@
         state.end_use(team);
         if let Some(connection) = connection
             && connection.is_reusable()
-            && connection.values.bytes() <= MAX_KEPT_VALUES_BYTES
+            && connection.values().bytes() <= MAX_KEPT_VALUES_BYTES
             && state.in_use + state.idle.len() < limit.max_open
         {
             state.idle.push((now(), connection));
--- a/crates/front/src/host_server.rs
+++ b/crates/front/src/host_server.rs
@@ -23,7 +23,6 @@
 use tokio_util::codec::FramedWrite;
 
 use crate::endpoint_connection::ConnectError;
-use crate::endpoint_connection::EndpointAnswer;
 use crate::endpoint_pool::PoolError;
 use crate::endpoint_pool::PooledConnection;
 use crate::host_message::ConnectionRequest;
@@ -266,7 +265,7 @@
             Err(refusal) => return self.reply(ReplyBody::Refused(refusal)),
         };
         self.instance.count_provided(connection.opened);
-        let values = &connection.values;
+        let values = connection.values();
         self.reply(ReplyBody::Acquired {
             values: (values.values != request.values).then(|| values.values.clone()),
             prepared: request
@@ -372,7 +371,6 @@
     }
     let started_at = now();
     let held = held_names(connection, &commands);
-    let steps: Vec<_> = commands.iter().map(replay_step).collect();
     let sent = commands.into_iter().zip(&held);
     let sent = sent.filter(|(_, held)| !**held).map(|(command, _)| command);
     let result = connection.run_all(sent.collect(), time, None);
@@ -382,11 +380,11 @@
     };
     let took = now().saturating_since(started_at);
     let mut answers = answers.into_iter().peekable();
-    let mut forwarded = Vec::with_capacity(steps.len());
-    for (step, held) in steps.into_iter().zip(held) {
+    let mut forwarded = Vec::with_capacity(held.len());
+    for held in held {
         let answer = match (held, answers.next_if(|_| !held)) {
             (true, _) => held_answer(connection),
-            (false, Some(answer)) => record_step(connection, step, answer),
+            (false, Some(answer)) => answer.into(),
             (false, None) => return ReplyBody::Failed(StatementFault::Broken),
         };
         forwarded.push(answer);
@@ -417,7 +415,7 @@
     let mut is_reset = false;
     let is_held = |command: &EndpointCommand| match command {
         EndpointCommand::Replay(ReplayStep::Prepare { name, .. }) => {
-            !is_reset && connection.values.prepared.contains(name)
+            !is_reset && connection.values().prepared.contains(name)
         }
         EndpointCommand::Replay(ReplayStep::Reset) => {
             is_reset = true;
@@ -428,13 +426,6 @@
     commands.iter().map(is_held).collect()
 }
 
-fn replay_step(command: &EndpointCommand) -> Option<ReplayStep> {
-    match command {
-        EndpointCommand::Replay(step) => Some(step.clone()),
-        _ => None,
-    }
-}
-
 fn held_answer(connection: &PooledConnection) -> HostAnswer {
     HostAnswer {
         rows: Vec::new(),
@@ -443,17 +434,3 @@
         position: "-".to_owned(),
     }
 }
-
-fn record_step(
-    connection: &mut PooledConnection,
-    step: Option<ReplayStep>,
-    answer: EndpointAnswer,
-) -> HostAnswer {
-    match (&step, &answer.result) {
-        (Some(step), Ok(_)) => connection.values.apply(step),
-        // What the connection holds is not certain.
-        (Some(_), Err(_)) => connection.set_uncertain(),
-        (None, _) => {}
-    }
-    answer.into()
-}
--- a/crates/front/src/request_attempt.rs
+++ b/crates/front/src/request_attempt.rs
@@ -284,12 +284,10 @@
         route: &DatabaseRoute,
         progress: &mut RequestProgress<'_>,
     ) -> Result<(), AttemptOutcome> {
-        let replay = connection
-            .values
-            .replay(&self.values, statement.definition.as_ref());
-        let mut commands: Vec<_> = replay.into_iter().map(EndpointCommand::Replay).collect();
-        let replayed = commands.len();
-        if replayed == 0 && begin.is_none() {
+        let definition = statement.definition.as_ref();
+        let steps = connection.values().missing_steps(&self.values, definition);
+        let mut commands: Vec<_> = steps.into_iter().map(EndpointCommand::Replay).collect();
+        if commands.is_empty() && begin.is_none() {
             return Ok(());
         }
         if connection.may_repeat_acknowledgements() {
@@ -318,17 +316,13 @@
         };
         let refused = answers
             .iter()
-            .enumerate()
-            .find_map(|(index, answer)| Some((index, answer.result.as_ref().err()?)));
-        let Some((index, (refusal, text))) = refused else {
+            .find_map(|answer| answer.result.as_ref().err());
+        let Some((refusal, text)) = refused else {
             return Ok(());
         };
         tracing::info!(event = "preparation_refused", request = log_excerpt(progress.id), endpoint = %endpoint, ?refusal, text);
         let refusal = *refusal;
         progress.last_fault = Some(StatementFault::Refused(refusal));
-        if index < replayed {
-            connection.mark_broken();
-        }
         Err(self.retry_refused(connection, &endpoint, refusal, progress))
     }
 
--- a/crates/front/src/statement_run.rs
+++ b/crates/front/src/statement_run.rs
@@ -170,9 +170,9 @@
         let endpoint = connection.endpoint.clone();
         // The caller may have set values or prepared names since the last statement.
         let definition = statement.definition.as_ref();
-        let replay = connection.values.replay(&self.values, definition);
+        let steps = connection.values().missing_steps(&self.values, definition);
         let mut commands: Vec<EndpointCommand> =
-            replay.into_iter().map(EndpointCommand::Replay).collect();
+            steps.into_iter().map(EndpointCommand::Replay).collect();
         commands.push(EndpointCommand::Pass {
             id: id.to_owned(),
             floor: None,
@@ -195,8 +195,7 @@
         let number = connection.number();
         let is_host_fault = connection.has_host_fault();
         drop(permit);
-        let answer = result.and_then(|mut answers| answers.pop().ok_or(StatementFault::Broken));
-        match answer {
+        match result.and_then(|answers| statement_answer(answers, is_commit)) {
             Ok(answer) => {
                 self.record_answer(&endpoint, &answer, scope);
                 if answer.state == SessionState::Idle {
@@ -587,3 +586,22 @@
         self.instance.record_fault(endpoint, fault, write, sent_at);
     }
 }
+
+/// Returns the answer to the last of the statements of a batch inside a transaction.
+///
+/// The statement may have run although a step before it was refused, without what its caller had set.
+/// The transaction has been rolled back then, unless the statement was its commit.
+fn statement_answer(
+    mut answers: Vec<EndpointAnswer>,
+    is_commit: bool,
+) -> Result<EndpointAnswer, StatementFault> {
+    let answer = answers.pop().ok_or(StatementFault::Broken)?;
+    let mut steps = answers.iter();
+    let refused = steps.find_map(|step| step.result.as_ref().err());
+    match refused {
+        Some((refusal, _)) if answer.result.is_ok() && !is_commit => {
+            Err(StatementFault::Refused(*refusal))
+        }
+        _ => Ok(answer),
+    }
+}
--- a/crates/front/tests/testsuite/session_state.rs
+++ b/crates/front/tests/testsuite/session_state.rs
@@ -6,6 +6,11 @@
 use crate::fleet::Fleet;
 use crate::fleet::KEY;
 
+/// Number of instances, and of connections that each endpoint accepts: too few for each instance to
+/// keep one.
+const INSTANCES: usize = 4;
+const CONNECTIONS: u32 = 5;
+
 /// A session must see its own write at once, whichever endpoint serves the read.
 #[tokio::test]
 async fn own_write_is_read() {
@@ -86,6 +91,83 @@
     assert!(caller.request("COMMIT").await.succeeded());
 }
 
+/// A value that a demoted primary refuses inside a transaction must be set before the session's next
+/// statement there, which would run with the former value otherwise (review case 12).
+#[tokio::test]
+async fn refused_value_is_set_later() {
+    let fleet = Fleet::start(1).await;
+    assert_refused_value_is_set(&fleet, 0).await;
+}
+
+/// So must it on a connection that the endpoint's host keeps.
+#[tokio::test]
+async fn refused_value_is_set_through_a_host() {
+    let fleet = Fleet::start_scarce(INSTANCES, CONNECTIONS, false).await;
+    for instance in 0..INSTANCES {
+        assert_refused_value_is_set(&fleet, instance).await;
+    }
+}
+
+/// Lets the primary lose its lead while a transaction has a value that it was not sent yet, and checks
+/// the values of the session's later statements.
+async fn assert_refused_value_is_set(fleet: &Fleet, instance: usize) {
+    let mut caller = fleet.caller(instance, "linear").await;
+    assert!(caller.request("SET locale yo").await.succeeded());
+    assert!(caller.request("SET zone wat").await.succeeded());
+    caller.request_until_served("READ page").await;
+    let primary = fleet.primary();
+    assert_eq!(caller.request("BEGIN").await.state, "T");
+    assert!(caller.request("READ page").await.succeeded());
+    assert!(caller.request("SET locale ha").await.succeeded());
+    assert!(caller.request("SET zone cat").await.succeeded());
+    assert!(caller.request("PREPARE s1 READ q1").await.succeeded());
+    set_lead(fleet, &primary, false);
+    let refused = caller.request("EXECUTE s1 page").await;
+    assert!(!refused.succeeded(), "{refused:?}");
+    set_lead(fleet, &primary, true);
+    assert_eq!(caller.request("ROLLBACK").await.state, "I");
+    let expected = [("locale", "ha"), ("zone", "cat")];
+    let expected = expected.map(|(name, value)| (name.to_owned(), value.to_owned()));
+    for statement in ["READ page", "EXECUTE s1 page", "WRITE page later"] {
+        caller.request_until_served(statement).await;
+        let group = fleet.platform.shared.group();
+        let run = group.executed_statements.last().expect("it ran");
+        assert_eq!(run.values, expected, "{run:?}");
+    }
+}
+
+/// A write must not be acknowledged if the endpoint ran it without a value that its caller had set, and
+/// the transaction that the instance has rolled back for that must not go on.
+#[tokio::test]
+async fn statement_without_its_value_fails() {
+    let fleet = Fleet::start(1).await;
+    let mut caller = fleet.caller(0, "linear").await;
+    caller.request_until_served("WRITE page before").await;
+    assert_eq!(caller.request("BEGIN").await.state, "T");
+    assert!(caller.request("READ page").await.succeeded());
+    assert!(caller.request("SET locale yo").await.succeeded());
+    assert!(caller.request("SET zone wat").await.succeeded());
+    fleet.platform.shared.group().refused_values = 1;
+    let refused = caller.request("WRITE page inside").await;
+    assert!(!refused.succeeded(), "{refused:?}");
+    assert_eq!(refused.state, "E");
+    assert_eq!(caller.request("COMMIT").await.code(), "ABORTED");
+    let read = caller.request_until_served("READ page").await;
+    assert_eq!(read.rows, vec!["before"]);
+    let group = fleet.platform.shared.group();
+    let run = group.executed_statements.last().expect("the read ran");
+    let expected = [("locale", "yo"), ("zone", "wat")];
+    let expected = expected.map(|(name, value)| (name.to_owned(), value.to_owned()));
+    assert_eq!(run.values, expected);
+}
+
+/// Lets an endpoint lose or regain its lead. Its registry entry stays, so that it is not replaced.
+fn set_lead(fleet: &Fleet, id: &str, leads: bool) {
+    let mut group = fleet.platform.shared.group();
+    let endpoint = group.endpoints.get_mut(id).expect("the endpoint exists");
+    endpoint.primary = leads;
+}
+
 /// A transaction must stay on one connection, and have no effect if it is rolled back.
 #[tokio::test]
 async fn rolled_back_write_is_gone() {
--- a/crates/session-core/src/session_values.rs
+++ b/crates/session-core/src/session_values.rs
@@ -70,33 +70,32 @@
         2 * u8::from(self.matches(session)) + u8::from(holds_name)
     }
 
-    /// Returns the steps that must run before a statement of the session, and updates the
-    /// connection's values as if they had run. `definition` is what the statement executes, if it
-    /// is prepared.
-    pub fn replay(
-        &mut self,
+    /// Returns the steps that must run before a statement of the session. `definition` is what the
+    /// statement executes, if it is prepared.
+    pub fn missing_steps(
+        &self,
         session: &SessionValues,
         definition: Option<&StatementDefinition>,
     ) -> Vec<ReplayStep> {
         let mut steps = Vec::new();
-        let foreign = |name: &String| !session.values.contains_key(name);
-        if self.values.keys().any(foreign) {
-            steps.push(ReplayStep::Reset);
-            self.values.clear();
-            self.prepared.clear();
-        }
-        for (name, value) in &session.values {
-            if self.values.get(name) != Some(value) {
-                steps.push(ReplayStep::Set {
-                    name: name.clone(),
-                    value: value.clone(),
-                });
-                self.values.insert(name.clone(), value.clone());
+        let empty = Self::default();
+        let is_foreign = |name: &String| !session.values.contains_key(name);
+        let held = match self.values.keys().any(is_foreign) {
+            true => {
+                steps.push(ReplayStep::Reset);
+                &empty
             }
-        }
+            false => self,
+        };
+        let missing = session.values.iter();
+        let missing = missing.filter(|(name, value)| held.values.get(*name) != Some(*value));
+        steps.extend(missing.map(|(name, value)| ReplayStep::Set {
+            name: name.clone(),
+            value: value.clone(),
+        }));
         if let Some(definition) = definition {
             let name = PreparedName::new(definition);
-            if self.prepared.insert(name.clone()) {
+            if !held.prepared.contains(&name) {
                 steps.push(ReplayStep::Prepare {
                     name,
                     definition: definition.clone(),
@@ -106,7 +105,7 @@
         steps
     }
 
-    /// Updates the values after a step ran on the connection.
+    /// Records a step that the endpoint has acknowledged.
     pub fn apply(&mut self, step: &ReplayStep) {
         match step {
             ReplayStep::Reset => *self = Self::default(),
--- a/crates/standins/src/platform/group_state.rs
+++ b/crates/standins/src/platform/group_state.rs
@@ -210,6 +210,8 @@
     pub lose_answers: u32,
     /// Number of next reads, writes and transactions that are refused because the queue is full.
     pub busy_statements: u32,
+    /// Number of next values that are refused without an effect on the transaction.
+    pub refused_values: u32,
     /// Time after which a `BEGIN` is answered.
     pub begin_delay: Duration,
     /// Number of receipts that were given.
@@ -264,6 +266,7 @@
             resume_delay: Duration::ZERO,
             lose_answers: 0,
             busy_statements: 0,
+            refused_values: 0,
             begin_delay: Duration::ZERO,
             receipts: 0,
             repeat: None,
--- a/crates/standins/src/platform/line_server.rs
+++ b/crates/standins/src/platform/line_server.rs
@@ -218,6 +218,9 @@
         if self.failed && !matches!(text, "ROLLBACK" | "COMMIT") {
             return Some(self.refuse("MALFORMED"));
         }
+        if !matches!(text, "ROLLBACK" | "COMMIT") && self.has_lost_lead() {
+            return Some(self.refuse("READONLY"));
+        }
         let (word, rest) = text.split_once(' ').unwrap_or((text, ""));
         if matches!(word, "READ" | "WRITE" | "EXECUTE" | "COMMIT") {
             self.record_arrival(id, arrived);
@@ -231,6 +234,9 @@
         }
         let complete = "COMPLETE -\r\n".to_owned();
         match word {
+            "SET" if self.take_refused_value() => {
+                Some(format!("ERROR FAILED {}\r\n", self.endpoint))
+            }
             "SET" => {
                 let (name, value) = rest.split_once(' ')?;
                 self.values.insert(name.to_owned(), value.to_owned());
@@ -302,6 +308,19 @@
         is_busy
     }
 
+    /// Returns whether a value is refused by itself.
+    fn take_refused_value(&self) -> bool {
+        let mut group = self.shared.group();
+        let is_refused = group.refused_values > 0;
+        group.refused_values -= u32::from(is_refused);
+        is_refused
+    }
+
+    /// Returns whether a plain transaction is open at an endpoint that is no longer the primary.
+    fn has_lost_lead(&self) -> bool {
+        matches!(self.transaction, Some((true, _))) && !self.is_primary()
+    }
+
     fn is_primary(&self) -> bool {
         let group = self.shared.group();
         group
--- a/tests/testsuite/session_replay.rs
+++ b/tests/testsuite/session_replay.rs
@@ -65,7 +65,12 @@
         for (wanted, text) in sessions {
             let session = SessionValues { values: wanted, prepared: BTreeMap::new() };
             let definition = text.map(|text| definition(AccessMode::Read, &text));
-            run(connection.replay(&session, definition.as_ref()), &mut values, &mut names);
+            let steps = connection.missing_steps(&session, definition.as_ref());
+            for step in &steps {
+                connection.apply(step);
+            }
+            run(steps, &mut values, &mut names);
+            prop_assert!(connection.matches(&session));
             prop_assert_eq!(&values, &session.values);
             if let Some(definition) = definition {
                 let name = PreparedName::new(&definition);
