--- a/crates/front/src/fleet_view.rs
+++ b/crates/front/src/fleet_view.rs
@@ -28,7 +28,6 @@
 use session_core::primary_permit::PermitRefusal;
 use session_core::relay_tree::MAX_RELAY_AGE;
 use session_core::serving_rules::ServingRules;
-use session_core::store_era::StoreEra;
 use session_core::store_revision::StoreRevision;
 
 use crate::fleet_keys;
@@ -85,8 +84,6 @@
     /// Groups whose order was written in an earlier era of the store, which may have lost a later order
     /// since. The value is the time up to which this instance knew every order of that era.
     former_orders: HashMap<ServiceId, Option<MonotonicTime>>,
-    /// When this instance saw the present era begin; `None` if it has seen no earlier one.
-    era_seen_at: Option<MonotonicTime>,
     /// Members of the fleet by name.
     pub members: BTreeMap<InstanceId, Revised<MemberValue>>,
     /// Availability zones that operators evacuate.
@@ -188,13 +185,11 @@
             revision = %view.revision,
             lost_items = lost.count(),
         );
-        let at = now();
-        let evidence = self.evidence(at);
+        let evidence = self.evidence(now());
         for service in self.orders.keys() {
             let known = self.former_orders.entry(service.clone());
             known.or_insert(evidence);
         }
-        self.era_seen_at = Some(at);
     }
 
     /// Drops known items that a complete view holds at an earlier revision, although it is not older.
@@ -497,10 +492,9 @@
         if is_ignored {
             return;
         }
-        let token_era = order.value.token.era();
-        // Versions before eras wrote tokens of era 0 in each era.
-        let is_unversioned = token_era == StoreEra::default() && self.era_seen_at.is_none();
-        if token_era >= order.revision.era() || is_unversioned {
+        // A process that has seen no earlier era may have started after the store came back from a copy.
+        // Versions before eras wrote tokens of era 0 in each era; nothing tells these from lost ones.
+        if order.value.token.era() >= order.revision.era() {
             self.former_orders.remove(&service);
         } else {
             self.former_orders.entry(service.clone()).or_insert(None);
@@ -520,12 +514,6 @@
         self.former_orders.len()
     }
 
-    /// Returns when this instance saw the present era of the store begin, or `None` if it has seen no
-    /// earlier one.
-    pub fn era_seen_at(&self) -> Option<MonotonicTime> {
-        self.era_seen_at
-    }
-
     /// Returns whether a key of a member exists. There are two keys while an instance is replaced by
     /// a version that names its zone in the key.
     fn has_member_key(&self, name: &InstanceId) -> bool {
--- a/crates/front/src/group_leader.rs
+++ b/crates/front/src/group_leader.rs
@@ -17,6 +17,7 @@
 use session_core::monotonic_time::now;
 use session_core::primary_permit;
 use session_core::primary_permit::REVOKE_WAIT;
+use session_core::store_era::StoreEra;
 use session_core::store_revision::StoreRevision;
 
 use crate::fleet_keys::LEADER_KEY;
@@ -320,14 +321,15 @@
     view.group(service).next()?;
     let order = view.orders.get(service);
     let lasts = |since: MonotonicTime, time: Duration| at.saturating_since(since) >= time;
-    // Until then, instances may use primaries by orders of the earlier era.
+    // The store may have lost orders when the era began. Until then, instances may use primaries by
+    // those, and entries of endpoints may be as old as its copy.
+    let era = instance.store.era();
+    let is_settled = era.era == StoreEra::default() || lasts(era.since, REVOKE_WAIT);
     if view.must_confirm(service) {
-        let is_due = lasts(instance.store.era().since, REVOKE_WAIT);
-        return is_due.then_some(ChangeReason::Restored);
+        return is_settled.then_some(ChangeReason::Restored);
     }
     if order.is_none() {
-        let era_seen_at = view.era_seen_at();
-        if era_seen_at.is_some_and(|since| !lasts(since, REVOKE_WAIT)) {
+        if !is_settled {
             return None;
         }
         return primary_permit::first_primary(view.group(service)).map(|_| ChangeReason::NoOrder);
--- a/crates/front/tests/testsuite/fleet.rs
+++ b/crates/front/tests/testsuite/fleet.rs
@@ -71,6 +71,16 @@
         Self::start_sized(&vec![0.17; count]).await
     }
 
+    /// Starts `count` instances with a store that begins in an era.
+    pub async fn start_in_era(count: usize, era: u64) -> Self {
+        let platform = PlatformHandle::start_in_era(SERVICE, era)
+            .await
+            .expect("start the stand-in");
+        platform.configure(&configuration(1, &[KEY], RATE));
+        let addresses = [platform.address; 2];
+        Self::start_instances(platform, &vec![0.17; count], addresses, false).await
+    }
+
     /// Starts an instance for each given CPU share, in cores.
     pub async fn start_sized(cpu_shares: &[f64]) -> Self {
         let platform = PlatformHandle::start(SERVICE)
--- a/crates/soak/src/soak_run.rs
+++ b/crates/soak/src/soak_run.rs
@@ -22,6 +22,7 @@
 use standins::platform::daemon_process::MachineLimits;
 use standins::platform::group_state::DEFAULT_ZONE;
 use standins::platform::line_caller::LineCaller;
+use standins::platform::platform_handle::FIRST_ERAS;
 use standins::platform::platform_handle::PlatformHandle;
 use standins::platform::sample_configuration::SampleTeam;
 use standins::platform::sample_configuration::add_routes;
@@ -186,9 +187,16 @@
     history: Arc<StdMutex<ObservedHistory>>,
 }
 
+/// Returns the era in which the store of a run begins. It is drawn from the seed alone, so that the other
+/// draws of a seed stay as they were.
+fn first_era(seed: u64) -> u64 {
+    let count = FIRST_ERAS.len() as u64;
+    FIRST_ERAS[(seed % count) as usize]
+}
+
 impl SoakFleet {
     async fn start(plan: &SoakPlan) -> io::Result<Self> {
-        let platform = PlatformHandle::start(SERVICE).await?;
+        let platform = PlatformHandle::start_in_era(SERVICE, first_era(plan.seed)).await?;
         let targets: Vec<(String, SocketAddr)> = {
             let group = platform.shared.group();
             let endpoints = group.endpoints.iter();
--- a/crates/standins/src/platform/platform_handle.rs
+++ b/crates/standins/src/platform/platform_handle.rs
@@ -23,8 +23,9 @@
 /// Prefix of the keys with which operators evacuate availability zones.
 const EVACUATION_PREFIX: &str = "op/evacuate/";
 
-/// Era of the store at its start.
-const FIRST_ERA: u64 = 1;
+/// Eras in which tests let the store begin, since the platform's pages set none: before the first copy,
+/// after one, and near the last era whose packed revisions are exact in JSON.
+pub const FIRST_ERAS: [u64; 3] = [0, 1, 8_000];
 
 /// The state that the servers of the stand-in share.
 #[derive(Debug)]
@@ -87,6 +88,15 @@
     ///
     /// Returns an error if an address cannot be bound.
     pub async fn start(service: &str) -> io::Result<Self> {
+        Self::start_in_era(service, FIRST_ERAS[0]).await
+    }
+
+    /// Starts the same with a store that begins in an era.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if an address cannot be bound.
+    pub async fn start_in_era(service: &str, era: u64) -> io::Result<Self> {
         let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).await?;
         let address = listener.local_addr()?;
         let mut endpoints = HashMap::new();
@@ -102,7 +112,7 @@
             listeners.push((id.to_owned(), listener));
         }
         let store = StoreState {
-            era: FIRST_ERA,
+            era,
             ..StoreState::default()
         };
         let shared = Arc::new(PlatformShared {
@@ -133,10 +143,19 @@
     /// Lets the store be away for some time and come back from a copy. Then the operators and the
     /// endpoints write their keys again.
     pub async fn drill(&self, copy: &StoreCopy, away: Duration) {
+        self.come_back(copy, away, true).await;
+    }
+
+    /// Does the same, but the operators and the endpoints do not write their keys again yet.
+    pub async fn drill_unwritten(&self, copy: &StoreCopy, away: Duration) {
+        self.come_back(copy, away, false).await;
+    }
+
+    async fn come_back(&self, copy: &StoreCopy, away: Duration, rewrites: bool) {
         self.shared.store().fault = StoreFault::Silent;
         tokio::time::sleep(away).await;
         let mut store = self.shared.store();
-        copy.restore(&mut store, true);
+        copy.restore(&mut store, rewrites);
         store.fault = StoreFault::None;
     }
 
--- a/crates/standins/src/platform/store_copy.rs
+++ b/crates/standins/src/platform/store_copy.rs
@@ -43,10 +43,7 @@
     /// Begins the next era of the store with the copied content. The copied leases run on from where
     /// they were. If `rewrites` is set, the operators and the endpoints write their keys again.
     pub fn restore(&self, store: &mut StoreState, rewrites: bool) {
-        let items = store.items.iter().filter(|(key, _)| is_owned(key));
-        let owned: BTreeMap<String, Vec<u8>> = items
-            .map(|(key, item)| (key.clone(), item.value.clone()))
-            .collect();
+        let recent = Self::of(store);
         let age = self.copied_at.elapsed();
         let leases = self.leases.iter();
         let leases = leases.map(|(id, (end, length))| (*id, (*end + age, *length)));
@@ -57,21 +54,28 @@
         store.dropped = self.dropped;
         store.era += 1;
         if rewrites {
-            Self::write_owned(store, &owned);
+            recent.rewrite(store);
         }
     }
 
-    fn write_owned(store: &mut StoreState, owned: &BTreeMap<String, Vec<u8>>) {
+    /// Lets the operators and the endpoints write the keys again that they had written by this copy.
+    pub fn rewrite(&self, store: &mut StoreState) {
         let copied = store.items.keys();
-        let removed = copied.filter(|key| is_owned(key) && !owned.contains_key(*key));
+        let removed = copied.filter(|key| is_owned(key) && !self.items.contains_key(*key));
         for key in removed.cloned().collect::<Vec<_>>() {
             store.remove(&key);
         }
-        for (key, value) in owned {
+        for (key, item) in self.items.iter().filter(|(key, _)| is_owned(key)) {
             let present = store.items.get(key).map(|item| &item.value);
-            if present != Some(value) {
-                store.put(key, value.clone(), 0);
+            if present != Some(&item.value) {
+                store.put(key, item.value.clone(), 0);
             }
         }
     }
+
+    /// Removes an item from the copy, as if it had been written later.
+    pub fn remove(&mut self, key: &str) {
+        self.items.remove(key);
+        self.events.retain(|event| event.key != key);
+    }
 }
--- a/tests/testsuite/store_eras.rs
+++ b/tests/testsuite/store_eras.rs
@@ -9,6 +9,7 @@
 use platform::store_error::StoreError;
 use session_core::store_era::StoreEra;
 use session_core::store_revision::StoreRevision;
+use standins::platform::platform_handle::FIRST_ERAS;
 use standins::platform::platform_handle::PlatformHandle;
 use tokio::task::LocalSet;
 
@@ -36,10 +37,14 @@
     known
 }
 
-async fn run(test: impl AsyncFnOnce(PlatformHandle, StoreClient)) {
-    let platform = PlatformHandle::start("orders").await.expect("a stand-in");
-    let client = StoreClient::new(platform.address, CallCounts::default());
-    LocalSet::new().run_until(test(platform, client)).await;
+/// Runs a test with a store that begins in each of the first eras.
+async fn run(test: impl AsyncFn(PlatformHandle, StoreClient)) {
+    for era in FIRST_ERAS {
+        let platform = PlatformHandle::start_in_era("orders", era).await;
+        let platform = platform.expect("a stand-in");
+        let client = StoreClient::new(platform.address, CallCounts::default());
+        LocalSet::new().run_until(test(platform, client)).await;
+    }
 }
 
 /// A revision of a later era is newer, whatever its number, also as the one number on the wire.
@@ -85,7 +90,8 @@
             let watched = client.watch("", known, Duration::ZERO, TIME).await;
             assert_eq!(watched, Err(StoreError::HistoryDropped));
         }
-        assert_eq!(client.era().era, revision(2, 1).era());
+        let next = StoreEra::new(known.era().as_u64() + 1);
+        assert_eq!(Some(client.era().era), next);
     })
     .await;
 }
