--- a/crates/soak/src/soak_callers.rs
+++ b/crates/soak/src/soak_callers.rs
@@ -162,8 +162,8 @@
         }
     }
 
-    /// Writes `value` to the caller's item: in a transaction, as a prepared statement or as a
-    /// single statement, depending on `form`.
+    /// Writes `value` to the caller's item: in a transaction, which may set a value, as a prepared
+    /// statement or as a single statement, depending on `form`.
     async fn write(
         &self,
         session: &mut ObservedSession,
@@ -172,11 +172,15 @@
     ) -> Result<(), CallerError> {
         let item = item(self.number);
         let mut texts = match form {
-            2 => vec![
-                "BEGIN".to_owned(),
-                format!("WRITE {item} {value}"),
-                "COMMIT".to_owned(),
-            ],
+            2 => {
+                let mut texts = vec!["BEGIN".to_owned(), format!("WRITE {item} {value}")];
+                // An endpoint that has lost its lead refuses the value.
+                if value.is_multiple_of(2) {
+                    texts.extend([format!("SET v {value}"), format!("READ {item}")]);
+                }
+                texts.push("COMMIT".to_owned());
+                texts
+            }
             3 => vec![
                 "PREPARE p WRITE shape".to_owned(),
                 format!("EXECUTE p {item} {value}"),
--- a/crates/soak/src/soak_run.rs
+++ b/crates/soak/src/soak_run.rs
@@ -592,9 +592,10 @@
     let recovered_in = faults_ended_at.elapsed();
     stop.send_replace(true);
     callers.join_all().await;
-    fleet.await_primary(RECOVERY_TIMEOUT).await;
     fleet.check_configuration().await;
     fleet.check_processes().await?;
+    // A change of the primary may take effect at any time, also during the checks before.
+    fleet.await_primary(RECOVERY_TIMEOUT).await;
     let rates = [DEFAULT_TEAM, LIMITED_TEAM].map(|(team, _, rate)| (team.to_owned(), rate));
     let history = lock(&fleet.history);
     let group = fleet.platform.shared.group();
