Tell withheld promotions apart in the log

A promotion that is not sent because the lead has ended has an error of its own, withheld, so that the log of a leader that resumed shows it. Behaviour is unchanged. promotion_calls::call_of_a_former_leader_is_withheld checks it.

--- a/crates/front/src/group_change.rs
+++ b/crates/front/src/group_change.rs
@@ -565,7 +565,11 @@
             %token,
             outcome = ordered.as_ref().map_or_else(|error| error.to_string(), |()| "accepted".to_owned()),
         );
-        if matches!(ordered, Err(StoreError::NotSent | StoreError::Refused(_))) {
+        let is_without_effect = matches!(
+            ordered,
+            Err(StoreError::NotSent | StoreError::Withheld | StoreError::Refused(_))
+        );
+        if is_without_effect {
             self.called = None;
         }
         ordered.is_ok() && self.await_promotion(target).await
--- a/crates/front/src/group_leader.rs
+++ b/crates/front/src/group_leader.rs
@@ -324,12 +324,12 @@
     // The store may have lost orders when the era began. Until then, instances may use primaries by
     // those, and entries of endpoints may be as old as its copy.
     let era = instance.store.era();
-    let is_settled = era.era == StoreEra::default() || lasts(era.since, REVOKE_WAIT);
+    let is_era_settled = era.era == StoreEra::default() || lasts(era.since, REVOKE_WAIT);
     if view.must_confirm(service) {
-        return is_settled.then_some(ChangeReason::Restored);
+        return is_era_settled.then_some(ChangeReason::Restored);
     }
     if order.is_none() {
-        if !is_settled {
+        if !is_era_settled {
             return None;
         }
         return primary_permit::first_primary(view.group(service)).map(|_| ChangeReason::NoOrder);
--- a/tests/testsuite/promotion_calls.rs
+++ b/tests/testsuite/promotion_calls.rs
@@ -76,7 +76,7 @@
     let suspension = async { std::thread::sleep(2 * CALL_TIME) };
     let call = async { tokio::join!(biased; call(address, may_send), suspension).0 };
     let answer = LocalSet::new().run_until(call).await;
-    assert_eq!(answer, Err(StoreError::NotSent));
+    assert_eq!(answer, Err(StoreError::Withheld));
     let (received, _) = server.await.expect("the server ends");
     assert!(received.is_empty(), "{received:?}");
 }
