Let a promotion arrive until the end of the lease, not 0.4 s after it is sent

The kernel dropped a promotion whose bytes were not confirmed within 0.4 s, the least time that is left of a lease when its leader acts. A leader with a longer round trip to the platform could then keep its lead without being able to promote anybody; found by reading, no run shows it.

Change: the guard of a promotion returns the time until the end of the lease, and the connection sets that as the limit with each write. The argument is the same: what is not at the platform's kernel when the lease ends is dropped.

No test holds confirmations up.

--- a/crates/front/src/group_change.rs
+++ b/crates/front/src/group_change.rs
@@ -550,11 +550,14 @@
         };
         // This instance may be suspended, or lose its lead, while the connection is opened.
         let instance = Rc::clone(self.instance);
-        let may_send = move || instance.leads_with(token);
+        let lead_left = move || match instance.leads_with(token) {
+            true => instance.lead_left(token),
+            false => Duration::ZERO,
+        };
         let client = &self.instance.promotion_client;
         let ordered = tokio::select! {
             biased;
-            ordered = client.promote(order, PROMOTION_TIMEOUT, may_send) => ordered,
+            ordered = client.promote(order, PROMOTION_TIMEOUT, lead_left) => ordered,
             // The call must not arrive after that of the next leader.
             () = self.instance.lead_ended(token) => Err(StoreError::NoAnswer),
         };
--- a/crates/front/src/instance.rs
+++ b/crates/front/src/instance.rs
@@ -241,12 +241,20 @@
         self.leads() && self.fencing_token() == Some(token)
     }
 
-    /// Returns after the end of the leadership that began at `token`, or of the leader lease, unless that
-    /// has been renewed by then.
+    /// Returns the time until the end of the leader lease of the leadership that began at `token`, or zero
+    /// if that leadership has ended.
+    pub fn lead_left(&self, token: StoreRevision) -> Duration {
+        let term = self.leader_term.get().filter(|term| term.token == token);
+        let elapsed = term.map(|term| now().saturating_since(term.renewed_at));
+        elapsed.map_or(Duration::ZERO, |elapsed| {
+            LEADER_LEASE_TIME.saturating_sub(elapsed)
+        })
+    }
+
+    /// Returns after the end of that leadership or of its lease, unless that has been renewed by then.
     pub async fn lead_ended(&self, token: StoreRevision) {
-        while let Some(term) = self.leader_term.get().filter(|term| term.token == token) {
-            let elapsed = now().saturating_since(term.renewed_at);
-            let left = LEADER_LEASE_TIME.saturating_sub(elapsed);
+        loop {
+            let left = self.lead_left(token);
             if left.is_zero() {
                 return;
             }
--- a/crates/front/src/instance_run.rs
+++ b/crates/front/src/instance_run.rs
@@ -31,7 +31,6 @@
 use crate::host_server;
 use crate::instance::Instance;
 use crate::instance_limits::IDLE_TICKS;
-use crate::instance_limits::LEADER_MARGIN;
 use crate::instance_limits::STORE_TIMEOUT;
 use crate::instance_limits::TICK_PERIOD;
 use crate::instance_metrics;
@@ -109,7 +108,7 @@
         has_substitute: watch::Sender::new(false),
         first_view_pending: Cell::new(true),
         store: StoreClient::new(settings.store_address, calls.clone()),
-        promotion_client: PromotionClient::new(settings.duty_address, LEADER_MARGIN, calls.clone()),
+        promotion_client: PromotionClient::new(settings.duty_address, calls.clone()),
         lease: StoreLease::default(),
         leader_lease: Cell::new(None),
         pool: Rc::new(EndpointPool::new(
