Record only the steps of a batch that restore session state

Each batch allocated an entry for every command, although most have no step of the session's state to record. The steps are now kept with their positions, so that a batch without one allocates nothing. The first refusal of a batch was looked for in three ways; first_refusal serves all.

--- a/crates/front/src/endpoint_connection.rs
+++ b/crates/front/src/endpoint_connection.rs
@@ -267,7 +267,7 @@
         budget: Option<AnswerBudget<'_>>,
     ) -> Result<Vec<EndpointAnswer>, StatementFault> {
         self.broken = true;
-        let steps: Vec<Option<ReplayStep>> = commands.iter().map(replay_step).collect();
+        let steps = replay_steps(&commands);
         let answers = match &mut self.transport {
             ConnectionTransport::Direct(channel) => {
                 let exchange = channel.exchange(commands, self.state, matching, budget);
@@ -288,29 +288,23 @@
             }
         };
         self.broken = false;
-        for (step, answer) in steps.iter().zip(&answers) {
-            self.record_step(step.as_ref(), answer);
+        for (index, step) in &steps {
+            // A refusal does not show what the endpoint holds.
+            match answers.get(*index).map(|answer| &answer.result) {
+                Some(Ok(_)) => self.values.apply(step),
+                Some(Err(_)) | None => self.uncertain = true,
+            }
         }
         if let Some(last) = answers.last() {
-            let is_refused = answers.iter().any(|answer| answer.result.is_err());
-            self.state = match is_refused {
+            self.state = match first_refusal(&answers) {
                 // The channel has rolled the transaction back.
-                true => SessionState::Idle,
-                false => last.state,
+                Some(_) => SessionState::Idle,
+                None => last.state,
             };
         }
         Ok(answers)
     }
 
-    /// Updates the values after an answer. A refusal does not show what the endpoint holds.
-    fn record_step(&mut self, step: Option<&ReplayStep>, answer: &EndpointAnswer) {
-        match (step, &answer.result) {
-            (Some(step), Ok(_)) => self.values.apply(step),
-            (Some(_), Err(_)) => self.uncertain = true,
-            (None, _) => {}
-        }
-    }
-
     /// Returns whether a copy of an earlier acknowledgement may arrive.
     pub fn may_repeat_acknowledgements(&self) -> bool {
         match &self.transport {
@@ -344,9 +338,19 @@
     }
 }
 
-fn replay_step(command: &EndpointCommand) -> Option<ReplayStep> {
-    match command {
-        EndpointCommand::Replay(step) => Some(step.clone()),
+/// Returns the first refusal among the answers to statements that were sent at once.
+pub fn first_refusal(answers: &[EndpointAnswer]) -> Option<&(EndpointRefusal, String)> {
+    answers
+        .iter()
+        .find_map(|answer| answer.result.as_ref().err())
+}
+
+/// Returns the commands that restore a session's state, with their positions among all.
+fn replay_steps(commands: &[EndpointCommand]) -> Vec<(usize, ReplayStep)> {
+    let commands = commands.iter().enumerate();
+    let steps = commands.filter_map(|(index, command)| match command {
+        EndpointCommand::Replay(step) => Some((index, step.clone())),
         _ => None,
-    }
+    });
+    steps.collect()
 }
--- a/crates/front/src/request_attempt.rs
+++ b/crates/front/src/request_attempt.rs
@@ -23,6 +23,7 @@
 use crate::caller_session::CallerSession;
 use crate::caller_session::log_excerpt;
 use crate::cold_endpoints;
+use crate::endpoint_connection;
 use crate::endpoint_connection::EndpointAnswer;
 use crate::endpoint_pool::PoolError;
 use crate::endpoint_pool::PooledConnection;
@@ -314,10 +315,7 @@
                 return Err(AttemptOutcome::Retry(Duration::ZERO));
             }
         };
-        let refused = answers
-            .iter()
-            .find_map(|answer| answer.result.as_ref().err());
-        let Some((refusal, text)) = refused else {
+        let Some((refusal, text)) = endpoint_connection::first_refusal(&answers) else {
             return Ok(());
         };
         tracing::info!(event = "preparation_refused", request = log_excerpt(progress.id), endpoint = %endpoint, ?refusal, text);
--- a/crates/front/src/statement_run.rs
+++ b/crates/front/src/statement_run.rs
@@ -29,6 +29,7 @@
 use crate::caller_session::SessionRefusal;
 use crate::caller_session::log_excerpt;
 use crate::cold_endpoints;
+use crate::endpoint_connection;
 use crate::endpoint_connection::AnswerBudget;
 use crate::endpoint_connection::EndpointAnswer;
 use crate::endpoint_pool::PooledConnection;
@@ -595,12 +596,11 @@
     mut answers: Vec<EndpointAnswer>,
     is_commit: bool,
 ) -> Result<EndpointAnswer, StatementFault> {
+    let refusal = endpoint_connection::first_refusal(&answers).map(|(refusal, _)| *refusal);
     let answer = answers.pop().ok_or(StatementFault::Broken)?;
-    let mut steps = answers.iter();
-    let refused = steps.find_map(|step| step.result.as_ref().err());
-    match refused {
-        Some((refusal, _)) if answer.result.is_ok() && !is_commit => {
-            Err(StatementFault::Refused(*refusal))
+    match refusal {
+        Some(refusal) if answer.result.is_ok() && !is_commit => {
+            Err(StatementFault::Refused(refusal))
         }
         _ => Ok(answer),
     }
