Tests: one way to start a configured fleet, a shared one, and a release

Fleet::configured and start_hosted replace five and three copies of the same start, and primary_changes uses release_primary and await_successor of the fleet. The assertions are the same; leaving_primary_hands_over also asserts that the wait succeeded.

--- a/crates/front/tests/testsuite/fleet.rs
+++ b/crates/front/tests/testsuite/fleet.rs
@@ -1,5 +1,6 @@
 //! Starts instances of the daemon that use a stand-in of the platform.
 
+use std::io;
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::path::PathBuf;
@@ -30,6 +31,11 @@
 /// Default rate of the team, in operations per second.
 const RATE: u32 = 500;
 
+/// Number of instances, and of connections that each endpoint accepts: too few for each instance to
+/// keep one. The host of an endpoint may open two.
+pub const HOSTED_INSTANCES: usize = 4;
+const HOSTED_CONNECTIONS: u32 = 5;
+
 /// Metric of complete reads of the store.
 const COMPLETE_READS: &str = "tamaracklb_platform_calls_total{kind=\"range\",succeeded=\"true\"} ";
 
@@ -65,6 +71,13 @@
     sample_configuration(version, SERVICE, &[team])
 }
 
+/// Writes the configuration to a stand-in that has just been started.
+fn configured(started: io::Result<PlatformHandle>, accepted: &Value) -> PlatformHandle {
+    let platform = started.expect("start the stand-in");
+    platform.configure(accepted);
+    platform
+}
+
 impl Fleet {
     /// Starts `count` instances and waits until each of them serves writes.
     pub async fn start(count: usize) -> Self {
@@ -73,30 +86,24 @@
 
     /// Starts `count` instances with a store that begins in an era.
     pub async fn start_in_era(count: usize, era: u64) -> Self {
-        let platform = PlatformHandle::start_in_era(SERVICE, era)
-            .await
-            .expect("start the stand-in");
-        platform.configure(&configuration(1, &[KEY], RATE));
+        let platform = PlatformHandle::start_in_era(SERVICE, era).await;
+        let platform = configured(platform, &configuration(1, &[KEY], RATE));
         let addresses = [platform.address; 2];
         Self::start_instances(platform, &vec![0.17; count], addresses, false).await
     }
 
     /// Starts an instance for each given CPU share, in cores.
     pub async fn start_sized(cpu_shares: &[f64]) -> Self {
-        let platform = PlatformHandle::start(SERVICE)
-            .await
-            .expect("start the stand-in");
-        platform.configure(&configuration(1, &[KEY], RATE));
+        let platform = PlatformHandle::start(SERVICE).await;
+        let platform = configured(platform, &configuration(1, &[KEY], RATE));
         let addresses = [platform.address; 2];
         Self::start_instances(platform, cpu_shares, addresses, false).await
     }
 
     /// Starts `count` instances that find the promotion service at another address than the store.
     pub async fn start_gated(count: usize, promotion_address: SocketAddr) -> Self {
-        let platform = PlatformHandle::start(SERVICE)
-            .await
-            .expect("start the stand-in");
-        platform.configure(&configuration(1, &[KEY], RATE));
+        let platform = PlatformHandle::start(SERVICE).await;
+        let platform = configured(platform, &configuration(1, &[KEY], RATE));
         let addresses = [platform.address, promotion_address];
         Self::start_instances(platform, &vec![0.17; count], addresses, false).await
     }
@@ -104,12 +111,9 @@
     /// Starts instances with a configuration of many routes, on links that take `chunk_time` for 16
     /// KB.
     pub async fn start_large(count: usize, routes: usize, chunk_time: Duration) -> Self {
-        let platform = PlatformHandle::start(SERVICE)
-            .await
-            .expect("start the stand-in");
         let mut accepted = configuration(1, &[KEY], RATE);
         add_routes(&mut accepted, SERVICE, routes);
-        platform.configure(&accepted);
+        let platform = configured(PlatformHandle::start(SERVICE).await, &accepted);
         let link = LinkProxy::start(platform.address)
             .await
             .expect("start the link proxy");
@@ -117,18 +121,16 @@
         Self::start_instances(platform, &vec![0.17; count], [link.address; 2], false).await
     }
 
-    /// Starts instances before endpoints that accept no more than this number of connections each. If
+    /// Starts [`HOSTED_INSTANCES`] instances that share the few connections which endpoints accept. If
     /// `held_links` is set, the link ports of the instances are taken and never answer.
-    pub async fn start_scarce(count: usize, connections: u32, held_links: bool) -> Self {
-        let platform = PlatformHandle::start(SERVICE)
-            .await
-            .expect("start the stand-in");
-        platform.shared.group().max_connections = Some(connections as usize);
+    pub async fn start_hosted(held_links: bool) -> Self {
         let mut accepted = configuration(1, &[KEY], RATE);
-        accepted["Services"][0]["MaxConnections"] = connections.into();
-        platform.configure(&accepted);
+        accepted["Services"][0]["MaxConnections"] = HOSTED_CONNECTIONS.into();
+        let platform = configured(PlatformHandle::start(SERVICE).await, &accepted);
+        platform.shared.group().max_connections = Some(HOSTED_CONNECTIONS as usize);
         let addresses = [platform.address; 2];
-        Self::start_instances(platform, &vec![0.17; count], addresses, held_links).await
+        let cpu_shares = [0.17; HOSTED_INSTANCES];
+        Self::start_instances(platform, &cpu_shares, addresses, held_links).await
     }
 
     /// Starts instances that find the store and the promotion service at these addresses.
--- a/crates/front/tests/testsuite/primary_changes.rs
+++ b/crates/front/tests/testsuite/primary_changes.rs
@@ -9,19 +9,9 @@
     let fleet = Fleet::start(2).await;
     let mut caller = fleet.caller(0, "linear").await;
     caller.request_until_served("WRITE page kept").await;
-    let former = fleet.primary();
-    fleet.platform.change_group(|group| {
-        if let Some(endpoint) = group.endpoints.get_mut(&former) {
-            endpoint.draining = true;
-        }
-    });
-    for _ in 0..200 {
-        let primary = fleet.platform.shared.group().primary();
-        if primary.is_some_and(|primary| primary != former) {
-            break;
-        }
-        tokio::time::sleep(std::time::Duration::from_millis(50)).await;
-    }
+    let former = fleet.release_primary();
+    let time = std::time::Duration::from_secs(10);
+    assert!(fleet.await_successor(&former, time).await);
     assert_ne!(fleet.primary(), former);
     let read = caller.request_until_served("READ page").await;
     assert_eq!(read.rows, vec!["kept"]);
--- a/crates/front/tests/testsuite/repeated_answers.rs
+++ b/crates/front/tests/testsuite/repeated_answers.rs
@@ -9,15 +9,11 @@
 use tokio::task::JoinSet;
 
 use crate::fleet::Fleet;
+use crate::fleet::HOSTED_INSTANCES;
 
 const CALLERS: usize = 6;
 const ROUNDS: usize = 40;
 
-/// Number of instances, and of connections that each endpoint accepts: too few for each instance to keep
-/// one.
-const HOST_INSTANCES: usize = 4;
-const HOST_CONNECTIONS: u32 = 5;
-
 /// Delays of the copies: with the answer, while the next statement runs, and later than that.
 const COPY_DELAYS: [Duration; 3] = [
     Duration::ZERO,
@@ -147,13 +143,13 @@
 /// The host of shared connections must keep answers apart for the instances that use them.
 #[tokio::test]
 async fn copies_at_hosts_stay_apart() {
-    let fleet = Fleet::start_scarce(HOST_INSTANCES, HOST_CONNECTIONS, false).await;
+    let fleet = Fleet::start_hosted(false).await;
     let words = [
         "READ", "EXECUTE", "WRITE", "COMMIT", "SET", "PREPARE", "BEGIN",
     ];
     repeat_answers(&fleet, &words, COPY_DELAYS[1]);
     let mut callers = JoinSet::new();
-    for number in 0..HOST_INSTANCES {
+    for number in 0..HOSTED_INSTANCES {
         let mut caller = fleet.caller(number, "linear").await;
         callers.spawn(async move { run_caller(&mut caller, number).await });
     }
--- a/crates/front/tests/testsuite/session_state.rs
+++ b/crates/front/tests/testsuite/session_state.rs
@@ -4,12 +4,13 @@
 use standins::platform::line_caller::LineCaller;
 
 use crate::fleet::Fleet;
+use crate::fleet::HOSTED_INSTANCES;
 use crate::fleet::KEY;
 
-/// Number of instances, and of connections that each endpoint accepts: too few for each instance to
-/// keep one.
-const INSTANCES: usize = 4;
-const CONNECTIONS: u32 = 5;
+/// Returns the names and values as the stand-in records them.
+fn owned<const N: usize>(values: [(&str, &str); N]) -> [(String, String); N] {
+    values.map(|(name, value)| (name.to_owned(), value.to_owned()))
+}
 
 /// A session must see its own write at once, whichever endpoint serves the read.
 #[tokio::test]
@@ -81,8 +82,7 @@
     assert!(caller.request("SET locale ha").await.succeeded());
     assert!(caller.request("SET zone wat").await.succeeded());
     assert!(caller.request("WRITE page inside").await.succeeded());
-    let expected = [("locale", "ha"), ("zone", "wat")];
-    let expected = expected.map(|(name, value)| (name.to_owned(), value.to_owned()));
+    let expected = owned([("locale", "ha"), ("zone", "wat")]);
     {
         let group = fleet.platform.shared.group();
         let run = group.executed_statements.last().expect("the write ran");
@@ -102,8 +102,8 @@
 /// So must it on a connection that the endpoint's host keeps.
 #[tokio::test]
 async fn refused_value_is_set_through_a_host() {
-    let fleet = Fleet::start_scarce(INSTANCES, CONNECTIONS, false).await;
-    for instance in 0..INSTANCES {
+    let fleet = Fleet::start_hosted(false).await;
+    for instance in 0..HOSTED_INSTANCES {
         assert_refused_value_is_set(&fleet, instance).await;
     }
 }
@@ -126,8 +126,7 @@
     assert!(!refused.succeeded(), "{refused:?}");
     set_lead(fleet, &primary, true);
     assert_eq!(caller.request("ROLLBACK").await.state, "I");
-    let expected = [("locale", "ha"), ("zone", "cat")];
-    let expected = expected.map(|(name, value)| (name.to_owned(), value.to_owned()));
+    let expected = owned([("locale", "ha"), ("zone", "cat")]);
     for statement in ["READ page", "EXECUTE s1 page", "WRITE page later"] {
         caller.request_until_served(statement).await;
         let group = fleet.platform.shared.group();
@@ -156,8 +155,7 @@
     assert_eq!(read.rows, vec!["before"]);
     let group = fleet.platform.shared.group();
     let run = group.executed_statements.last().expect("the read ran");
-    let expected = [("locale", "yo"), ("zone", "wat")];
-    let expected = expected.map(|(name, value)| (name.to_owned(), value.to_owned()));
+    let expected = owned([("locale", "yo"), ("zone", "wat")]);
     assert_eq!(run.values, expected);
 }
 
--- a/crates/front/tests/testsuite/shared_connections.rs
+++ b/crates/front/tests/testsuite/shared_connections.rs
@@ -12,19 +12,15 @@
 use tokio::net::TcpStream;
 
 use crate::fleet::Fleet;
+use crate::fleet::HOSTED_INSTANCES;
 use crate::test_writers::TestWriters;
 
-/// Number of instances, and of connections that each endpoint accepts: too few for each instance to
-/// keep one. The host of an endpoint may open two.
-const INSTANCES: usize = 4;
-const CONNECTIONS: u32 = 5;
-
 /// Prefix of the names of instances.
 const NAME_PREFIX: &str = "front-";
 
 /// Returns the hosts of an endpoint by number, first choice first.
 fn hosts(endpoint: &str) -> Vec<usize> {
-    let names = (0..INSTANCES).map(|number| format!("{NAME_PREFIX}{number}").parse());
+    let names = (0..HOSTED_INSTANCES).map(|number| format!("{NAME_PREFIX}{number}").parse());
     let names: Vec<InstanceId> = names.map(|name| name.expect("a valid name")).collect();
     let members = names.iter().map(|name| RankedInstance {
         processor: ProcessorShare(170),
@@ -42,12 +38,12 @@
 /// Returns the host of the primary and an instance that is none of its hosts.
 fn host_and_other(fleet: &Fleet) -> (usize, usize) {
     let hosts = hosts(&fleet.primary());
-    let other = (0..INSTANCES).find(|number| !hosts.contains(number));
+    let other = (0..HOSTED_INSTANCES).find(|number| !hosts.contains(number));
     (hosts[0], other.expect("some instance is no host"))
 }
 
 async fn start() -> Fleet {
-    Fleet::start_scarce(INSTANCES, CONNECTIONS, false).await
+    Fleet::start_hosted(false).await
 }
 
 /// Returns the number of connections that were opened to an endpoint for callers.
@@ -89,7 +85,7 @@
     let fleet = start().await;
     let primary = fleet.primary();
     let mut callers = Vec::new();
-    for number in 0..INSTANCES {
+    for number in 0..HOSTED_INSTANCES {
         let mut caller = fleet.caller(number, "linear").await;
         let set = caller.request(&format!("SET locale l{number}")).await;
         assert!(set.succeeded());
@@ -113,7 +109,7 @@
             assert_eq!(run.team, "studio");
         }
     }
-    let statements = 10 * INSTANCES * 2;
+    let statements = 10 * HOSTED_INSTANCES * 2;
     let opened = opened(&fleet, &primary) - before;
     assert!(opened * 4 < statements, "{opened} for {statements}");
     let (_, other) = host_and_other(&fleet);
@@ -142,7 +138,7 @@
     assert_eq!(caller.request("BEGIN").await.state, "T");
     assert!(caller.request("WRITE page cut").await.succeeded());
     fleet.instances[other].kill();
-    let mut caller = fleet.caller((other + 1) % INSTANCES, "linear").await;
+    let mut caller = fleet.caller((other + 1) % HOSTED_INSTANCES, "linear").await;
     let read = caller.request_until_served("READ page").await;
     assert_eq!(read.rows, vec!["1"]);
 }
@@ -312,8 +308,8 @@
 /// direct connections.
 #[tokio::test]
 async fn silent_hosts_are_bypassed() {
-    let fleet = Fleet::start_scarce(INSTANCES, CONNECTIONS, true).await;
-    for number in 0..INSTANCES {
+    let fleet = Fleet::start_hosted(true).await;
+    for number in 0..HOSTED_INSTANCES {
         let mut caller: LineCaller = fleet.caller(number, "linear").await;
         caller.request_until_served("WRITE page 1").await;
         for _ in 0..3 {
